--- /dev/null
+++ b/internal/port/peers.go
@@ -0,0 +1,33 @@
+package port
+
+import (
+	"context"
+
+	"sequoiastall/internal/core/configuration"
+	"sequoiastall/internal/core/job"
+	"sequoiastall/internal/core/membership"
+	"sequoiastall/internal/core/quota"
+	"sequoiastall/internal/core/routing"
+)
+
+// Peers calls other ingress nodes at their peer addresses. Calls fail with ErrUnavailable or ErrUnknownOutcome;
+// ErrNotFound if the peer doesn't own what the call is about.
+type Peers interface {
+	Gossip(ctx context.Context, address string, d membership.Digest) (membership.Digest, error)
+	FetchConfiguration(ctx context.Context, address string) (configuration.Document, error)
+	Endpoints(ctx context.Context, address string, r routing.EndpointsRequest) (routing.EndpointSet, error)
+	AskAllowance(ctx context.Context, address string, r quota.AllowanceRequest) (quota.AllowanceReply, error)
+	// Handover tells a node that the caller has released the partition and that it should acquire it at once.
+	Handover(ctx context.Context, address, partition string) error
+	JobStatus(ctx context.Context, address string, id job.ID) (job.Status, error)
+}
+
+// PeerHandler serves the calls of other nodes.
+type PeerHandler interface {
+	Gossip(ctx context.Context, d membership.Digest) (membership.Digest, error)
+	FetchConfiguration(ctx context.Context) (configuration.Document, error)
+	Endpoints(ctx context.Context, r routing.EndpointsRequest) (routing.EndpointSet, error)
+	AskAllowance(ctx context.Context, r quota.AllowanceRequest) (quota.AllowanceReply, error)
+	Handover(ctx context.Context, partition string) error
+	JobStatus(ctx context.Context, id job.ID) (job.Status, error)
+}
--- /dev/null
+++ b/internal/port/workers.go
@@ -0,0 +1,166 @@
+package port
+
+import (
+	"context"
+	"time"
+
+	"sequoiastall/internal/core/job"
+	"sequoiastall/internal/core/resource"
+)
+
+// Token fences commands to a worker. It grows with each acquisition.
+type Token uint64
+
+// TaskState is the state of a task on a worker.
+type TaskState int
+
+// States of a task on a worker. All but TaskRunning are final for the attempt.
+const (
+	TaskRunning TaskState = iota
+	TaskSucceeded
+	TaskFailed
+	TaskStopped      // by a stop command
+	TaskCheckpointed // by a checkpoint command
+	TaskLapsed       // by the worker, because the task lease lapsed
+)
+
+// String returns the state's name.
+func (s TaskState) String() string {
+	return [...]string{"running", "succeeded", "failed", "stopped", "checkpointed", "lapsed"}[s]
+}
+
+// TaskRecord is a worker's record of one attempt of a task.
+type TaskRecord struct {
+	Task       job.TaskID
+	Attempt    int32
+	State      TaskState
+	Reserved   resource.Vector
+	Address    string // IP:port of a running service instance
+	Checkpoint []byte
+	Message    string // why it failed
+	Throttled  bool
+}
+
+// Inventory is what a worker reports when its control lease is granted: capacity and every attempt that runs or whose
+// end hasn't been declared durable.
+type Inventory struct {
+	Token       Token
+	Capacity    resource.Vector
+	Connections int64 // connections that the worker accepts in all
+	Pool        string
+	Tasks       []TaskRecord
+	Sequence    uint64 // of the last event
+}
+
+// HeldError tells that another node holds a live control lease.
+type HeldError struct {
+	Holder string
+	For    time.Duration // until it lapses unless renewed
+}
+
+// Error implements error.
+func (e *HeldError) Error() string {
+	return "control lease is held by " + e.Holder + " for another " + e.For.String()
+}
+
+// StartGroup starts tasks of one job with a common specification.
+type StartGroup struct {
+	Job         job.ID
+	Reserved    resource.Vector
+	Duration    time.Duration
+	Service     bool
+	Concurrency int32
+	Payload     []byte
+	Tasks       []TaskStart
+}
+
+// TaskStart is one attempt to start.
+type TaskStart struct {
+	Index      int32
+	Attempt    int32
+	Checkpoint []byte
+}
+
+// Action is a command on a running attempt.
+type Action int
+
+// Actions on a running attempt.
+const (
+	Stop Action = iota
+	Checkpoint
+	Throttle
+	Unthrottle
+	Drain // finish open requests of a service instance, then stop
+)
+
+// Command applies an action to an attempt.
+type Command struct {
+	Task    job.TaskID
+	Attempt int32
+	Action  Action
+}
+
+// Sync is one batch for a worker.
+type Sync struct {
+	Token         Token
+	Node          string
+	Starts        []StartGroup
+	Commands      []Command
+	ForgetThrough uint64 // events up to here are durable
+	SeenThrough   uint64 // return events after this one
+	Wait          time.Duration
+	WantUsage     bool
+}
+
+// RefusalCode says why a worker didn't start an attempt.
+type RefusalCode int
+
+// Reasons of a refusal.
+const (
+	RefusedCapacity RefusalCode = iota
+	RefusedDuplicate
+	RefusedLeaving
+)
+
+// Refusal names an attempt that wasn't started.
+type Refusal struct {
+	Task    job.TaskID
+	Attempt int32
+	Code    RefusalCode
+}
+
+// TaskEvent is the end of an attempt, or the address of a started instance.
+type TaskEvent struct {
+	Sequence uint64
+	Record   TaskRecord
+}
+
+// TaskUsage is the measured use of a running task, some seconds old.
+type TaskUsage struct {
+	Task     job.TaskID
+	MilliCPU int64
+	MemoryMB int64
+}
+
+// SyncResult is the answer to a batch.
+type SyncResult struct {
+	Refusals []Refusal
+	Events   []TaskEvent
+	Usage    []TaskUsage
+}
+
+// ErrFenced is returned by Workers.Sync when the token is old or the control lease has lapsed; nothing was applied.
+var ErrFenced = errFenced{}
+
+type errFenced struct{}
+
+func (errFenced) Error() string { return "control lease lost" }
+
+// Workers talks to the platform's agents on workers. Calls fail with ErrUnavailable or ErrUnknownOutcome.
+type Workers interface {
+	// Acquire asks for the control lease; *HeldError if another node holds it.
+	Acquire(ctx context.Context, host Host, node string, control, task time.Duration) (Inventory, error)
+	// Sync renews the lease and applies a batch; ErrFenced if this node no longer holds it.
+	Sync(ctx context.Context, host Host, s Sync) (SyncResult, error)
+	Release(ctx context.Context, host Host, node string, token Token) error
+}
