--- /dev/null
+++ b/internal/core/placement/filter_quarantine.go
@@ -0,0 +1,4 @@
+package placement
+
+// rejectQuarantine keeps new work from workers that fail everything.
+func rejectQuarantine(w *Worker, _ *Request) bool { return w.Quarantined }
--- /dev/null
+++ b/internal/core/placement/index.go
@@ -0,0 +1,237 @@
+package placement
+
+import "math/bits"
+
+const (
+	slotRows  = 32 // exact numbers of free slots; the last row holds all larger ones
+	accelRows = 8  // the same for accelerators
+	none      = int32(-1)
+)
+
+// index finds workers of one pool by free resources. Free slots and accelerators are small integers and select a row;
+// a row is a treap ordered by free memory whose nodes know the largest free CPU below them. A search for "memory at
+// least m and CPU at least c" therefore prunes exactly and costs O(log n) per row.
+type index struct {
+	root [accelRows][slotRows]int32
+	used [accelRows]uint32 // bit s is set while row s isn't empty
+}
+
+func newIndex() *index {
+	x := &index{}
+	for a := range x.root {
+		for s := range x.root[a] {
+			x.root[a][s] = none
+		}
+	}
+	return x
+}
+
+// row returns the row for an amount of accelerators or slots.
+func row(amount int64, rows int) int { return int(max(0, min(amount, int64(rows-1)))) }
+
+// node is a worker's place in its row's treap.
+type node struct {
+	left, right int32
+	priority    uint32
+	cpu, memory int64 // free
+	maxCPU      int64 // in the subtree
+	accel, slot uint8 // row
+	indexed     bool
+}
+
+// priorityOf scrambles a worker's number (Murmur3 finalizer); equal sets of workers form equal treaps.
+func priorityOf(n int32) uint32 {
+	h := uint32(n) + 0x9e3779b9
+	h ^= h >> 16
+	h *= 0x85ebca6b
+	h ^= h >> 13
+	h *= 0xc2b2ae35
+	return h ^ h>>16
+}
+
+func (c *Cluster) less(a, b int32) bool {
+	x, y := &c.nodes[a], &c.nodes[b]
+	if x.memory != y.memory {
+		return x.memory < y.memory
+	}
+	return a < b
+}
+
+func (c *Cluster) pull(n int32) {
+	x := &c.nodes[n]
+	x.maxCPU = x.cpu
+	if x.left != none {
+		x.maxCPU = max(x.maxCPU, c.nodes[x.left].maxCPU)
+	}
+	if x.right != none {
+		x.maxCPU = max(x.maxCPU, c.nodes[x.right].maxCPU)
+	}
+}
+
+// split divides the treap at root into the nodes before key and the rest.
+func (c *Cluster) split(root, key int32) (before, rest int32) {
+	if root == none {
+		return none, none
+	}
+	x := &c.nodes[root]
+	if c.less(root, key) {
+		x.right, rest = c.split(x.right, key)
+		c.pull(root)
+		return root, rest
+	}
+	before, x.left = c.split(x.left, key)
+	c.pull(root)
+	return before, root
+}
+
+func (c *Cluster) merge(a, b int32) int32 {
+	if a == none {
+		return b
+	}
+	if b == none {
+		return a
+	}
+	if c.nodes[a].priority > c.nodes[b].priority {
+		c.nodes[a].right = c.merge(c.nodes[a].right, b)
+		c.pull(a)
+		return a
+	}
+	c.nodes[b].left = c.merge(a, c.nodes[b].left)
+	c.pull(b)
+	return b
+}
+
+func (c *Cluster) insert(root, n int32) int32 {
+	if root == none || c.nodes[n].priority > c.nodes[root].priority {
+		c.nodes[n].left, c.nodes[n].right = c.split(root, n)
+		c.pull(n)
+		return n
+	}
+	if c.less(n, root) {
+		c.nodes[root].left = c.insert(c.nodes[root].left, n)
+	} else {
+		c.nodes[root].right = c.insert(c.nodes[root].right, n)
+	}
+	c.pull(root)
+	return root
+}
+
+func (c *Cluster) erase(root, n int32) int32 {
+	if root == n {
+		return c.merge(c.nodes[n].left, c.nodes[n].right)
+	}
+	if c.less(n, root) {
+		c.nodes[root].left = c.erase(c.nodes[root].left, n)
+	} else {
+		c.nodes[root].right = c.erase(c.nodes[root].right, n)
+	}
+	c.pull(root)
+	return root
+}
+
+// unindex takes worker n out of its pool's index.
+func (c *Cluster) unindex(n int32) {
+	x := &c.nodes[n]
+	if !x.indexed {
+		return
+	}
+	ix := c.entries[n].pool.index
+	root := &ix.root[x.accel][x.slot]
+	*root = c.erase(*root, n)
+	if *root == none {
+		ix.used[x.accel] &^= 1 << x.slot
+	}
+	x.indexed = false
+}
+
+// reindex puts worker n where its free resources belong; workers that take no work stay out.
+func (c *Cluster) reindex(n int32) {
+	c.unindex(n)
+	e := &c.entries[n]
+	if e.Leaving || e.Quarantined {
+		return
+	}
+	free := e.free()
+	accel, slot := row(free.Accelerators, accelRows), row(free.Slots, slotRows)
+	c.nodes[n] = node{
+		left: none, right: none, priority: priorityOf(n), cpu: free.MilliCPU, memory: free.MemoryMB,
+		maxCPU: free.MilliCPU, accel: uint8(accel), slot: uint8(slot), indexed: true,
+	}
+	ix := e.pool.index
+	ix.root[accel][slot] = c.insert(ix.root[accel][slot], n)
+	ix.used[accel] |= 1 << slot
+}
+
+// search collects candidates for one request.
+type search struct {
+	request *Request
+	loose   bool // most free memory first
+	want    int  // candidates still wanted
+	row     int  // candidates still wanted from the current row
+	spread  bool // at most one candidate per rack
+	visited int
+	found   []int32
+}
+
+// collect searches the rows of an index, tightest or loosest first, until it has enough candidates.
+func (c *Cluster) collect(ix *index, s *search) {
+	minAccel := row(s.request.Resources.Accelerators, accelRows)
+	minSlot := row(s.request.Resources.Slots, slotRows)
+	for i := minAccel; i < accelRows; i++ {
+		accel := i
+		if s.loose {
+			accel = accelRows - 1 - (i - minAccel)
+		}
+		for rows := ix.used[accel] >> minSlot << minSlot; rows != 0 && s.want > 0; {
+			slot := bits.TrailingZeros32(rows)
+			if s.loose {
+				slot = bits.Len32(rows) - 1
+			}
+			rows &^= 1 << slot
+			s.row = perRow
+			c.descend(ix.root[accel][slot], s)
+		}
+	}
+}
+
+// descend visits the nodes of a row with enough memory and CPU in the order of free memory.
+func (c *Cluster) descend(n int32, s *search) {
+	for n != none && s.want > 0 && s.row > 0 {
+		x := &c.nodes[n]
+		if x.maxCPU < s.request.Resources.MilliCPU {
+			return
+		}
+		s.visited++
+		if x.memory < s.request.Resources.MemoryMB {
+			n = x.right
+			continue
+		}
+		first, last := x.left, x.right
+		if s.loose {
+			first, last = last, first
+		}
+		c.descend(first, s)
+		if s.want > 0 && s.row > 0 && x.cpu >= s.request.Resources.MilliCPU {
+			c.offer(n, s)
+		}
+		n = last
+	}
+}
+
+// offer adds worker n to the candidates if every filter passes it.
+func (c *Cluster) offer(n int32, s *search) {
+	e := &c.entries[n]
+	if e.stamp == c.stamp || rejectedBy(&e.Worker, s.request) != "" {
+		return
+	}
+	if s.spread {
+		if e.rack.stamp == c.stamp {
+			return
+		}
+		e.rack.stamp = c.stamp
+	}
+	e.stamp = c.stamp
+	s.want--
+	s.row--
+	s.found = append(s.found, n)
+}
--- /dev/null
+++ b/internal/core/quota/allowance.go
@@ -0,0 +1,193 @@
+package quota
+
+import (
+	"fmt"
+	"maps"
+	"math/bits"
+	"slices"
+
+	"sequoiastall/internal/core/resource"
+)
+
+// UnlimitedAmount is the amount of a component without a limit. Sums of a few thousand of them don't overflow.
+const UnlimitedAmount int64 = 1 << 48
+
+// Unlimited is the limit and the allowance of a team without a limit object.
+var Unlimited = resource.Vector{
+	Slots: UnlimitedAmount, MilliCPU: UnlimitedAmount, MemoryMB: UnlimitedAmount, Accelerators: UnlimitedAmount,
+}
+
+// LimitOf returns the limit that a limit object gives, and Unlimited without one.
+func LimitOf(limit *resource.Vector) resource.Vector {
+	if limit == nil {
+		return Unlimited
+	}
+	return limit.Max(resource.Vector{}).Min(Unlimited)
+}
+
+// Record divides a team's upper limit among partitions. It is the value of the store key allowance/<team>.
+type Record struct {
+	Team   string                     `json:"team"`
+	Limit  resource.Vector            `json:"limit"`
+	Parts  map[string]resource.Vector `json:"parts"`            // by partition
+	Writer string                     `json:"writer,omitempty"` // node and sequence of the last write, to recognise a lost answer
+}
+
+// MoveError tells that an allowance can't be moved as asked; the record is unchanged.
+type MoveError struct {
+	Team, From, To string
+	Amount, Part   resource.Vector // asked for, and the giving partition's part
+	Reason         string
+}
+
+// Error implements error.
+func (e *MoveError) Error() string {
+	return fmt.Sprintf("allowance of team %s: can't move %+v from %q (which has %+v) to %q: %s",
+		e.Team, e.Amount, e.From, e.Part, e.To, e.Reason)
+}
+
+// RecordError tells that a record violates an invariant.
+type RecordError struct {
+	Team, Reason string
+}
+
+// Error implements error.
+func (e *RecordError) Error() string { return "allowance record of team " + e.Team + ": " + e.Reason }
+
+// Initial divides a limit equally among partitions. What can't be divided goes to the first partitions by name.
+func Initial(team string, limit resource.Vector, partitions []string) Record {
+	return Record{Team: team, Parts: map[string]resource.Vector{}}.Raise(limit, partitions)
+}
+
+// Move transfers an amount between partitions. It fails with *MoveError or *RecordError.
+func (r Record) Move(from, to string, amount resource.Vector) (Record, error) {
+	if err := r.Check(); err != nil {
+		return Record{}, err
+	}
+	fail := func(reason string) (Record, error) {
+		return Record{}, &MoveError{Team: r.Team, From: from, To: to, Amount: amount, Part: r.Parts[from], Reason: reason}
+	}
+	switch {
+	case from == to:
+		return fail("the partitions are the same")
+	case to == "":
+		return fail("no receiving partition")
+	case amount.HasNegative():
+		return fail("the amount is negative")
+	case amount.IsZero():
+		return fail("the amount is empty")
+	case !amount.Fits(r.Parts[from]):
+		return fail("the giving partition has less")
+	}
+	moved := r.clone()
+	moved.Parts[from] = moved.Parts[from].Sub(amount)
+	moved.Parts[to] = moved.Parts[to].Add(amount)
+	return moved, nil
+}
+
+// Effective returns what a partition may use under the published limit: its part, scaled by limit/sum if the limit is
+// lower than the sum of the parts. Rounding is downwards, so that the sum over all partitions stays within the limit.
+// A component without a published limit is unlimited in every partition, whatever the record says.
+func (r Record) Effective(limit resource.Vector, partition string) resource.Vector {
+	sum, part, have := components(r.sum()), components(r.Parts[partition]), components(limit)
+	var effective [resourceKinds]int64
+	for i := range effective {
+		switch {
+		case have[i] >= UnlimitedAmount:
+			effective[i] = UnlimitedAmount
+		default:
+			effective[i] = scaled(part[i], have[i], sum[i])
+		}
+	}
+	return vector(effective)
+}
+
+// Raise adapts the record to a published limit. What the limit leaves above the sum of the parts is divided equally
+// among the partitions; where the limit is lower than the sum, the parts become the effective ones first. No part
+// becomes smaller than its effective value under the limit, so that a reader of the old record never uses more than a
+// reader of the new one.
+func (r Record) Raise(limit resource.Vector, partitions []string) Record {
+	raised := r.clone()
+	raised.Limit = LimitOf(&limit)
+	sum, bound := components(r.sum()), components(raised.Limit)
+	for name, part := range raised.Parts {
+		p := components(part)
+		for i := range p {
+			p[i] = scaled(p[i], bound[i], sum[i])
+		}
+		raised.Parts[name] = vector(p)
+	}
+	names := slices.Compact(slices.Sorted(slices.Values(partitions)))
+	left := components(raised.Limit.Sub(raised.sum()))
+	for at, name := range names {
+		part := components(raised.Parts[name])
+		for i := range part {
+			count := int64(len(names))
+			part[i] += left[i] / count
+			if int64(at) < left[i]%count {
+				part[i]++
+			}
+		}
+		raised.Parts[name] = vector(part)
+	}
+	return raised
+}
+
+// Check fails with *RecordError if a part is negative or the sum of the parts is above the limit.
+func (r Record) Check() error {
+	if r.Limit.HasNegative() {
+		return &RecordError{r.Team, fmt.Sprintf("limit %+v is negative", r.Limit)}
+	}
+	if !r.Limit.Fits(Unlimited) {
+		return &RecordError{r.Team, fmt.Sprintf("limit %+v is out of range", r.Limit)}
+	}
+	var sum resource.Vector
+	for _, name := range slices.Sorted(maps.Keys(r.Parts)) {
+		part := r.Parts[name]
+		if part.HasNegative() || !part.Fits(r.Limit) {
+			return &RecordError{r.Team, fmt.Sprintf("part %+v of %s is negative or above the limit %+v", part, name, r.Limit)}
+		}
+		if sum = sum.Add(part); !sum.Fits(r.Limit) {
+			return &RecordError{r.Team, fmt.Sprintf("the sum of the parts is above the limit %+v", r.Limit)}
+		}
+	}
+	return nil
+}
+
+func (r Record) sum() resource.Vector {
+	var sum resource.Vector
+	for _, part := range r.Parts {
+		sum = sum.Add(part)
+	}
+	return sum
+}
+
+func (r Record) clone() Record {
+	parts := make(map[string]resource.Vector, len(r.Parts)+1)
+	maps.Copy(parts, r.Parts)
+	r.Parts = parts
+	return r
+}
+
+const resourceKinds = 4
+
+func components(v resource.Vector) [resourceKinds]int64 {
+	return [...]int64{v.Slots, v.MilliCPU, v.MemoryMB, v.Accelerators}
+}
+
+func vector(c [resourceKinds]int64) resource.Vector {
+	return resource.Vector{Slots: c[0], MilliCPU: c[1], MemoryMB: c[2], Accelerators: c[3]}
+}
+
+// scaled returns part unless sum is above limit, and then part*limit/sum rounded down, through a 128-bit product.
+func scaled(part, limit, sum int64) int64 {
+	if sum <= limit || part <= 0 {
+		return max(0, part)
+	}
+	if limit <= 0 {
+		return 0
+	}
+	high, low := bits.Mul64(uint64(part), uint64(limit))
+	quotient, _ := bits.Div64(high, low, uint64(sum)) // high < sum because part <= sum and limit < sum
+	return int64(quotient)
+}
