Sample racks for services and bound the placement search

A service placed in the order of free resources saw few racks, and rows for each number of free slots multiplied the cost of a search in a full cluster. Candidates for services are now also taken from ten racks in turn; slots above 8 share a row for each power of 2; nodes know the largest free memory below them.

--- a/internal/core/placement/cluster.go
+++ b/internal/core/placement/cluster.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 
@@ -12,6 +13,8 @@
 	candidateLimit = 12
 	// perRow bounds the candidates from one row, so that several combinations of free resources are compared.
 	perRow = 4
+	// rackSample is the number of racks from which a candidate for a service is taken directly.
+	rackSample = 10
 )
 
 // Cluster holds the workers of a partition and their reservations.
@@ -22,12 +25,13 @@
 	nodes        []node // parallel to entries
 	vacant       []int32
 	pools        []*pool // sorted by name
-	racks        map[rackKey]*rack
+	racks        []*rack // sorted by zone and name
 	capacity     resource.Vector
 	reserved     resource.Vector
 	overReleased int
 	stamp        uint64
-	visited      int // of the last search
+	visited      int     // of the last search
+	request      Request // of the last Place
 	scratch      []int32
 }
 
@@ -48,13 +52,16 @@
 	count   int
 }
 
-type rackKey struct{ zone, rack string }
-
 // rack counts instances by service.
 type rack struct {
-	services map[string]int
-	workers  int
-	stamp    uint64 // of the last search that took a candidate from it
+	zone, name string
+	services   map[string]int
+	members    []int32 // in ascending order
+	stamp      uint64  // of the last search that took a candidate from it
+}
+
+func (r *rack) compare(zone, name string) int {
+	return cmp.Or(strings.Compare(r.zone, zone), strings.Compare(r.name, name))
 }
 
 // pool groups the workers of one hardware pool.
@@ -73,7 +80,7 @@
 
 // NewCluster returns an empty cluster.
 func NewCluster(p Policy) *Cluster {
-	return &Cluster{policy: p, byID: map[string]int32{}, racks: map[rackKey]*rack{}}
+	return &Cluster{policy: p, byID: map[string]int32{}}
 }
 
 // Upsert adds a worker without reservations, or updates all fields but Reserved of a known one.
@@ -118,9 +125,10 @@
 // attach adds worker n to its pool, rack, totals and index.
 func (c *Cluster) attach(n int32) {
 	e := &c.entries[n]
-	e.pool, e.rack = c.poolNamed(e.Pool), c.rackNamed(rackKey{e.Zone, e.Rack})
+	e.pool, e.rack = c.poolNamed(e.Pool), c.rackNamed(e.Zone, e.Rack)
 	e.pool.count(&e.Worker, 1)
-	e.rack.workers++
+	at, _ := slices.BinarySearch(e.rack.members, n)
+	e.rack.members = slices.Insert(e.rack.members, at, n)
 	for _, s := range e.services {
 		e.rack.services[s.service] += s.count
 	}
@@ -137,9 +145,9 @@
 	for _, s := range e.services {
 		e.rack.add(s.service, -s.count)
 	}
-	e.rack.workers--
-	if e.rack.workers == 0 {
-		delete(c.racks, rackKey{e.Zone, e.Rack})
+	e.rack.members = slices.DeleteFunc(e.rack.members, func(m int32) bool { return m == n })
+	if len(e.rack.members) == 0 {
+		c.racks = slices.DeleteFunc(c.racks, func(r *rack) bool { return r == e.rack })
 	}
 	if e.pool.workers == 0 {
 		c.pools = slices.DeleteFunc(c.pools, func(p *pool) bool { return p == e.pool })
@@ -156,13 +164,12 @@
 	return c.pools[at]
 }
 
-func (c *Cluster) rackNamed(key rackKey) *rack {
-	r := c.racks[key]
-	if r == nil {
-		r = &rack{services: map[string]int{}}
-		c.racks[key] = r
+func (c *Cluster) rackNamed(zone, name string) *rack {
+	at, found := slices.BinarySearchFunc(c.racks, name, func(r *rack, name string) int { return r.compare(zone, name) })
+	if !found {
+		c.racks = slices.Insert(c.racks, at, &rack{zone: zone, name: name, services: map[string]int{}})
 	}
-	return r
+	return c.racks[at]
 }
 
 func (r *rack) add(service string, delta int) {
--- a/internal/core/placement/index.go
+++ b/internal/core/placement/index.go
@@ -3,9 +3,10 @@
 import "math/bits"
 
 const (
-	slotRows  = 32 // exact numbers of free slots; the last row holds all larger ones
-	accelRows = 8  // the same for accelerators
-	none      = int32(-1)
+	exactSlots = 8              // free slots up to here have a row each, larger numbers one for each power of 2
+	slotRows   = exactSlots + 4 // the last row holds 64 and more
+	accelRows  = 8              // free accelerators; the last row holds 7 and more
+	none       = int32(-1)
 )
 
 // index finds workers of one pool by free resources. Free slots and accelerators are small integers and select a row;
@@ -13,7 +14,7 @@
 // least m and CPU at least c" therefore prunes exactly and costs O(log n) per row.
 type index struct {
 	root [accelRows][slotRows]int32
-	used [accelRows]uint32 // bit s is set while row s isn't empty
+	used [accelRows]uint64 // bit s is set while row s isn't empty
 }
 
 func newIndex() *index {
@@ -26,15 +27,24 @@
 	return x
 }
 
-// row returns the row for an amount of accelerators or slots.
-func row(amount int64, rows int) int { return int(max(0, min(amount, int64(rows-1)))) }
+// slotRow returns the row for a number of free slots.
+func slotRow(slots int64) int {
+	if slots <= exactSlots {
+		return int(max(0, slots))
+	}
+	return min(slotRows-1, exactSlots+bits.Len64(uint64(slots))-bits.Len64(exactSlots))
+}
+
+// accelRow returns the row for a number of free accelerators.
+func accelRow(accelerators int64) int { return int(max(0, min(accelerators, accelRows-1))) }
 
 // node is a worker's place in its row's treap.
 type node struct {
 	left, right int32
 	priority    uint32
 	cpu, memory int64 // free
-	maxCPU      int64 // in the subtree
+	maxCPU      int64 // in the subtree, like the next
+	maxMemory   int64
 	accel, slot uint8 // row
 	indexed     bool
 }
@@ -59,12 +69,13 @@
 
 func (c *Cluster) pull(n int32) {
 	x := &c.nodes[n]
-	x.maxCPU = x.cpu
+	x.maxCPU, x.maxMemory = x.cpu, x.memory
 	if x.left != none {
 		x.maxCPU = max(x.maxCPU, c.nodes[x.left].maxCPU)
 	}
 	if x.right != none {
 		x.maxCPU = max(x.maxCPU, c.nodes[x.right].maxCPU)
+		x.maxMemory = c.nodes[x.right].maxMemory
 	}
 }
 
@@ -152,10 +163,10 @@
 		return
 	}
 	free := e.free()
-	accel, slot := row(free.Accelerators, accelRows), row(free.Slots, slotRows)
+	accel, slot := accelRow(free.Accelerators), slotRow(free.Slots)
 	c.nodes[n] = node{
 		left: none, right: none, priority: priorityOf(n), cpu: free.MilliCPU, memory: free.MemoryMB,
-		maxCPU: free.MilliCPU, accel: uint8(accel), slot: uint8(slot), indexed: true,
+		maxCPU: free.MilliCPU, maxMemory: free.MemoryMB, accel: uint8(accel), slot: uint8(slot), indexed: true,
 	}
 	ix := e.pool.index
 	ix.root[accel][slot] = c.insert(ix.root[accel][slot], n)
@@ -167,28 +178,29 @@
 	request *Request
 	loose   bool // most free memory first
 	want    int  // candidates still wanted
-	row     int  // candidates still wanted from the current row
+	offers  int  // workers of the current row that may still be offered
 	spread  bool // at most one candidate per rack
-	visited int
+	visited int  // workers whose free resources were compared
 	found   []int32
 }
 
-// collect searches the rows of an index, tightest or loosest first, until it has enough candidates.
+// collect searches the rows of an index, tightest or loosest first, until it has enough candidates. It finds a worker
+// if one passes the filters.
 func (c *Cluster) collect(ix *index, s *search) {
-	minAccel := row(s.request.Resources.Accelerators, accelRows)
-	minSlot := row(s.request.Resources.Slots, slotRows)
+	minAccel := accelRow(s.request.Resources.Accelerators)
+	minSlot := slotRow(s.request.Resources.Slots)
 	for i := minAccel; i < accelRows; i++ {
 		accel := i
 		if s.loose {
 			accel = accelRows - 1 - (i - minAccel)
 		}
 		for rows := ix.used[accel] >> minSlot << minSlot; rows != 0 && s.want > 0; {
-			slot := bits.TrailingZeros32(rows)
+			slot := bits.TrailingZeros64(rows)
 			if s.loose {
-				slot = bits.Len32(rows) - 1
+				slot = bits.Len64(rows) - 1
 			}
 			rows &^= 1 << slot
-			s.row = perRow
+			s.offers = perRow
 			c.descend(ix.root[accel][slot], s)
 		}
 	}
@@ -196,12 +208,12 @@
 
 // descend visits the nodes of a row with enough memory and CPU in the order of free memory.
 func (c *Cluster) descend(n int32, s *search) {
-	for n != none && s.want > 0 && s.row > 0 {
+	for n != none && s.want > 0 && s.offers > 0 {
 		x := &c.nodes[n]
-		if x.maxCPU < s.request.Resources.MilliCPU {
+		s.visited++
+		if x.maxCPU < s.request.Resources.MilliCPU || x.maxMemory < s.request.Resources.MemoryMB {
 			return
 		}
-		s.visited++
 		if x.memory < s.request.Resources.MemoryMB {
 			n = x.right
 			continue
@@ -211,27 +223,41 @@
 			first, last = last, first
 		}
 		c.descend(first, s)
-		if s.want > 0 && s.row > 0 && x.cpu >= s.request.Resources.MilliCPU {
+		if s.want > 0 && s.offers > 0 && x.cpu >= s.request.Resources.MilliCPU {
 			c.offer(n, s)
 		}
 		n = last
 	}
 }
 
-// offer adds worker n to the candidates if every filter passes it.
+// offer adds worker n to the candidates if every filter passes it. A worker that isn't added because it or its rack is
+// a candidate already counts as offered, which bounds the search.
 func (c *Cluster) offer(n int32, s *search) {
 	e := &c.entries[n]
-	if e.stamp == c.stamp || rejectedBy(&e.Worker, s.request) != "" {
+	if rejectedBy(&e.Worker, s.request) != "" {
 		return
 	}
-	if s.spread {
-		if e.rack.stamp == c.stamp {
-			return
-		}
-		e.rack.stamp = c.stamp
+	s.offers--
+	if e.stamp == c.stamp || (s.spread && e.rack.stamp == c.stamp) {
+		return
 	}
-	e.stamp = c.stamp
+	e.stamp, e.rack.stamp = c.stamp, c.stamp
 	s.want--
-	s.row--
 	s.found = append(s.found, n)
 }
+
+// sampleRacks adds one worker each from the next few racks. The order by free resources tells nothing about racks, so
+// that without it a service in a large partition would see few of them.
+func (c *Cluster) sampleRacks(s *search) {
+	count := len(c.racks)
+	start := int(c.stamp%uint64(count)) * rackSample
+	for i := range min(rackSample, count) {
+		for _, n := range c.racks[(start+i)%count].members {
+			s.visited++
+			s.offers, s.want = 1, 1
+			if c.offer(n, s); s.offers == 0 {
+				break
+			}
+		}
+	}
+}
--- a/internal/core/placement/place.go
+++ b/internal/core/placement/place.go
@@ -12,9 +12,10 @@
 	if r.Resources.HasNegative() {
 		return Decision{}, &InvalidRequestError{r.Resources}
 	}
-	n, d := c.choose(&r)
+	c.request = r // a copy in the cluster, because a parameter would be moved to the heap
+	n, d := c.choose(&c.request)
 	if n == none {
-		return Decision{}, c.unplaceable(&r, 1)
+		return Decision{}, c.unplaceable(&c.request, 1)
 	}
 	return d, nil
 }
@@ -62,11 +63,14 @@
 		}
 		s.loose, s.want = false, candidateLimit
 		c.collect(p.index, &s)
-		if s.want == 0 { // otherwise every worker that fits is a candidate already
+		if len(s.found) > 0 {
 			s.loose, s.want = true, candidateLimit
 			c.collect(p.index, &s)
 		}
 	}
+	if s.spread && len(s.found) > 0 {
+		c.sampleRacks(&s)
+	}
 	c.scratch, c.visited = s.found, s.visited
 	best, decision := none, Decision{Considered: s.visited}
 	for _, n := range s.found {
