--- a/internal/core/quota/allowance.go
+++ b/internal/core/quota/allowance.go
@@ -87,7 +87,9 @@
 
 // Effective returns what a partition may use under the published limit: its part, scaled by limit/sum if the limit is
 // lower than the sum of the parts. Rounding is downwards, so that the sum over all partitions stays within the limit.
-// A component without a published limit is unlimited in every partition, whatever the record says.
+// A component without a published limit is unlimited in every partition, whatever the record says. The bound holds over
+// owners that read the record at different times only if each reads it again when it adopts a changed limit: between a
+// raise and a lowered limit, an owner with the record from before the raise would use more than its part.
 func (r Record) Effective(limit resource.Vector, partition string) resource.Vector {
 	sum, part, have := components(r.sum()), components(r.Parts[partition]), components(limit)
 	var effective [resourceKinds]int64
@@ -181,13 +183,14 @@
 
 // scaled returns part unless sum is above limit, and then part*limit/sum rounded down, through a 128-bit product.
 func scaled(part, limit, sum int64) int64 {
-	if sum <= limit || part <= 0 {
-		return max(0, part)
-	}
-	if limit <= 0 {
+	if limit <= 0 || part <= 0 {
 		return 0
 	}
+	if sum <= limit {
+		return min(part, limit) // a corrupt record may have negative parts, so that part is above sum
+	}
+	part = min(part, sum)
 	high, low := bits.Mul64(uint64(part), uint64(limit))
-	quotient, _ := bits.Div64(high, low, uint64(sum)) // high < sum because part <= sum and limit < sum
+	quotient, _ := bits.Div64(high, low, uint64(sum)) // high < sum because part <= sum and limit <= sum
 	return int64(quotient)
 }
