--- /dev/null
+++ b/internal/gateway/routes.go
@@ -0,0 +1,19 @@
+package gateway
+
+import (
+	"time"
+
+	"sequoiastall/internal/core/routing"
+)
+
+// Routes is the node's access to the gateway's route table; *Router implements it.
+type Routes interface {
+	// Apply replaces the endpoints of a partition. The permits hold from sentAt, when the request was sent.
+	Apply(set routing.EndpointSet, sentAt time.Time)
+	// Demand returns the open and waiting requests by service, for the node's next EndpointsRequest.
+	Demand() []routing.ServiceDemand
+	// Version returns the version applied for a partition, 0 for none.
+	Version(partition string) uint64
+	// Remove forgets a partition that no longer exists; open requests end normally.
+	Remove(partition string)
+}
