--- /dev/null
+++ b/internal/core/routing/ledger_test.go
@@ -0,0 +1,254 @@
+package routing
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"sequoiastall/internal/core/job"
+)
+
+func ledgerWith(t interface{ Fatal(...any) }, instances, concurrency int32) *PermitLedger {
+	l := NewPermitLedger("p", 100)
+	l.SetWorker("w", 16, epoch)
+	for i := range instances {
+		e := Endpoint{Instance: job.TaskID{Job: "J", Index: i}, Service: "lookup", Worker: "w", Zone: "z1"}
+		if err := l.SetEndpoint(e, concurrency, epoch); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return l
+}
+
+func ask(t *testing.T, l *PermitLedger, node string, settled uint64, demand int32, now time.Time) EndpointSet {
+	t.Helper()
+	set, err := l.Request(EndpointsRequest{Node: node, Settled: settled,
+		Demand: []ServiceDemand{{Service: "lookup", Waiting: demand}}}, now)
+	assert.NilError(t, err)
+	return set
+}
+
+// Guards against a permit that is at two nodes at once: it moves only after the loser settled, or is silent for the
+// lease and the longest deadline.
+func TestPermitMovesAfterSettling(t *testing.T) {
+	l := ledgerWith(t, 1, 8)
+	a := ask(t, l, "a", 0, 0, epoch)
+	assert.Equal(t, a.Endpoints[0].Permits, int32(8))
+	b := ask(t, l, "b", 0, 6, epoch)
+	assert.Equal(t, b.Endpoints[0].Permits, int32(0))
+	a = ask(t, l, "a", a.Version, 0, epoch)
+	assert.Equal(t, a.Endpoints[0].Permits, int32(1))
+	assert.Equal(t, ask(t, l, "b", 0, 6, epoch).Endpoints[0].Permits, int32(0))
+	ask(t, l, "a", a.Version, 0, epoch)
+	b = ask(t, l, "b", b.Version, 6, epoch)
+	assert.Equal(t, b.Endpoints[0].Permits, int32(7))
+}
+
+// Guards against permits that are lost with a dead node, and against reusing them while its requests may be open.
+func TestPermitsOfSilentNodeMoveAfterLeaseAndDeadline(t *testing.T) {
+	l := ledgerWith(t, 1, 8)
+	ask(t, l, "a", 0, 0, epoch)
+	end := epoch.Add(permitReuse)
+	assert.Equal(t, ask(t, l, "b", 0, 1, end).Endpoints[0].Permits, int32(0))
+	assert.Equal(t, ask(t, l, "b", 0, 1, end.Add(1)).Endpoints[0].Permits, int32(8))
+}
+
+// Guards against a new owner granting what a former one granted a moment ago.
+func TestInheritedEndpointWaits(t *testing.T) {
+	l := NewPermitLedger("p", 100)
+	until := InheritedUntil(epoch)
+	l.SetWorker("w", 16, until)
+	assert.NilError(t, l.SetEndpoint(Endpoint{Worker: "w", Service: "lookup"}, 4, until))
+	assert.Equal(t, ask(t, l, "a", 0, 1, epoch).Endpoints[0].Permits, int32(0))
+	set := ask(t, l, "a", 0, 1, until)
+	assert.Equal(t, set.Endpoints[0].Permits, int32(4))
+	assert.Equal(t, set.Endpoints[0].Connections, int32(16))
+}
+
+// Guards against the use of a lowered capacity counting as a fault, and against grants above it.
+func TestLoweredConcurrency(t *testing.T) {
+	l := ledgerWith(t, 1, 8)
+	a := ask(t, l, "a", 0, 0, epoch)
+	e := Endpoint{Instance: job.TaskID{Job: "J"}, Service: "lookup", Worker: "w", Zone: "z1"}
+	assert.NilError(t, l.SetEndpoint(e, 2, epoch))
+	a = ask(t, l, "a", a.Version, 0, epoch)
+	assert.Equal(t, a.Endpoints[0].Permits, int32(2))
+	ask(t, l, "a", a.Version, 0, epoch)
+	assert.Equal(t, l.endpoints[instanceKey{task: e.Instance}].permits.total(), int32(2))
+}
+
+// ledgerModel is a ledger with the route tables of several nodes and the messages between them.
+type ledgerModel struct {
+	now      time.Time
+	ledger   *PermitLedger
+	nodes    []*modelNode
+	requests []modelRequest
+	replies  []modelReply
+}
+
+type modelNode struct {
+	name   string
+	table  *Table
+	open   []modelOpen
+	paused bool
+}
+
+type modelOpen struct {
+	pick     Pick
+	deadline time.Time
+}
+
+type modelRequest struct {
+	node   int
+	sentAt time.Time
+	body   EndpointsRequest
+}
+
+type modelReply struct {
+	node   int
+	sentAt time.Time
+	set    EndpointSet
+}
+
+// endOpen ends the requests whose deadline has passed; a node does so before anything else when it resumes.
+func (m *ledgerModel) endOpen(n *modelNode) {
+	var rest []modelOpen
+	for _, o := range n.open {
+		if m.now.Before(o.deadline) {
+			rest = append(rest, o)
+		} else {
+			n.table.Done(o.pick, Abandoned, m.now)
+		}
+	}
+	n.open = rest
+}
+
+func (m *ledgerModel) check(t *rapid.T) {
+	permits, workers := map[instanceKey]int32{}, int32(0)
+	for _, n := range m.nodes {
+		open, openAll, limit := map[instanceKey]int32{}, int32(0), int32(0)
+		for _, o := range n.open {
+			if m.now.Before(o.deadline) {
+				open[instanceKey{o.pick.Instance, o.pick.Attempt}]++
+				openAll++
+			}
+		}
+		if p := n.table.partitions["p"]; p != nil && m.now.Before(p.validTo) {
+			for key, in := range p.instances {
+				open[key] = max(open[key], in.Permits)
+			}
+			limit = n.table.Limits()["w"]
+		}
+		for key, use := range open {
+			permits[key] += use
+		}
+		workers += max(openAll, limit)
+		assert.Equal(t, n.table.Violations(), uint64(0))
+	}
+	for key, use := range permits {
+		assert.Assert(t, use <= 4, "nodes may use %d permits of instance %v", use, key)
+	}
+	assert.Assert(t, workers <= 16, "nodes may use %d connections", workers)
+	assert.Equal(t, m.ledger.Violations(), uint64(0))
+}
+
+// Guards against more permits or connections in use than exist, whatever is lost, repeated or late and whichever node
+// pauses.
+func TestPermitSumProperty(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &ledgerModel{now: epoch, ledger: ledgerWith(t, 5, 4)}
+		for i := range 3 {
+			m.nodes = append(m.nodes, &modelNode{name: fmt.Sprint("n", i), table: NewTable("z1", rand.New(rand.NewPCG(1, uint64(i))))})
+		}
+		nodeIndex := rapid.IntRange(0, len(m.nodes)-1)
+		send := func(t *rapid.T) {
+			i := nodeIndex.Draw(t, "node")
+			n := m.nodes[i]
+			if n.paused {
+				return
+			}
+			applied, settled := n.table.Versions("p")
+			d := ServiceDemand{Service: "lookup", Open: int32(len(n.open)), Waiting: rapid.Int32Range(0, 20).Draw(t, "waiting")}
+			m.requests = append(m.requests, modelRequest{i, m.now, EndpointsRequest{Node: n.name, Partition: "p",
+				Version: applied, Settled: settled, Demand: []ServiceDemand{d}}})
+		}
+		// A message that is handled may stay under way, so that it is repeated later.
+		handle := func(t *rapid.T) {
+			if len(m.requests) == 0 {
+				return
+			}
+			k := rapid.IntRange(0, len(m.requests)-1).Draw(t, "request")
+			r := m.requests[k]
+			if !rapid.Bool().Draw(t, "repeat") {
+				m.requests = append(m.requests[:k], m.requests[k+1:]...)
+			}
+			set, err := m.ledger.Request(r.body, m.now)
+			assert.NilError(t, err)
+			m.replies = append(m.replies, modelReply{r.node, r.sentAt, set})
+		}
+		receive := func(t *rapid.T) {
+			if len(m.replies) == 0 {
+				return
+			}
+			k := rapid.IntRange(0, len(m.replies)-1).Draw(t, "reply")
+			r := m.replies[k]
+			if n := m.nodes[r.node]; !n.paused {
+				n.table.Apply(r.set, r.sentAt, m.now)
+				if !rapid.Bool().Draw(t, "repeat") {
+					m.replies = append(m.replies[:k], m.replies[k+1:]...)
+				}
+			}
+		}
+		pick := func(t *rapid.T) {
+			n := m.nodes[nodeIndex.Draw(t, "node")]
+			if n.paused {
+				return
+			}
+			if p, err := n.table.Pick("lookup", Options{}, m.now); err == nil {
+				n.open = append(n.open, modelOpen{p, m.now.Add(LongestDeadline)})
+			}
+		}
+		advance := func(t *rapid.T) {
+			steps := []time.Duration{time.Millisecond, time.Second, PermitTTL, LongestDeadline, permitReuse}
+			m.now = m.now.Add(rapid.SampledFrom(steps).Draw(t, "step"))
+			for _, n := range m.nodes {
+				if !n.paused {
+					m.endOpen(n)
+				}
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"":       m.check,
+			"send":   send,
+			"send2":  send,
+			"handle": handle, "handle2": handle,
+			"receive": receive, "receive2": receive,
+			"pick": pick, "pick2": pick, "pick3": pick,
+			"advance": advance,
+			"drop": func(t *rapid.T) {
+				if len(m.requests) > 0 {
+					k := rapid.IntRange(0, len(m.requests)-1).Draw(t, "request")
+					m.requests = append(m.requests[:k], m.requests[k+1:]...)
+				}
+			},
+			"finish": func(t *rapid.T) {
+				n := m.nodes[nodeIndex.Draw(t, "node")]
+				if len(n.open) > 0 && !n.paused {
+					n.table.Done(n.open[0].pick, Succeeded, m.now)
+					n.open = n.open[1:]
+				}
+			},
+			"pause": func(t *rapid.T) {
+				n := m.nodes[nodeIndex.Draw(t, "node")]
+				n.paused = !n.paused
+				if !n.paused {
+					m.endOpen(n)
+				}
+			},
+		})
+	})
+}
--- /dev/null
+++ b/internal/core/routing/retry_test.go
@@ -0,0 +1,93 @@
+package routing
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against repeating a request that may have run and isn't idempotent, and against retries without bound.
+func TestDecide(t *testing.T) {
+	far := epoch.Add(time.Second)
+	cases := []struct {
+		name       string
+		outcome    Outcome
+		idempotent bool
+		tries      int
+		deadline   time.Time
+		tokens     float64
+		want       Verdict
+	}{
+		{"not run, non-idempotent", NotRun, false, 1, far, 3, Retry},
+		{"not run, idempotent", NotRun, true, 1, far, 3, Retry},
+		{"unknown, idempotent", Unknown, true, 1, far, 3, Retry},
+		{"unknown, non-idempotent", Unknown, false, 1, far, 3, StopNotIdempotent},
+		{"ran, idempotent", Ran, true, 1, far, 3, StopRan},
+		{"ran, non-idempotent", Ran, false, 1, far, 3, StopRan},
+		{"last try", NotRun, true, MaxTries, far, 3, StopTries},
+		{"no time", NotRun, true, 1, epoch.Add(time.Millisecond), 3, StopDeadline},
+		{"no budget", NotRun, true, 1, far, 0.5, StopBudget},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := &Budget{tokens: c.tokens, last: epoch}
+			assert.Equal(t, Decide(c.outcome, c.idempotent, c.tries, b, c.deadline, epoch), c.want)
+			assert.Equal(t, b.tokens < c.tokens, c.want == Retry)
+		})
+	}
+}
+
+// Guards against retry storms: retries stay at a tenth of the requests and a small rate besides.
+func TestBudget(t *testing.T) {
+	var b Budget
+	retries, now := 0, epoch
+	for range 10_000 { // 1,000 requests per second for 10 s, all of which want a retry
+		b.Deposit(now)
+		if b.Withdraw(now) {
+			retries++
+		}
+		now = now.Add(time.Millisecond)
+	}
+	assert.Assert(t, retries >= 1000 && retries <= 1035, "%d retries", retries)
+	now = now.Add(time.Hour)
+	burst := 0
+	for b.Withdraw(now) {
+		burst++
+	}
+	assert.Assert(t, burst <= int(budgetPerSecond)+1, "an idle service saved up %d retries", burst)
+}
+
+// Guards against a try that leaves no time for the next, and against cutting short a request that can't be repeated.
+func TestTryTimeout(t *testing.T) {
+	assert.Equal(t, TryTimeout(900*time.Millisecond, true, 0), 300*time.Millisecond)
+	assert.Equal(t, TryTimeout(600*time.Millisecond, true, 1), 300*time.Millisecond)
+	assert.Equal(t, TryTimeout(300*time.Millisecond, true, 2), 300*time.Millisecond)
+	assert.Equal(t, TryTimeout(900*time.Millisecond, false, 0), 900*time.Millisecond)
+}
+
+// Guards against hedging on too few samples, a wrong p95, and one that never forgets old latencies.
+func TestHedgeDelay(t *testing.T) {
+	l := NewLatency()
+	now := epoch
+	for i := range 100 {
+		if i < hedgeMinSamples {
+			_, ok := l.HedgeDelay(now)
+			assert.Assert(t, !ok)
+		}
+		l.Record(time.Duration(i+1)*10*time.Millisecond, now)
+	}
+	now = now.Add(latencyRecompute)
+	d, ok := l.HedgeDelay(now)
+	assert.Assert(t, ok)
+	assert.Assert(t, d >= 940*time.Millisecond && d <= 960*time.Millisecond, "p95 is %v", d)
+	for range 2 {
+		now = now.Add(latencyWindow)
+		for range 100 {
+			l.Record(20*time.Millisecond, now)
+		}
+	}
+	d, _ = l.HedgeDelay(now.Add(latencyRecompute))
+	assert.Assert(t, d < 21*time.Millisecond, "p95 is %v", d)
+	assert.Equal(t, testing.AllocsPerRun(100, func() { l.Record(time.Millisecond, now) }), 0.0)
+}
--- /dev/null
+++ b/internal/core/routing/shedder_test.go
@@ -0,0 +1,101 @@
+package routing
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func enter(t *testing.T, s *Shedder, id uint64, team string, class int, l Limits) (*Waiter, error) {
+	t.Helper()
+	return s.Enter(Waiter{ID: id, Team: team, Class: class, Deadline: epoch.Add(time.Minute)}, l, epoch)
+}
+
+// Guards against waiting without bound, and against a team or class that fills the whole room.
+func TestShedderLimits(t *testing.T) {
+	var s Shedder
+	l := Limits{Total: 4, Team: 2, Class: 3}
+	for i, team := range []string{"a", "a", "b"} {
+		_, err := enter(t, &s, uint64(i), team, 0, l)
+		assert.NilError(t, err)
+	}
+	_, err := enter(t, &s, 9, "a", 1, l)
+	assert.ErrorIs(t, err, ErrTeamFull)
+	_, err = enter(t, &s, 9, "c", 0, l)
+	assert.ErrorIs(t, err, ErrClassFull)
+	assert.Equal(t, s.Len(), 3)
+}
+
+// Guards against shedding a higher class while a lower one waits, and the wrong waiter within a class.
+func TestShedderShedsLowestClassOfLargestTeam(t *testing.T) {
+	var s Shedder
+	l := Limits{Total: 4, Team: 4}
+	for i, w := range []Waiter{{Team: "a", Class: 1}, {Team: "a"}, {Team: "a"}, {Team: "b"}} {
+		_, err := enter(t, &s, uint64(i), w.Team, w.Class, l)
+		assert.NilError(t, err)
+	}
+	shed, err := enter(t, &s, 10, "c", 1, l)
+	assert.NilError(t, err)
+	assert.Equal(t, shed.ID, uint64(2))
+	shed, err = enter(t, &s, 11, "c", 1, l)
+	assert.NilError(t, err)
+	assert.Equal(t, shed.ID, uint64(3))
+	shed, err = enter(t, &s, 12, "d", 1, l)
+	assert.NilError(t, err)
+	assert.Equal(t, shed.ID, uint64(1))
+	_, err = enter(t, &s, 13, "e", 0, l)
+	assert.ErrorIs(t, err, ErrQueueFull)
+	shed, err = enter(t, &s, 14, "e", 1, l)
+	assert.NilError(t, err)
+	assert.Equal(t, shed.ID, uint64(11))
+}
+
+// Guards against one team's flood delaying another team's few requests, and classes being ignored.
+func TestShedderServesTeamsInTurn(t *testing.T) {
+	var s Shedder
+	l := Limits{Total: 100, Team: 100}
+	for i := range uint64(6) {
+		_, err := enter(t, &s, i, "flood", 0, l)
+		assert.NilError(t, err)
+	}
+	for i := range uint64(2) {
+		_, err := enter(t, &s, 10+i, "few", 0, l)
+		assert.NilError(t, err)
+	}
+	_, err := enter(t, &s, 20, "flood", 1, l)
+	assert.NilError(t, err)
+	var order []uint64
+	for {
+		w, ok := s.Next(epoch)
+		if !ok {
+			break
+		}
+		order = append(order, w.ID)
+	}
+	assert.DeepEqual(t, order, []uint64{20, 10, 0, 11, 1, 2, 3, 4, 5})
+}
+
+// Guards against waiting that can't end before the deadline, and against serving a caller that has given up.
+func TestShedderRefusesLateWork(t *testing.T) {
+	var s Shedder
+	now := epoch
+	for range 50 {
+		s.Freed(now)
+		now = now.Add(100 * time.Millisecond)
+	}
+	now = now.Add(-100 * time.Millisecond)
+	l := Limits{Total: 100, Team: 100}
+	for i := range uint64(5) {
+		_, err := s.Enter(Waiter{ID: i, Team: "a", Deadline: now.Add(time.Second)}, l, now)
+		assert.NilError(t, err)
+	}
+	_, err := s.Enter(Waiter{ID: 6, Team: "a", Deadline: now.Add(400 * time.Millisecond)}, l, now)
+	assert.ErrorIs(t, err, ErrTooLate)
+	_, err = s.Enter(Waiter{ID: 7, Team: "b", Deadline: now.Add(400 * time.Millisecond)}, l, now)
+	assert.NilError(t, err)
+	_, ok := s.Next(now.Add(time.Second))
+	assert.Assert(t, !ok)
+	assert.Assert(t, s.Leave(7))
+	assert.Assert(t, !s.Leave(7))
+}
--- a/internal/core/routing/types.go
+++ b/internal/core/routing/types.go
@@ -22,6 +22,9 @@
 	Partition string
 	Version   uint64          // version that the node has applied, 0 for none
 	Demand    []ServiceDemand // open and waiting requests at the node
+	// Settled is the latest version whose grants the node's open requests keep to. A lowered grant passes to another
+	// node only when this reaches the version that lowered it: at Version itself more requests may still be open.
+	Settled uint64
 }
 
 // ServiceDemand is a node's need of permits for a service.
