Add the gateway: callers' HTTP, upstream connections, claims, drain

Requests go through a connection pool of the project's own, bounded per worker by the granted connections. A connection is reused only after a whole answer with nothing behind it, and is checked for unread bytes before its next use, so that a late answer can't reach another request.

--- a/internal/core/routing/ledger_test.go
+++ b/internal/core/routing/ledger_test.go
@@ -141,7 +141,7 @@
 			for key, in := range p.instances {
 				open[key] = max(open[key], in.Permits)
 			}
-			limit = n.table.Limits()["w"]
+			limit = n.table.Limits(m.now)["w"]
 		}
 		for key, use := range open {
 			permits[key] += use
--- a/internal/core/routing/table.go
+++ b/internal/core/routing/table.go
@@ -188,7 +188,7 @@
 	t.index()
 }
 
-// Expire returns the partitions whose permits have lapsed; the caller closes its idle connections there.
+// Expire returns the partitions whose permits have lapsed.
 func (t *Table) Expire(now time.Time) []string {
 	var lapsed []string
 	for name, p := range t.partitions {
@@ -226,12 +226,14 @@
 	return true
 }
 
-// Limits returns the connections that the node may have open to each worker of the table.
-func (t *Table) Limits() map[string]int32 {
+// Limits returns the connections that the node may have open to each worker: none where the permits have lapsed.
+func (t *Table) Limits(now time.Time) map[string]int32 {
 	limits := map[string]int32{}
 	for _, p := range t.partitions {
 		for name, w := range p.workers {
-			limits[name] = w.limit
+			if now.Before(p.validTo) {
+				limits[name] = w.limit
+			}
 		}
 	}
 	return limits
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,361 @@
+package gateway
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+	"github.com/gofiber/fiber/v3/middleware/adaptor"
+	"github.com/rcrowley/go-metrics"
+
+	"sequoiastall/internal/core/job"
+	"sequoiastall/internal/core/routing"
+	"sequoiastall/internal/port"
+)
+
+// Defaults of Options.
+const (
+	defaultBodyLimit   = 4 << 20
+	defaultReadTimeout = 10 * time.Second
+	defaultIdleTimeout = 60 * time.Second
+	defaultDeadline    = 10 * time.Second
+	submitTimeout      = 5 * time.Second
+	readBufferBytes    = 16 << 10 // bounds the header of a request
+)
+
+// Options configure a Gateway.
+type Options struct {
+	NodeID      string
+	Node        Node
+	Router      *Router
+	Store       port.Store // for claims of keyed requests
+	Clock       port.Clock
+	Log         *slog.Logger
+	Registry    metrics.Registry
+	Metrics     http.Handler  // serves GET /metrics, nil for none
+	BodyLimit   int           // bytes of a request body, 0 for 4 MB
+	ReadTimeout time.Duration // for the whole request from the caller, 0 for 10 s
+}
+
+// Gateway is the callers' interface of a node.
+type Gateway struct {
+	node   Node
+	proxy  *proxy
+	claims *claims
+	gate   *gate
+	app    *fiber.App
+}
+
+type meters struct {
+	requests, tries, retries, hedges, refused metrics.Counter
+	latency                                   metrics.Timer
+}
+
+func newMeters(r metrics.Registry) *meters {
+	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("gateway."+name, r) }
+	return &meters{counter("requests"), counter("tries"), counter("retries"), counter("hedges"), counter("refused"),
+		metrics.GetOrRegisterTimer("gateway.try_latency", r)}
+}
+
+// New returns a gateway that isn't serving yet.
+func New(o Options) *Gateway {
+	if o.BodyLimit == 0 {
+		o.BodyLimit = defaultBodyLimit
+	}
+	if o.ReadTimeout == 0 {
+		o.ReadTimeout = defaultReadTimeout
+	}
+	start := o.Clock.Now().UnixNano()
+	g := &Gateway{node: o.Node, gate: newGate(),
+		proxy: &proxy{router: o.Router, node: o.NodeID, start: start, log: o.Log, metrics: newMeters(o.Registry)},
+		claims: &claims{store: o.Store, clock: o.Clock,
+			writer: o.NodeID + "-" + strconv.FormatInt(start, 36)}}
+	g.app = fiber.New(fiber.Config{BodyLimit: o.BodyLimit, ReadTimeout: o.ReadTimeout, IdleTimeout: defaultIdleTimeout,
+		ReadBufferSize: readBufferBytes, ErrorHandler: handleError, DisablePreParseMultipartForm: true,
+		StrictRouting: true, CaseSensitive: true})
+	g.routes(o.Metrics)
+	return g
+}
+
+func (g *Gateway) routes(metricsHandler http.Handler) {
+	g.app.Post("/v1/jobs", g.work(g.submit))
+	g.app.Get("/v1/jobs/:id", g.status)
+	g.app.Delete("/v1/jobs/:id", g.cancel)
+	g.app.Get("/v1/nodes", g.view(func() any { return g.node.Nodes() }))
+	g.app.Get("/v1/queues", g.view(func() any { return g.node.Queues() }))
+	g.app.Get("/v1/teams", g.view(func() any { return g.node.Teams() }))
+	g.app.All("/services/:service/*", g.work(g.request))
+	g.app.Get("/healthz", g.health)
+	if metricsHandler != nil {
+		g.app.Get("/metrics", adaptor.HTTPHandler(metricsHandler))
+	}
+}
+
+// Serve accepts connections until the listener is closed or Close is called.
+func (g *Gateway) Serve(l net.Listener) error {
+	return g.app.Listener(l, fiber.ListenConfig{DisableStartupMessage: true})
+}
+
+// Drain makes /healthz fail and refuses new work, then waits until the open requests have ended or ctx ends. The last
+// answers may still be on their way to the callers; Close waits for them.
+func (g *Gateway) Drain(ctx context.Context) error { return g.gate.drain(ctx) }
+
+// Close ends the listeners, waits for open connections until ctx ends and closes those to the instances.
+func (g *Gateway) Close(ctx context.Context) error {
+	err := g.app.ShutdownWithContext(ctx)
+	g.proxy.router.pool.closeIdle()
+	return err
+}
+
+// work wraps a handler that takes new work.
+func (g *Gateway) work(handler func(fiber.Ctx) error) fiber.Handler {
+	return func(c fiber.Ctx) error {
+		if !g.gate.enter() {
+			return notRun(CodeDraining, "the node is draining")
+		}
+		defer g.gate.leave()
+		if err := g.node.Authority(); err != nil {
+			return notRun(CodeNoAuthority, err.Error())
+		}
+		return handler(c)
+	}
+}
+
+func (g *Gateway) health(c fiber.Ctx) error {
+	if g.gate.isClosed() {
+		return notRun(CodeDraining, "the node is draining")
+	}
+	if err := g.node.Authority(); err != nil {
+		return notRun(CodeNoAuthority, err.Error())
+	}
+	return c.SendString("ok\n")
+}
+
+// identify returns whom the presented key speaks for; nil without a key.
+func (g *Gateway) identify(c fiber.Ctx) (*Identity, *Error) {
+	header := c.Get(fiber.HeaderAuthorization)
+	if header == "" {
+		return nil, nil
+	}
+	scheme, secret, ok := strings.Cut(header, " ")
+	if !ok || !strings.EqualFold(scheme, "Bearer") || secret == "" {
+		return nil, notRun(CodeUnknownKey, "Authorization must be: Bearer <secret>")
+	}
+	id, err := g.node.Authenticate(secret)
+	if err != nil {
+		return nil, fromNode(err, false)
+	}
+	return &id, nil
+}
+
+// admit returns the team that work on a queue is taken for. team is what the work says, empty for the key's.
+func (g *Gateway) admit(c fiber.Ctx, queue Queue, team string) (string, *Error) {
+	id, err := g.identify(c)
+	if err != nil {
+		return "", err
+	}
+	if queue.Open {
+		if id == nil {
+			return team, nil
+		}
+		if team != "" && team != id.Team {
+			return "", notRun(CodeWrongTeam, "the key is of another team than the work")
+		}
+		return id.Team, nil
+	}
+	switch {
+	case id == nil:
+		return "", notRun(CodeNoKey, "a key is needed: Authorization: Bearer <secret>")
+	case team != "" && team != id.Team:
+		return "", notRun(CodeWrongTeam, "the key is of another team than the work")
+	case queue.Team != "" && queue.Team != id.Team:
+		return "", notRun(CodeWrongTeam, "the queue is of another team than the key")
+	}
+	return id.Team, nil
+}
+
+func (g *Gateway) submit(c fiber.Ctx) error {
+	key := strings.Clone(c.Get(HeaderKey))
+	if key == "" {
+		return notRun(CodeInvalid, HeaderKey+" is missing")
+	}
+	if problem := checkKey(key); problem != "" {
+		return notRun(CodeInvalid, problem)
+	}
+	if c.Get(fiber.HeaderContentEncoding) != "" {
+		return notRun(CodeInvalid, "Content-Encoding isn't supported")
+	}
+	spec, bad := parseSpec(c.Request().Body())
+	if bad != nil {
+		return bad
+	}
+	queue, ok := g.node.Queue(spec.Queue)
+	if !ok {
+		return notRun(CodeUnknownQueue, "there is no queue "+strconv.Quote(spec.Queue))
+	}
+	team, bad := g.admit(c, queue, spec.Team)
+	if bad != nil {
+		return bad
+	}
+	if team == "" {
+		return notRun(CodeInvalid, "team is missing")
+	}
+	spec.Team = team
+	ctx, cancel := context.WithTimeout(context.Background(), submitTimeout)
+	defer cancel()
+	status, err := g.node.Submit(ctx, team, key, spec)
+	if err != nil {
+		return fromNode(err, true)
+	}
+	return c.Status(fiber.StatusAccepted).JSON(status)
+}
+
+// owned returns the status of a job that the key may see: of its own team, or on an open queue.
+func (g *Gateway) owned(ctx context.Context, c fiber.Ctx) (job.Status, error) {
+	id, bad := g.identify(c)
+	if bad != nil {
+		return job.Status{}, bad
+	}
+	status, err := g.node.Status(ctx, job.ID(strings.Clone(c.Params("id"))))
+	if err != nil {
+		if id == nil {
+			return job.Status{}, notRun(CodeNoKey, "a key is needed: Authorization: Bearer <secret>")
+		}
+		return job.Status{}, fromNode(err, false)
+	}
+	queue, ok := g.node.Queue(status.Spec.Queue)
+	switch {
+	case id != nil && id.Team == status.Spec.Team, ok && queue.Open:
+		return status, nil
+	case id == nil:
+		return job.Status{}, notRun(CodeNoKey, "a key is needed: Authorization: Bearer <secret>")
+	}
+	return job.Status{}, notRun(CodeWrongTeam, "the key is of another team than the job")
+}
+
+func (g *Gateway) status(c fiber.Ctx) error {
+	ctx, cancel := context.WithTimeout(context.Background(), submitTimeout)
+	defer cancel()
+	status, err := g.owned(ctx, c)
+	if err != nil {
+		return err
+	}
+	return c.JSON(status)
+}
+
+func (g *Gateway) cancel(c fiber.Ctx) error {
+	ctx, cancel := context.WithTimeout(context.Background(), submitTimeout)
+	defer cancel()
+	status, err := g.owned(ctx, c)
+	if err != nil {
+		return err
+	}
+	if status, err = g.node.Cancel(ctx, status.ID); err != nil {
+		return fromNode(err, true)
+	}
+	return c.JSON(status)
+}
+
+func (g *Gateway) view(get func() any) fiber.Handler {
+	return func(c fiber.Ctx) error {
+		id, bad := g.identify(c)
+		if bad != nil {
+			return bad
+		}
+		if id == nil {
+			return notRun(CodeNoKey, "a key is needed: Authorization: Bearer <secret>")
+		}
+		return c.JSON(get())
+	}
+}
+
+// request forwards a request to an instance of a service.
+func (g *Gateway) request(c fiber.Ctx) error {
+	g.proxy.metrics.requests.Inc(1)
+	call, bad := g.call(c)
+	if bad != nil {
+		return bad
+	}
+	key := c.Get(HeaderKey)
+	if problem := checkKey(key); problem != "" {
+		return notRun(CodeInvalid, problem)
+	}
+	release := func() {}
+	if key != "" && !call.idempotent {
+		ctx, cancel := context.WithDeadline(context.Background(), call.deadline)
+		name, revision, bad := g.claims.take(ctx, call.team, call.service.Name, key)
+		cancel()
+		if bad != nil {
+			return bad
+		}
+		release = func() { g.claims.drop(name, revision) }
+	}
+	resp, bad := g.proxy.do(call)
+	if bad != nil {
+		if bad.Outcome == routing.NotRun {
+			release()
+		}
+		return bad
+	}
+	stripHeaders(&resp.Header)
+	resp.Header.CopyTo(&c.Response().Header)
+	c.Response().SkipBody = resp.SkipBody
+	c.Response().SetBodyRaw(resp.Body())
+	return nil
+}
+
+// call reads the conditions of a request.
+func (g *Gateway) call(c fiber.Ctx) (*call, *Error) {
+	svc, ok := g.node.Service(c.Params("service"))
+	if !ok {
+		return nil, notRun(CodeUnknownService, "there is no such service")
+	}
+	queue, ok := g.node.Queue(svc.Queue)
+	if !ok {
+		return nil, notRun(CodeUnknownQueue, "the service's queue doesn't exist")
+	}
+	team, bad := g.admit(c, queue, "")
+	if bad != nil {
+		return nil, bad
+	}
+	x := &call{in: c.Request(), service: svc, team: team, idempotent: svc.Idempotent, path: upstreamPath(c)}
+	if text := c.Get(HeaderIdempotent); text != "" {
+		if text != "true" && text != "false" {
+			return nil, notRun(CodeInvalid, HeaderIdempotent+" must be true or false")
+		}
+		x.idempotent = text == "true"
+	}
+	d := svc.Deadline
+	if d == 0 {
+		d = defaultDeadline
+	}
+	if text := c.Get(HeaderDeadline); text != "" {
+		ms, err := strconv.ParseInt(text, 10, 64)
+		if err != nil || ms < 1 || ms > routing.LongestDeadline.Milliseconds() {
+			return nil, notRun(CodeInvalid, HeaderDeadline+" must be 1 to "+
+				strconv.FormatInt(routing.LongestDeadline.Milliseconds(), 10))
+		}
+		d = time.Duration(ms) * time.Millisecond
+	}
+	x.deadline = time.Now().Add(min(d, routing.LongestDeadline))
+	return x, nil
+}
+
+// upstreamPath returns the path and query behind /services/<service>, as the caller wrote them.
+func upstreamPath(c fiber.Ctx) string {
+	path := string(c.Request().URI().PathOriginal())
+	parts := strings.SplitN(path, "/", 4) // "", services, service, rest
+	rest := "/"
+	if len(parts) == 4 {
+		rest += parts[3]
+	}
+	if query := c.Request().URI().QueryString(); len(query) > 0 {
+		rest += "?" + string(query)
+	}
+	return rest
+}
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -47,6 +47,9 @@
 	Idempotent bool          // default for requests that don't say
 	Deadline   time.Duration // for requests that don't say, 0 for the gateway's default
 	Hedge      bool          // idempotent requests may be hedged
+	// EchoesRequestID tells that its instances return the header Sequoiastall-Request-Id, so that an answer without it
+	// is an error.
+	EchoesRequestID bool
 	// WaitingLimit and TeamWaitingLimit bound the requests that wait at this node; 0 for the gateway's default.
 	WaitingLimit     int
 	TeamWaitingLimit int
--- /dev/null
+++ b/internal/gateway/pool.go
@@ -0,0 +1,186 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"syscall"
+
+	"github.com/pkg/errors"
+)
+
+// errNoConnection reports a fault of the route table: it gave more picks at a worker than connections.
+var errNoConnection = errors.New("the worker's connections are in use")
+
+// upstreamConn is a connection to an instance. At any time it belongs to one try or lies idle in the pool.
+type upstreamConn struct {
+	net.Conn
+	worker  string
+	address string
+	reused  bool
+	sent    bool // something of the present request was written
+	reader  *bufio.Reader
+	writer  *bufio.Writer
+}
+
+// Write implements io.Writer and notes that something was sent.
+func (c *upstreamConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	if n > 0 {
+		c.sent = true
+	}
+	return n, err
+}
+
+// quiet reports whether an idle connection is open and has nothing to read. Bytes that arrive while no request is
+// open are a late answer.
+func (c *upstreamConn) quiet() bool {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, e := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = e == syscall.EAGAIN || e == syscall.EWOULDBLOCK
+		return true
+	})
+	return err == nil && quiet
+}
+
+// pool holds the connections to the instances, at most as many per worker as the node has been granted.
+type pool struct {
+	dial    func(ctx context.Context, address string) (net.Conn, error)
+	mu      sync.Mutex
+	workers map[string]*workerPool
+}
+
+type workerPool struct {
+	limit int32
+	open  int32 // idle, in use and being dialled
+	idle  []*upstreamConn
+}
+
+func newPool() *pool {
+	var d net.Dialer
+	return &pool{workers: map[string]*workerPool{}, dial: func(ctx context.Context, address string) (net.Conn, error) {
+		return d.DialContext(ctx, "tcp", address)
+	}}
+}
+
+// setLimits replaces the limits and closes idle connections above them.
+func (p *pool) setLimits(limits map[string]int32) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for name, limit := range limits {
+		if p.workers[name] == nil {
+			p.workers[name] = &workerPool{}
+		}
+		p.workers[name].limit = limit
+	}
+	for name, w := range p.workers {
+		w.limit = limits[name]
+		for w.open > w.limit && len(w.idle) > 0 {
+			w.closeOldest()
+		}
+		if w.limit == 0 && w.open == 0 {
+			delete(p.workers, name)
+		}
+	}
+}
+
+func (w *workerPool) closeOldest() {
+	w.idle[0].Close()
+	w.idle = append(w.idle[:0], w.idle[1:]...)
+	w.open--
+}
+
+// get returns an idle connection to the address or dials one. fresh rules out idle connections: when one of a worker
+// has gone silent, the others probably have too.
+func (p *pool) get(ctx context.Context, worker, address string, fresh bool) (*upstreamConn, error) {
+	c, err := p.reserve(worker, address, fresh)
+	if c != nil || err != nil {
+		return c, err
+	}
+	nc, err := p.dial(ctx, address)
+	if err != nil {
+		p.release(worker)
+		return nil, err
+	}
+	c = &upstreamConn{Conn: nc, worker: worker, address: address}
+	c.reader, c.writer = bufio.NewReader(nc), bufio.NewWriter(c)
+	return c, nil
+}
+
+// reserve takes an idle connection, or makes room for a new one and returns nil.
+func (p *pool) reserve(worker, address string, fresh bool) (*upstreamConn, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	w := p.workers[worker]
+	if w == nil {
+		return nil, errNoConnection
+	}
+	for i := len(w.idle) - 1; i >= 0; i-- {
+		c := w.idle[i]
+		if c.address != address {
+			continue
+		}
+		w.idle = append(w.idle[:i], w.idle[i+1:]...)
+		if !fresh && c.quiet() {
+			c.reused, c.sent = true, false
+			return c, nil
+		}
+		c.Close()
+		w.open--
+	}
+	if w.open >= w.limit && len(w.idle) > 0 {
+		w.closeOldest()
+	}
+	if w.open >= w.limit {
+		return nil, errNoConnection
+	}
+	w.open++
+	return nil, nil
+}
+
+// put returns a connection after a complete answer.
+func (p *pool) put(c *upstreamConn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	w := p.workers[c.worker]
+	if w.open > w.limit {
+		c.Close()
+		w.open--
+		return
+	}
+	w.idle = append(w.idle, c)
+}
+
+// discard closes a connection whose answer was late, cut or not fully read.
+func (p *pool) discard(c *upstreamConn) {
+	c.Close()
+	p.release(c.worker)
+}
+
+func (p *pool) release(worker string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.workers[worker].open--
+}
+
+// closeIdle closes all idle connections.
+func (p *pool) closeIdle() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, w := range p.workers {
+		for len(w.idle) > 0 {
+			w.closeOldest()
+		}
+	}
+}
--- /dev/null
+++ b/internal/gateway/spec.go
@@ -0,0 +1,96 @@
+package gateway
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+
+	"sequoiastall/internal/core/job"
+	"sequoiastall/internal/core/resource"
+)
+
+// Limits of a specification. A job's record has to fit into a store value of 1 MB.
+const (
+	maxName         = 256
+	maxKey          = 256
+	maxTasks        = 100_000
+	maxPayloadBytes = 256 << 10
+	maxConcurrency  = 10_000
+	maxDuration     = 30 * 24 * time.Hour
+	maxSlots        = 100_000
+	maxMilliCPU     = 10_000_000
+	maxMemoryMB     = 100_000_000
+	maxAccelerators = 10_000
+)
+
+// parseSpec reads a specification strictly.
+func parseSpec(body []byte) (job.Spec, *Error) {
+	var spec job.Spec
+	d := json.NewDecoder(bytes.NewReader(body))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&spec); err != nil {
+		return spec, notRun(CodeInvalid, "the body isn't a job specification: "+err.Error())
+	}
+	if _, err := d.Token(); err != io.EOF {
+		return spec, notRun(CodeInvalid, "the body has more than one JSON value")
+	}
+	if problem := checkSpec(&spec); problem != "" {
+		return spec, notRun(CodeInvalid, problem)
+	}
+	return spec, nil
+}
+
+// checkSpec returns the first problem of a specification, or nothing.
+func checkSpec(s *job.Spec) string {
+	r := s.Resources
+	fields := []struct {
+		name          string
+		value, lo, hi int64
+	}{
+		{"tasks", int64(s.Tasks), 1, maxTasks},
+		{"resources.slots", r.Slots, 0, maxSlots},
+		{"resources.milli_cpu", r.MilliCPU, 0, maxMilliCPU},
+		{"resources.memory_mb", r.MemoryMB, 0, maxMemoryMB},
+		{"resources.accelerators", r.Accelerators, 0, maxAccelerators},
+		{"duration_ms", s.DurationMS, 0, maxDuration.Milliseconds()},
+		{"deadline_ms", s.DeadlineMS, 0, 1 << 52},
+		{"concurrency", int64(s.Concurrency), 0, maxConcurrency},
+		{"payload length", int64(len(s.Payload)), 0, maxPayloadBytes},
+		{"team length", int64(len(s.Team)), 0, maxName},
+		{"queue length", int64(len(s.Queue)), 1, maxName},
+		{"name length", int64(len(s.Name)), 0, maxName},
+		{"pool length", int64(len(s.Pool)), 0, maxName},
+		{"service length", int64(len(s.Service)), 0, maxName},
+	}
+	for _, f := range fields {
+		if f.value < f.lo || f.value > f.hi {
+			return fmt.Sprintf("%s is %d, must be %d to %d", f.name, f.value, f.lo, f.hi)
+		}
+	}
+	switch {
+	case s.Class != job.Batch && s.Class != job.Gang && s.Class != job.Service:
+		return fmt.Sprintf("class is %q, must be batch, gang or service", s.Class)
+	case r == resource.Vector{}:
+		return "resources is empty"
+	case (s.Class == job.Service) != (s.Service != ""):
+		return "service must be given for class service, and only then"
+	case (s.Class == job.Service) != (s.Concurrency > 0):
+		return "concurrency must be given for class service, and only then"
+	}
+	return ""
+}
+
+// checkKey returns the problem of an idempotency key, or nothing.
+func checkKey(key string) string {
+	if len(key) > maxKey {
+		return fmt.Sprintf("%s is longer than %d bytes", HeaderKey, maxKey)
+	}
+	for i := range len(key) {
+		if key[i] < ' ' || key[i] > '~' {
+			return HeaderKey + " has a character that isn't printable ASCII"
+		}
+	}
+	return ""
+}
