--- a/internal/core/membership/types.go
+++ b/internal/core/membership/types.go
@@ -32,6 +32,10 @@
 	ConfirmedAgeMS int64
 	StoreReachable bool
 	Partitions     []Summary
+	// Version grows with each change of the fields that pulses don't carry.
+	Version uint32
+	// HeardAgeMS is how old the heartbeat was at the time of sending, 0 for the sender itself.
+	HeardAgeMS int64
 }
 
 // Summary is an owner's digest of one partition.
@@ -56,4 +60,18 @@
 type Digest struct {
 	From    string
 	Members []Member
+	// Roster is a hash of the references that the sender knows as live, in order. Indexed tells that the references of
+	// Pulses are positions in that order.
+	Roster  uint32
+	Indexed bool
+	Pulses  []Pulse
+}
+
+// Pulse is the short form of a member whose other fields the receiver may already have.
+type Pulse struct {
+	Reference uint32 // hash of ID and incarnation, or a position in the roster
+	Heartbeat uint16 // low bits of the heartbeat
+	Version   uint8  // low bits of the version that the sender has
+	Confirmed uint8  // age of the configuration's confirmation in units of AgeUnit, NoAge if older or absent
+	Heard     uint8  // age of the heartbeat in units of AgeUnit
 }
