--- /dev/null
+++ b/internal/core/membership/table_test.go
@@ -0,0 +1,216 @@
+package membership
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// Guards against takeovers from live owners when links between zones lose packets.
+func TestNoLiveMemberDiesUnderLoss(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.SampledFrom([]int{2, 7, 8, 9, 16, 24}).Draw(t, "members")
+		loss := rapid.Float64Range(0, 0.3).Draw(t, "loss")
+		c := newCell(n, 4, 0, rapid.Uint64().Draw(t, "seed"))
+		c.run(2 * time.Second)
+		c.loss = loss
+		c.run(30 * time.Second)
+		for i := range c.tables {
+			assert.Equal(t, len(c.observed(i, Died)), 0, "node %d of %d at loss %.2f", i, n, c.loss)
+			assert.Equal(t, len(c.tables[i].records), n-1)
+		}
+	})
+}
+
+// Guards against a dead owner whose old heartbeats are relayed for so long that its partitions stay without an owner.
+func TestDeadMembersAreFoundWithinBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.SampledFrom([]int{3, 7, 9, 24}).Draw(t, "members")
+		c := newCell(n, 4, 0, rapid.Uint64().Draw(t, "seed"))
+		c.run(3 * time.Second)
+		c.loss = rapid.Float64Range(0, 0.3).Draw(t, "loss")
+		c.run(time.Duration(rapid.IntRange(1, 40).Draw(t, "steps")) * round / 10)
+		victim := rapid.IntRange(0, n-1).Draw(t, "victim")
+		crash := c.now
+		c.down[victim] = true
+		c.run(defaultDeadAfter + 2*round)
+		for i := range c.tables {
+			if i == victim {
+				continue
+			}
+			died := c.observed(i, Died)
+			assert.Equal(t, len(died), 1, "node %d", i)
+			assert.Equal(t, died[0].event.Members[0].ID, c.tables[victim].self.member.ID)
+			assert.Assert(t, died[0].at.Sub(crash) <= defaultDeadAfter+round, "node %d after %s", i, died[0].at.Sub(crash))
+			assert.Equal(t, len(c.observed(i, SuspectedDead)) > 0, true)
+		}
+	})
+}
+
+// Guards against treating the loss of a zone as unrelated deaths, whose successors would all acquire at once.
+func TestDeathsInAZoneFormOneGroup(t *testing.T) {
+	c := newCell(12, 3, 0, 7)
+	c.run(3 * time.Second)
+	for _, i := range []int{0, 3, 6} {
+		c.down[i] = true
+	}
+	c.run(time.Second)
+	c.down[9], c.down[1] = true, true
+	c.run(6 * time.Second)
+	died := c.observed(2, Died)
+	last := map[string]Event{}
+	groups := map[int]bool{}
+	for _, o := range died {
+		last[o.event.Zone] = o.event
+		groups[o.event.Group] = true
+	}
+	assert.Equal(t, len(groups), 2)
+	assert.Equal(t, len(last["zone-0"].Members), 4)
+	assert.Equal(t, len(last["zone-1"].Members), 1)
+}
+
+// Guards against a resumed process that declares everyone dead because it itself didn't run.
+func TestPausedNodeNoticesItsAbsence(t *testing.T) {
+	c := newCell(7, 4, 0, 3)
+	c.run(3 * time.Second)
+	c.down[4] = true
+	c.run(10 * time.Second)
+	assert.Assert(t, c.tables[4].Away(c.now) >= 10*time.Second)
+	c.down[4] = false
+	c.run(5 * time.Second)
+	resumed := c.observed(4, Resumed)
+	assert.Equal(t, len(resumed), 1)
+	assert.Assert(t, resumed[0].event.Gap >= 10*time.Second)
+	assert.Equal(t, len(c.observed(4, Died)), 0)
+	for _, i := range []int{0, 1, 2, 3, 5, 6} {
+		assert.Equal(t, len(c.observed(i, Died)), 1, "node %d", i)
+		assert.Equal(t, len(c.observed(i, Returned)), 1, "node %d", i)
+	}
+}
+
+// Guards against state of an earlier process that survives a restart under the same ID.
+func TestRestartReplacesIncarnation(t *testing.T) {
+	c := newCell(7, 4, 0, 3)
+	c.tables[2].UpdateSelf(c.now, func(m *Member) { m.Partitions = []Summary{{Partition: "zone-2/0"}} })
+	c.run(3 * time.Second)
+	old := c.tables[2]
+	again := member(2, 4)
+	again.Incarnation = 2
+	c.tables[2] = NewTable(again, Options{})
+	c.exchange(2, 0, c.tables[2].Digest(c.now))
+	c.run(3 * time.Second)
+	for _, i := range []int{0, 1, 3, 4, 5, 6} {
+		assert.Equal(t, len(c.observed(i, Restarted)), 1, "node %d", i)
+		held := c.tables[i].records["node-02"].member
+		assert.Equal(t, held.Incarnation, int64(2))
+		assert.Equal(t, len(held.Partitions), 0)
+	}
+	c.tables[0].Merge(old.Digest(c.now), c.now)
+	assert.Equal(t, c.tables[0].records["node-02"].member.Incarnation, int64(2), "an old message must not bring it back")
+	old.Merge(c.tables[2].Digest(c.now), c.now)
+	events := old.Tick(c.now)
+	assert.Assert(t, slices.ContainsFunc(events, func(e Event) bool { return e.Kind == Superseded }))
+}
+
+// Guards against a planned stop that others take for a death, or that old relays undo.
+func TestLeftMemberIsNotDead(t *testing.T) {
+	for _, n := range []int{7, 24} {
+		c := newCell(n, 4, 0, 11)
+		c.run(3 * time.Second)
+		c.tables[1].UpdateSelf(c.now, func(m *Member) { m.State = Left })
+		c.run(2 * time.Second)
+		c.down[1] = true
+		c.run(10 * time.Second)
+		for i := range c.tables {
+			if i != 1 {
+				assert.Equal(t, len(c.observed(i, Died)), 0, "node %d", i)
+				assert.Equal(t, len(c.observed(i, Departed)), 1, "node %d", i)
+				assert.Equal(t, c.tables[i].Reachability(c.now).Known, n-2)
+			}
+		}
+		c.run(time.Minute)
+		assert.Assert(t, c.tables[0].records["node-01"] == nil)
+	}
+}
+
+// Guards against two sides of a healed network that each hold the other for dead and never talk again.
+func TestHealedNetworkFindsItself(t *testing.T) {
+	c := newCell(10, 2, 0, 5)
+	c.run(3 * time.Second)
+	c.cut = func(a, b int) bool { return a%2 != b%2 }
+	c.run(time.Hour / 4)
+	r := c.tables[0].Reachability(c.now)
+	assert.DeepEqual(t, r, Reachability{Known: 9, Heard: 4, OutsideKnown: 5})
+	c.cut = func(int, int) bool { return false }
+	c.run(5 * time.Second)
+	for i := range c.tables {
+		assert.Equal(t, c.tables[i].Reachability(c.now).Heard, 9, "node %d", i)
+	}
+}
+
+// Guards against a confirmation that looks younger after being relayed, which would keep a revoked key in force.
+func TestRelayedConfirmationsAge(t *testing.T) {
+	c := newCell(3, 3, 0, 2)
+	c.cut = func(a, b int) bool { return a+b == 2 } // 0 and 2 only hear each other through 1
+	c.tables[0].UpdateSelf(c.now, func(m *Member) { m.Revision, m.ConfirmedAgeMS = 5, 0 })
+	confirmed := c.now
+	c.run(4 * time.Second)
+	view := c.tables[2].Members(c.now)[0]
+	assert.Equal(t, view.ID, "node-00")
+	assert.Equal(t, view.Revision, int64(5))
+	real := c.now.Sub(confirmed).Milliseconds()
+	assert.Assert(t, view.ConfirmedAgeMS >= real, "%d < %d", view.ConfirmedAgeMS, real)
+	assert.Assert(t, view.ConfirmedAgeMS <= real+3*AgeUnit.Milliseconds(), "%d for %d", view.ConfirmedAgeMS, real)
+	assert.Equal(t, c.tables[2].Members(c.now)[1].ConfirmedAgeMS, int64(NeverConfirmed))
+}
+
+// Guards against a new revision or store outage that takes longer than the bound of 4 s to become known, under loss.
+func TestUrgentChangesSpreadWithinBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.SampledFrom([]int{7, 24}).Draw(t, "members")
+		c := newCell(n, 4, 0, rapid.Uint64().Draw(t, "seed"))
+		c.run(3 * time.Second)
+		c.loss = rapid.Float64Range(0, 0.3).Draw(t, "loss")
+		c.tables[0].UpdateSelf(c.now, func(m *Member) { m.Revision, m.ConfirmedAgeMS, m.StoreReachable = 9, 0, true })
+		c.run(4 * time.Second)
+		for i, table := range c.tables {
+			view := table.Members(c.now)[0]
+			assert.Equal(t, view.Revision, int64(9), "node %d", i)
+			assert.Assert(t, view.StoreReachable)
+		}
+	})
+}
+
+// Guards against more traffic than the 6 KB/s of a node allow: few targets in large cells, all in small ones.
+func TestTargets(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	for _, tc := range []struct{ members, targets int }{{1, 0}, {2, 1}, {8, 7}, {9, 3}, {24, 3}} {
+		c := newCell(tc.members, 4, 0, 1)
+		c.run(3 * time.Second)
+		assert.Equal(t, len(c.tables[0].Targets(c.now, random)), tc.targets, "%d members", tc.members)
+	}
+}
+
+// Guards against a paused or lost node being counted as evidence for the freshness rule.
+func TestReachability(t *testing.T) {
+	c := newCell(6, 3, 0, 1)
+	for i := range 4 {
+		c.tables[i].UpdateSelf(c.now, func(m *Member) { m.StoreReachable = true })
+	}
+	c.run(3 * time.Second)
+	assert.DeepEqual(t, c.tables[0].Reachability(c.now),
+		Reachability{Known: 5, Heard: 5, StoreReachable: 3, OutsideKnown: 4, OutsideHeard: true})
+	for _, i := range []int{1, 2, 4, 5} {
+		c.down[i] = true
+	}
+	c.run(4 * time.Second)
+	assert.DeepEqual(t, c.tables[0].Reachability(c.now),
+		Reachability{Known: 5, Heard: 1, StoreReachable: 1, OutsideKnown: 4})
+	assert.Assert(t, c.tables[0].Forget("node-01"))
+	assert.Assert(t, !c.tables[0].Forget("node-03"), "a live member stays known")
+	assert.Equal(t, c.tables[0].Reachability(c.now).Known, 4)
+}
