Add the stand-in for the platform's store and host list

Cause: the store and the host list are outside systems; nodes need something to run against that has their limits and their faults.

Change: internal/standin/platform keeps keys, leases, watches and hosts in memory and serves them over grpc.

--- /dev/null
+++ b/internal/standin/platform/faults.go
@@ -0,0 +1,102 @@
+package platform
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+)
+
+// Down says whether the stand-in answers at all.
+type Down int
+
+// Modes of Down.
+const (
+	Up   Down = iota
+	Fail      // calls fail at once without effect, open watches end
+	Hang      // calls get no answer until the mode changes or the caller gives up
+)
+
+// Faults is the set of faults in force. The zero value is a healthy platform.
+type Faults struct {
+	Down Down
+	// Delay is added to each call before it takes effect, and to each delivery of a watch.
+	Delay time.Duration
+	// LoseAnswers is the number of writes that take effect and whose caller gets an error.
+	LoseAnswers int
+	// SilentWatches stops every watch that is open or gets opened while it is set. Such a watch stays open and never
+	// delivers again, even when the fault is cleared.
+	SilentWatches bool
+}
+
+// SetFaults replaces the faults and returns those that were in force.
+func (s *Server) SetFaults(f Faults) Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old := s.faults
+	s.faults = f
+	if f.SilentWatches {
+		for w := range s.watches {
+			w.silent = true
+		}
+	}
+	s.broadcast()
+	return old
+}
+
+// Faults returns the faults in force; LoseAnswers counts down as answers are lost.
+func (s *Server) Faults() Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults
+}
+
+// enter applies the faults that act before a call takes effect. It counts the call first, because a call that fails
+// loads the store too.
+func (s *Server) enter(ctx context.Context, counter *int64) error {
+	s.mu.Lock()
+	*counter++
+	delay := s.faults.Delay
+	s.mu.Unlock()
+	if delay > 0 {
+		timer := time.NewTimer(delay)
+		defer timer.Stop()
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			return status.FromContextError(ctx.Err()).Err()
+		}
+	}
+	for {
+		s.mu.Lock()
+		down, changed := s.faults.Down, s.changed
+		s.mu.Unlock()
+		switch down {
+		case Up:
+			return nil
+		case Fail:
+			return errDown
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return status.FromContextError(ctx.Err()).Err()
+		}
+	}
+}
+
+var (
+	errDown       = status.Error(codes.Unavailable, "platform is down")
+	errAnswerLost = status.Error(codes.Unavailable, "answer lost")
+)
+
+// answer returns the error that replaces the answer of a write that took effect, if its answer is to be lost.
+// The caller holds s.mu.
+func (s *Server) answer() error {
+	if s.faults.LoseAnswers == 0 {
+		return nil
+	}
+	s.faults.LoseAnswers--
+	return errAnswerLost
+}
