--- /dev/null
+++ b/internal/rpc/connection/connection.go
@@ -0,0 +1,217 @@
+// Package connection keeps a grpc connection to one server given by IP address and port. It replaces a connection that
+// has gone silent, and tells of each failed call whether it may have reached the server.
+package connection
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/stats"
+	"google.golang.org/grpc/status"
+)
+
+const (
+	// silence is the shortest time without a byte from the server that counts against the connection. It lies below the
+	// 500 ms timeout of the calls, so that one timed-out call is enough.
+	silence = 400 * time.Millisecond
+	// pingInterval is the lowest that grpc permits to a client. Pings end silent connections that carry only a stream.
+	pingInterval = 10 * time.Second
+	pingTimeout  = 2 * time.Second
+	// The delays between attempts to connect stay below the 3 s of a control lease.
+	firstReconnect = 100 * time.Millisecond
+	maxReconnect   = time.Second
+	connectTimeout = time.Second
+)
+
+// ErrClosed is returned by calls after Close.
+var ErrClosed = errors.New("connection is closed")
+
+// Error is the failure of a call.
+type Error struct {
+	Method string
+	Sent   bool // the server may have got the call
+	Err    error
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	if e.Sent {
+		return fmt.Sprintf("%s: %v", e.Method, e.Err)
+	}
+	return fmt.Sprintf("%s: not sent: %v", e.Method, e.Err)
+}
+
+// Unwrap returns the grpc status error.
+func (e *Error) Unwrap() error { return e.Err }
+
+// GRPCStatus lets status.FromError find the status.
+func (e *Error) GRPCStatus() *status.Status { return status.Convert(e.Err) }
+
+// Conn implements grpc.ClientConnInterface. Its calls fail with *Error, its streams with grpc status errors. The
+// deadline of a call is the context's.
+type Conn struct {
+	address string
+
+	mu      sync.Mutex
+	current *transport
+	closed  bool
+}
+
+// transport is one grpc connection; grpc reconnects it after errors, but not after silence.
+type transport struct {
+	*grpc.ClientConn
+	lastRead atomic.Int64 // Unix nanoseconds
+}
+
+// New returns a connection that dials with its first call.
+func New(address string) (*Conn, error) {
+	if _, err := net.ResolveTCPAddr("tcp", address); err != nil {
+		return nil, errors.Wrapf(err, "address %q", address)
+	}
+	return &Conn{address: address}, nil
+}
+
+func dial(address string) (*transport, error) {
+	t := &transport{}
+	dialer := func(ctx context.Context, address string) (net.Conn, error) {
+		c, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+		if err != nil {
+			return nil, err
+		}
+		return &watchedConn{Conn: c, lastRead: &t.lastRead}, nil
+	}
+	reconnect := backoff.Config{BaseDelay: firstReconnect, Multiplier: 1.6, Jitter: 0.2, MaxDelay: maxReconnect}
+	cc, err := grpc.NewClient("passthrough:///"+address,
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithContextDialer(dialer),
+		grpc.WithStatsHandler(sentHandler{}),
+		grpc.WithDisableRetry(),
+		grpc.WithDisableServiceConfig(),
+		grpc.WithNoProxy(),
+		grpc.WithIdleTimeout(0),
+		grpc.WithConnectParams(grpc.ConnectParams{Backoff: reconnect, MinConnectTimeout: connectTimeout}),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: pingInterval, Timeout: pingTimeout}),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(math.MaxInt32)),
+	)
+	if err != nil {
+		return nil, errors.Wrapf(err, "connect to %s", address)
+	}
+	t.ClientConn = cc
+	return t, nil
+}
+
+// Invoke implements grpc.ClientConnInterface.
+func (c *Conn) Invoke(ctx context.Context, method string, args, reply any, opts ...grpc.CallOption) error {
+	t, err := c.transport()
+	if err != nil {
+		return &Error{Method: method, Err: err}
+	}
+	sent := new(atomic.Bool)
+	start := time.Now()
+	err = t.Invoke(context.WithValue(ctx, sentKey{}, sent), method, args, reply, opts...)
+	if err == nil {
+		return nil
+	}
+	if status.Code(err) == codes.DeadlineExceeded && sent.Load() {
+		c.checkSilence(t, start)
+	}
+	return &Error{Method: method, Sent: sent.Load(), Err: err}
+}
+
+// NewStream implements grpc.ClientConnInterface.
+func (c *Conn) NewStream(ctx context.Context, d *grpc.StreamDesc, method string, opts ...grpc.CallOption) (grpc.ClientStream, error) {
+	t, err := c.transport()
+	if err != nil {
+		return nil, &Error{Method: method, Err: err}
+	}
+	return t.NewStream(ctx, d, method, opts...)
+}
+
+// Close ends all calls.
+func (c *Conn) Close() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+	if c.current == nil {
+		return nil
+	}
+	err := c.current.ClientConn.Close()
+	c.current = nil
+	return err
+}
+
+func (c *Conn) transport() (*transport, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return nil, ErrClosed
+	}
+	if c.current == nil {
+		t, err := dial(c.address)
+		if err != nil {
+			return nil, err
+		}
+		c.current = t
+	}
+	return c.current, nil
+}
+
+// checkSilence drops the connection if no byte came from the server since start. Other calls on it fail then; their
+// answers would not have come either.
+func (c *Conn) checkSilence(t *transport, start time.Time) {
+	if time.Since(start) < silence || t.lastRead.Load() >= start.UnixNano() {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.current == t {
+		c.current = nil
+		_ = t.ClientConn.Close()
+	}
+}
+
+// watchedConn notes when bytes arrive.
+type watchedConn struct {
+	net.Conn
+	lastRead *atomic.Int64
+}
+
+// Read implements net.Conn.
+func (c *watchedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.lastRead.Store(time.Now().UnixNano())
+	}
+	return n, err
+}
+
+type sentKey struct{}
+
+// sentHandler notes that the header of a call was handed to the transport. Without it the server can't have run it.
+type sentHandler struct{}
+
+func (sentHandler) TagRPC(ctx context.Context, _ *stats.RPCTagInfo) context.Context { return ctx }
+
+func (sentHandler) HandleRPC(ctx context.Context, s stats.RPCStats) {
+	if _, ok := s.(*stats.OutHeader); !ok {
+		return
+	}
+	if sent, ok := ctx.Value(sentKey{}).(*atomic.Bool); ok {
+		sent.Store(true)
+	}
+}
+
+func (sentHandler) TagConn(ctx context.Context, _ *stats.ConnTagInfo) context.Context { return ctx }
+
+func (sentHandler) HandleConn(context.Context, stats.ConnStats) {}
