--- /dev/null
+++ b/internal/core/object/types.go
@@ -0,0 +1,236 @@
+// Package object defines the operators' objects: the whole set that is validated, published and in force as one value.
+package object
+
+import (
+	"sequoiastall/internal/core/resource"
+)
+
+// Kind names a type of object in the operators' files.
+type Kind string
+
+// The kinds of objects.
+const (
+	KindCell        Kind = "cell"
+	KindZone        Kind = "zone"
+	KindPool        Kind = "pool"
+	KindTeam        Kind = "team"
+	KindKey         Kind = "key"
+	KindQueue       Kind = "queue"
+	KindShare       Kind = "share"
+	KindLimit       Kind = "limit"
+	KindService     Kind = "service"
+	KindRetryPolicy Kind = "retry_policy"
+)
+
+// Kinds lists every kind in the order in which a set is encoded.
+func Kinds() []Kind {
+	return []Kind{KindCell, KindZone, KindPool, KindTeam, KindKey, KindQueue, KindShare, KindLimit, KindService,
+		KindRetryPolicy}
+}
+
+// Meta is what every object has. Names are unique within a kind.
+type Meta struct {
+	Kind Kind   `json:"kind"`
+	Name string `json:"name"`
+}
+
+// Resources is an amount of resources as operators write it.
+type Resources struct {
+	Slots        int64 `json:"slots,omitempty"`
+	MilliCPU     int64 `json:"milli_cpu,omitempty"`
+	MemoryMB     int64 `json:"memory_mb,omitempty"`
+	Accelerators int64 `json:"accelerators,omitempty"`
+}
+
+// Vector returns the amount as the core computes with it.
+func (r Resources) Vector() resource.Vector {
+	return resource.Vector{Slots: r.Slots, MilliCPU: r.MilliCPU, MemoryMB: r.MemoryMB, Accelerators: r.Accelerators}
+}
+
+// Policy weighs the scores of placement. A weight of 0 ignores its score; at least one is positive.
+type Policy struct {
+	Packing float64 `json:"packing"`
+	Share   float64 `json:"share"`
+	Waiting float64 `json:"waiting"`
+}
+
+// Cell holds the settings of the whole cell. A set has exactly one.
+type Cell struct {
+	Meta
+	PartitionsPerZone int32  `json:"partitions_per_zone"` // 1 if left out
+	Policy            Policy `json:"policy"`              // all weights 1 if left out
+}
+
+// Zone is a data centre.
+type Zone struct {
+	Meta
+	Region string `json:"region"`
+}
+
+// Pool is a group of workers with the same hardware.
+type Pool struct {
+	Meta
+	// Label is the hardware label that the pool's workers carry; the pool's name if left out.
+	Label string `json:"label"`
+}
+
+// Team is a customer.
+type Team struct {
+	Meta
+}
+
+// Key is the credential of a team. The secret itself is never stored.
+type Key struct {
+	Meta
+	Team string `json:"team"`
+	// SHA256 is the hash of the secret in 64 lower-case hexadecimal digits.
+	SHA256 string `json:"sha256"`
+	// Queues limits the key to these queues; empty allows every queue that the team may use.
+	Queues []string `json:"queues,omitempty"`
+}
+
+// Class is the kind of work that a queue accepts.
+type Class string
+
+// The classes of queues.
+const (
+	ClassBatch   Class = "batch"
+	ClassGang    Class = "gang"
+	ClassService Class = "service"
+	ClassRequest Class = "request"
+)
+
+// Priority orders queues before shares do.
+type Priority string
+
+// The priorities of queues.
+const (
+	Normal Priority = "normal"
+	Urgent Priority = "urgent"
+)
+
+// Queue accepts work of one class, either from one team or, if Open, from everybody.
+type Queue struct {
+	Meta
+	Class       Class    `json:"class"`
+	Team        string   `json:"team,omitempty"`
+	Open        bool     `json:"open,omitempty"`
+	Priority    Priority `json:"priority"` // normal if left out
+	RetryPolicy string   `json:"retry_policy,omitempty"`
+	// MaxTasks is the largest number of tasks in one job; 0 is MaxTasksPerJob. Request queues have none.
+	MaxTasks int32 `json:"max_tasks,omitempty"`
+	// MaxWaiting is the number of jobs or requests that may wait; 0 is DefaultMaxWaiting.
+	MaxWaiting int32 `json:"max_waiting,omitempty"`
+}
+
+// Share is a team's part of a full cell, relative to the other teams' weights.
+type Share struct {
+	Meta
+	Team   string  `json:"team"`
+	Weight float64 `json:"weight"` // positive
+}
+
+// Limit is the most that a team may have running in the whole fleet. A resource that is left out is unlimited.
+type Limit struct {
+	Meta
+	Team string    `json:"team"`
+	Max  LimitSize `json:"max"`
+}
+
+// LimitSize is an upper limit; nil is unlimited, zero forbids the resource.
+type LimitSize struct {
+	Slots        *int64 `json:"slots,omitempty"`
+	MilliCPU     *int64 `json:"milli_cpu,omitempty"`
+	MemoryMB     *int64 `json:"memory_mb,omitempty"`
+	Accelerators *int64 `json:"accelerators,omitempty"`
+}
+
+// Unlimited is the size of a resource that a limit leaves out. Sums of a few thousand of them don't overflow.
+const Unlimited = int64(1) << 50
+
+// Vector returns the limit as the core computes with it, with Unlimited for what is left out.
+func (l LimitSize) Vector() resource.Vector {
+	or := func(p *int64) int64 {
+		if p == nil {
+			return Unlimited
+		}
+		return *p
+	}
+	return resource.Vector{Slots: or(l.Slots), MilliCPU: or(l.MilliCPU), MemoryMB: or(l.MemoryMB),
+		Accelerators: or(l.Accelerators)}
+}
+
+// Service is a long-running program that a team's requests are forwarded to.
+type Service struct {
+	Meta
+	Team      string    `json:"team"`
+	Queue     string    `json:"queue"` // a queue of class service
+	Replicas  int32     `json:"replicas"`
+	Resources Resources `json:"resources"` // of each replica; Slots is Concurrency if left out
+	// Concurrency is the number of requests that a replica serves at once.
+	Concurrency      int32  `json:"concurrency"`
+	RequestTimeoutMS int64  `json:"request_timeout_ms"`
+	RetryPolicy      string `json:"retry_policy,omitempty"`
+	// Idempotent is assumed of requests that don't say whether they are.
+	Idempotent bool   `json:"idempotent,omitempty"`
+	Pool       string `json:"pool,omitempty"` // any worker if empty
+	// DependsOn names services that start before this one.
+	DependsOn []string `json:"depends_on,omitempty"`
+}
+
+// RetryPolicy says how often work is tried.
+type RetryPolicy struct {
+	Meta
+	MaxTries      int32 `json:"max_tries"`          // 1 never retries
+	PerTryMS      int64 `json:"per_try_timeout_ms"` // 0 leaves the whole deadline to each try
+	BudgetPercent int32 `json:"budget_percent"`     // retries per 100 first tries; 10 if left out
+	HedgeAfterMS  int64 `json:"hedge_after_ms"`     // 0 hedges after the learned p95
+	HedgeDisabled bool  `json:"hedge_disabled,omitempty"`
+}
+
+// Set is a whole set of objects. Within each kind the objects are sorted by name.
+type Set struct {
+	Cell          Cell          `json:"cell"`
+	Zones         []Zone        `json:"zones,omitempty"`
+	Pools         []Pool        `json:"pools,omitempty"`
+	Teams         []Team        `json:"teams,omitempty"`
+	Keys          []Key         `json:"keys,omitempty"`
+	Queues        []Queue       `json:"queues,omitempty"`
+	Shares        []Share       `json:"shares,omitempty"`
+	Limits        []Limit       `json:"limits,omitempty"`
+	Services      []Service     `json:"services,omitempty"`
+	RetryPolicies []RetryPolicy `json:"retry_policies,omitempty"`
+}
+
+// File is one of the operators' files.
+type File struct {
+	Name string
+	Data []byte
+}
+
+// Problem is a fault of a set. Fields that don't apply are zero.
+type Problem struct {
+	File    string `json:"file,omitempty"`
+	Line    int    `json:"line,omitempty"` // from 1
+	Kind    Kind   `json:"kind,omitempty"`
+	Name    string `json:"name,omitempty"`
+	Message string `json:"message"`
+}
+
+// Action is what a change does to an object.
+type Action string
+
+// The actions of changes.
+const (
+	Added   Action = "added"
+	Removed Action = "removed"
+	Changed Action = "changed"
+)
+
+// Change is the difference of one object between two sets.
+type Change struct {
+	Action Action   `json:"action"`
+	Kind   Kind     `json:"kind"`
+	Name   string   `json:"name"`
+	Fields []string `json:"fields,omitempty"` // fields that differ, for Changed
+}
