--- a/internal/core/object/types.go
+++ b/internal/core/object/types.go
@@ -58,7 +58,7 @@
 type Cell struct {
 	Meta
 	PartitionsPerZone int32  `json:"partitions_per_zone"` // 1 if left out
-	Policy            Policy `json:"policy"`              // all weights 1 if left out
+	Policy            Policy `json:"policy"`              // a weight that is left out is 1
 }
 
 // Zone is a data centre.
@@ -145,8 +145,9 @@
 	Accelerators *int64 `json:"accelerators,omitempty"`
 }
 
-// Unlimited is the size of a resource that a limit leaves out. Sums of a few thousand of them don't overflow.
-const Unlimited = int64(1) << 50
+// Unlimited is the size of a resource that a limit leaves out. It is larger than any fleet, and the product of two such
+// sizes doesn't overflow when an allowance is scaled.
+const Unlimited = int64(1) << 31
 
 // Vector returns the limit as the core computes with it, with Unlimited for what is left out.
 func (l LimitSize) Vector() resource.Vector {
@@ -190,6 +191,8 @@
 
 // Set is a whole set of objects. Within each kind the objects are sorted by name.
 type Set struct {
+	origins map[occurrence]origin // where Parse found the objects; nil for a decoded set
+
 	Cell          Cell          `json:"cell"`
 	Zones         []Zone        `json:"zones,omitempty"`
 	Pools         []Pool        `json:"pools,omitempty"`
@@ -208,7 +211,7 @@
 	Data []byte
 }
 
-// Problem is a fault of a set. Fields that don't apply are zero.
+// Problem is a fault in a set. Fields that don't apply are zero.
 type Problem struct {
 	File    string `json:"file,omitempty"`
 	Line    int    `json:"line,omitempty"` // from 1
