Hold the configuration in force and apply the freshness rule

A node may accept keyed work only while it can know that no newer revision exists. The holder never goes to a lower revision, checks the digest before it adopts a document, and measures each confirmation from the moment at which the call was sent: the process or a relay may have been paused before it looked at the answer. A confirmation of an older revision than the held one counts, since whatever was published before it is in force here; one of a newer revision counts once that revision is held.

--- /dev/null
+++ b/internal/core/configuration/holder_test.go
@@ -0,0 +1,120 @@
+package configuration
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"sequoiastall/internal/core/object"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// document returns a revision in which the secrets with the given numbers are keys.
+func document(t assert.TestingT, revision int64, secrets ...int) Document {
+	set := object.Set{Cell: object.Cell{Meta: object.Meta{Kind: object.KindCell, Name: "main"}}}
+	for _, n := range secrets {
+		sum := sha256.Sum256([]byte(fmt.Sprint("secret-", n)))
+		set.Keys = append(set.Keys, object.Key{Meta: object.Meta{Kind: object.KindKey, Name: fmt.Sprint("k", n)},
+			Team: "a", SHA256: hex.EncodeToString(sum[:])})
+	}
+	d, err := NewDocument(set, revision, "test")
+	assert.NilError(t, err)
+	return d
+}
+
+// Guards against a node that reverts, or that adopts a damaged or divergent document.
+func TestOffer(t *testing.T) {
+	h := NewHolder(FreshFor)
+	damaged := document(t, 9, 1)
+	damaged.Data = append([]byte{' '}, damaged.Data...)
+	for _, step := range []struct {
+		offer   Document
+		outcome Outcome
+		held    int64
+	}{
+		{document(t, 0), Rejected, 0},
+		{document(t, 2, 1), Adopted, 2},
+		{document(t, 2, 1), Unchanged, 2},
+		{document(t, 2, 1, 2), Rejected, 2},
+		{document(t, 1), Older, 2},
+		{damaged, Rejected, 2},
+		{Document{Revision: 9, Data: []byte("[]"), Digest: object.Digest([]byte("[]"))}, Rejected, 2},
+		{document(t, 5, 2), Adopted, 5},
+	} {
+		outcome, err := h.Offer(step.offer, start)
+		assert.Equal(t, outcome, step.outcome)
+		assert.Equal(t, err != nil, step.outcome == Rejected)
+		assert.Equal(t, h.Revision(), step.held)
+	}
+	_, err := h.Offer(document(t, 5, 3), start)
+	var diverged *DivergedError
+	assert.Assert(t, errors.As(err, &diverged))
+}
+
+func TestAuthenticate(t *testing.T) {
+	h := NewHolder(FreshFor)
+	_, ok := h.Authenticate("secret-1")
+	assert.Assert(t, !ok, "a node without a configuration knows no key")
+	_, err := h.Offer(document(t, 1, 1), start)
+	assert.NilError(t, err)
+	key, ok := h.Authenticate("secret-1")
+	assert.Assert(t, ok && key.Name == "k1")
+	for _, secret := range []string{"", "secret-2", "secret-1 "} {
+		_, ok = h.Authenticate(secret)
+		assert.Assert(t, !ok)
+	}
+}
+
+// Guards against a confirmation that counts for longer than it should, in particular one that waited at a relay or in
+// a paused process.
+func TestAuthority(t *testing.T) {
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	peersReach := Reachability{Known: 4, Heard: 4, Reaching: 4}
+	noneReach := Reachability{Known: 4, Heard: 2}
+	for name, tc := range map[string]struct {
+		confirm func(h *Holder)
+		at      int
+		reach   Reachability
+		want    Reason
+	}{
+		"never confirmed":             {func(*Holder) {}, 0, peersReach, Unconfirmed},
+		"own read":                    {func(h *Holder) { h.Confirm(2, at(0)) }, 3000, peersReach, Fresh},
+		"own read, too old":           {func(h *Holder) { h.Confirm(2, at(0)) }, 3001, peersReach, Unconfirmed},
+		"relayed":                     {func(h *Holder) { h.ConfirmRelayed(2, time.Second, at(1000)) }, 3000, peersReach, Fresh},
+		"relayed, too old":            {func(h *Holder) { h.ConfirmRelayed(2, time.Second, at(1000)) }, 3001, peersReach, Unconfirmed},
+		"negative age":                {func(h *Holder) { h.ConfirmRelayed(2, -time.Hour, at(0)) }, 1, peersReach, Unconfirmed},
+		"an older answer comes late":  {func(h *Holder) { h.Confirm(2, at(1000)); h.ConfirmRelayed(2, 0, at(0)) }, 4000, peersReach, Fresh},
+		"newer revision known":        {func(h *Holder) { h.Confirm(3, at(0)) }, 1, peersReach, Unconfirmed},
+		"newer revision adopted":      {func(h *Holder) { h.Confirm(3, at(0)); offer(h, document(t, 3)) }, 3000, peersReach, Fresh},
+		"newest still missing":        {func(h *Holder) { h.Confirm(4, at(0)); offer(h, document(t, 3)) }, 1, peersReach, Unconfirmed},
+		"store behind":                {func(h *Holder) { h.Confirm(1, at(0)) }, 1, peersReach, Fresh},
+		"outage":                      {func(h *Holder) { h.Confirm(2, at(0)) }, 9000, noneReach, Outage},
+		"outage since the start":      {func(*Holder) {}, 0, noneReach, Outage},
+		"fewer than half heard":       {func(*Holder) {}, 0, Reachability{Known: 5, Heard: 2}, Unconfirmed},
+		"one member reaches":          {func(*Holder) {}, 0, Reachability{Known: 4, Heard: 4, Reaching: 1}, Unconfirmed},
+		"alone":                       {func(*Holder) {}, 0, Reachability{}, Unconfirmed},
+		"reaches, but not yet polled": {func(*Holder) {}, 0, Reachability{Known: 4, Heard: 4, Store: true}, Unconfirmed},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := NewHolder(FreshFor)
+			assert.Equal(t, h.Authority(start, noneReach).Reason, Nothing)
+			offer(h, document(t, 2))
+			tc.confirm(h)
+			got := h.Authority(at(tc.at), tc.reach)
+			assert.Equal(t, got.Reason, tc.want)
+			assert.Equal(t, got.Serve, tc.want == Fresh || tc.want == Outage)
+		})
+	}
+}
+
+func offer(h *Holder, d Document) {
+	if outcome, err := h.Offer(d, start); outcome != Adopted || err != nil {
+		panic(fmt.Sprint(outcome, err))
+	}
+}
