Sharpen the fleet test of the configuration holder

The test now isolates nodes at once, lets messages cross, and demands that a node which is cut from the store alone keeps serving.

--- a/internal/core/configuration/fleet_test.go
+++ b/internal/core/configuration/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand"
 	"testing"
 	"time"
 
@@ -44,10 +45,12 @@
 	nodes    []*fleetNode
 	upSince  time.Time
 	faultAt  time.Time // last change of a fault
+	order    *rand.Rand
 }
 
 func newFleet(t *rapid.T, size int) *fleet {
-	f := &fleet{t: t, now: start, up: true, valid: map[int]bool{}, revoked: map[int]time.Time{}, upSince: start, faultAt: start}
+	f := &fleet{t: t, now: start, up: true, valid: map[int]bool{}, revoked: map[int]time.Time{}, upSince: start, faultAt: start,
+		order: rand.New(rand.NewSource(rapid.Int64().Draw(t, "order")))}
 	for n := range secrets {
 		f.valid[n] = true
 	}
@@ -141,8 +144,9 @@
 		// A resumed node is asked before it looks at what arrived meanwhile.
 		f.check(i, n)
 		for len(n.inbox) > 0 {
-			handle := n.inbox[0]
-			n.inbox = n.inbox[1:]
+			next := f.order.Intn(len(n.inbox)) // messages cross
+			handle := n.inbox[next]
+			n.inbox = append(n.inbox[:next], n.inbox[next+1:]...)
 			handle()
 			f.check(i, n)
 		}
@@ -174,10 +178,11 @@
 	}
 }
 
-// connected reports whether no node is paused or cut from its peers.
+// connected reports whether no node is paused or cut from its peers. A node that is cut from the store alone has to get
+// everything from its peers.
 func (f *fleet) connected() bool {
 	for _, n := range f.nodes {
-		if n.paused || n.cutPeers || f.up && n.cutStore {
+		if n.paused || n.cutPeers {
 			return false
 		}
 	}
@@ -195,7 +200,7 @@
 		}
 		for range rapid.IntRange(1, 25).Draw(t, "events") {
 			f.event()
-			for range rapid.IntRange(1, 60).Draw(t, "ticks") {
+			for range rapid.SampledFrom([]int{1, 3, 10, 30, 70}).Draw(t, "ticks") {
 				f.step()
 			}
 		}
@@ -211,7 +216,7 @@
 		}
 	}
 	few := 2*(cut+1) < len(f.nodes) // at an even split the freshness rule can't tell a cut from an outage
-	switch kind := rapid.SampledFrom([]string{"revoke", "publish", "store", "pause", "cut store", "cut peers", "watch", "heal"}).Draw(f.t, "event"); kind {
+	switch kind := rapid.SampledFrom([]string{"revoke", "publish", "store", "pause", "cut store", "cut peers", "isolate", "watch", "heal"}).Draw(f.t, "event"); kind {
 	case "revoke", "publish":
 		if !f.up {
 			return
@@ -231,6 +236,8 @@
 		n.cutStore = !n.cutStore && few
 	case "cut peers":
 		n.cutPeers = !n.cutPeers && few
+	case "isolate":
+		n.cutStore, n.cutPeers = few, few
 	case "watch":
 		n.watchDead = !n.watchDead
 	case "heal":
