Test the gateway against faulty instances; fix what the tests found

The tests found three faults. A timeout of fasthttp while an answer's header was read wasn't recognised as one. Requests that waited for a permit stayed until their deadline when the breaker opened on the last instance. The answer to an oversized body was lost in a connection reset, since the body was unread when the connection was closed; it is now read for up to a second after the answer. An instance is now told the deadline of the try instead of that of the request, so that its permit isn't given on while the request may still run.

--- /dev/null
+++ b/internal/gateway/fake_test.go
@@ -0,0 +1,363 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+	"gotest.tools/v3/assert"
+
+	"sequoiastall/internal/core/job"
+	"sequoiastall/internal/core/routing"
+	"sequoiastall/internal/port"
+)
+
+// upstream is a service instance on loopback whose answers a test writes byte by byte.
+type upstream struct {
+	address string
+	mu      sync.Mutex
+	runs    map[string]int // by request path
+	open    int
+	most    int // requests at once
+	conns   int
+}
+
+// exchangeOf is one request at an upstream.
+type exchangeOf struct {
+	conn net.Conn
+	nth  int // number of the connection, from 1
+	req  *http.Request
+	body string
+}
+
+// answer writes a whole answer, with the request's ID.
+func (x *exchangeOf) answer(status int, body string, headers ...string) {
+	h := strings.Join(append(headers, "Sequoiastall-Request-Id: "+x.req.Header.Get(HeaderRequestID)), "\r\n")
+	fmt.Fprintf(x.conn, "HTTP/1.1 %d X\r\n%s\r\nContent-Length: %d\r\n\r\n%s", status, h, len(body), body)
+}
+
+func newUpstream(t testing.TB, handle func(x *exchangeOf)) *upstream {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	u := &upstream{address: l.Addr().String(), runs: map[string]int{}}
+	var wg sync.WaitGroup
+	var conns sync.Map
+	wg.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			conns.Store(c, true)
+			u.mu.Lock()
+			u.conns++
+			nth := u.conns
+			u.mu.Unlock()
+			wg.Go(func() {
+				defer c.Close()
+				u.serve(c, nth, handle)
+			})
+		}
+	})
+	t.Cleanup(func() {
+		l.Close()
+		conns.Range(func(c, _ any) bool { c.(net.Conn).Close(); return true })
+		wg.Wait()
+	})
+	return u
+}
+
+func (u *upstream) serve(c net.Conn, nth int, handle func(x *exchangeOf)) {
+	r := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(req.Body)
+		if err != nil {
+			return
+		}
+		u.mu.Lock()
+		u.runs[req.URL.Path]++
+		u.open++
+		u.most = max(u.most, u.open)
+		u.mu.Unlock()
+		handle(&exchangeOf{c, nth, req, string(body)})
+		u.mu.Lock()
+		u.open--
+		u.mu.Unlock()
+	}
+}
+
+func (u *upstream) ran(path string) int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.runs[path]
+}
+
+func (u *upstream) total() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	n := 0
+	for _, k := range u.runs {
+		n += k
+	}
+	return n
+}
+
+func (u *upstream) connections() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.conns
+}
+
+// fakeNode is a node with two teams.
+type fakeNode struct {
+	mu        sync.Mutex
+	authority error
+	submitErr error
+	jobs      map[job.ID]job.Status
+	submits   int
+	service   Service
+}
+
+func (n *fakeNode) Authenticate(secret string) (Identity, error) {
+	switch secret {
+	case "secret-a":
+		return Identity{"key-a", "a"}, nil
+	case "secret-b":
+		return Identity{"key-b", "b"}, nil
+	}
+	return Identity{}, ErrUnknownKey
+}
+
+func (n *fakeNode) Authority() error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.authority
+}
+
+func (n *fakeNode) Queue(name string) (Queue, bool) {
+	q, ok := map[string]Queue{"qa": {Name: "qa", Team: "a"}, "shared": {Name: "shared"}, "open": {Name: "open", Open: true}}[name]
+	return q, ok
+}
+
+func (n *fakeNode) Service(name string) (Service, bool) {
+	if name == "opened" {
+		s := n.service
+		s.Queue = "open"
+		return s, true
+	}
+	return n.service, name == n.service.Name
+}
+
+func (n *fakeNode) Submit(_ context.Context, team, key string, spec job.Spec) (job.Status, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.submitErr != nil {
+		return job.Status{}, n.submitErr
+	}
+	id := job.NewID(team, key)
+	if s, ok := n.jobs[id]; ok {
+		return s, nil
+	}
+	n.submits++
+	n.jobs[id] = job.Status{Record: job.Record{ID: id, Key: key, Spec: spec}, Phase: job.Pending}
+	return n.jobs[id], nil
+}
+
+func (n *fakeNode) Status(_ context.Context, id job.ID) (job.Status, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	s, ok := n.jobs[id]
+	if !ok {
+		return s, ErrNotFound
+	}
+	return s, nil
+}
+
+func (n *fakeNode) Cancel(_ context.Context, id job.ID) (job.Status, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	s := n.jobs[id]
+	s.CancelRequested = true
+	n.jobs[id] = s
+	return s, nil
+}
+
+func (n *fakeNode) Nodes() []NodeView   { return []NodeView{{ID: "n1", Zone: "z1", State: "live"}} }
+func (n *fakeNode) Queues() []QueueView { return []QueueView{{Name: "qa", Team: "a"}} }
+func (n *fakeNode) Teams() []TeamView   { return []TeamView{{Name: "a", Limit: 8}} }
+
+// fakeStore keeps claims in memory. A fault, if set, replaces the answer of the next Put or Get.
+type fakeStore struct {
+	port.Store
+	mu      sync.Mutex
+	entries map[string]port.Entry
+	last    int64
+	down    bool
+	lost    bool // the next Put takes effect, but its answer is lost
+	vanish  bool // the next Put has no effect, and its answer is lost
+}
+
+func (s *fakeStore) Grant(context.Context, time.Duration) (port.LeaseID, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return 0, port.ErrUnavailable
+	}
+	return 1, nil
+}
+
+func (s *fakeStore) Put(_ context.Context, w port.Write) (int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return 0, port.ErrUnavailable
+	}
+	if s.vanish {
+		s.vanish = false
+		return 0, port.ErrUnknownOutcome
+	}
+	if e, ok := s.entries[w.Key]; ok {
+		return 0, &port.ConflictError{Key: w.Key, Current: &e}
+	}
+	s.last++
+	s.entries[w.Key] = port.Entry{Key: w.Key, Value: w.Value, Revision: s.last}
+	if s.lost {
+		s.lost = false
+		return 0, port.ErrUnknownOutcome
+	}
+	return s.last, nil
+}
+
+func (s *fakeStore) Get(_ context.Context, key string) (port.Entry, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return port.Entry{}, port.ErrUnavailable
+	}
+	e, ok := s.entries[key]
+	if !ok {
+		return e, port.ErrNotFound
+	}
+	return e, nil
+}
+
+func (s *fakeStore) Delete(_ context.Context, key string, revision int64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down || s.entries[key].Revision != revision {
+		return port.ErrUnavailable
+	}
+	delete(s.entries, key)
+	return nil
+}
+
+// rig is a gateway in front of upstreams.
+type rig struct {
+	t       testing.TB
+	gateway *Gateway
+	router  *Router
+	node    *fakeNode
+	store   *fakeStore
+	url     string
+	client  *http.Client
+	version uint64
+}
+
+func newRig(t testing.TB, permits int32, upstreams ...*upstream) *rig {
+	r := &rig{t: t, node: &fakeNode{jobs: map[job.ID]job.Status{}, service: Service{Name: "lookup", Queue: "shared", Deadline: 5 * time.Second}},
+		store: &fakeStore{entries: map[string]port.Entry{}}, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
+	r.router = NewRouter("z1", rand.New(rand.NewPCG(1, 2)), port.SystemClock{})
+	r.gateway = New(Options{NodeID: "n1", Node: r.node, Router: r.router, Store: r.store, Clock: port.SystemClock{},
+		Log: slog.New(slog.DiscardHandler), Registry: metrics.NewRegistry(), BodyLimit: 1 << 20, ReadTimeout: 300 * time.Millisecond,
+		Metrics: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "metrics") })})
+	r.apply(permits, 64, upstreams...)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	r.url = "http://" + l.Addr().String()
+	served := make(chan error, 1)
+	go func() { served <- r.gateway.Serve(l) }()
+	t.Cleanup(func() {
+		r.client.CloseIdleConnections()
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		assert.Check(t, r.gateway.Close(ctx))
+		assert.Check(t, <-served)
+		assert.Check(t, r.router.Violations() == 0)
+	})
+	return r
+}
+
+// apply gives the gateway endpoints of the own zone, in order, each on a worker of its own.
+func (r *rig) apply(permits, connections int32, upstreams ...*upstream) {
+	r.version++
+	set := routing.EndpointSet{Partition: "p", Version: r.version, PermitTTLMS: 600_000}
+	for i, u := range upstreams {
+		set.Endpoints = append(set.Endpoints, routing.Endpoint{Instance: job.TaskID{Job: "J", Index: int32(i)}, Service: "lookup",
+			Worker: fmt.Sprint("w", i), Zone: "z1", Address: u.address, Permits: permits, Connections: connections})
+	}
+	r.router.Apply(set, time.Now())
+}
+
+// answerTo is an answer of the gateway.
+type answerTo struct {
+	status int
+	body   string
+	header http.Header
+}
+
+func (a answerTo) has(t testing.TB, status int, code Code, outcome string) {
+	t.Helper()
+	assert.Equal(t, a.status, status, a.body)
+	assert.Assert(t, strings.Contains(a.body, `"code":"`+string(code)+`"`), a.body)
+	assert.Assert(t, strings.Contains(a.body, `"outcome":"`+outcome+`"`), a.body)
+}
+
+// do sends a request with team a's key, unless headers say otherwise.
+func (r *rig) do(method, path, body string, headers ...string) answerTo {
+	r.t.Helper()
+	a, err := r.try(method, path, body, headers...)
+	assert.NilError(r.t, err)
+	return a
+}
+
+func (r *rig) try(method, path, body string, headers ...string) (answerTo, error) {
+	req, err := http.NewRequest(method, r.url+path, strings.NewReader(body))
+	if err != nil {
+		return answerTo{}, err
+	}
+	req.Header.Set("Authorization", "Bearer secret-a")
+	for _, h := range headers {
+		name, value, _ := strings.Cut(h, ": ")
+		req.Header.Set(name, value)
+		if value == "" {
+			req.Header.Del(name)
+		}
+	}
+	resp, err := r.client.Do(req)
+	if err != nil {
+		return answerTo{}, err
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	return answerTo{resp.StatusCode, string(b), resp.Header}, errors.Wrap(err, "read the answer")
+}
+
+const (
+	idempotent = HeaderIdempotent + ": true"
+	shortTime  = HeaderDeadline + ": 150"
+)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -98,7 +98,7 @@
 
 // Serve accepts connections until the listener is closed or Close is called.
 func (g *Gateway) Serve(l net.Listener) error {
-	return g.app.Listener(l, fiber.ListenConfig{DisableStartupMessage: true})
+	return g.app.Listener(lingerListener{l}, fiber.ListenConfig{DisableStartupMessage: true})
 }
 
 // Drain makes /healthz fail and refuses new work, then waits until the open requests have ended or ctx ends. The last
--- a/internal/gateway/proxy.go
+++ b/internal/gateway/proxy.go
@@ -197,7 +197,9 @@
 		return nil, routing.NotRun, err
 	}
 	id := p.node + "-" + strconv.FormatInt(p.start, 36) + "-" + strconv.FormatUint(p.count.Add(1), 36)
-	req := outgoing(c.in, c.path, c.team, pick, id, time.Until(c.deadline))
+	// The instance is told the deadline of this try, after which the permit is free for another request.
+	deadline, _ := ctx.Deadline()
+	req := outgoing(c.in, c.path, c.team, pick, id, time.Until(deadline))
 	resp := &fasthttp.Response{}
 	outcome, err := p.router.pool.exchange(ctx, conn, req, resp, c.service.EchoesRequestID)
 	if outcome != routing.Ran {
--- a/internal/gateway/router.go
+++ b/internal/gateway/router.go
@@ -185,10 +185,15 @@
 	delete(s.waiting, id)
 }
 
-// serve gives permits that are free to those who wait. Router.mu is held.
+// serve gives permits that are free to those who wait. When no instance can take requests any more, those who wait are
+// refused, as new ones are, since nothing would wake them. Router.mu is held.
 func (r *Router) serve(s *serviceState, now time.Time) {
 	for s.shedder.Len() > 0 {
 		p, err := r.table.Pick(s.name, routing.Options{}, now)
+		if errors.Is(err, routing.ErrNoInstance) || errors.Is(err, routing.ErrNoService) {
+			s.refuseAll(err)
+			return
+		}
 		if err != nil {
 			return
 		}
@@ -202,6 +207,13 @@
 	}
 }
 
+func (s *serviceState) refuseAll(err error) {
+	for id := range s.waiting {
+		s.shedder.Leave(id)
+		s.finish(id, grant{err: err})
+	}
+}
+
 // again picks an instance for a retry or a hedge, without waiting: another one if possible, else one that was tried.
 func (r *Router) again(service string, tried []job.TaskID, hedge bool) (routing.Pick, error) {
 	r.mu.Lock()
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"net"
 	"strconv"
 	"time"
 
@@ -114,8 +113,9 @@
 }
 
 func isTimeout(err error) bool {
-	var n net.Error
-	return errors.Is(err, context.DeadlineExceeded) || (errors.As(err, &n) && n.Timeout())
+	// fasthttp's timeout error isn't a net.Error.
+	var n interface{ Timeout() bool }
+	return errors.As(err, &n) && n.Timeout()
 }
 
 // hopByHop are the headers that concern one connection only. The key isn't passed on, and Expect was answered here.
