--- a/internal/core/membership/gossip.go
+++ b/internal/core/membership/gossip.go
@@ -11,8 +11,8 @@
 // maxIndexed is the largest roster whose positions fit the byte that the wire format gives them.
 const maxIndexed = 255
 
-// UpdateSelf lets f change this node's own entry, whose ages are as of now. ID, Incarnation, Heartbeat and Version
-// stay as they are. Free capacity and usage are announced at most every Options.SummaryEvery, all else at once.
+// UpdateSelf lets f change this node's own entry, whose ages are as of now. ID, Incarnation, addresses, zone, Heartbeat
+// and Version stay as they are. Free capacity and usage are announced at most every Options.SummaryEvery, all else at once.
 func (t *Table) UpdateSelf(now time.Time, f func(*Member)) {
 	old := t.self.member
 	t.self.heard = now
@@ -22,6 +22,7 @@
 	}
 	f(&m)
 	m.ID, m.Incarnation, m.Heartbeat, m.Version, m.HeardAgeMS = old.ID, old.Incarnation, old.Heartbeat, old.Version, 0
+	m.Address, m.HTTPAddress, m.Zone = old.Address, old.HTTPAddress, old.Zone
 	t.self.confirmed = confirmedAt(m, now)
 	t.pending = &m
 	if urgentChange(old, m) {
@@ -42,8 +43,7 @@
 
 // urgentChange reports whether m differs from old in more than quantities and ages.
 func urgentChange(old, m Member) bool {
-	same := old.Address == m.Address && old.HTTPAddress == m.HTTPAddress && old.Zone == m.Zone && old.State == m.State &&
-		old.Revision == m.Revision && old.StoreReachable == m.StoreReachable
+	same := old.State == m.State && old.Revision == m.Revision && old.StoreReachable == m.StoreReachable
 	return !same || !slices.EqualFunc(old.Partitions, m.Partitions, func(a, b Summary) bool {
 		return a.Partition == b.Partition && a.Settled == b.Settled && a.Workers == b.Workers
 	})
@@ -96,9 +96,8 @@
 func (t *Table) DigestFor(peer string, now time.Time) Digest {
 	t.beat(now)
 	records, hash := t.roster(now)
-	d := Digest{From: t.self.member.ID, Roster: hash}
 	known := t.records[peer]
-	d.Indexed = known != nil && known.roster == hash && len(records) <= maxIndexed
+	d := t.newDigest(records, hash, known != nil && known.roster == hash)
 	for i, r := range records {
 		d.Pulses = append(d.Pulses, r.pulse(now, d.Indexed, i))
 	}
@@ -108,6 +107,14 @@
 	return d
 }
 
+// newDigest returns a digest without entries. same tells that the receiver has the same roster.
+func (t *Table) newDigest(records []*record, hash uint32, same bool) Digest {
+	if !same || len(records) > maxIndexed {
+		return Digest{From: t.self.member.ID, Roster: hash}
+	}
+	return Digest{Roster: hash, Indexed: true, Position: uint8(slices.Index(records, t.self))}
+}
+
 // beat raises the own heartbeat and announces summaries that are due.
 func (t *Table) beat(now time.Time) {
 	t.self.heard = now
@@ -140,7 +147,7 @@
 func (t *Table) Reply(request Digest, now time.Time) Digest {
 	t.beat(now)
 	records, hash := t.roster(now)
-	d := Digest{From: t.self.member.ID, Roster: hash, Indexed: request.Roster == hash && len(records) <= maxIndexed}
+	d := t.newDigest(records, hash, request.Roster == hash)
 	theirs := map[uint32]Pulse{}
 	unreadable := request.Indexed && !d.Indexed
 	for _, p := range request.Pulses {
@@ -155,8 +162,14 @@
 		if unreadable || !listed || int16(uint16(r.member.Heartbeat)-p.Heartbeat) > 0 {
 			d.Pulses = append(d.Pulses, r.pulse(now, d.Indexed, i))
 		}
-		if !unreadable && r.member.ID != request.From && (!listed || int8(uint8(r.member.Version)-p.Version) > 0) {
+		switch {
+		case unreadable || r.member.ID == request.From:
+		case !listed:
 			d.Members = append(d.Members, r.export(now))
+		case int8(uint8(r.member.Version)-p.Version) > 0:
+			m := r.export(now)
+			m.Address, m.HTTPAddress, m.Zone = "", "", "" // the receiver has them
+			d.Members = append(d.Members, m)
 		}
 	}
 	if !request.Indexed {
@@ -182,11 +195,23 @@
 		t.mergeMember(m, now)
 	}
 	t.mergePulses(d, now)
-	if from := t.records[d.From]; from != nil {
+	if from := t.sender(d, now); from != nil {
 		from.roster = d.Roster
 	}
 }
 
+// sender returns the record of the digest's sender, nil if it is unknown.
+func (t *Table) sender(d Digest, now time.Time) *record {
+	if !d.Indexed {
+		return t.records[d.From]
+	}
+	records, hash := t.roster(now)
+	if hash != d.Roster || int(d.Position) >= len(records) || records[d.Position] == t.self {
+		return nil
+	}
+	return records[d.Position]
+}
+
 func (t *Table) mergeMember(m Member, now time.Time) {
 	if m.ID == t.self.member.ID {
 		if m.Incarnation > t.self.member.Incarnation && !t.superseded {
@@ -198,8 +223,8 @@
 	heard := now.Add(-time.Duration(max(0, m.HeardAgeMS)) * time.Millisecond)
 	r := t.records[m.ID]
 	switch {
-	case r == nil:
-		if m.State == Left || now.Sub(heard) >= t.options.DeadAfter {
+	case r == nil || r.member.Incarnation != m.Incarnation && m.Address == "":
+		if r != nil || m.Address == "" || m.State == Left || now.Sub(heard) >= t.options.DeadAfter {
 			return
 		}
 		r = newRecord(m)
@@ -230,6 +255,9 @@
 		if m.Revision > r.member.Revision {
 			r.confirmed = time.Time{}
 		}
+		if m.Address == "" {
+			m.Address, m.HTTPAddress, m.Zone = r.member.Address, r.member.HTTPAddress, r.member.Zone
+		}
 		r.member = m
 		r.member.Heartbeat = heartbeat
 	}
--- a/internal/core/membership/options.go
+++ b/internal/core/membership/options.go
@@ -13,7 +13,7 @@
 	defaultSmallTable  = 9
 	// Usage by team only steers the order between teams, so it may be some seconds old.
 	defaultSummaryEvery = 10 * time.Second
-	defaultTeams        = 8
+	defaultTeams        = 6
 )
 
 const (
--- a/internal/core/membership/types.go
+++ b/internal/core/membership/types.go
@@ -18,8 +18,10 @@
 
 // Member is one ingress node as gossip carries it.
 type Member struct {
-	ID          string
-	Address     string // IP:port of its peer server
+	ID string
+	// Address is the IP:port of its peer server. It is required; a relayed entry without it is the short form for
+	// receivers that have the addresses and the zone.
+	Address     string
 	HTTPAddress string // IP:port of its callers' interface
 	Zone        string
 	Incarnation int64 // Unix milliseconds of the process start
@@ -64,7 +66,9 @@
 	// Pulses are positions in that order.
 	Roster  uint32
 	Indexed bool
-	Pulses  []Pulse
+	// Position is the sender's place in the roster if Indexed; From is empty then.
+	Position uint8
+	Pulses   []Pulse
 }
 
 // Pulse is the short form of a member whose other fields the receiver may already have.
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -128,7 +128,7 @@
 	p := &progress{}
 	limited, cancel := context.WithTimeout(context.WithValue(ctx, progressKey{}, p), timeout)
 	defer cancel()
-	before := l.answers.Load()
+	before, started := l.answers.Load(), time.Now()
 	err = run(limited, peerpb.NewPeerClient(l.connection))
 	if p.received.Load() {
 		l.answers.Add(1)
@@ -136,7 +136,8 @@
 	if err == nil {
 		return nil
 	}
-	if errors.Is(limited.Err(), context.DeadlineExceeded) && p.sent.Load() && l.answers.Load() == before {
+	expired := errors.Is(limited.Err(), context.DeadlineExceeded) && time.Since(started) >= shortestSilence
+	if expired && p.sent.Load() && l.answers.Load() == before {
 		c.replace(address, l)
 	}
 	return &CallError{Method: method, Address: address, Kind: classify(err, p.sent.Load(), read), Cause: err}
--- a/internal/peer/digest.go
+++ b/internal/peer/digest.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"math"
 
 	"github.com/pkg/errors"
 
@@ -32,8 +33,24 @@
 	return fromVector(v)
 }
 
+func fromAmounts(running, backlog resource.Vector) []int64 {
+	amounts := []int64{running.Slots, running.MilliCPU, running.MemoryMB, running.Accelerators,
+		backlog.Slots, backlog.MilliCPU, backlog.MemoryMB, backlog.Accelerators}
+	for len(amounts) > 0 && amounts[len(amounts)-1] == 0 {
+		amounts = amounts[:len(amounts)-1]
+	}
+	return amounts
+}
+
+func toAmounts(amounts []int64) (running, backlog resource.Vector) {
+	var a [8]int64
+	copy(a[:], amounts)
+	return resource.Vector{Slots: a[0], MilliCPU: a[1], MemoryMB: a[2], Accelerators: a[3]},
+		resource.Vector{Slots: a[4], MilliCPU: a[5], MemoryMB: a[6], Accelerators: a[7]}
+}
+
 func fromDigest(d membership.Digest) *peerpb.Digest {
-	m := &peerpb.Digest{From: d.From, Roster: d.Roster, Indexed: d.Indexed}
+	m := &peerpb.Digest{From: d.From, Roster: d.Roster, Indexed: d.Indexed, Position: uint32(d.Position)}
 	sequential := d.Indexed
 	for i, p := range d.Pulses {
 		sequential = sequential && p.Reference == uint32(i)
@@ -63,6 +80,10 @@
 	if len(m.GetHeartbeats()) != n*heartbeatBytes || len(m.GetConfirmed()) != n || len(m.GetHeard()) != n {
 		return d, errors.New("columns of pulses differ in length")
 	}
+	if m.GetPosition() > math.MaxUint8 {
+		return d, errors.New("position is out of range")
+	}
+	d.Position = uint8(m.GetPosition())
 	references := m.GetReferences()
 	width := referenceBytes
 	if d.Indexed {
@@ -107,8 +128,7 @@
 		summary := &peerpb.Summary{Partition: s.Partition, Workers: s.Workers, Capacity: optionalVector(s.Capacity),
 			Free: optionalVector(s.Free), Settled: s.Settled}
 		for _, u := range s.Teams {
-			summary.Teams = append(summary.Teams, &peerpb.TeamUsage{Team: u.Team, Running: optionalVector(u.Running),
-				Backlog: optionalVector(u.Backlog)})
+			summary.Teams = append(summary.Teams, &peerpb.TeamUsage{Team: u.Team, Amounts: fromAmounts(u.Running, u.Backlog)})
 		}
 		r.Partitions = append(r.Partitions, summary)
 	}
@@ -127,8 +147,8 @@
 		summary := membership.Summary{Partition: s.GetPartition(), Workers: s.GetWorkers(), Capacity: toVector(s.GetCapacity()),
 			Free: toVector(s.GetFree()), Settled: s.GetSettled()}
 		for _, u := range s.GetTeams() {
-			summary.Teams = append(summary.Teams, membership.TeamUsage{Team: u.GetTeam(), Running: toVector(u.GetRunning()),
-				Backlog: toVector(u.GetBacklog())})
+			running, backlog := toAmounts(u.GetAmounts())
+			summary.Teams = append(summary.Teams, membership.TeamUsage{Team: u.GetTeam(), Running: running, Backlog: backlog})
 		}
 		m.Partitions = append(m.Partitions, summary)
 	}
--- a/internal/peer/doc.go
+++ b/internal/peer/doc.go
@@ -16,7 +16,9 @@
 	pingEvery   = 10 * time.Second
 	pingTimeout = 2 * time.Second
 	// minPingInterval leaves room for jitter: a server closes connections whose pings come faster.
-	minPingInterval  = 5 * time.Second
+	minPingInterval = 5 * time.Second
+	// shortestSilence keeps callers with very short deadlines from replacing connections that are merely slow.
+	shortestSilence  = 200 * time.Millisecond
 	reconnectBase    = 100 * time.Millisecond
 	reconnectMax     = time.Second
 	reconnectFactor  = 1.6
