--- /dev/null
+++ b/internal/ring/ring_test.go
@@ -0,0 +1,76 @@
+package ring
+
+import (
+	"context"
+	"runtime"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// Guards against a full ring that blocks, grows, or loses items that it accepted.
+func TestFullRingRefuses(t *testing.T) {
+	r := New[int](2)
+	assert.Assert(t, r.TryPush(1))
+	assert.Assert(t, r.TryPush(2))
+	assert.Assert(t, !r.TryPush(3))
+	assert.Equal(t, r.Len(), 2)
+	for _, want := range []int{1, 2} {
+		got, err := r.Pop(context.Background())
+		assert.NilError(t, err)
+		assert.Equal(t, got, want)
+	}
+	_, ok := r.TryPop()
+	assert.Assert(t, !ok)
+	assert.Equal(t, r.Pushed(), uint64(2))
+	assert.Equal(t, r.Dropped(), uint64(1))
+	assert.Equal(t, New[int](0).Cap(), 1)
+}
+
+// Guards against a consumer that never ends, and against items lost at the end.
+func TestPopEndsWithItsContext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := New[int](2)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_, err := r.Pop(ctx)
+		assert.ErrorIs(t, err, context.DeadlineExceeded)
+		assert.Assert(t, r.TryPush(7))
+		got, err := r.Pop(ctx)
+		assert.NilError(t, err)
+		assert.Equal(t, got, 7)
+	})
+}
+
+// Guards against lost, repeated or reordered items under concurrent use.
+func TestConcurrentProducersAndConsumer(t *testing.T) {
+	const producers, each = 8, 1000
+	type item struct{ producer, number int }
+	r := New[item](16)
+	var wait sync.WaitGroup
+	for p := range producers {
+		wait.Go(func() {
+			for n := range each {
+				for !r.TryPush(item{p, n}) {
+					runtime.Gosched()
+				}
+			}
+		})
+	}
+	next := make([]int, producers)
+	for range producers * each {
+		got, err := r.Pop(context.Background())
+		assert.NilError(t, err)
+		assert.Equal(t, got.number, next[got.producer])
+		next[got.producer]++
+	}
+	wait.Wait()
+	assert.Equal(t, r.Len(), 0)
+	assert.Equal(t, r.Pushed(), uint64(producers*each))
+}
