Add the stand-in for the agent on a worker

Cause: owners and routers need workers to run against, with leases, tasks that differ from their declaration, service instances, and faults.

Change: internal/standin/worker implements proto/worker.proto.

--- /dev/null
+++ b/internal/standin/worker/lease.go
@@ -0,0 +1,142 @@
+package worker
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"sequoiastall/internal/core/resource"
+	"sequoiastall/internal/rpc/workerpb"
+)
+
+// lease is the control lease and the task lease that follows it. Worker.mu guards it.
+type lease struct {
+	token        uint64 // of the last grant
+	node         string // holder, empty before the first grant
+	controlTTL   time.Duration
+	taskTTL      time.Duration
+	controlUntil time.Time
+	tasksUntil   time.Time
+}
+
+func (l *lease) renew(now time.Time) {
+	l.controlUntil = now.Add(l.controlTTL)
+	l.tasksUntil = l.controlUntil.Add(l.taskTTL)
+}
+
+func (l *lease) held(now time.Time) bool { return l.node != "" && now.Before(l.controlUntil) }
+
+// permits reports whether a command with this token and node is accepted.
+func (l *lease) permits(token uint64, node string, now time.Time) bool {
+	return l.held(now) && l.token == token && l.node == node
+}
+
+// Acquire implements workerpb.WorkerServer.
+func (w *Worker) Acquire(_ context.Context, r *workerpb.AcquireRequest) (*workerpb.AcquireResponse, error) {
+	if r.Node == "" || r.ControlTtlMs <= 0 || r.TaskTtlMs <= 0 {
+		return nil, status.Errorf(codes.InvalidArgument, "node %q with control lease %d ms and task lease %d ms", r.Node, r.ControlTtlMs, r.TaskTtlMs)
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.stopped {
+		return nil, errStopped
+	}
+	now := time.Now()
+	w.expire(now)
+	if w.lease.held(now) && w.lease.node != r.Node {
+		return &workerpb.AcquireResponse{Holder: w.lease.node, HeldForMs: ceilMS(w.lease.controlUntil.Sub(now))}, nil
+	}
+	w.lease.token++
+	w.lease.node = r.Node
+	w.lease.controlTTL = time.Duration(r.ControlTtlMs) * time.Millisecond
+	w.lease.taskTTL = time.Duration(r.TaskTtlMs) * time.Millisecond
+	w.lease.renew(now)
+	w.armLapse(now)
+	w.broadcast()
+	return w.inventory(), nil
+}
+
+var errStopped = status.Error(codes.Unavailable, "worker is stopping")
+
+func ceilMS(d time.Duration) int64 { return int64((d + time.Millisecond - 1) / time.Millisecond) }
+
+func (w *Worker) inventory() *workerpb.AcquireResponse {
+	out := &workerpb.AcquireResponse{
+		Granted: true, Token: w.lease.token, Capacity: fromVector(w.options.Capacity), Connections: w.options.Connections,
+		EventSequence: w.sequence, Pool: w.options.Pool,
+	}
+	for _, t := range w.running {
+		out.Tasks = append(out.Tasks, t.record(workerpb.TaskState_RUNNING))
+	}
+	for _, r := range w.ended {
+		out.Tasks = append(out.Tasks, r)
+	}
+	return out
+}
+
+// Release implements workerpb.WorkerServer. A release with an old token changes nothing.
+func (w *Worker) Release(_ context.Context, r *workerpb.ReleaseRequest) (*workerpb.ReleaseResponse, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := time.Now()
+	w.expire(now)
+	if w.lease.permits(r.Token, r.Node, now) {
+		w.lease.controlUntil = now
+		w.lease.tasksUntil = now.Add(w.lease.taskTTL)
+		w.armLapse(now)
+		w.broadcast()
+	}
+	return &workerpb.ReleaseResponse{}, nil
+}
+
+func (w *Worker) armLapse(now time.Time) {
+	d := w.lease.tasksUntil.Sub(now)
+	if w.lapse == nil {
+		w.lapse = time.AfterFunc(d, w.checkLapse)
+		return
+	}
+	w.lapse.Reset(d)
+}
+
+func (w *Worker) checkLapse() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.expire(time.Now())
+}
+
+// expire ends every task if the task lease has lapsed. The caller holds w.mu.
+func (w *Worker) expire(now time.Time) {
+	if w.frozen || w.stopped || now.Before(w.lease.tasksUntil) {
+		return
+	}
+	for _, t := range w.running {
+		w.end(t, workerpb.TaskState_LAPSED, "task lease lapsed", now)
+	}
+}
+
+// expireFrozen is expire at the end of a freeze. The tasks made no progress since the freeze began, so that a lapse
+// during the freeze is logged with the time of the lapse.
+func (w *Worker) expireFrozen(now time.Time) {
+	if now.Before(w.lease.tasksUntil) {
+		return
+	}
+	at := w.lease.tasksUntil
+	if at.Before(w.frozenAt) {
+		at = w.frozenAt
+	}
+	for _, t := range w.running {
+		w.end(t, workerpb.TaskState_LAPSED, "task lease lapsed", at)
+	}
+}
+
+func toVector(r *workerpb.Resources) resource.Vector {
+	return resource.Vector{
+		Slots: r.GetSlots(), MilliCPU: r.GetMilliCpu(), MemoryMB: r.GetMemoryMb(), Accelerators: r.GetAccelerators(),
+	}
+}
+
+func fromVector(v resource.Vector) *workerpb.Resources {
+	return &workerpb.Resources{Slots: v.Slots, MilliCpu: v.MilliCPU, MemoryMb: v.MemoryMB, Accelerators: v.Accelerators}
+}
