--- /dev/null
+++ b/internal/workerclient/client.go
@@ -0,0 +1,166 @@
+// Package workerclient implements port.Workers on the protocol of the platform's agents.
+package workerclient
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"sequoiastall/internal/port"
+	"sequoiastall/internal/rpc/connection"
+	"sequoiastall/internal/rpc/workerpb"
+)
+
+const (
+	// callTimeout bounds each call, besides the wait of a long poll. It leaves time for two further tries within the
+	// 3 s of a control lease.
+	callTimeout = time.Second
+	// idleTime is how long the connection to a worker is kept unused. Workers are replaced and their addresses with
+	// them. It exceeds the longest long poll.
+	idleTime = 5 * time.Minute
+)
+
+// InvalidError tells that a worker rejects a call whenever it is made; it had no effect.
+type InvalidError struct{ Reason string }
+
+// Error implements error.
+func (e *InvalidError) Error() string { return "rejected by the worker: " + e.Reason }
+
+// Client implements port.Workers with one connection per worker.
+type Client struct {
+	clock port.Clock
+
+	mu      sync.Mutex
+	workers map[string]*link // by address
+	closed  bool
+}
+
+var _ port.Workers = (*Client)(nil)
+
+// link is the connection to one worker.
+type link struct {
+	conn     *connection.Conn
+	lastUsed time.Time
+}
+
+// New returns a client that connects to a worker with the first call.
+func New(clock port.Clock) *Client {
+	return &Client{clock: clock, workers: map[string]*link{}}
+}
+
+// Close ends all calls.
+func (c *Client) Close() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+	var first error
+	for address, l := range c.workers {
+		if err := l.conn.Close(); err != nil && first == nil {
+			first = errors.Wrap(err, address)
+		}
+		delete(c.workers, address)
+	}
+	return first
+}
+
+func (c *Client) worker(host port.Host) (workerpb.WorkerClient, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return nil, errors.Wrap(port.ErrUnavailable, "worker client is closed")
+	}
+	now := c.clock.Now()
+	l := c.workers[host.Address]
+	if l == nil {
+		c.closeIdle(now)
+		conn, err := connection.New(host.Address)
+		if err != nil {
+			return nil, errors.Wrapf(port.ErrUnavailable, "worker %s: %v", host.ID, err)
+		}
+		l = &link{conn: conn}
+		c.workers[host.Address] = l
+	}
+	l.lastUsed = now
+	return workerpb.NewWorkerClient(l.conn), nil
+}
+
+func (c *Client) closeIdle(now time.Time) {
+	for address, l := range c.workers {
+		if now.Sub(l.lastUsed) > idleTime {
+			_ = l.conn.Close()
+			delete(c.workers, address)
+		}
+	}
+}
+
+// Acquire implements port.Workers.
+func (c *Client) Acquire(ctx context.Context, host port.Host, node string, control, task time.Duration) (port.Inventory, error) {
+	w, err := c.worker(host)
+	if err != nil {
+		return port.Inventory{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	r, err := w.Acquire(ctx, &workerpb.AcquireRequest{
+		Node: node, ControlTtlMs: control.Milliseconds(), TaskTtlMs: task.Milliseconds(),
+	})
+	if err != nil {
+		return port.Inventory{}, callError(host, err)
+	}
+	if !r.Granted {
+		return port.Inventory{}, &port.HeldError{Holder: r.Holder, For: time.Duration(r.HeldForMs) * time.Millisecond}
+	}
+	return toInventory(host, r)
+}
+
+// Sync implements port.Workers. Its timeout is s.Wait longer than that of other calls.
+func (c *Client) Sync(ctx context.Context, host port.Host, s port.Sync) (port.SyncResult, error) {
+	request, err := fromSync(s)
+	if err != nil {
+		return port.SyncResult{}, err
+	}
+	w, err := c.worker(host)
+	if err != nil {
+		return port.SyncResult{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout+s.Wait)
+	defer cancel()
+	r, err := w.Sync(ctx, request)
+	if err != nil {
+		return port.SyncResult{}, callError(host, err)
+	}
+	if !r.Accepted {
+		return port.SyncResult{}, port.ErrFenced
+	}
+	return toResult(host, r)
+}
+
+// Release implements port.Workers.
+func (c *Client) Release(ctx context.Context, host port.Host, node string, token port.Token) error {
+	w, err := c.worker(host)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if _, err := w.Release(ctx, &workerpb.ReleaseRequest{Node: node, Token: uint64(token)}); err != nil {
+		return callError(host, err)
+	}
+	return nil
+}
+
+// callError maps the failure of a call. All calls have an effect, so that one that was sent leaves the outcome open.
+func callError(host port.Host, err error) error {
+	var failed *connection.Error
+	if !errors.As(err, &failed) || !failed.Sent {
+		return errors.Wrapf(port.ErrUnavailable, "worker %s: %v", host.ID, err)
+	}
+	if s := status.Convert(failed.Err); s.Code() == codes.InvalidArgument {
+		return &InvalidError{s.Message()}
+	}
+	return errors.Wrapf(port.ErrUnknownOutcome, "worker %s: %v", host.ID, err)
+}
