--- a/internal/standin/worker/fleet.go
+++ b/internal/standin/worker/fleet.go
@@ -14,6 +14,7 @@
 // FleetOptions are the settings of a fleet.
 type FleetOptions struct {
 	Count    int
+	First    int     // number of the first worker, in host IDs and for the division into racks
 	RackSize int     // workers per rack, at least 1
 	Prefix   string  // of host IDs; <zone>-w if empty
 	Listen   string  // IP:port of the first worker; with port 0 each gets any free port
@@ -30,8 +31,8 @@
 
 // NewFleet starts workers and serves them until Stop.
 func NewFleet(o FleetOptions) (*Fleet, error) {
-	if o.Count < 1 || o.RackSize < 1 {
-		return nil, errors.Errorf("fleet of %d workers in racks of %d", o.Count, o.RackSize)
+	if o.Count < 1 || o.RackSize < 1 || o.First < 0 {
+		return nil, errors.Errorf("fleet of %d workers from number %d in racks of %d", o.Count, o.First, o.RackSize)
 	}
 	first, err := net.ResolveTCPAddr("tcp", o.Listen)
 	if err != nil {
@@ -54,7 +55,7 @@
 			f.Stop()
 			return nil, errors.Wrap(err, "fleet")
 		}
-		f.add(o, i, l)
+		f.add(o, o.First+i, l)
 	}
 	return f, nil
 }
