--- a/internal/standin/worker/instance_test.go
+++ b/internal/standin/worker/instance_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -144,7 +145,9 @@
 		if err != nil {
 			return 0, err
 		}
-		return out.StatusCode, out.Body.Close()
+		defer out.Body.Close()
+		_, err = io.Copy(io.Discard, out.Body) // an unread body would close the connection
+		return out.StatusCode, err
 	}
 	first, second := &http.Client{Transport: &http.Transport{}}, &http.Client{Transport: &http.Transport{}}
 	defer first.CloseIdleConnections()
