--- /dev/null
+++ b/internal/cli/settings.go
@@ -0,0 +1,53 @@
+package cli
+
+import (
+	"fmt"
+
+	"github.com/spf13/cobra"
+
+	"sequoiastall/internal/settings"
+)
+
+func newSettings() *cobra.Command {
+	var printDefaults bool
+	cmd := &cobra.Command{
+		Use:   "settings",
+		Short: "Show and check the settings of a serve process",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if !printDefaults {
+				return cmd.Help()
+			}
+			if wantsJSON(cmd) {
+				return printJSON(cmd.OutOrStdout(), settings.Default())
+			}
+			return settings.Print(cmd.OutOrStdout(), settings.Default())
+		},
+	}
+	cmd.Flags().BoolVar(&printDefaults, "defaults", false, "print the defaults as a commented file")
+	cmd.AddCommand(&cobra.Command{
+		Use:   "check FILE",
+		Short: "Check a settings file",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			checked, problems := settings.Load(args[0])
+			if len(problems) == 0 {
+				if wantsJSON(cmd) {
+					return printJSON(cmd.OutOrStdout(), checked)
+				}
+				_, err := fmt.Fprintln(cmd.OutOrStdout(), "no problems")
+				return err
+			}
+			for _, p := range problems {
+				fmt.Fprintln(cmd.ErrOrStderr(), p.Error())
+			}
+			if wantsJSON(cmd) {
+				if err := printJSON(cmd.OutOrStdout(), problems); err != nil {
+					return err
+				}
+			}
+			return &ExitError{Code: ExitInvalid, Err: errReported}
+		},
+	})
+	return cmd
+}
