Don't report references into files that can't be read

A file with a syntax error made every reference to its objects a problem of its own, which buried the real ones. Names that occur in what couldn't be read are now taken to exist; all other references are still reported. An index refuses hashes that are too long as well as too short, and a test holds the largest allowed set against the store's 1 MB.

--- a/internal/core/configuration/holder.go
+++ b/internal/core/configuration/holder.go
@@ -161,7 +161,7 @@
 // Reachability is what a node hears of the other members. It is computed for the moment at which Authority is asked:
 // only heartbeats and store states younger than HeardWithin count.
 type Reachability struct {
-	Known    int  // other members, without those that left or are declared dead because the platform says so
+	Known    int  // other members, including silent ones, without those that announced that they left
 	Heard    int  // of these, members heard from
 	Reaching int  // of the members heard from, those that reach the store
 	Store    bool // this node reaches the store
--- a/internal/core/configuration/holder_test.go
+++ b/internal/core/configuration/holder_test.go
@@ -5,6 +5,8 @@
 	"encoding/hex"
 	"errors"
 	"fmt"
+	"math"
+	"strings"
 	"testing"
 	"time"
 
@@ -57,6 +59,28 @@
 	assert.Assert(t, errors.As(err, &diverged))
 }
 
+// Guards against a set that passes the check and whose record is larger than the store's 1 MB.
+func TestLargestRecordFitsTheStore(t *testing.T) {
+	data := make([]byte, object.MaxEncodedBytes)
+	value, err := Document{Revision: math.MaxInt64, Digest: object.Digest(data), Data: data, Writer: strings.Repeat("w", 64)}.Marshal()
+	assert.NilError(t, err)
+	assert.Assert(t, len(value) <= 1_000_000, "%d bytes", len(value))
+}
+
+// Guards against a set that can't be indexed and replaces the one in force.
+func TestOfferWithBadHash(t *testing.T) {
+	h := NewHolder(FreshFor)
+	offer(h, document(t, 1, 1))
+	set := h.Current().Set
+	set.Keys = []object.Key{{Meta: object.Meta{Kind: object.KindKey, Name: "k"}, SHA256: strings.Repeat("0", 66)}}
+	d, err := NewDocument(set, 2, "test")
+	assert.NilError(t, err)
+	outcome, err := h.Offer(d, start)
+	assert.Equal(t, outcome, Rejected)
+	assert.ErrorContains(t, err, "bad hash")
+	assert.Equal(t, h.Revision(), int64(1))
+}
+
 func TestAuthenticate(t *testing.T) {
 	h := NewHolder(FreshFor)
 	_, ok := h.Authenticate("secret-1")
--- a/internal/core/object/check.go
+++ b/internal/core/object/check.go
@@ -123,6 +123,9 @@
 	if c.known[Meta{kind, name}] > 0 {
 		return true
 	}
+	if c.set.unread[name] {
+		return false // it may be in what couldn't be read
+	}
 	c.report(field, "%s: %s %q doesn't exist%s", field, kind, name, jsonc.Suggestion(name, c.namesOf[kind]))
 	return false
 }
@@ -161,6 +164,9 @@
 
 func (c *checker) cell() {
 	cell := c.set.Cell
+	if cell.Kind == "" && c.set.unread[string(KindCell)] {
+		return
+	}
 	if cell.Kind == "" {
 		c.problems = append(c.problems, Problem{Kind: KindCell, Message: "the set has no cell"})
 		return
--- a/internal/core/object/index.go
+++ b/internal/core/object/index.go
@@ -64,9 +64,11 @@
 		services: map[string]Service{}, policies: map[string]RetryPolicy{}, pools: map[string]Pool{}, zones: map[string]Zone{}}
 	for _, k := range s.Keys {
 		e := keyEntry{key: k}
-		if n, err := hex.Decode(e.hash[:], []byte(k.SHA256[:min(len(k.SHA256), 2*sha256.Size)])); err != nil || n != sha256.Size {
+		hash, err := hex.DecodeString(k.SHA256)
+		if err != nil || len(hash) != sha256.Size {
 			return nil, errors.Errorf("index object set: key %q: bad hash", k.Name)
 		}
+		copy(e.hash[:], hash)
 		bucket := binary.BigEndian.Uint64(e.hash[:])
 		x.keys[bucket] = append(x.keys[bucket], e)
 	}
--- a/internal/core/object/object_test.go
+++ b/internal/core/object/object_test.go
@@ -130,6 +130,17 @@
 	assert.DeepEqual(t, got, []string{"a.jsonc:1", "a.jsonc:1", "b.jsonc:2", "c.jsonc:1"})
 }
 
+// Guards against reports that only follow from a file that can't be read, and against real ones that it hides.
+func TestUnreadableFileHidesNothingElse(t *testing.T) {
+	_, problems := Validate([]File{
+		{"a.jsonc", []byte(`[{"kind": "cell", "name": "main"}, {"kind": "team", "name": "a"}`)},
+		{"b.jsonc", []byte(`[{"kind": "share", "name": "a", "team": "a", "weight": 1}, {"kind": "share", "name": "b", "team": "b", "weight": 1}]`)},
+	})
+	assert.Equal(t, len(problems), 2, "%v", problems)
+	assert.Assert(t, strings.HasPrefix(problems[0].Error(), "a.jsonc:1: syntax error"), problems[0].Error())
+	assert.Equal(t, problems[1].Error(), `b.jsonc:1: share "b": team: team "b" doesn't exist`)
+}
+
 // Guards against a longer cycle that is missed or reported once per member.
 func TestCycleIsReportedOnce(t *testing.T) {
 	service := func(name, on string) string {
--- a/internal/core/object/parse.go
+++ b/internal/core/object/parse.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"regexp"
 	"slices"
 	"sort"
 	"strings"
@@ -60,7 +61,7 @@
 // objects; Check finds those of the set. An object with a problem is part of the set as far as it could be read, so
 // that references to it aren't reported as well.
 func Parse(files []File) (Set, []Problem) {
-	p := parser{cells: nil}
+	var p parser
 	for _, file := range files {
 		p.file(file)
 	}
@@ -77,6 +78,20 @@
 	found    []located
 }
 
+// quoted matches the texts in a file that can't be read.
+var quoted = regexp.MustCompile(`"([^"\n]*)"`)
+
+// skip remembers the texts of what can't be read. An object named there may exist, so references to it aren't reported
+// as dangling.
+func (p *parser) skip(text string) {
+	if p.set.unread == nil {
+		p.set.unread = map[string]bool{}
+	}
+	for _, match := range quoted.FindAllStringSubmatch(text, -1) {
+		p.set.unread[match[1]] = true
+	}
+}
+
 type located struct {
 	kind Kind
 	name string
@@ -89,6 +104,7 @@
 		p.problems = append(p.problems, Problem{File: file.Name, Line: problem.Line, Message: problem.Message})
 	}
 	if problems != nil {
+		p.skip(string(file.Data))
 		return
 	}
 	if list, ok := document.Root.Value.(*hujson.Array); ok {
@@ -111,11 +127,13 @@
 	kind, hasKind := jsonc.Text(kindValue)
 	name, _ := jsonc.Text(nameValue)
 	if !hasKind {
+		p.skip(string(v.Pack()))
 		p.problems = append(p.problems, Problem{File: file, Line: line, Name: name, Message: `field "kind" is missing or not a string`})
 		return
 	}
 	target := newObject(Kind(kind))
 	if target == nil {
+		p.skip(string(v.Pack()))
 		p.problems = append(p.problems, Problem{File: file, Line: document.Line(kindValue), Name: name,
 			Message: fmt.Sprintf("unknown kind %q%s", kind, jsonc.Suggestion(kind, kindNames()))})
 		return
--- a/internal/core/object/types.go
+++ b/internal/core/object/types.go
@@ -192,6 +192,7 @@
 // Set is a whole set of objects. Within each kind the objects are sorted by name.
 type Set struct {
 	origins map[occurrence]origin // where Parse found the objects; nil for a decoded set
+	unread  map[string]bool       // texts in files and objects that Parse couldn't read
 
 	Cell          Cell          `json:"cell"`
 	Zones         []Zone        `json:"zones,omitempty"`
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -116,8 +116,8 @@
 		bad[f.Field] = true
 		problems = append(problems, Problem{File: file, Line: f.Line, Field: f.Field, Message: f.Message})
 	}
-	if lines == nil || len(problems) > 0 && bad[""] {
-		return s, problems
+	if bad[""] {
+		return s, problems // nothing of the file could be read
 	}
 	for _, f := range s.check() {
 		if !bad[f.Field] {
