Let confirmations age in transit and reach nodes without the store

A confirmation in a request skipped the time that the message was under way, so that slow links could keep it young. Requests no longer carry confirmations into the table, and a reply's ages grow by the time since its request. Replies now also repeat a member whose confirmation is at least 0.8 s younger. A replaced process with the same ID learns of its successor from any member.

--- a/internal/core/membership/gossip.go
+++ b/internal/core/membership/gossip.go
@@ -159,11 +159,12 @@
 			key = uint32(i)
 		}
 		p, listed := theirs[key]
-		if unreadable || !listed || int16(uint16(r.member.Heartbeat)-p.Heartbeat) > 0 {
-			d.Pulses = append(d.Pulses, r.pulse(now, d.Indexed, i))
+		ours := r.pulse(now, d.Indexed, i)
+		if unreadable || !listed || ours.newer(p) {
+			d.Pulses = append(d.Pulses, ours)
 		}
 		switch {
-		case unreadable || r.member.ID == request.From:
+		case unreadable:
 		case !listed:
 			d.Members = append(d.Members, r.export(now))
 		case int8(uint8(r.member.Version)-p.Version) > 0:
@@ -178,6 +179,12 @@
 	return d
 }
 
+// newer reports whether p tells more of a member than old does: a newer heartbeat, or a clearly younger confirmation.
+func (p Pulse) newer(old Pulse) bool {
+	younger := p.Version == old.Version && int(p.Confirmed)+confirmationGain <= int(old.Confirmed)
+	return younger || int16(p.Heartbeat-old.Heartbeat) > 0
+}
+
 // departed returns the members that left although the sender of the pulses counts them as live.
 func (t *Table) departed(pulses map[uint32]Pulse, now time.Time) []Member {
 	var members []Member
@@ -189,7 +196,41 @@
 	return members
 }
 
-// Merge applies a received digest. Its entries are those of self and of members that the sender counts as live.
+// MergeRequest applies the digest of a request. It leaves out confirmations: the receiver can't tell how long the
+// message was under way, and a confirmation that skips that time at every relay would never grow old.
+func (t *Table) MergeRequest(d Digest, now time.Time) {
+	d.Members, d.Pulses = slices.Clone(d.Members), slices.Clone(d.Pulses)
+	for i := range d.Members {
+		d.Members[i].ConfirmedAgeMS = NeverConfirmed
+	}
+	for i := range d.Pulses {
+		d.Pulses[i].Confirmed = NoAge
+	}
+	t.Merge(d, now)
+}
+
+// MergeReply applies the answer to a request that was sent at the given time. All ages grow by the time since then.
+func (t *Table) MergeReply(d Digest, sent, now time.Time) {
+	elapsed := max(0, now.Sub(sent))
+	units := int(ageUnits(elapsed))
+	d.Members, d.Pulses = slices.Clone(d.Members), slices.Clone(d.Pulses)
+	for i := range d.Members {
+		m := &d.Members[i]
+		m.HeardAgeMS += elapsed.Milliseconds()
+		if m.ConfirmedAgeMS >= 0 {
+			m.ConfirmedAgeMS += elapsed.Milliseconds() + 1
+		}
+	}
+	for i := range d.Pulses {
+		p := &d.Pulses[i]
+		p.Heard = uint8(min(NoAge, int(p.Heard)+units))
+		p.Confirmed = uint8(min(NoAge, int(p.Confirmed)+units))
+	}
+	t.Merge(d, now)
+}
+
+// Merge applies a digest whose ages are as of now. Its entries are those of self and of members that the sender counts
+// as live. Messages from the network go through MergeRequest and MergeReply.
 func (t *Table) Merge(d Digest, now time.Time) {
 	for _, m := range d.Members {
 		t.mergeMember(m, now)
--- a/internal/core/membership/options.go
+++ b/internal/core/membership/options.go
@@ -24,6 +24,9 @@
 	// heartbeatEvery bounds the growth of the heartbeat, so that its low 16 bits stay unambiguous for longer than
 	// defaultForgetAfter.
 	heartbeatEvery = 250 * time.Millisecond
+	// confirmationGain is how much younger, in AgeUnit, a confirmation must be to be worth a pulse of its own. Together
+	// with a round it has to stay well below the 3 s after which a configuration counts as unconfirmed.
+	confirmationGain = 16
 	// announceFor is how long an urgent change is sent in full with each digest instead of waiting to be asked for.
 	announceFor = time.Second
 	// leftKeptFor outlasts every relay of the member, which ends DeadAfter after its last heartbeat.
--- a/internal/core/membership/table.go
+++ b/internal/core/membership/table.go
@@ -287,6 +287,17 @@
 	return c
 }
 
+// Confirmed returns the smallest age of a confirmation of the revision by any member, false if there is none.
+func (t *Table) Confirmed(revision int64, now time.Time) (time.Duration, bool) {
+	var latest time.Time
+	for _, r := range append(t.sorted(), t.self) {
+		if r.member.Revision == revision && r.confirmed.After(latest) {
+			latest = r.confirmed
+		}
+	}
+	return max(0, now.Sub(latest)), !latest.IsZero()
+}
+
 // sorted returns the records of other members in the order of IDs.
 func (t *Table) sorted() []*record {
 	records := make([]*record, 0, len(t.records))
