Detect silence by the last byte; check tests for leaked goroutines

Cause: one run of five of the worker client's tests failed: a byte that was on its way when the connection went silent arrived after the next call began, and the timed-out call didn't count as silence, so that the call after it timed out too.

--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -174,11 +174,20 @@
 	c, ctx := connect(t, relay(t, address, &silent)), t.Context()
 	_, err := c.Put(ctx, port.Write{Key: "k"})
 	assert.NilError(t, err)
+	opened, watched := make(chan struct{}), make(chan error, 1)
+	go func() {
+		watched <- c.Watch(ctx, "", 0, func([]port.WatchEvent) error {
+			close(opened)
+			return nil
+		})
+	}()
+	<-opened
 	silent.Store(true)
 	_, err = c.Put(ctx, port.Write{Key: "k", Condition: port.IfAbsent})
 	assert.ErrorIs(t, err, port.ErrUnknownOutcome)
 	_, err = c.Get(ctx, "k")
 	assert.NilError(t, err)
+	assert.ErrorIs(t, <-watched, port.ErrUnavailable)
 }
 
 // relay forwards connections to address. Once silent is set, those that have been accepted before swallow every byte.
--- a/internal/rpc/connection/connection.go
+++ b/internal/rpc/connection/connection.go
@@ -167,10 +167,11 @@
 	return c.current, nil
 }
 
-// checkSilence drops the connection if no byte came from the server since start. Other calls on it fail then; their
-// answers would not have come either.
+// checkSilence drops the connection if no byte has come from the server lately, while a call has waited since start.
+// Other calls on it fail then; their answers would not have come either. A byte shortly after start doesn't prove the
+// connection alive: it may have been on its way when the silence began.
 func (c *Conn) checkSilence(t *transport, start time.Time) {
-	if time.Since(start) < silence || t.lastRead.Load() >= start.UnixNano() {
+	if time.Since(start) < silence || time.Since(time.Unix(0, t.lastRead.Load())) < silence {
 		return
 	}
 	c.mu.Lock()
--- a/internal/standin/worker/instance_test.go
+++ b/internal/standin/worker/instance_test.go
@@ -19,7 +19,10 @@
 // startInstance starts a service instance and returns its owner and base URL.
 func startInstance(t *testing.T, w *Worker, concurrency int32) (*owner, string) {
 	t.Helper()
-	t.Cleanup(w.Stop)
+	t.Cleanup(func() {
+		w.Stop()
+		http.DefaultClient.CloseIdleConnections()
+	})
 	r, err := w.Acquire(t.Context(), &workerpb.AcquireRequest{Node: "a", ControlTtlMs: 60_000, TaskTtlMs: 60_000})
 	assert.NilError(t, err)
 	a := &owner{t: t, w: w, node: "a", token: r.Token}
--- /dev/null
+++ b/internal/workerclient/main_test.go
@@ -0,0 +1,13 @@
+package workerclient_test
+
+import (
+	"testing"
+
+	"go.uber.org/goleak"
+)
+
+// TestMain guards against goroutines that outlive a client or a fleet.
+func TestMain(m *testing.M) {
+	// fasthttp's pool of a stopped server ends after up to 10 s, longer than goleak waits.
+	goleak.VerifyTestMain(m, goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*workerPool).Start.func2"))
+}
