End the runs of frozen workers at the lapse of their lease

Cause: the run log kept the runs of a frozen worker open, so that the restart of its tasks elsewhere, after the lease had lapsed, was reported as an overlap until the worker resumed, and also when it was killed while frozen.

Change: a freeze notes the lapse as the end of the open runs; a resume before the lapse takes it back. A kill logs the same end.

--- a/internal/standin/worker/lease.go
+++ b/internal/standin/worker/lease.go
@@ -116,21 +116,30 @@
 	}
 }
 
-// expireFrozen is expire at the end of a freeze. The tasks made no progress since the freeze began, so that a lapse
-// during the freeze is logged with the time of the lapse.
+// expireFrozen is expire at the end of a freeze.
 func (w *Worker) expireFrozen(now time.Time) {
 	if now.Before(w.lease.tasksUntil) {
 		return
 	}
-	at := w.lease.tasksUntil
-	if at.Before(w.frozenAt) {
-		at = w.frozenAt
-	}
+	at := w.frozenRunsEnd(now)
 	for _, t := range w.running {
 		w.end(t, workerpb.TaskState_LAPSED, "task lease lapsed", at)
 	}
 }
 
+// frozenRunsEnd returns when runs ended that a freeze has lasted over until now: they made no progress since the freeze
+// began, so that they were over when their lease lapsed during it.
+func (w *Worker) frozenRunsEnd(now time.Time) time.Time {
+	end := w.lease.tasksUntil
+	if end.Before(w.frozenAt) {
+		end = w.frozenAt
+	}
+	if end.After(now) {
+		end = now
+	}
+	return end
+}
+
 func toVector(r *workerpb.Resources) resource.Vector {
 	return resource.Vector{
 		Slots: r.GetSlots(), MilliCPU: r.GetMilliCpu(), MemoryMB: r.GetMemoryMb(), Accelerators: r.GetAccelerators(),
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -126,8 +126,12 @@
 	if w.lapse != nil {
 		w.lapse.Stop()
 	}
+	at := time.Now()
+	if w.frozen {
+		at = w.frozenRunsEnd(at)
+	}
 	for _, t := range w.running {
-		w.end(t, workerpb.TaskState_LAPSED, "worker was killed", time.Now())
+		w.end(t, workerpb.TaskState_LAPSED, "worker was killed", at)
 	}
 	w.broadcast()
 	w.mu.Unlock()
@@ -168,12 +172,15 @@
 		t.settle(now, w.frozen)
 	}
 	w.frozen = on
+	var end time.Time
 	if on {
 		w.frozenAt = now
+		end = w.lease.tasksUntil
 	} else {
 		w.expireFrozen(now)
 	}
 	for _, t := range w.running {
+		w.options.Log.expect(t, end)
 		t.wake()
 	}
 	w.broadcast()
--- a/internal/standin/worker/worker_test.go
+++ b/internal/standin/worker/worker_test.go
@@ -172,6 +172,30 @@
 	})
 }
 
+// Guards against a false report of an overlap: a frozen worker's tasks are over when their lease lapses, even if the
+// worker never resumes or is killed while frozen.
+func TestSuccessorOfFrozenWorkerDoesNotOverlap(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := NewRunLog()
+		frozen, next := testWorker(Options{Log: log}), testWorker(Options{Log: log})
+		defer next.Stop()
+		a, _ := acquire(t, frozen, "a")
+		a.sync(group("j", 1, "", one(0, 1)))
+		frozen.Freeze(true)
+		time.Sleep(controlTTL + taskTTL - time.Second)
+		early := log.Runs()[0]
+		assert.Equal(t, early.State, port.TaskRunning)
+		assert.Equal(t, early.End.Sub(early.Start), controlTTL+taskTTL)
+		time.Sleep(2 * time.Second)
+		b, _ := acquire(t, next, "b")
+		b.sync(group("j", 1, "", one(0, 2)))
+		assert.Equal(t, len(taskViolations(log.Runs())), 0)
+		frozen.Stop()
+		assert.Equal(t, len(taskViolations(log.Runs())), 0)
+		assert.Equal(t, log.Runs()[0].State, port.TaskLapsed)
+	})
+}
+
 // Guards against progress during a freeze that ends before the lapse.
 func TestFreezeStopsProgress(t *testing.T) {
 	inBubble(t, Options{}, func(t *testing.T, w *Worker) {
@@ -183,6 +207,7 @@
 		w.Freeze(false)
 		synctest.Wait()
 		assert.Equal(t, countRunning(w), 1)
+		assert.Assert(t, w.Log().Runs()[0].End.IsZero())
 		a, _ = acquire(t, w, "a")
 		events := a.hold(4 * time.Second)
 		assert.Equal(t, events[0].Task.State, workerpb.TaskState_SUCCEEDED)
