--- a/internal/core/estimate/table.go
+++ b/internal/core/estimate/table.go
@@ -185,7 +185,8 @@
 // series is a histogram of the current and one of the previous generation.
 type series struct {
 	current, previous *hdrhistogram.Histogram
-	merged            *hdrhistogram.Histogram // of both; nil after a change
+	asked             float64 // percentile of the cached value; 0 after a change
+	cached            int64
 }
 
 func (s *series) observe(value, most float64) {
@@ -194,17 +195,17 @@
 	}
 	// The value is within the histogram's range, so that recording can't fail.
 	_ = s.current.RecordValue(int64(max(1, min(value, most))))
-	s.merged = nil
+	s.asked = 0
 }
 
 func (s *series) percentile(p float64, otherwise int64) int64 {
 	if s.count() == 0 {
 		return otherwise
 	}
-	if s.merged == nil {
-		s.merged = s.merge()
+	if s.asked != p {
+		s.asked, s.cached = p, s.merge().ValueAtPercentile(p)
 	}
-	return s.merged.ValueAtPercentile(p)
+	return s.cached
 }
 
 func (s *series) merge() *hdrhistogram.Histogram {
@@ -230,4 +231,4 @@
 	return total
 }
 
-func (s *series) rotate() { s.current, s.previous, s.merged = nil, s.current, nil }
+func (s *series) rotate() { s.current, s.previous, s.asked = nil, s.current, 0 }
