Let nodes keep their permits when a partition changes owner

It now asks each node for its holdings and divides those at once; only the rest waits. A report counts only if this ledger asked for it after the worker was acquired, since an older one may be about permits that have moved since. EndpointsRequest gets Holdings and HoldingsNonce, EndpointSet HoldingsNonce, and Routes gets Request, which fills in all of it.

--- a/internal/core/routing/division.go
+++ b/internal/core/routing/division.go
@@ -20,6 +20,34 @@
 	capacity int32
 	bound    int32              // what was in use when the capacity was lowered; falls to capacity as the nodes settle
 	grants   map[string][]grant // by node, ascending version, never empty
+	// A former owner's grants may be in use while inherited. Until then only what nodes reported is divided.
+	inherited bool
+	adopted   int32
+	reported  map[string]bool
+}
+
+func newDivision(name string) division {
+	return division{name: name, grants: map[string][]grant{}, reported: map[string]bool{}}
+}
+
+// adopt lets a node keep what it held of a former owner's grants, as far as the capacity goes.
+func (d *division) adopt(node string, amount int32, version uint64) {
+	if !d.inherited || d.reported[node] {
+		return
+	}
+	d.reported[node] = true
+	if amount = min(amount, d.capacity-d.adopted); amount > 0 {
+		d.adopted += amount
+		d.set(node, d.current(node)+amount, version)
+	}
+}
+
+// divisible returns the amount that may be divided now.
+func (d *division) divisible() int32 {
+	if d.inherited {
+		return min(d.adopted, d.capacity)
+	}
+	return d.capacity
 }
 
 // current returns the node's latest grant.
@@ -101,10 +129,11 @@
 	if sum == 0 {
 		return
 	}
-	left := d.capacity
+	capacity := d.divisible()
+	left := capacity
 	for i := range claims {
 		c := &claims[i]
-		share := int64(d.capacity) * c.weight
+		share := int64(capacity) * c.weight
 		c.amount, c.rest = int32(share/sum), share%sum
 		c.tie = xxhash.Sum64String(c.node + "\x00" + d.name)
 		left -= c.amount
@@ -133,7 +162,7 @@
 	}
 	total := d.total()
 	d.bound = min(d.bound, total)
-	free := d.capacity - total
+	free := d.divisible() - total
 	for _, c := range claims {
 		// A raise up to what the node may use anyway costs nothing.
 		now, held := d.current(c.node), d.held(c.node)
--- a/internal/core/routing/ledger.go
+++ b/internal/core/routing/ledger.go
@@ -34,6 +34,7 @@
 type ledgerNode struct {
 	last    time.Time
 	settled uint64
+	nonce   uint64 // of its last report of holdings
 	version uint64 // at which its view changed last
 	demand  map[string]int64
 }
@@ -42,7 +43,10 @@
 // the connections of each worker among the nodes. It isn't safe for concurrent use.
 type PermitLedger struct {
 	partition  string
+	first      uint64
 	version    uint64
+	inherited  uint64    // version at which an instance with a former owner's permits was added last
+	notBefore  time.Time // until which there are such
 	endpoints  map[instanceKey]*ledgerEndpoint
 	workers    map[string]*ledgerWorker
 	nodes      map[string]*ledgerNode
@@ -52,7 +56,7 @@
 // NewPermitLedger returns an empty ledger. Versions start above firstVersion, which must exceed those of all former
 // owners of the partition, such as the time of the takeover in nanoseconds.
 func NewPermitLedger(partition string, firstVersion uint64) *PermitLedger {
-	return &PermitLedger{partition: partition, version: firstVersion, endpoints: map[instanceKey]*ledgerEndpoint{},
+	return &PermitLedger{partition: partition, first: firstVersion, version: firstVersion, endpoints: map[instanceKey]*ledgerEndpoint{},
 		workers: map[string]*ledgerWorker{}, nodes: map[string]*ledgerNode{}}
 }
 
@@ -63,20 +67,33 @@
 // granted any.
 func InheritedUntil(lastGrant time.Time) time.Time { return lastGrant.Add(permitReuse) }
 
-// SetWorker sets the number of connections that a worker accepts. None are granted before notBefore.
+// SetWorker sets the number of connections that a worker accepts. Those that a
+// former owner may have granted are divided after notBefore only, but for what nodes report; the zero time is for a
+// worker without a former owner. The worker must have been acquired, so that the former owner grants nothing more.
 func (l *PermitLedger) SetWorker(id string, connections int32, notBefore time.Time) {
 	w := l.workers[id]
 	if w == nil {
-		w = &ledgerWorker{connections: division{name: id, grants: map[string][]grant{}}}
+		w = &ledgerWorker{connections: newDivision(id)}
 		l.workers[id] = w
 	}
 	w.connections.resize(connections)
 	w.notBefore = notBefore
 	l.touch()
+	l.inherit(notBefore)
 }
 
-// SetEndpoint adds an instance or changes its address or state. e.Permits and e.Connections are ignored; no permit is
-// granted before notBefore. The worker must have been set.
+// inherit makes nodes report their holdings again.
+func (l *PermitLedger) inherit(notBefore time.Time) {
+	if !notBefore.IsZero() {
+		l.inherited = l.version
+	}
+	if notBefore.After(l.notBefore) {
+		l.notBefore = notBefore
+	}
+}
+
+// SetEndpoint adds an instance or changes its address or state. e.Permits and e.Connections are ignored; for
+// notBefore see SetWorker. The worker must have been set.
 func (l *PermitLedger) SetEndpoint(e Endpoint, concurrency int32, notBefore time.Time) error {
 	if l.workers[e.Worker] == nil {
 		return errors.Errorf("endpoint %s: worker %s isn't known", e.Instance, e.Worker)
@@ -84,12 +101,13 @@
 	key := instanceKey{e.Instance, e.Attempt}
 	x := l.endpoints[key]
 	if x == nil {
-		x = &ledgerEndpoint{permits: division{name: e.Instance.String(), grants: map[string][]grant{}}}
+		x = &ledgerEndpoint{permits: newDivision(e.Instance.String())}
 		l.endpoints[key] = x
 	}
 	x.permits.resize(concurrency)
 	x.Endpoint, x.notBefore = e, notBefore
 	l.touch()
+	l.inherit(notBefore)
 	return nil
 }
 
@@ -145,12 +163,21 @@
 		n.settled = r.Settled
 		l.settle(r.Node, n.settled)
 	}
+	waiting := l.adopt(&r, n, now)
 	l.rebalance(now)
 	if !l.sound() {
 		l.violations++
 		return EndpointSet{}, ErrOvercommitted
 	}
 	set := EndpointSet{Partition: l.partition, Version: n.version, PermitTTLMS: PermitTTL.Milliseconds()}
+	if waiting {
+		// Until its report is in, the node keeps its view; permits of a former owner aren't renewed.
+		set.Version, set.Unchanged, set.HoldingsNonce = r.Version, true, l.inherited
+		if r.Version <= l.first {
+			set.PermitTTLMS = 0
+		}
+		return set, nil
+	}
 	if r.Version == n.version {
 		set.Unchanged = true
 		return set, nil
@@ -159,6 +186,35 @@
 	return set, nil
 }
 
+// adopt takes a node's report of what it holds from a former owner, and tells whether the node has yet to report. Only
+// a report that this ledger asked for counts, since an older one may be about permits that have moved since.
+func (l *PermitLedger) adopt(r *EndpointsRequest, n *ledgerNode, now time.Time) (waiting bool) {
+	if !now.Before(l.notBefore) {
+		return false
+	}
+	for _, e := range l.endpoints {
+		e.permits.inherited = now.Before(e.notBefore)
+	}
+	for _, w := range l.workers {
+		w.connections.inherited = now.Before(w.notBefore)
+	}
+	if r.HoldingsNonce != l.inherited || n.nonce == l.inherited {
+		return n.nonce != l.inherited
+	}
+	n.nonce = l.inherited
+	l.version++
+	n.version = l.version
+	for _, h := range r.Holdings {
+		if e := l.endpoints[instanceKey{h.Instance, h.Attempt}]; e != nil {
+			e.permits.adopt(r.Node, h.Permits, l.version)
+		}
+		if w := l.workers[h.Worker]; w != nil {
+			w.connections.adopt(r.Node, h.Connections, l.version)
+		}
+	}
+	return false
+}
+
 func (l *PermitLedger) settle(node string, version uint64) {
 	for _, e := range l.endpoints {
 		e.permits.settle(node, version)
@@ -197,15 +253,13 @@
 	for _, e := range l.endpoints {
 		claims := l.claims(names, e.Service, now)
 		connections[e.Worker] = addClaims(connections[e.Worker], claims)
-		if now.Before(e.notBefore) {
-			continue
-		}
+		e.permits.inherited = now.Before(e.notBefore)
 		changed = append(changed, e.permits.rebalance(claims, next)...)
 	}
 	for id, claims := range connections {
-		if w := l.workers[id]; !now.Before(w.notBefore) {
-			changed = append(changed, w.connections.rebalance(claims, next)...)
-		}
+		w := l.workers[id]
+		w.connections.inherited = now.Before(w.notBefore)
+		changed = append(changed, w.connections.rebalance(claims, next)...)
 	}
 	if len(changed) == 0 {
 		return
--- a/internal/core/routing/table.go
+++ b/internal/core/routing/table.go
@@ -71,6 +71,16 @@
 	validTo   time.Time
 	instances map[instanceKey]*instance
 	workers   map[string]*worker
+	renewed   time.Time // when the last answered request was sent
+	nonce     uint64    // of the holdings that the owner wants
+	former    map[instanceKey]formerHolding
+}
+
+// formerHolding is a grant for an instance that the owner's latest answer doesn't have. A new owner doesn't list an
+// instance before it has acquired the worker.
+type formerHolding struct {
+	Holding
+	until time.Time // when the former owner may have passed it on
 }
 
 type instanceKey struct {
@@ -105,18 +115,26 @@
 func (t *Table) Apply(set EndpointSet, sentAt, now time.Time) bool {
 	p := t.partitions[set.Partition]
 	if p == nil {
-		if set.Unchanged {
+		if set.Unchanged && set.HoldingsNonce == 0 {
 			return false
 		}
-		p = &partition{instances: map[instanceKey]*instance{}, workers: map[string]*worker{}}
+		p = &partition{instances: map[instanceKey]*instance{}, workers: map[string]*worker{},
+			former: map[instanceKey]formerHolding{}}
 		t.partitions[set.Partition] = p
 	}
 	if set.Version < p.version || (set.Unchanged && set.Version != p.version) {
 		return false
 	}
+	p.nonce = max(p.nonce, set.HoldingsNonce)
 	if until := sentAt.Add(time.Duration(set.PermitTTLMS) * time.Millisecond); until.After(p.validTo) {
 		p.validTo = until
 	}
+	if set.Version > p.version {
+		p.remember(now)
+	}
+	if set.PermitTTLMS > 0 && sentAt.After(p.renewed) {
+		p.renewed = sentAt
+	}
 	if set.Unchanged || set.Version == p.version {
 		return true
 	}
@@ -126,6 +144,45 @@
 	return true
 }
 
+// remember keeps the present grants before they are replaced, in case a new owner asks for them.
+func (p *partition) remember(now time.Time) {
+	until := p.renewed.Add(permitReuse)
+	for key, in := range p.instances {
+		p.former[key] = formerHolding{in.holding(), until}
+	}
+	for key, f := range p.former {
+		if !now.Before(f.until) {
+			delete(p.former, key)
+		}
+	}
+}
+
+func (in *instance) holding() Holding {
+	return Holding{Instance: in.Instance, Attempt: in.Attempt, Worker: in.Endpoint.Worker, Permits: max(in.Permits, in.open),
+		Connections: max(in.worker.limit, in.worker.open)}
+}
+
+// Holdings returns the report that a new owner asked for, and the nonce of its request; nothing if none asked. It has
+// no grant that a former owner may have passed on since.
+func (t *Table) Holdings(name string, now time.Time) ([]Holding, uint64) {
+	p := t.partitions[name]
+	if p == nil || p.nonce == 0 {
+		return nil, 0
+	}
+	var list []Holding
+	for _, in := range p.instances {
+		if now.Before(p.renewed.Add(permitReuse)) {
+			list = append(list, in.holding())
+		}
+	}
+	for key, f := range p.former {
+		if p.instances[key] == nil && now.Before(f.until) {
+			list = append(list, f.Holding)
+		}
+	}
+	return list, p.nonce
+}
+
 func (p *partition) replace(endpoints []Endpoint) {
 	old := p.instances
 	p.instances = make(map[instanceKey]*instance, len(endpoints))
--- a/internal/core/routing/types.go
+++ b/internal/core/routing/types.go
@@ -25,6 +25,18 @@
 	// Settled is the latest version whose grants the node's open requests keep to. A lowered grant passes to another
 	// node only when this reaches the version that lowered it: at Version itself more requests may still be open.
 	Settled uint64
+	// Holdings is the node's report to a new owner that asked for it with HoldingsNonce.
+	Holdings      []Holding
+	HoldingsNonce uint64
+}
+
+// Holding is what a node was last granted, or still uses, of an instance and of its worker's connections.
+type Holding struct {
+	Instance    job.TaskID
+	Attempt     int32
+	Worker      string
+	Permits     int32
+	Connections int32
 }
 
 // ServiceDemand is a node's need of permits for a service.
@@ -42,4 +54,7 @@
 	Unchanged   bool // Endpoints is empty because the version is the one the node has
 	Endpoints   []Endpoint
 	PermitTTLMS int64
+	// HoldingsNonce, if not 0, asks for the node's Holdings in its next request. A new owner doesn't know what the
+	// former one granted, and lets the nodes keep what they report.
+	HoldingsNonce uint64
 }
--- a/internal/gateway/proxy_test.go
+++ b/internal/gateway/proxy_test.go
@@ -1,8 +1,11 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
+	"log/slog"
 	"net"
 	"strings"
 	"sync"
@@ -11,6 +14,9 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"sequoiastall/internal/core/job"
+	"sequoiastall/internal/core/routing"
 )
 
 func echo(x *exchangeOf) { x.answer(200, x.req.URL.RequestURI()+" "+x.body) }
@@ -393,3 +399,53 @@
 	assert.Equal(t, post("/e", "5").status, 200)
 	assert.Equal(t, u.ran("/e"), 1)
 }
+
+// Guards against a router and an owner that don't agree on the messages: permits have to arrive by the demand, and to
+// survive the change of the owner.
+func TestRouterWithLedger(t *testing.T) {
+	u := newUpstream(t, echo)
+	r := newRig(t, 0)
+	ledgerOf := func(first uint64, notBefore time.Time) *routing.PermitLedger {
+		l := routing.NewPermitLedger("owned", first)
+		l.SetWorker("w", 16, notBefore)
+		e := routing.Endpoint{Instance: job.TaskID{Job: "K"}, Service: "lookup", Worker: "w", Zone: "z1", Address: u.address}
+		assert.NilError(t, l.SetEndpoint(e, 8, notBefore))
+		return l
+	}
+	exchange := func(l *routing.PermitLedger) routing.EndpointSet {
+		sentAt := time.Now()
+		set, err := l.Request(r.router.Request("n1", "owned"), sentAt)
+		assert.NilError(t, err)
+		r.router.Apply(set, sentAt)
+		return set
+	}
+	l := ledgerOf(100, time.Time{})
+	assert.Equal(t, exchange(l).Endpoints[0].Permits, int32(8))
+	assert.Equal(t, r.do("POST", "/services/lookup/x", "y").body, "/x y")
+	assert.Assert(t, exchange(l).Unchanged)
+	l = ledgerOf(10_000, routing.InheritedUntil(time.Now()))
+	assert.Assert(t, exchange(l).HoldingsNonce > 0)
+	assert.Equal(t, exchange(l).Endpoints[0].Permits, int32(8))
+	assert.Equal(t, r.do("POST", "/services/lookup/x", "y").body, "/x y")
+	r.router.Remove("owned")
+	r.do("POST", "/services/lookup/z", "").has(t, 503, CodeNoInstance, "not_run")
+}
+
+// Guards against decisions that aren't logged, or without what explains them.
+func TestEachTryIsLogged(t *testing.T) {
+	r := newRig(t, 4, newUpstream(t, func(x *exchangeOf) { x.answer(503, "", HeaderOutcome+": not_run") }))
+	var out bytes.Buffer
+	r.gateway.proxy.log = slog.New(slog.NewJSONHandler(&out, nil))
+	r.do("POST", "/services/lookup/x", "").has(t, 502, CodeUpstreamFailed, "not_run")
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	assert.Equal(t, len(lines), 3)
+	for i, line := range lines {
+		var fields map[string]any
+		assert.NilError(t, json.Unmarshal([]byte(line), &fields))
+		for name, want := range map[string]any{"service": "lookup", "instance": "J/0", "worker": "w0", "zone": "z1",
+			"try": float64(i + 1), "reason": "own zone", "outcome": "not_run"} {
+			assert.Equal(t, fields[name], want, name)
+		}
+		assert.Assert(t, fields["latency"] != nil)
+	}
+}
--- a/internal/gateway/router.go
+++ b/internal/gateway/router.go
@@ -70,11 +70,27 @@
 	}
 }
 
+// Request implements Routes.
+func (r *Router) Request(node, partition string) routing.EndpointsRequest {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.clock.Now()
+	q := routing.EndpointsRequest{Node: node, Partition: partition, Demand: r.demand(now)}
+	q.Version, q.Settled = r.table.Versions(partition)
+	q.Holdings, q.HoldingsNonce = r.table.Holdings(partition, now)
+	return q
+}
+
 // Demand implements Routes.
 func (r *Router) Demand() []routing.ServiceDemand {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.pool.setLimits(r.table.Limits(r.clock.Now()))
+	return r.demand(r.clock.Now())
+}
+
+// demand also closes idle connections whose permits have lapsed. Router.mu is held.
+func (r *Router) demand(now time.Time) []routing.ServiceDemand {
+	r.pool.setLimits(r.table.Limits(now))
 	var demand []routing.ServiceDemand
 	for name, s := range r.services {
 		if waiting := int32(s.shedder.Len()); s.open > 0 || waiting > 0 {
