--- a/internal/core/placement/cluster.go
+++ b/internal/core/placement/cluster.go
@@ -10,9 +10,9 @@
 
 const (
 	// candidateLimit bounds the workers that are scored for one request, from each end of the order by free memory.
-	candidateLimit = 12
+	candidateLimit = 8
 	// perRow bounds the candidates from one row, so that several combinations of free resources are compared.
-	perRow = 4
+	perRow = 3
 	// rackSample is the number of racks from which a candidate for a service is taken directly.
 	rackSample = 10
 )
