--- a/internal/cli/platform.go
+++ b/internal/cli/platform.go
@@ -29,7 +29,7 @@
 )
 
 const (
-	defaultPlatformAddress = "127.0.0.1:7400"
+	defaultPlatformAddress = "127.0.0.1:7300"
 	// controlTimeout bounds calls to the Control service; it leaves time for a stand-in that is just starting.
 	controlTimeout = 10 * time.Second
 )
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -38,10 +38,12 @@
 }
 
 // defaults are the dependencies of NewRoot. The adapters of the platform and of the nodes are connected here.
-var defaults = Dependencies{Sleep: sleep, Now: time.Now}
+var defaults = Dependencies{OpenStore: openStore, Nodes: httpNodes{}, Sleep: sleep, Now: time.Now}
 
 // processCommands lists the commands that run processes: serve, dev, platform, worker. They are added here.
-func processCommands() []*cobra.Command { return nil }
+func processCommands() []*cobra.Command {
+	return []*cobra.Command{NewServeCommand(), NewPlatformCommand(), NewWorkerCommand()}
+}
 
 // NewRoot returns the root command.
 func NewRoot() *cobra.Command { return newRoot(defaults) }
--- a/internal/cli/standin_test.go
+++ b/internal/cli/standin_test.go
@@ -59,7 +59,7 @@
 	assert.NilError(t, <-p.done)
 }
 
-func execute(c *cobra.Command, args ...string) (string, error) {
+func runCommand(c *cobra.Command, args ...string) (string, error) {
 	var out bytes.Buffer
 	c.SetArgs(args)
 	c.SetOut(&out)
@@ -98,15 +98,15 @@
 	_, err = workers.Acquire(t.Context(), list[0], "n1", time.Minute, time.Minute)
 	assert.NilError(t, err)
 
-	_, err = execute(NewPlatformCommand(), "faults", "--address", address, "--down", "fail")
+	_, err = runCommand(NewPlatformCommand(), "faults", "--address", address, "--down", "fail")
 	assert.NilError(t, err)
 	_, err = store.List(t.Context())
 	assert.ErrorIs(t, err, port.ErrUnavailable)
-	_, err = execute(NewPlatformCommand(), "faults", "--address", address)
+	_, err = runCommand(NewPlatformCommand(), "faults", "--address", address)
 	assert.NilError(t, err)
-	_, err = execute(NewPlatformCommand(), "host-state", "x", "dead", "--address", address)
+	_, err = runCommand(NewPlatformCommand(), "host-state", "x", "dead", "--address", address)
 	assert.NilError(t, err)
-	_, err = execute(NewPlatformCommand(), "host-state", "y", "dead", "--address", address)
+	_, err = runCommand(NewPlatformCommand(), "host-state", "y", "dead", "--address", address)
 	assert.ErrorContains(t, err, "unknown host")
 
 	w.cancel()
@@ -116,7 +116,7 @@
 	for _, h := range list {
 		assert.Equal(t, h.State, port.HostDead, h.ID)
 	}
-	out, err := execute(NewPlatformCommand(), "counters", "--address", address)
+	out, err := runCommand(NewPlatformCommand(), "counters", "--address", address)
 	assert.NilError(t, err)
 	var counters map[string]string
 	assert.NilError(t, json.Unmarshal([]byte(out), &counters))
@@ -138,7 +138,7 @@
 		`{"hosts": [{"id": "a", "zone": "z", "rack": "r", "address": "127.0.0.1:1"},
 		            {"id": "a", "zone": "z", "rack": "r", "address": "127.0.0.1:2"}]}`: "twice",
 	} {
-		_, err := execute(NewPlatformCommand(), "--listen", "127.0.0.1:0", "--hosts", hostsIn(t, content))
+		_, err := runCommand(NewPlatformCommand(), "--listen", "127.0.0.1:0", "--hosts", hostsIn(t, content))
 		assert.ErrorContains(t, err, want)
 	}
 	for _, c := range []struct {
@@ -155,12 +155,12 @@
 		{NewWorkerCommand(), []string{"--zone", "a", "--listen", "x"}, "--listen"},
 		{NewWorkerCommand(), []string{"--zone", "a", "--count", "0"}, "fleet of 0"},
 	} {
-		_, err := execute(c.command, c.args...)
+		_, err := runCommand(c.command, c.args...)
 		assert.ErrorContains(t, err, c.want)
 	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	defer l.Close()
-	_, err = execute(NewPlatformCommand(), "--listen", l.Addr().String())
+	_, err = runCommand(NewPlatformCommand(), "--listen", l.Addr().String())
 	assert.ErrorContains(t, err, "in use")
 }
--- a/internal/core/configuration/types.go
+++ b/internal/core/configuration/types.go
@@ -11,7 +11,7 @@
 )
 
 // StoreKey is the key of the published document.
-const StoreKey = "config/current"
+const StoreKey = "cell/config"
 
 // Document is a published object set as the store and the peers carry it.
 type Document struct {
--- a/internal/core/job/types.go
+++ b/internal/core/job/types.go
@@ -91,6 +91,9 @@
 	Succeeded       int32  `json:"succeeded,omitempty"`
 	Unknown         int32  `json:"unknown,omitempty"` // non-idempotent tasks whose outcome is unknown
 	Writer          string `json:"writer,omitempty"`  // node and sequence of the last write, to recognise a lost answer
+	// Completed and Undecided carry the progress of a job that moved from another partition.
+	Completed Ranges `json:"completed"`
+	Undecided Ranges `json:"undecided"`
 }
 
 // Submitted returns the time of submission.
--- /dev/null
+++ b/internal/core/partition/cycle.go
@@ -0,0 +1,265 @@
+package partition
+
+import (
+	"container/heap"
+	"errors"
+	"time"
+
+	"sequoiastall/internal/core/job"
+	"sequoiastall/internal/core/placement"
+	"sequoiastall/internal/core/quota"
+	"sequoiastall/internal/core/resource"
+)
+
+// maxStartsPerCycle bounds the length of a cycle, so that events are handled in between.
+const maxStartsPerCycle = 512
+
+// cycle is the state of one round of placement.
+type cycle struct {
+	now     time.Time
+	started int
+	// misfits are shapes for which no worker had room in this cycle. Space isn't freed within a cycle.
+	misfits map[shape]placementFailure
+	blocked map[job.ID]bool
+	cursor  map[job.ID]int32
+	needs   map[string]resource.Vector
+	starved []*job.State // jobs that found no room, in the order in which they were tried
+}
+
+// shape is what decides whether a task fits, for tasks without workers to avoid.
+type shape struct {
+	resources resource.Vector
+	pool      string
+	backfill  bool
+}
+
+type placementFailure struct {
+	reason string
+	never  bool
+}
+
+// Cycle accounts for lost workers, starts what may start and fits, and makes room where policy allows it.
+func (m *Machine) Cycle(now time.Time) Report {
+	m.settle(now)
+	m.tendServices(now)
+	if m.verified {
+		m.stopStrangers()
+	}
+	c := &cycle{now: now, misfits: map[shape]placementFailure{}, blocked: map[job.ID]bool{},
+		cursor: map[job.ID]int32{}, needs: map[string]resource.Vector{}}
+	if m.mayStart {
+		m.refreshReservation(c)
+		m.startUrgent(c)
+		m.startByShare(c)
+		m.startReserved(c)
+		m.makeRoom(c)
+	}
+	report := Report{Decisions: m.decisions, Ended: m.collectEnded(now)}
+	for team, amount := range c.needs {
+		report.Needs = append(report.Needs, Need{Team: team, Amount: amount})
+	}
+	m.decisions = nil
+	return report
+}
+
+// startUrgent serves urgent jobs of all teams, oldest first, before shares are looked at.
+func (m *Machine) startUrgent(c *cycle) {
+	for _, s := range m.urgentJobs() {
+		for c.started < maxStartsPerCycle && m.startNext(c, s) {
+		}
+	}
+}
+
+func (m *Machine) urgentJobs() []*job.State {
+	var urgent []*job.State
+	for team := range m.queue.teams {
+		for _, s := range m.queue.jobs(team) {
+			if !s.Record.Spec.Urgent {
+				break
+			}
+			if m.runnable(s) {
+				urgent = append(urgent, s)
+			}
+		}
+	}
+	sortJobs(urgent)
+	return urgent
+}
+
+// startByShare starts one task at a time of the team that is furthest below its share.
+func (m *Machine) startByShare(c *cycle) {
+	teams := newTeamHeap(&m.queue, m.shares)
+	for teams.Len() > 0 && c.started < maxStartsPerCycle {
+		team := teams.names[0]
+		if !m.startOfTeam(c, team) {
+			heap.Pop(teams)
+			continue
+		}
+		teams.ratios[0] = m.shares.Ratio(team)
+		heap.Fix(teams, 0)
+	}
+}
+
+// startOfTeam starts the first task of the team that can start.
+func (m *Machine) startOfTeam(c *cycle, team string) bool {
+	for _, s := range m.queue.jobs(team) {
+		if !c.blocked[s.Record.ID] && m.runnable(s) && m.startNext(c, s) {
+			return true
+		}
+	}
+	return false
+}
+
+func (m *Machine) runnable(s *job.State) bool {
+	return s.Count(job.TaskPending) > 0 && !s.Record.CancelRequested && !m.goalDraining(s.Record.ID) && !m.moving[s.Record.ID]
+}
+
+// startNext starts the next task of a job, or the whole of a gang. It returns false when nothing of it can start in
+// this cycle, and notes why.
+func (m *Machine) startNext(c *cycle, s *job.State) bool {
+	if c.blocked[s.Record.ID] {
+		return false
+	}
+	if s.Record.Spec.Class == job.Gang {
+		return m.startGang(c, s)
+	}
+	index := m.nextStartable(s, c.cursor[s.Record.ID])
+	if index < 0 {
+		c.blocked[s.Record.ID] = true
+		if s.Count(job.TaskPending) > 0 && !m.settled {
+			m.waiting[s.Record.ID] = "workers of the partition have not all reported yet"
+		}
+		return false
+	}
+	if reason, ok := m.startTask(c, s, index); !ok {
+		c.blocked[s.Record.ID] = true
+		m.waiting[s.Record.ID] = reason
+		return false
+	}
+	c.cursor[s.Record.ID] = index + 1
+	return true
+}
+
+// nextStartable returns the next pending task that may start; before the partition is settled those are only tasks
+// whose last attempt has certainly ended.
+func (m *Machine) nextStartable(s *job.State, from int32) int32 {
+	for i := s.NextPending(from); i >= 0; i = s.NextPending(i + 1) {
+		if m.settled || m.accountedTask(job.TaskID{Job: s.Record.ID, Index: i}) || s.Record.Spec.Class == job.Service {
+			return i
+		}
+	}
+	return -1
+}
+
+// startTask places one task. It returns the reason if it can't start.
+func (m *Machine) startTask(c *cycle, s *job.State, index int32) (reason string, ok bool) {
+	t := &s.Tasks[index]
+	spec := &s.Record.Spec
+	t.Reserved = m.sizes.Reservation(sizeKey(s), spec.Resources)
+	if slack := m.ledger.Slack(spec.Team); !t.Reserved.Fits(slack) {
+		c.needs[spec.Team] = c.needs[spec.Team].Add(t.Reserved.Scale(int64(s.Count(job.TaskPending))))
+		return "team " + spec.Team + " is at its limit", false
+	}
+	r := m.request(s, t)
+	r.Avoid = m.avoid(c, s, t)
+	key := shape{t.Reserved, spec.Pool, m.backfills(c, s)}
+	if len(t.FailedOn) == 0 {
+		if failure, known := c.misfits[key]; known {
+			c.starved = append(c.starved, s)
+			return failure.reason, false
+		}
+	}
+	d, err := m.cluster.Place(r)
+	if err != nil {
+		return m.misfit(c, s, t, key, err), false
+	}
+	return m.assign(c, s, index, d, r)
+}
+
+func (m *Machine) misfit(c *cycle, s *job.State, t *job.Task, key shape, err error) string {
+	failure := placementFailure{reason: err.Error()}
+	var unplaceable *placement.UnplaceableError
+	if errors.As(err, &unplaceable) {
+		failure.never = unplaceable.Never
+	}
+	if len(t.FailedOn) == 0 {
+		c.misfits[key] = failure
+	}
+	if !failure.never {
+		c.starved = append(c.starved, s)
+	}
+	return failure.reason
+}
+
+// avoid returns the workers that a task must not use: where it failed, and where a gang's reservation would be
+// delayed by it.
+func (m *Machine) avoid(c *cycle, s *job.State, t *job.Task) map[string]bool {
+	held := m.backfills(c, s)
+	if len(t.FailedOn) == 0 {
+		if held {
+			return m.reservation.workers
+		}
+		return nil
+	}
+	avoid := map[string]bool{}
+	for _, w := range t.FailedOn {
+		avoid[w] = true
+	}
+	if held {
+		for w := range m.reservation.workers {
+			avoid[w] = true
+		}
+	}
+	return avoid
+}
+
+// assign books a task on the worker that placement chose, and sends its start or writes its intent first.
+func (m *Machine) assign(c *cycle, s *job.State, index int32, d placement.Decision, r placement.Request) (string, bool) {
+	t := &s.Tasks[index]
+	spec := &s.Record.Spec
+	id := job.TaskID{Job: s.Record.ID, Index: index}
+	if err := m.ledger.Reserve(spec.Team, t.Reserved); err != nil {
+		var limit *quota.LimitError
+		m.options.Invariant("team_limit", errors.As(err, &limit), "task", id.String(), "error", err)
+		return err.Error(), false
+	}
+	if err := m.cluster.Reserve(d.Worker, r); err != nil {
+		m.ledger.Release(spec.Team, t.Reserved)
+		m.options.Invariant("host_capacity", false, "task", id.String(), "error", err)
+		return err.Error(), false
+	}
+	m.shares.AddLocal(spec.Team, t.Reserved)
+	t.Worker, t.StartedAt = d.Worker, c.now
+	t.Attempt++
+	waited := m.waited(s, id, c.now)
+	m.decide(Decision{Kind: DecideStart, Task: id, Team: spec.Team, Worker: d.Worker, Reason: d.Reason, Score: d.Score,
+		Considered: d.Considered, Waited: waited})
+	c.started++
+	delete(m.waiting, s.Record.ID)
+	m.markStarted(s, c.now)
+	if spec.Idempotent || spec.Class == job.Service {
+		m.sendStart(s, index, c.now)
+		return "", true
+	}
+	m.setPhase(s, index, job.TaskIntended)
+	m.progress.urgent = true
+	return "", true
+}
+
+func (m *Machine) waited(s *job.State, id job.TaskID, now time.Time) time.Duration {
+	if at, known := m.requeued[id]; known && !at.IsZero() {
+		return now.Sub(at)
+	}
+	return now.Sub(s.Record.Submitted())
+}
+
+func sizeKey(s *job.State) string {
+	if s.Record.Spec.Service != "" {
+		return "service/" + s.Record.Spec.Service
+	}
+	return "queue/" + s.Record.Spec.Queue + "/" + s.Record.Spec.Name
+}
+
+func declaredDuration(s *job.State) time.Duration {
+	return time.Duration(s.Record.Spec.DurationMS) * time.Millisecond
+}
--- /dev/null
+++ b/internal/core/partition/gang.go
@@ -0,0 +1,207 @@
+package partition
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"sequoiastall/internal/core/job"
+	"sequoiastall/internal/core/placement"
+)
+
+// reservation keeps workers for the gang that waits at the head, until the time by which it should fit. Other work
+// may use them only if it ends before.
+type reservation struct {
+	job     job.ID
+	at      time.Time // estimated start
+	workers map[string]bool
+	made    time.Time
+}
+
+// reservationLife is how long a reservation is kept before it is computed anew.
+const reservationLife = time.Second
+
+// refreshReservation drops a reservation whose gang no longer waits, and recomputes one that is old.
+func (m *Machine) refreshReservation(c *cycle) {
+	r := m.reservation
+	if r == nil {
+		return
+	}
+	s := m.jobs[r.job]
+	if s == nil || !m.runnable(s) {
+		m.reservation = nil
+		return
+	}
+	if c.now.Sub(r.made) >= reservationLife {
+		m.reservation = m.plan(c, s)
+	}
+}
+
+// startReserved gives the reservation to the first gang that found no room, if none holds it. Teams are tried in the
+// order of their deficit, so that this is the gang of the team that is furthest below its share.
+func (m *Machine) startReserved(c *cycle) {
+	if m.reservation != nil {
+		return
+	}
+	for _, s := range c.starved {
+		if s.Record.Spec.Class == job.Gang {
+			if m.reservation = m.plan(c, s); m.reservation != nil {
+				return
+			}
+		}
+	}
+}
+
+// startGang starts every pending task of a gang, or none.
+func (m *Machine) startGang(c *cycle, s *job.State) bool {
+	c.blocked[s.Record.ID] = true
+	if s.Count(job.TaskRunning)+s.Count(job.TaskIntended) > 0 {
+		return false // still stopping after one of its tasks failed
+	}
+	indexes := m.startableTasks(s)
+	if len(indexes) < int(s.Count(job.TaskPending)) {
+		m.waiting[s.Record.ID] = "workers of the partition have not all reported yet"
+		return false
+	}
+	reserved := m.sizes.Reservation(sizeKey(s), s.Record.Spec.Resources)
+	for _, i := range indexes {
+		s.Tasks[i].Reserved = reserved
+	}
+	team := s.Record.Spec.Team
+	all := reserved.Scale(int64(len(indexes)))
+	if !all.Fits(m.ledger.Slack(team)) {
+		c.needs[team] = c.needs[team].Add(all)
+		m.waiting[s.Record.ID] = "team " + team + " is at its limit"
+		return false
+	}
+	r := m.request(s, &s.Tasks[indexes[0]])
+	if m.backfills(c, s) {
+		r.Avoid = m.reservation.workers
+	}
+	decisions, err := m.cluster.PlaceGang(r, len(indexes))
+	if err != nil {
+		m.waiting[s.Record.ID] = err.Error()
+		c.starved = append(c.starved, s)
+		return false
+	}
+	for k, i := range indexes {
+		if _, ok := m.assign(c, s, i, decisions[k], r); !ok {
+			m.breakGang(s, -1)
+			return false
+		}
+	}
+	return true
+}
+
+func (m *Machine) startableTasks(s *job.State) []int32 {
+	var indexes []int32
+	for i := m.nextStartable(s, 0); i >= 0; i = m.nextStartable(s, i+1) {
+		indexes = append(indexes, i)
+	}
+	return indexes
+}
+
+// backfills reports whether a job must stay away from the reserved workers because it would delay the gang.
+func (m *Machine) backfills(c *cycle, s *job.State) bool {
+	r := m.reservation
+	if r == nil || r.job == s.Record.ID || s.Record.Spec.Urgent {
+		return false
+	}
+	expected := m.sizes.Duration(sizeKey(s), declaredDuration(s))
+	return expected <= 0 || c.now.Add(expected).After(r.at)
+}
+
+// plan finds when and where a gang will fit, by releasing running tasks in the order of their expected ends. It
+// returns nil if the gang doesn't fit even then; such a gang holds nothing back.
+func (m *Machine) plan(c *cycle, s *job.State) *reservation {
+	indexes := m.startableTasks(s)
+	if len(indexes) == 0 || !s.Tasks[indexes[0]].Reserved.Scale(int64(len(indexes))).Fits(m.ledger.Slack(s.Record.Spec.Team)) {
+		return nil
+	}
+	request := m.request(s, &s.Tasks[indexes[0]])
+	ends := m.expectedEnds(c.now)
+	future := m.futureCluster()
+	low, high := 0, len(ends)
+	released := 0
+	fits := func(n int) ([]placement.Decision, bool) {
+		if n < released {
+			future, released = m.futureCluster(), 0
+		}
+		for ; released < n; released++ {
+			future.Release(ends[released].worker, ends[released].request)
+		}
+		d, err := future.PlaceGang(request, len(indexes))
+		return d, err == nil
+	}
+	if _, ok := fits(high); !ok {
+		return nil
+	}
+	for low < high {
+		mid := (low + high) / 2
+		if _, ok := fits(mid); ok {
+			high = mid
+		} else {
+			low = mid + 1
+		}
+	}
+	decisions, ok := fits(low)
+	if !ok {
+		return nil
+	}
+	r := &reservation{job: s.Record.ID, at: c.now, workers: map[string]bool{}, made: c.now}
+	if low > 0 {
+		r.at = ends[low-1].at
+	}
+	for _, d := range decisions {
+		r.workers[d.Worker] = true
+	}
+	return r
+}
+
+type expectedEnd struct {
+	at      time.Time
+	worker  string
+	request placement.Request
+}
+
+// expectedEnds lists running tasks with a known run time by their expected end. A task that is late is expected to
+// need as long again as it is late.
+func (m *Machine) expectedEnds(now time.Time) []expectedEnd {
+	var ends []expectedEnd
+	for _, s := range m.jobs {
+		expected := m.sizes.Duration(sizeKey(s), declaredDuration(s))
+		if expected <= 0 || s.Record.Spec.Class == job.Service {
+			continue
+		}
+		for i := range s.Tasks {
+			t := &s.Tasks[i]
+			if t.Phase != job.TaskRunning || m.workers[t.Worker] == nil || !m.workers[t.Worker].held {
+				continue
+			}
+			at := t.StartedAt.Add(expected)
+			if late := now.Sub(at); late > 0 {
+				at = now.Add(late)
+			}
+			ends = append(ends, expectedEnd{at, t.Worker, m.request(s, t)})
+		}
+	}
+	slices.SortFunc(ends, func(a, b expectedEnd) int {
+		if d := a.at.Compare(b.at); d != 0 {
+			return d
+		}
+		return cmp.Compare(a.worker, b.worker)
+	})
+	return ends
+}
+
+// futureCluster returns a copy of the workers and their reservations.
+func (m *Machine) futureCluster() *placement.Cluster {
+	copied := placement.NewCluster(m.config.Policy)
+	for _, w := range m.cluster.Workers() {
+		copied.Upsert(w)
+		if !w.Reserved.IsZero() {
+			_ = copied.Reserve(w.ID, placement.Request{Resources: w.Reserved})
+		}
+	}
+	return copied
+}
--- /dev/null
+++ b/internal/core/partition/machine.go
@@ -0,0 +1,161 @@
+// Package partition is the state machine of one partition's owner: which workers it holds, what runs on them, which
+// jobs wait, and what to start, move or stop next. It does no I/O; the caller passes in events and the time, and
+// carries out the batches and reports that it returns. A Machine isn't safe for concurrent use.
+package partition
+
+import (
+	"sort"
+	"time"
+
+	"sequoiastall/internal/core/estimate"
+	"sequoiastall/internal/core/health"
+	"sequoiastall/internal/core/job"
+	"sequoiastall/internal/core/membership"
+	"sequoiastall/internal/core/placement"
+	"sequoiastall/internal/core/quota"
+	"sequoiastall/internal/core/resource"
+)
+
+// Machine owns the state of one partition on one node, from the moment the node tries to acquire it.
+type Machine struct {
+	options Options
+	since   time.Time // when this node began to acquire the partition
+	config  Config
+
+	cluster  *placement.Cluster
+	shares   *quota.Shares
+	ledger   *quota.Ledger
+	sizes    *estimate.Table
+	health   *health.Tracker
+	workers  map[string]*worker
+	jobs     map[job.ID]*job.State
+	goals    map[job.ID]ServiceGoal
+	progress progressState
+
+	loadedJobs map[job.ID]JobProgress // of the last document, for jobs that become known later
+	hostSize   resource.Vector        // largest capacity of each resource
+	jobsLoaded bool
+	verified   bool
+	settled    bool
+	exclusive  time.Time // since when no other node can hold a worker of the partition; zero if one may
+	mayStart   bool
+
+	queue       queue
+	reservation *reservation
+	waiting     map[job.ID]string
+	requeued    map[job.TaskID]time.Time
+	started     map[job.ID]time.Time
+	moving      map[job.ID]bool
+	quarantined map[string]bool
+	roomFor     map[job.TaskID]job.ID // victims that are stopping, and for which job
+	makingRoom  map[job.ID]int        // the same by job
+	sharedAt    time.Time             // last preemption for the sake of shares
+	ended       map[job.ID]time.Time
+	decisions   []Decision
+}
+
+// New returns the machine of a partition that this node begins to acquire at now.
+func New(o Options, now time.Time) *Machine {
+	if o.Invariant == nil {
+		o.Invariant = func(string, bool, ...any) bool { return true }
+	}
+	return &Machine{
+		options:  o,
+		since:    now,
+		cluster:  placement.NewCluster(placement.Policy{Packing: 1, Share: 1, Waiting: 1}),
+		shares:   quota.NewShares(),
+		ledger:   quota.NewLedger(),
+		sizes:    estimate.NewTable(resource.Vector{}),
+		health:   health.NewTracker(),
+		workers:  map[string]*worker{},
+		jobs:     map[job.ID]*job.State{},
+		goals:    map[job.ID]ServiceGoal{},
+		waiting:  map[job.ID]string{},
+		requeued: map[job.TaskID]time.Time{},
+		started:  map[job.ID]time.Time{},
+		ended:    map[job.ID]time.Time{},
+		mayStart: true,
+		moving:   map[job.ID]bool{}, quarantined: map[string]bool{}, roomFor: map[job.TaskID]job.ID{}, makingRoom: map[job.ID]int{},
+	}
+}
+
+// SetConfig applies a newer configuration.
+func (m *Machine) SetConfig(c Config, now time.Time) {
+	m.config = c
+	m.cluster.SetPolicy(c.Policy)
+	for team, t := range c.Teams {
+		m.shares.SetWeight(team, t.Weight)
+	}
+	m.applyServices(now)
+}
+
+// SetCellCapacity sets the capacity of the whole cell, which shares refer to.
+func (m *Machine) SetCellCapacity(v resource.Vector) { m.shares.SetCapacity(v) }
+
+// SetRemoteUsage sets what a team runs in other partitions.
+func (m *Machine) SetRemoteUsage(team string, v resource.Vector) { m.shares.SetRemote(team, v) }
+
+// SetAllowance sets the part of a team's upper limit that the partition may use.
+func (m *Machine) SetAllowance(team string, v resource.Vector) { m.ledger.SetAllowance(team, v) }
+
+// Slack returns what could be taken away from a team's allowance now.
+func (m *Machine) Slack(team string) resource.Vector { return m.ledger.Slack(team) }
+
+// Used returns what a team's work holds in the partition.
+func (m *Machine) Used(team string) resource.Vector { return m.ledger.Used(team) }
+
+// Backlog returns what a team's pending tasks would hold.
+func (m *Machine) Backlog(team string) resource.Vector {
+	var sum resource.Vector
+	for _, s := range m.queue.teams[team] {
+		if !s.Record.CancelRequested {
+			sum = sum.Add(s.Record.Spec.Resources.Scale(int64(s.Count(job.TaskPending))))
+		}
+	}
+	return sum
+}
+
+// SetAuthority applies the isolation rule: whether tasks may be started.
+func (m *Machine) SetAuthority(mayStart bool) { m.mayStart = mayStart }
+
+// SetExclusive tells whether no other node can hold a worker of the partition: every member that could is either
+// heard and doesn't claim it, or has left.
+func (m *Machine) SetExclusive(exclusive bool, now time.Time) {
+	switch {
+	case !exclusive:
+		m.exclusive = time.Time{}
+	case m.exclusive.IsZero():
+		m.exclusive = now
+	}
+}
+
+// Settled reports whether every worker of the partition is accounted for.
+func (m *Machine) Settled() bool { return m.settled }
+
+// Partition returns the partition's name.
+func (m *Machine) Partition() string { return m.options.Partition }
+
+// Summary returns the digest that gossip carries.
+func (m *Machine) Summary() membership.Summary {
+	s := membership.Summary{Partition: m.options.Partition, Capacity: m.cluster.Capacity(), Free: m.cluster.Free(), Settled: m.settled}
+	for _, w := range m.workers {
+		if w.held {
+			s.Workers++
+		}
+	}
+	teams := make([]string, 0, len(m.config.Teams))
+	for t := range m.config.Teams {
+		teams = append(teams, t)
+	}
+	sort.Strings(teams)
+	for _, t := range teams {
+		u := membership.TeamUsage{Team: t, Running: m.ledger.Used(t), Backlog: m.Backlog(t)}
+		if !u.Running.IsZero() || !u.Backlog.IsZero() {
+			s.Teams = append(s.Teams, u)
+		}
+	}
+	return s
+}
+
+// decide records a decision for the log.
+func (m *Machine) decide(d Decision) { m.decisions = append(m.decisions, d) }
--- /dev/null
+++ b/internal/core/partition/progress.go
@@ -0,0 +1,205 @@
+package partition
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"sequoiastall/internal/core/job"
+)
+
+// Progress is the value of the store key progress/<partition>: what the workers' inventories don't keep for good.
+type Progress struct {
+	// Sequence grows by one with each write. Workers keep the sequence that made them forget events, so that a new
+	// owner knows whether its copy is recent enough.
+	Sequence uint64                 `json:"sequence"`
+	Writer   string                 `json:"writer"`
+	Jobs     map[job.ID]JobProgress `json:"jobs,omitempty"`
+}
+
+// JobProgress is the progress of one active job.
+type JobProgress struct {
+	Succeeded job.Ranges `json:"succeeded"`
+	Broken    job.Ranges `json:"broken"`
+	Unknown   job.Ranges `json:"unknown"`
+	// Intents are non-idempotent tasks that may have been started and have no known outcome.
+	Intents job.Ranges `json:"intents"`
+}
+
+// DecodeProgress parses a value of progress/<partition>.
+func DecodeProgress(data []byte) (Progress, error) {
+	var p Progress
+	if err := json.Unmarshal(data, &p); err != nil {
+		return Progress{}, errors.Wrap(err, "progress document")
+	}
+	return p, nil
+}
+
+// Encode returns the value for the store.
+func (p Progress) Encode() []byte {
+	data, err := json.Marshal(p)
+	if err != nil {
+		panic(err) // only fails for types that JSON can't represent
+	}
+	return data
+}
+
+// progressState tracks which part of the machine's state is durable.
+type progressState struct {
+	loaded bool // the document was read from the store or from a copy that is recent enough
+	// sequence of the last document known to be in the store, and its store revision (0 if absent).
+	sequence uint64
+	revision int64
+	dirty    bool // the state has changed since the last document was built
+	urgent   bool // an intent waits for the write
+	building *pendingWrite
+	intents  map[job.ID]*job.Ranges // open intents of the last durable document, until settled
+}
+
+// pendingWrite is a document on its way to the store.
+type pendingWrite struct {
+	sequence uint64
+	seen     map[string]uint64 // events that the document covers, by worker
+	intents  []job.TaskID      // tasks that may start once the document is durable
+}
+
+// BuildProgress returns the next document to write and the store revision that it must replace (0: the key must be
+// absent). ok is false if nothing has changed, a write is under way or the last document hasn't been read yet.
+func (m *Machine) BuildProgress() (doc Progress, revision int64, ok bool) {
+	p := &m.progress
+	if !p.loaded || !p.dirty || p.building != nil {
+		return Progress{}, 0, false
+	}
+	pending := &pendingWrite{sequence: p.sequence + 1, seen: map[string]uint64{}}
+	doc = Progress{Sequence: pending.sequence, Writer: m.options.Node, Jobs: map[job.ID]JobProgress{}}
+	for id, s := range m.jobs {
+		if s.Record.Spec.Class == job.Service {
+			continue
+		}
+		if jp, any := m.jobProgress(s, pending); any {
+			doc.Jobs[id] = jp
+		}
+	}
+	for id, w := range m.workers {
+		pending.seen[id] = w.seen
+	}
+	p.building, p.dirty, p.urgent = pending, false, false
+	return doc, p.revision, true
+}
+
+func (m *Machine) jobProgress(s *job.State, pending *pendingWrite) (jp JobProgress, any bool) {
+	for i := range s.Tasks {
+		t := &s.Tasks[i]
+		index := int32(i)
+		switch t.Phase {
+		case job.TaskSucceeded:
+			jp.Succeeded.Add(index)
+		case job.TaskBroken:
+			jp.Broken.Add(index)
+		case job.TaskUnknown:
+			jp.Unknown.Add(index)
+		case job.TaskIntended:
+			jp.Intents.Add(index)
+			pending.intents = append(pending.intents, job.TaskID{Job: s.Record.ID, Index: index})
+		case job.TaskRunning:
+			if s.Record.Spec.Idempotent {
+				continue
+			}
+			jp.Intents.Add(index)
+		default:
+			continue
+		}
+		any = true
+	}
+	return jp, any
+}
+
+// ProgressUrgent reports whether a start waits for the next write.
+func (m *Machine) ProgressUrgent() bool { return m.progress.urgent }
+
+// ProgressWritten tells that the document under way is in the store at the given revision.
+func (m *Machine) ProgressWritten(revision int64, now time.Time) {
+	p := &m.progress
+	b := p.building
+	if b == nil {
+		return
+	}
+	p.building = nil
+	p.sequence, p.revision = b.sequence, revision
+	for id, seen := range b.seen {
+		if w := m.workers[id]; w != nil && w.held {
+			w.forget = max(w.forget, seen)
+		}
+	}
+	for _, id := range b.intents {
+		if s := m.jobs[id.Job]; s != nil && s.Tasks[id.Index].Phase == job.TaskIntended {
+			m.sendStart(s, id.Index, now)
+		}
+	}
+}
+
+// ProgressBehind reports whether a worker has seen a later document than this machine.
+func (m *Machine) ProgressBehind() bool {
+	for _, w := range m.workers {
+		if w.mark > m.progress.sequence {
+			return true
+		}
+	}
+	return false
+}
+
+// ProgressFailed tells that the write under way had no effect. The next document repeats its content.
+func (m *Machine) ProgressFailed() {
+	if b := m.progress.building; b != nil {
+		m.progress.building = nil
+		m.progress.dirty = true
+		m.progress.urgent = len(b.intents) > 0
+	}
+}
+
+// LoadProgress merges a document that another owner wrote, read at the given store revision. A machine that has a
+// write under way must be told of its end first.
+func (m *Machine) LoadProgress(doc Progress, revision int64) {
+	p := &m.progress
+	if p.loaded && doc.Sequence <= p.sequence && revision <= p.revision {
+		return
+	}
+	p.loaded = true
+	p.sequence, p.revision = max(p.sequence, doc.Sequence), revision
+	if p.intents == nil {
+		p.intents = map[job.ID]*job.Ranges{}
+	}
+	m.loadedJobs = doc.Jobs
+	for id, jp := range doc.Jobs {
+		if s := m.jobs[id]; s != nil {
+			m.mergeProgress(s, jp)
+		}
+	}
+	m.progress.dirty = true
+}
+
+// mergeProgress applies what is durable about a job. Inventories may already have told more.
+func (m *Machine) mergeProgress(s *job.State, jp JobProgress) {
+	finish := func(phase job.TaskPhase) func(int32) {
+		return func(i int32) {
+			if int(i) >= len(s.Tasks) || s.Tasks[i].Phase.Final() {
+				return
+			}
+			m.options.Invariant("task_runs_after_its_end", s.Tasks[i].Phase != job.TaskRunning,
+				"task", job.TaskID{Job: s.Record.ID, Index: i}.String())
+			if s.Tasks[i].Phase == job.TaskRunning {
+				m.sendCommand(s, i, stopCommand)
+				return
+			}
+			m.setPhase(s, i, phase)
+		}
+	}
+	jp.Succeeded.Each(finish(job.TaskSucceeded))
+	jp.Broken.Each(finish(job.TaskBroken))
+	jp.Unknown.Each(finish(job.TaskUnknown))
+	if jp.Intents.Len() > 0 {
+		open := jp.Intents.Clone()
+		m.progress.intents[s.Record.ID] = &open
+	}
+}
--- /dev/null
+++ b/internal/core/partition/queue.go
@@ -0,0 +1,131 @@
+package partition
+
+import (
+	"cmp"
+	"container/heap"
+	"slices"
+	"sort"
+
+	"sequoiastall/internal/core/job"
+	"sequoiastall/internal/core/quota"
+)
+
+// queue keeps the jobs with pending tasks by team, in the order in which they are served.
+type queue struct {
+	teams map[string][]*job.State
+	dirty map[string]bool
+	known map[job.ID]string
+}
+
+// touch adds a job, or notes that its place may have changed.
+func (q *queue) touch(s *job.State) {
+	if q.teams == nil {
+		q.teams, q.dirty, q.known = map[string][]*job.State{}, map[string]bool{}, map[job.ID]string{}
+	}
+	team := s.Record.Spec.Team
+	if _, known := q.known[s.Record.ID]; known {
+		return
+	}
+	q.known[s.Record.ID] = team
+	q.teams[team] = append(q.teams[team], s)
+	q.dirty[team] = true
+}
+
+func (q *queue) remove(id job.ID) {
+	team, known := q.known[id]
+	if !known {
+		return
+	}
+	delete(q.known, id)
+	q.teams[team] = slices.DeleteFunc(q.teams[team], func(s *job.State) bool { return s.Record.ID == id })
+	if len(q.teams[team]) == 0 {
+		delete(q.teams, team)
+	}
+}
+
+// jobs returns a team's jobs: urgent first, then services, then by deadline, then by submission.
+func (q *queue) jobs(team string) []*job.State {
+	if q.dirty[team] {
+		slices.SortFunc(q.teams[team], compareJobs)
+		delete(q.dirty, team)
+	}
+	return q.teams[team]
+}
+
+func sortJobs(jobs []*job.State) { slices.SortFunc(jobs, compareJobs) }
+
+func compareJobs(a, b *job.State) int {
+	return cmp.Or(
+		compareBool(a.Record.Spec.Urgent, b.Record.Spec.Urgent),
+		compareBool(a.Record.Spec.Class == job.Service, b.Record.Spec.Class == job.Service),
+		cmp.Compare(deadlineKey(a), deadlineKey(b)),
+		cmp.Compare(a.Record.SubmittedMS, b.Record.SubmittedMS),
+		cmp.Compare(a.Record.ID, b.Record.ID),
+	)
+}
+
+// compareBool puts true first.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return -1
+	}
+	return 1
+}
+
+// deadlineKey puts jobs without a deadline last.
+func deadlineKey(s *job.State) int64 {
+	if s.Record.Spec.DeadlineMS == 0 {
+		return 1 << 62
+	}
+	return s.Record.Spec.DeadlineMS
+}
+
+// teamHeap orders teams by how far they are below their share.
+type teamHeap struct {
+	names  []string
+	ratios []float64
+}
+
+func newTeamHeap(q *queue, shares *quota.Shares) *teamHeap {
+	h := &teamHeap{}
+	for team := range q.teams {
+		h.names = append(h.names, team)
+	}
+	sort.Strings(h.names)
+	for _, team := range h.names {
+		h.ratios = append(h.ratios, shares.Ratio(team))
+	}
+	heap.Init(h)
+	return h
+}
+
+// Len implements heap.Interface.
+func (h *teamHeap) Len() int { return len(h.names) }
+
+// Less implements heap.Interface; ties go by name, so that a cycle is deterministic.
+func (h *teamHeap) Less(i, j int) bool {
+	if h.ratios[i] != h.ratios[j] {
+		return h.ratios[i] < h.ratios[j]
+	}
+	return h.names[i] < h.names[j]
+}
+
+// Swap implements heap.Interface.
+func (h *teamHeap) Swap(i, j int) {
+	h.names[i], h.names[j] = h.names[j], h.names[i]
+	h.ratios[i], h.ratios[j] = h.ratios[j], h.ratios[i]
+}
+
+// Push implements heap.Interface. It isn't used.
+func (h *teamHeap) Push(any) {}
+
+// Pop implements heap.Interface.
+func (h *teamHeap) Pop() any {
+	last := len(h.names) - 1
+	name := h.names[last]
+	h.names, h.ratios = h.names[:last], h.ratios[:last]
+	return name
+}
--- /dev/null
+++ b/internal/core/partition/usage.go
@@ -0,0 +1,89 @@
+package partition
+
+import (
+	"cmp"
+	"time"
+
+	"sequoiastall/internal/core/health"
+	"sequoiastall/internal/core/job"
+	"sequoiastall/internal/core/preemption"
+	"sequoiastall/internal/core/resource"
+	"sequoiastall/internal/port"
+)
+
+// observe learns from a usage report and relieves the worker if its memory runs out.
+func (m *Machine) observe(w *worker, usage []port.TaskUsage, now time.Time) {
+	if len(usage) == 0 {
+		return
+	}
+	m.sizes.Advance(now)
+	var tasks []preemption.Usage
+	for _, u := range usage {
+		s, t := m.jobs[u.Task.Job], m.task(u.Task)
+		if t == nil || t.Phase != job.TaskRunning || t.Worker != w.host.ID {
+			continue
+		}
+		used := resource.Vector{MilliCPU: u.MilliCPU, MemoryMB: u.MemoryMB}
+		m.sizes.Observe(sizeKey(s), s.Record.Spec.Resources, used)
+		tasks = append(tasks, preemption.Usage{Task: u.Task, Attempt: t.Attempt, Urgent: s.Record.Spec.Urgent,
+			Idempotent: s.Record.Spec.Idempotent, CanCheckpoint: s.Record.Spec.Class != job.Service, Throttled: t.Throttled,
+			Pending: pendingAction(t), Declared: s.Record.Spec.Resources, Used: used, Progress: now.Sub(t.StartedAt)})
+	}
+	if relief, needed := preemption.Relieve(w.capacity, tasks); needed {
+		m.relieve(w, relief)
+	}
+}
+
+func pendingAction(t *job.Task) preemption.Action {
+	if t.Stopping {
+		return preemption.Checkpoint
+	}
+	return preemption.None
+}
+
+func (m *Machine) relieve(w *worker, r preemption.Relief) {
+	s := m.jobs[r.Task.Job]
+	d := Decision{Task: r.Task, Team: s.Record.Spec.Team, Worker: w.host.ID, Reason: r.Reason}
+	switch r.Action {
+	case preemption.Throttle:
+		d.Kind = DecideThrottle
+		s.Tasks[r.Task.Index].Throttled = true
+		w.commands = append(w.commands, port.Command{Task: r.Task, Attempt: r.Attempt, Action: port.Throttle})
+	case preemption.Checkpoint:
+		d.Kind = DecideCheckpoint
+		m.sendCommand(s, r.Task.Index, port.Checkpoint)
+	default:
+		d.Kind = DecideStop
+		m.sendCommand(s, r.Task.Index, port.Stop)
+	}
+	m.decide(d)
+}
+
+// recordOutcome passes the end of an attempt to the evidence on workers and jobs, and acts on what follows.
+func (m *Machine) recordOutcome(s *job.State, index int32, worker string, succeeded bool, now time.Time) {
+	id := job.TaskID{Job: s.Record.ID, Index: index}
+	m.follow(m.health.Observe(health.Outcome{Worker: worker, Task: id, Kind: sizeKey(s), Succeeded: succeeded}, now))
+}
+
+// follow acts on verdicts.
+func (m *Machine) follow(verdicts []health.Verdict) {
+	for _, v := range verdicts {
+		switch v.Action {
+		case health.Quarantine, health.Restore:
+			m.quarantined[v.Worker] = v.Action == health.Quarantine
+			if w := m.workers[v.Worker]; w != nil && w.held {
+				m.upsert(w)
+			}
+			m.decide(Decision{Kind: DecideQuarantine, Worker: v.Worker, Reason: v.Action.String() + ": " + v.Reason})
+		case health.FailJob:
+			if s := m.jobs[v.Job]; s != nil && s.Record.Spec.Class != job.Service {
+				s.Record.Reason = v.Reason
+				m.abandon(s)
+			}
+		}
+	}
+}
+
+func compareTaskIDs(a, b job.TaskID) int {
+	return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Index, b.Index))
+}
--- /dev/null
+++ b/internal/core/partition/workers.go
@@ -0,0 +1,380 @@
+package partition
+
+import (
+	"sort"
+	"time"
+
+	"sequoiastall/internal/core/job"
+	"sequoiastall/internal/core/placement"
+	"sequoiastall/internal/core/resource"
+	"sequoiastall/internal/port"
+)
+
+// usageInterval is how often a worker is asked for the usage of its tasks. Reports lag by seconds anyway.
+const usageInterval = 10 * time.Second
+
+const (
+	stopCommand       = port.Stop
+	checkpointCommand = port.Checkpoint
+	drainCommand      = port.Drain
+)
+
+// worker is what the owner knows of one worker of the partition.
+type worker struct {
+	host     port.Host
+	listedAt time.Time
+	// deadAt is when the host list first said that the worker is dead; zero if it doesn't.
+	deadAt time.Time
+	held   bool
+	token  port.Token
+	// lastSent is when the last message that could renew the control lease was sent.
+	lastSent    time.Time
+	owned       bool // this machine has held the lease before
+	accounted   bool // its tasks are known: held, or certainly stopped
+	expired     bool // accounted for only because its leases have lapsed
+	capacity    resource.Vector
+	pool        string
+	connections int64
+	seen        uint64 // last event applied
+	forget      uint64 // events up to here are durable
+	mark        uint64 // largest durable mark that it reported
+	tasks       map[job.TaskID]int32
+	strangers   map[job.TaskID]stranger // running tasks of jobs that aren't known
+	starts      []pendingStart
+	commands    []port.Command
+	usageAt     time.Time
+}
+
+// stranger is a running task whose job isn't known.
+type stranger struct {
+	request  placement.Request // reserved on the worker
+	attempt  int32
+	address  string // of a service instance
+	stopping bool
+}
+
+type pendingStart struct {
+	task    job.TaskID
+	attempt int32
+}
+
+// SetHosts applies the host list's entries for the partition.
+func (m *Machine) SetHosts(hosts []port.Host, now time.Time) {
+	listed := map[string]bool{}
+	for _, h := range hosts {
+		listed[h.ID] = true
+		w := m.workers[h.ID]
+		if w == nil {
+			w = &worker{listedAt: now, tasks: map[job.TaskID]int32{}, strangers: map[job.TaskID]stranger{}}
+			m.workers[h.ID] = w
+		}
+		leaving := h.State == port.HostLeaving && w.host.State != port.HostLeaving
+		w.host = h
+		switch {
+		case h.State != port.HostDead:
+			w.deadAt = time.Time{}
+		case w.deadAt.IsZero():
+			w.deadAt = now
+		}
+		if w.held {
+			m.upsert(w)
+		}
+		if leaving {
+			m.vacate(w)
+		}
+	}
+	for id, w := range m.workers {
+		// A worker that vanishes from the list counts as dead until its tasks are accounted for.
+		if !listed[id] {
+			if w.deadAt.IsZero() {
+				w.deadAt = now
+				w.host.State = port.HostDead
+			}
+			if w.accounted && !w.held && len(w.tasks) == 0 {
+				delete(m.workers, id)
+			}
+		}
+	}
+}
+
+func (m *Machine) upsert(w *worker) {
+	m.cluster.Upsert(placement.Worker{
+		ID: w.host.ID, Zone: w.host.Zone, Rack: w.host.Rack, Pool: w.pool, Capacity: w.capacity,
+		Leaving: w.host.State == port.HostLeaving, Quarantined: m.quarantined[w.host.ID],
+	})
+}
+
+// ToAcquire returns the workers whose control lease this node should ask for, in order of their names.
+func (m *Machine) ToAcquire(now time.Time) []port.Host {
+	var hosts []port.Host
+	for _, w := range m.workers {
+		if !w.held && now.Sub(w.listedAt) >= m.announceDelay(w) {
+			hosts = append(hosts, w.host)
+		}
+	}
+	sort.Slice(hosts, func(i, j int) bool { return hosts[i].ID < hosts[j].ID })
+	return hosts
+}
+
+// announceDelay is 0 for the workers that were listed when the machine began; all nodes have heard of them.
+func (m *Machine) announceDelay(w *worker) time.Duration {
+	if !w.listedAt.After(m.since) {
+		return 0
+	}
+	return m.options.Timing.Announce
+}
+
+// Acquired applies the inventory of a worker that granted its control lease for a call sent at sentAt.
+func (m *Machine) Acquired(id string, inv port.Inventory, sentAt, now time.Time) {
+	w := m.workers[id]
+	if w == nil {
+		return
+	}
+	w.held, w.owned, w.expired = true, true, false
+	w.token, w.lastSent = inv.Token, sentAt
+	w.capacity, w.pool, w.connections = inv.Capacity, inv.Pool, inv.Connections
+	w.seen = inv.Sequence
+	m.hostSize = m.hostSize.Max(inv.Capacity)
+	m.sizes.SetCapacity(m.hostSize)
+	w.mark = max(w.mark, inv.DurableMark)
+	w.starts, w.commands = nil, nil
+	m.upsert(w)
+	m.reconcile(w, inv.Tasks, now)
+	w.accounted = true
+}
+
+// Held reports whether this node holds the control lease of the worker, by its own clock.
+func (m *Machine) Held(id string) (port.Token, bool) {
+	w := m.workers[id]
+	if w == nil || !w.held {
+		return 0, false
+	}
+	return w.token, true
+}
+
+// Unheld returns the number of workers that aren't held.
+func (m *Machine) Unheld() int {
+	n := 0
+	for _, w := range m.workers {
+		if !w.held {
+			n++
+		}
+	}
+	return n
+}
+
+// LeaseLost tells that the worker refused this node's token, or couldn't be renewed in time. Its tasks stay booked
+// until the worker is held again or its leases have certainly lapsed.
+func (m *Machine) LeaseLost(id string, now time.Time) {
+	w := m.workers[id]
+	if w == nil || !w.held {
+		return
+	}
+	w.held, w.accounted = false, false
+	w.starts, w.commands = nil, nil
+	m.cluster.Remove(id)
+}
+
+// TakeBatch returns the next message for a worker. Work in it is handed over: the caller must report its end through
+// Synced or SyncFailed.
+func (m *Machine) TakeBatch(id string, now time.Time) (port.Sync, bool) {
+	w := m.workers[id]
+	if w == nil || !w.held {
+		return port.Sync{}, false
+	}
+	forget, mark := m.Durable(id)
+	s := port.Sync{Token: w.token, Node: m.options.Node, SeenThrough: w.seen, ForgetThrough: forget, DurableMark: mark,
+		Commands: w.commands}
+	s.Starts = m.groupStarts(w.starts)
+	w.starts, w.commands = nil, nil
+	w.lastSent = now
+	if now.Sub(w.usageAt) >= usageInterval {
+		s.WantUsage, w.usageAt = true, now
+	}
+	return s, true
+}
+
+// Durable returns the events of a worker that it may forget, and the mark that says so.
+func (m *Machine) Durable(id string) (forget, mark uint64) {
+	w := m.workers[id]
+	if w == nil {
+		return 0, 0
+	}
+	if !m.progress.dirty && m.progress.building == nil {
+		w.forget = w.seen
+	}
+	return w.forget, m.progress.sequence
+}
+
+// HasWork reports whether starts or commands wait for the worker.
+func (m *Machine) HasWork(id string) bool {
+	w := m.workers[id]
+	return w != nil && w.held && len(w.starts)+len(w.commands) > 0
+}
+
+func (m *Machine) groupStarts(pending []pendingStart) []port.StartGroup {
+	var groups []port.StartGroup
+	at := map[job.ID]int{}
+	for _, p := range pending {
+		s := m.jobs[p.task.Job]
+		if s == nil || int(p.task.Index) >= len(s.Tasks) {
+			continue
+		}
+		t := &s.Tasks[p.task.Index]
+		if t.Phase != job.TaskRunning || t.Attempt != p.attempt {
+			continue
+		}
+		spec := s.Record.Spec
+		i, known := at[p.task.Job]
+		if !known || groups[i].Reserved != t.Reserved {
+			groups = append(groups, port.StartGroup{Job: p.task.Job, Reserved: t.Reserved, Payload: spec.Payload,
+				Duration: time.Duration(spec.DurationMS) * time.Millisecond,
+				Service:  spec.Class == job.Service, Concurrency: spec.Concurrency})
+			i = len(groups) - 1
+			at[p.task.Job] = i
+		}
+		groups[i].Tasks = append(groups[i].Tasks, port.TaskStart{Index: p.task.Index, Attempt: t.Attempt, Checkpoint: t.Checkpoint})
+	}
+	return groups
+}
+
+// SyncFailed tells that a batch had no effect, or that its effect isn't known. Starts are repeated with the same
+// attempt, which the worker recognises.
+func (m *Machine) SyncFailed(id string, sent port.Sync) {
+	w := m.workers[id]
+	if w == nil || !w.held || w.token != sent.Token {
+		return
+	}
+	for _, g := range sent.Starts {
+		for _, t := range g.Tasks {
+			w.starts = append(w.starts, pendingStart{job.TaskID{Job: g.Job, Index: t.Index}, t.Attempt})
+		}
+	}
+	w.commands = append(w.commands, sent.Commands...)
+}
+
+// Synced applies the answer to a batch.
+func (m *Machine) Synced(id string, sent port.Sync, r port.SyncResult, now time.Time) {
+	w := m.workers[id]
+	if w == nil || !w.held || w.token != sent.Token {
+		return
+	}
+	for _, g := range sent.Starts {
+		for _, t := range g.Tasks {
+			m.confirm(w, job.TaskID{Job: g.Job, Index: t.Index}, t.Attempt)
+		}
+	}
+	for _, refusal := range r.Refusals {
+		m.refused(w, refusal, now)
+	}
+	for _, e := range r.Events {
+		if e.Sequence <= w.seen {
+			continue
+		}
+		w.seen = e.Sequence
+		m.apply(w, e.Record, now)
+	}
+	m.observe(w, r.Usage, now)
+}
+
+func (m *Machine) confirm(w *worker, id job.TaskID, attempt int32) {
+	if t := m.task(id); t != nil && t.Phase == job.TaskRunning && t.Worker == w.host.ID && t.Attempt == attempt {
+		t.Confirmed = true
+	}
+}
+
+// refused applies a worker's refusal to start. A duplicate is either a repeated message for the same attempt, whose
+// events will tell the rest, or an earlier attempt that this owner doesn't know of, which the inventory will show.
+func (m *Machine) refused(w *worker, r port.Refusal, now time.Time) {
+	if r.Code == port.RefusedDuplicate {
+		return
+	}
+	s := m.jobs[r.Task.Job]
+	if s == nil || m.task(r.Task) == nil {
+		return
+	}
+	t := m.task(r.Task)
+	if t.Phase != job.TaskRunning || t.Worker != w.host.ID || t.Attempt != r.Attempt {
+		return
+	}
+	reason := "worker refused: no capacity"
+	if r.Code == port.RefusedLeaving {
+		reason = "worker refused: leaving"
+	}
+	m.requeue(s, r.Task.Index, reason, now)
+}
+
+// expire finds workers whose leases have certainly lapsed, and accounts for their tasks.
+func (m *Machine) expire(now time.Time) {
+	for _, id := range m.workerIDs() {
+		w := m.workers[id]
+		if w.held || w.accounted || !m.lapsed(w, now) {
+			continue
+		}
+		w.accounted, w.expired = true, true
+		m.loseTasks(w, now)
+	}
+}
+
+func (m *Machine) lapsed(w *worker, now time.Time) bool {
+	last := w.lastSent
+	margin := m.options.Timing.Own()
+	if !w.owned {
+		last = m.since
+		margin = m.options.Timing.Foreign()
+	}
+	if !w.deadAt.IsZero() && now.Sub(later(w.deadAt, last)) >= m.options.Timing.Foreign() {
+		return true
+	}
+	return !m.exclusive.IsZero() && now.Sub(later(m.exclusive, last)) >= margin
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// settle decides whether tasks that aren't accounted for may be started.
+func (m *Machine) settle(now time.Time) {
+	m.expire(now)
+	if m.settled || !m.jobsLoaded || !m.progress.loaded || len(m.workers) == 0 {
+		return
+	}
+	lost := false
+	for _, w := range m.workers {
+		if !w.accounted || w.mark > m.progress.sequence {
+			return
+		}
+		lost = lost || w.expired
+	}
+	m.settled = true
+	m.resolveIntents(lost, now)
+}
+
+// resolveIntents decides on non-idempotent tasks that a previous owner may have started. If every worker has
+// reported, an intent without a record was never carried out. If a worker was lost, its outcome can't be known.
+func (m *Machine) resolveIntents(lost bool, now time.Time) {
+	for id, open := range m.progress.intents {
+		s := m.jobs[id]
+		if s == nil || !lost {
+			continue
+		}
+		open.Each(func(i int32) {
+			if int(i) < len(s.Tasks) && s.Tasks[i].Phase == job.TaskPending && !m.accountedTask(job.TaskID{Job: id, Index: i}) {
+				m.setPhase(s, i, job.TaskUnknown)
+			}
+		})
+	}
+	m.progress.intents = nil
+}
+
+func (m *Machine) workerIDs() []string {
+	ids := make([]string, 0, len(m.workers))
+	for id := range m.workers {
+		ids = append(ids, id)
+	}
+	sort.Strings(ids)
+	return ids
+}
--- a/internal/core/placement/cluster.go
+++ b/internal/core/placement/cluster.go
@@ -84,6 +84,9 @@
 	return &Cluster{policy: p, byID: map[string]int32{}}
 }
 
+// SetPolicy changes the weights of the scores.
+func (c *Cluster) SetPolicy(p Policy) { c.policy = p }
+
 // Upsert adds a worker without reservations, or updates all fields but Reserved of a known one.
 func (c *Cluster) Upsert(w Worker) {
 	n, known := c.byID[w.ID]
--- /dev/null
+++ b/internal/node/allowance.go
@@ -0,0 +1,312 @@
+package node
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"sequoiastall/internal/core/partition"
+	"sequoiastall/internal/core/quota"
+	"sequoiastall/internal/core/resource"
+	"sequoiastall/internal/port"
+)
+
+// allowanceInterval is how often wanted allowances are collected; a partition waits at least so long for one.
+const allowanceInterval = 50 * time.Millisecond
+
+// maxConflicts bounds the tries of a compare-and-swap that others win.
+const maxConflicts = 5
+
+// allowanceGrant is what an owner has taken out of its own use for another partition.
+type allowanceGrant struct {
+	team   string
+	amount resource.Vector
+}
+
+// grantSettled tells an owner that a grant is in the record, or that it certainly won't be.
+type grantSettled struct{ grant allowanceGrant }
+
+func (e grantSettled) apply(o *owner, _ time.Time) {
+	o.given[e.grant.team] = o.given[e.grant.team].Sub(e.grant.amount)
+	o.applyAllowances()
+}
+
+// applyAllowances sets what each team may use in the partition.
+func (o *owner) applyAllowances() {
+	held := o.node.current()
+	if held == nil {
+		return
+	}
+	for _, team := range held.Index.Teams() {
+		o.machine.SetAllowance(team, o.allowanceOf(team))
+	}
+}
+
+// allowanceOf applies the record to the published limit. An owner that hasn't compared its cache with the store since it
+// began may hold an old record, from before a former owner gave allowance away; until then its teams don't grow.
+func (o *owner) allowanceOf(team string) resource.Vector {
+	limit, limited := limitOf(o.node.current(), team)
+	if !limited {
+		return quota.Unlimited
+	}
+	entry, found := o.node.state.allowance(team)
+	if !found {
+		o.node.wantAllowance(o.partition, partition.Need{Team: team})
+		return resource.Vector{}
+	}
+	allowance := entry.record.Effective(limit, o.partition).Sub(o.given[team]).Max(resource.Vector{})
+	if !o.verified {
+		return allowance.Min(o.machine.Used(team))
+	}
+	return allowance
+}
+
+// giveAllowance takes what a partition doesn't need out of its own use. With a backlog of its own it gives at most half.
+func (o *owner) giveAllowance(r quota.AllowanceRequest) allowanceGrant {
+	slack := o.machine.Slack(r.Team)
+	if !o.machine.Backlog(r.Team).IsZero() {
+		slack = slack.MulDiv(1, 2)
+	}
+	g := allowanceGrant{team: r.Team, amount: r.Amount.Min(slack).Max(resource.Vector{})}
+	if g.amount.IsZero() || !o.verified {
+		return allowanceGrant{team: r.Team}
+	}
+	o.given[r.Team] = o.given[r.Team].Add(g.amount)
+	o.applyAllowances()
+	return g
+}
+
+// donate moves allowance from a partition of this node to another: the owner stops using it before the record says so.
+func (n *Node) donate(ctx context.Context, o *owner, r quota.AllowanceRequest) (quota.AllowanceReply, error) {
+	reply, err := ask(ctx, o, func(c chan allowanceReply) event { return allowanceQuery{r, c} })
+	if err != nil || reply.given.amount.IsZero() {
+		return quota.AllowanceReply{}, err
+	}
+	written := make(chan quota.AllowanceReply, 1)
+	go func() {
+		// The write goes on after the caller has given up: an allowance must not stay taken out of use.
+		call, cancel := context.WithTimeout(context.Background(), time.Minute)
+		defer cancel()
+		revision, err := n.updateAllowance(call, r.Team, func(record quota.Record) (quota.Record, error) {
+			return record.Move(r.From, r.To, reply.given.amount)
+		})
+		if err != nil && errors.Is(err, port.ErrUnknownOutcome) {
+			n.log.Warn("allowance stays out of use, its move can't be confirmed", "team", r.Team, "error", err)
+			return
+		}
+		o.send(grantSettled{reply.given})
+		if err == nil {
+			n.log.Info("allowance", "team", r.Team, "from", r.From, "to", r.To, "amount", reply.given.amount)
+			written <- quota.AllowanceReply{Moved: reply.given.amount, Revision: revision}
+		}
+	}()
+	select {
+	case w := <-written:
+		return w, nil
+	case <-ctx.Done():
+		return quota.AllowanceReply{}, port.ErrUnknownOutcome
+	}
+}
+
+// updateAllowance changes a team's record by compare-and-swap. After an unknown outcome it repeats the same write, of
+// which at most one can succeed, until the store has answered.
+func (n *Node) updateAllowance(ctx context.Context, team string, change func(quota.Record) (quota.Record, error)) (int64, error) {
+	entry, found := n.state.allowance(team)
+	for conflicts := 0; conflicts < maxConflicts; {
+		record, condition := entry.record, port.IfRevision
+		if !found {
+			record, condition = quota.Record{Team: team}, port.IfAbsent
+		}
+		next, err := change(record)
+		if err != nil {
+			return 0, err
+		}
+		next.Writer = n.nextWriter()
+		revision, current, err := n.putAllowance(ctx, next, condition, entry.revision)
+		for errors.Is(err, port.ErrUnknownOutcome) && sleep(ctx, syncRetry) {
+			revision, current, err = n.putAllowance(ctx, next, condition, entry.revision)
+		}
+		switch {
+		case err == nil:
+			n.rememberAllowance(next, revision)
+			return revision, nil
+		case current != nil && current.record.Writer == next.Writer:
+			n.rememberAllowance(current.record, current.revision)
+			return current.revision, nil
+		case current != nil:
+			entry, found = *current, true
+			n.rememberAllowance(current.record, current.revision)
+			conflicts++
+		default:
+			return 0, err
+		}
+	}
+	return 0, errors.Wrapf(port.ErrUnavailable, "allowance of team %s: others won %d times", team, maxConflicts)
+}
+
+// putAllowance writes a record; current is set if the condition failed.
+func (n *Node) putAllowance(ctx context.Context, r quota.Record, c port.Condition, revision int64) (int64, *allowanceEntry, error) {
+	value, err := json.Marshal(r)
+	if err != nil {
+		return 0, nil, errors.Wrap(err, "allowance record")
+	}
+	call, cancel := context.WithTimeout(ctx, n.options.Timing.StoreTimeout)
+	defer cancel()
+	written, err := n.ports.Store.Put(call, port.Write{Key: port.AllowancePrefix + r.Team, Value: value, Condition: c, Revision: revision})
+	n.storeAnswered(err)
+	var conflict *port.ConflictError
+	if !errors.As(err, &conflict) || conflict.Current == nil {
+		return written, nil, err
+	}
+	var current quota.Record
+	if err := json.Unmarshal(conflict.Current.Value, &current); err != nil {
+		return 0, nil, errors.Wrap(err, "allowance record")
+	}
+	return 0, &allowanceEntry{current, conflict.Current.Revision}, conflict
+}
+
+func (n *Node) rememberAllowance(r quota.Record, revision int64) {
+	n.metrics.Invariant("allowance_sum", r.Check() == nil, "team", r.Team)
+	n.state.putAllowance(r, revision)
+	n.owners.each(func(o *owner) { o.send(allowanceChanged{}) })
+}
+
+// wants collects the allowances that owners of this node lack.
+type wants struct {
+	mu   sync.Mutex
+	need map[wantKey]resource.Vector
+}
+
+type wantKey struct{ partition, team string }
+
+// wantAllowance notes a need for the next round.
+func (n *Node) wantAllowance(name string, need partition.Need) {
+	n.wants.mu.Lock()
+	defer n.wants.mu.Unlock()
+	if n.wants.need == nil {
+		n.wants.need = map[wantKey]resource.Vector{}
+	}
+	key := wantKey{name, need.Team}
+	n.wants.need[key] = n.wants.need[key].Max(need.Amount)
+}
+
+func (w *wants) take() map[wantKey]resource.Vector {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	need := w.need
+	w.need = nil
+	return need
+}
+
+// allowanceDuty obtains wanted allowances from other partitions.
+func (n *Node) allowanceDuty(ctx context.Context) {
+	every(ctx, allowanceInterval, func(ctx context.Context) {
+		for key, amount := range n.wants.take() {
+			if err := n.obtain(ctx, key, amount); err != nil {
+				n.log.Debug("allowance not obtained", "team", key.team, "partition", key.partition, "error", err)
+			}
+		}
+	})
+}
+
+// obtain makes the record exist, raises it to a raised limit, and then asks the partitions with the most slack.
+func (n *Node) obtain(ctx context.Context, key wantKey, amount resource.Vector) error {
+	held := n.current()
+	limit, limited := limitOf(held, key.team)
+	if !limited {
+		return nil
+	}
+	var partitions []string
+	for _, p := range n.partitionsOf(held) {
+		partitions = append(partitions, string(p))
+	}
+	entry, found := n.state.allowance(key.team)
+	if !found || entry.record.Limit != limit {
+		_, err := n.updateAllowance(ctx, key.team, func(r quota.Record) (quota.Record, error) {
+			if r.Parts == nil {
+				return quota.Initial(key.team, limit, partitions), nil
+			}
+			return r.Raise(limit, partitions), nil
+		})
+		return err
+	}
+	for _, donor := range n.donors(key, entry.record, limit) {
+		if amount.IsZero() {
+			return nil
+		}
+		moved, err := n.askDonor(ctx, donor, key, amount)
+		if err != nil {
+			return err
+		}
+		amount = amount.Sub(moved).Max(resource.Vector{})
+	}
+	return nil
+}
+
+type donor struct {
+	partition string
+	slack     resource.Vector
+}
+
+// donors lists the partitions whose allowance isn't in use, largest slack first, as gossip tells.
+func (n *Node) donors(key wantKey, r quota.Record, limit resource.Vector) []donor {
+	running := map[string]resource.Vector{}
+	for _, s := range n.remoteSummaries(key.partition) {
+		for _, t := range s.Teams {
+			if t.Team == key.team {
+				running[s.Partition] = t.Running
+			}
+		}
+	}
+	var donors []donor
+	for p := range r.Parts {
+		slack := r.Effective(limit, p).Sub(running[p]).Max(resource.Vector{})
+		if p != key.partition && !slack.IsZero() {
+			donors = append(donors, donor{p, slack})
+		}
+	}
+	slices.SortFunc(donors, func(a, b donor) int {
+		return cmp.Or(cmp.Compare(b.slack.DominantShare(limit), a.slack.DominantShare(limit)), cmp.Compare(a.partition, b.partition))
+	})
+	return donors
+}
+
+func (n *Node) askDonor(ctx context.Context, d donor, key wantKey, amount resource.Vector) (resource.Vector, error) {
+	ctx, cancel := context.WithTimeout(ctx, n.options.Timing.PeerTimeout)
+	defer cancel()
+	request := quota.AllowanceRequest{Team: key.team, From: d.partition, To: key.partition, Amount: amount}
+	address, known := n.holders()[d.partition]
+	if !known {
+		return resource.Vector{}, nil
+	}
+	var reply quota.AllowanceReply
+	var err error
+	if address == "" {
+		reply, err = n.AskAllowance(ctx, request)
+	} else {
+		reply, err = n.ports.Peers.AskAllowance(ctx, address, request)
+	}
+	if err != nil || reply.Moved.IsZero() {
+		return resource.Vector{}, err
+	}
+	n.readAllowance(ctx, key.team)
+	return reply.Moved, nil
+}
+
+// readAllowance brings the cache up to date sooner than the watch does.
+func (n *Node) readAllowance(ctx context.Context, team string) {
+	entry, err := n.ports.Store.Get(ctx, port.AllowancePrefix+team)
+	n.storeAnswered(err)
+	if err != nil {
+		return
+	}
+	var r quota.Record
+	if json.Unmarshal(entry.Value, &r) == nil {
+		n.rememberAllowance(r, entry.Revision)
+	}
+}
--- /dev/null
+++ b/internal/node/config.go
@@ -0,0 +1,81 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"sequoiastall/internal/core/configuration"
+	"sequoiastall/internal/port"
+)
+
+// configDuty reads the published configuration at each interval. The watch usually brings it sooner, but may be silently
+// dead.
+func (n *Node) configDuty(ctx context.Context) {
+	every(ctx, n.options.Timing.ConfigPoll, func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, n.options.Timing.StoreTimeout)
+		defer cancel()
+		sent := n.ports.Clock.Now()
+		entry, err := n.ports.Store.Get(ctx, port.ConfigKey)
+		if errors.Is(err, port.ErrNotFound) {
+			n.storeAnswered(nil)
+			return
+		}
+		n.storeAnswered(err)
+		if err != nil {
+			n.log.Debug("configuration read failed", "error", err)
+			return
+		}
+		n.offerEntry(entry, sent, true)
+	})
+}
+
+// offerEntry applies the store's value of the configuration.
+func (n *Node) offerEntry(e port.Entry, sent time.Time, confirms bool) {
+	d, err := configuration.Unmarshal(e.Value)
+	if err != nil {
+		n.log.Error("configuration in the store can't be read", "error", err)
+		return
+	}
+	n.offer(d)
+	if confirms {
+		n.mu.Lock()
+		n.holder.Confirm(d.Revision, sent)
+		n.mu.Unlock()
+	}
+}
+
+// offer puts a document into force if it is newer.
+func (n *Node) offer(d configuration.Document) {
+	now := n.ports.Clock.Now()
+	n.mu.Lock()
+	before := n.holder.Revision()
+	outcome, err := n.holder.Offer(d, now)
+	after := n.holder.Revision()
+	n.held.Store(n.holder.Current())
+	if outcome == configuration.Adopted {
+		n.table.SetPartitions(n.partitionsOf(n.holder.Current()))
+	}
+	n.mu.Unlock()
+	n.metrics.Invariant("revision_monotonic", after >= before, "before", before, "after", after)
+	switch {
+	case err != nil:
+		n.log.Error("configuration rejected", "revision", d.Revision, "error", err)
+	case outcome == configuration.Adopted:
+		n.log.Info("configuration in force", "revision", d.Revision)
+		n.owners.each(func(o *owner) { o.send(configChanged{}) })
+	}
+}
+
+// fetchConfiguration takes a newer configuration from a peer. It confirms nothing.
+func (n *Node) fetchConfiguration(address string) {
+	ctx, cancel := context.WithTimeout(context.Background(), n.options.Timing.PeerTimeout)
+	defer cancel()
+	d, err := n.ports.Peers.FetchConfiguration(ctx, address)
+	if err != nil {
+		n.log.Debug("configuration fetch failed", "address", address, "error", err)
+		return
+	}
+	n.offer(d)
+}
--- /dev/null
+++ b/internal/node/drain.go
@@ -0,0 +1,45 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"sequoiastall/internal/core/membership"
+)
+
+// announceDrain is how long a draining node waits until the other members know that it takes over nothing any more.
+const announceDrain = time.Second
+
+// Drain announces that this node leaves, hands over its partitions and returns when its workers are released, or when
+// ctx ends. The duties go on until the context of Run ends.
+func (n *Node) Drain(ctx context.Context) {
+	n.mu.Lock()
+	n.drained = true
+	n.mu.Unlock()
+	n.log.Info("drain", "action", "begin")
+	if !sleep(ctx, announceDrain) {
+		return
+	}
+	var wg sync.WaitGroup
+	for _, o := range n.owners.all() {
+		wg.Go(func() { n.yield(o, n.successorOf(o.partition)) })
+	}
+	done := make(chan struct{})
+	go func() {
+		wg.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		n.log.Info("drain", "action", "partitions handed over")
+	case <-ctx.Done():
+		n.log.Warn("drain", "action", "bound reached before all partitions were handed over")
+	}
+}
+
+func (n *Node) successorOf(partition string) string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.table.Successor(membership.Partition(partition), n.options.ID, n.ports.Clock.Now())
+}
--- /dev/null
+++ b/internal/node/endpoints.go
@@ -0,0 +1,76 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"sequoiastall/internal/core/routing"
+)
+
+// endpointsInterval is how often endpoints are pulled. It renews the permits, which hold for 3 s, and bounds how long a
+// draining instance still gets requests.
+const endpointsInterval = 500 * time.Millisecond
+
+// endpointsDuty pulls the endpoints of every partition from its owner.
+func (n *Node) endpointsDuty(ctx context.Context) {
+	known := map[string]bool{}
+	every(ctx, endpointsInterval, func(ctx context.Context) {
+		holders := n.holders()
+		n.routes.Demand() // closes idle connections whose permits have lapsed
+		for p, address := range holders {
+			known[p] = true
+			go n.pullEndpoints(ctx, p, address)
+		}
+		held := n.current()
+		if held == nil {
+			return
+		}
+		configured := map[string]bool{}
+		for _, p := range n.partitionsOf(held) {
+			configured[string(p)] = true
+		}
+		for p := range known {
+			if !configured[p] {
+				delete(known, p)
+				n.routes.Remove(p)
+			}
+		}
+	})
+}
+
+// holders returns the peer address of each partition's owner; it is empty for this node.
+func (n *Node) holders() map[string]string {
+	holders := map[string]string{}
+	n.mu.Lock()
+	for _, v := range n.table.Members(n.ports.Clock.Now()) {
+		for _, s := range v.Partitions {
+			if !v.Self {
+				holders[s.Partition] = v.Address
+			}
+		}
+	}
+	n.mu.Unlock()
+	for _, s := range n.owners.summaries() {
+		holders[s.Partition] = ""
+	}
+	return holders
+}
+
+func (n *Node) pullEndpoints(ctx context.Context, partition, address string) {
+	ctx, cancel := context.WithTimeout(ctx, n.options.Timing.PeerTimeout)
+	defer cancel()
+	sent := n.ports.Clock.Now()
+	request := n.routes.Request(n.options.ID, partition)
+	var set routing.EndpointSet
+	var err error
+	if address == "" {
+		set, err = n.Endpoints(ctx, request)
+	} else {
+		set, err = n.ports.Peers.Endpoints(ctx, address, request)
+	}
+	if err != nil {
+		n.log.Debug("endpoints pull failed", "partition", partition, "error", err)
+		return
+	}
+	n.routes.Apply(set, sent)
+}
--- /dev/null
+++ b/internal/node/gossip.go
@@ -0,0 +1,164 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"sequoiastall/internal/core/configuration"
+	"sequoiastall/internal/core/membership"
+)
+
+// gossipDuty exchanges digests with other members.
+func (n *Node) gossipDuty(ctx context.Context) {
+	every(ctx, n.options.Timing.Gossip, func(ctx context.Context) {
+		now := n.ports.Clock.Now()
+		n.mu.Lock()
+		n.refreshSelf(now)
+		events := n.table.Tick(now)
+		targets := n.table.Targets(now, n.random)
+		if n.table.Reachability(now).OutsideHeard {
+			n.outside = now
+		}
+		n.mu.Unlock()
+		n.logMembership(events)
+		addresses := n.addressesOf(targets)
+		for _, a := range addresses {
+			go n.gossipWith(ctx, a)
+		}
+	})
+}
+
+// addressesOf returns the addresses of the targets, and of seeds and registered nodes that the table doesn't know yet.
+func (n *Node) addressesOf(targets []membership.Member) []string {
+	known := map[string]bool{n.options.PeerAddress: true}
+	var addresses []string
+	for _, t := range targets {
+		if !known[t.Address] {
+			known[t.Address] = true
+			addresses = append(addresses, t.Address)
+		}
+	}
+	n.mu.Lock()
+	for _, v := range n.table.Members(n.ports.Clock.Now()) {
+		known[v.Address] = true
+	}
+	n.mu.Unlock()
+	for _, a := range append(n.state.nodeAddresses(), n.options.Seeds...) {
+		if !known[a] {
+			known[a] = true
+			addresses = append(addresses, a)
+		}
+	}
+	return addresses
+}
+
+func (n *Node) gossipWith(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, n.options.Timing.PeerTimeout)
+	defer cancel()
+	sent := n.ports.Clock.Now()
+	n.mu.Lock()
+	digest := n.table.DigestFor(n.memberAt(address, sent), sent)
+	n.mu.Unlock()
+	reply, err := n.ports.Peers.Gossip(ctx, address, digest)
+	if err != nil {
+		n.log.Debug("gossip failed", "address", address, "error", err)
+		return
+	}
+	n.mergeReply(reply, sent)
+}
+
+func (n *Node) memberAt(address string, now time.Time) string {
+	for _, v := range n.table.Members(now) {
+		if v.Address == address {
+			return v.ID
+		}
+	}
+	return ""
+}
+
+// mergeReply applies the answer to a digest that was sent at the given time. Only answers carry confirmations.
+func (n *Node) mergeReply(d membership.Digest, sent time.Time) {
+	now := n.ports.Clock.Now()
+	n.mu.Lock()
+	n.table.MergeReply(d, sent, now)
+	if age, confirmed := n.table.Confirmed(n.holder.Revision(), now); confirmed {
+		n.holder.ConfirmRelayed(n.holder.Revision(), age, now)
+	}
+	n.mu.Unlock()
+	n.followRevision(now)
+}
+
+// followRevision takes a newer configuration from the member that has it.
+func (n *Node) followRevision(now time.Time) {
+	n.mu.Lock()
+	var newest membership.View
+	for _, v := range n.table.Members(now) {
+		if !v.Self && v.Revision > newest.Revision {
+			newest = v
+		}
+	}
+	n.holder.Learn(newest.Revision)
+	behind := newest.Revision > n.holder.Revision()
+	n.mu.Unlock()
+	if behind {
+		go n.fetchConfiguration(newest.Address)
+	}
+}
+
+// refreshSelf updates this node's own entry. n.mu is held.
+func (n *Node) refreshSelf(now time.Time) {
+	summaries := n.owners.summaries()
+	age, confirmed := n.holder.Age(now)
+	n.table.UpdateSelf(now, func(m *membership.Member) {
+		m.Revision = n.holder.Revision()
+		m.ConfirmedAgeMS = membership.NeverConfirmed
+		if confirmed {
+			m.ConfirmedAgeMS = age.Milliseconds()
+		}
+		m.StoreReachable = n.storeReachable(now)
+		m.Partitions = summaries
+		if n.drained {
+			m.State = membership.Draining
+		}
+	})
+}
+
+func (n *Node) logMembership(events []membership.Event) {
+	for _, e := range events {
+		ids := make([]string, 0, len(e.Members))
+		for _, m := range e.Members {
+			ids = append(ids, m.ID)
+		}
+		n.log.Info("membership", "event", e.Kind.String(), "members", ids, "zone", e.Zone, "gap_ms", e.Gap.Milliseconds())
+	}
+}
+
+// reachability returns what the freshness rule needs.
+func (n *Node) reachability(now time.Time) configuration.Reachability {
+	r := n.table.Reachability(now)
+	return configuration.Reachability{Known: r.Known, Heard: r.Heard, Reaching: r.StoreReachable, Store: n.storeReachable(now)}
+}
+
+// authority applies the freshness rule.
+func (n *Node) authority() configuration.Authority {
+	now := n.ports.Clock.Now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.holder.Authority(now, n.reachability(now))
+}
+
+// isolatedFor returns how long neither the store nor a member of another zone has been heard. A node of a cell with a
+// single zone isn't isolated by that alone.
+func (n *Node) isolatedFor(now time.Time) time.Duration {
+	n.mu.Lock()
+	outside := n.outside
+	if n.table.Reachability(now).OutsideKnown == 0 {
+		outside = now
+	}
+	n.mu.Unlock()
+	store := time.Unix(0, n.storeSeen.Load())
+	if n.storeSeen.Load() == 0 {
+		store = n.started
+	}
+	return min(now.Sub(outside), now.Sub(store))
+}
--- /dev/null
+++ b/internal/node/handler.go
@@ -0,0 +1,107 @@
+package node
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+
+	"sequoiastall/internal/core/configuration"
+	"sequoiastall/internal/core/job"
+	"sequoiastall/internal/core/membership"
+	"sequoiastall/internal/core/quota"
+	"sequoiastall/internal/core/routing"
+	"sequoiastall/internal/port"
+)
+
+var _ port.PeerHandler = (*Node)(nil)
+
+// Gossip merges another member's digest and answers with what it lacks.
+func (n *Node) Gossip(_ context.Context, d membership.Digest) (membership.Digest, error) {
+	now := n.ports.Clock.Now()
+	n.mu.Lock()
+	n.table.MergeRequest(d, now)
+	n.refreshSelf(now)
+	reply := n.table.Reply(d, now)
+	n.mu.Unlock()
+	n.followRevision(now)
+	return reply, nil
+}
+
+// FetchConfiguration returns the configuration in force.
+func (n *Node) FetchConfiguration(context.Context) (configuration.Document, error) {
+	held := n.current()
+	if held == nil {
+		return configuration.Document{}, port.ErrNotFound
+	}
+	return held.Document, nil
+}
+
+// Endpoints answers for a partition that this node owns.
+func (n *Node) Endpoints(ctx context.Context, r routing.EndpointsRequest) (routing.EndpointSet, error) {
+	o := n.owners.get(r.Partition)
+	if o == nil {
+		return routing.EndpointSet{}, port.ErrNotFound
+	}
+	reply, err := ask(ctx, o, func(c chan endpointsReply) event { return endpointsQuery{r, c} })
+	if err != nil {
+		return routing.EndpointSet{}, err
+	}
+	return reply.set, reply.err
+}
+
+// AskAllowance gives up a part of a partition's allowance.
+func (n *Node) AskAllowance(ctx context.Context, r quota.AllowanceRequest) (quota.AllowanceReply, error) {
+	o := n.owners.get(r.From)
+	if o == nil {
+		return quota.AllowanceReply{}, port.ErrNotFound
+	}
+	return n.donate(ctx, o, r)
+}
+
+// Handover notes that a partition's former owner has released it.
+func (n *Node) Handover(_ context.Context, partition string) error {
+	if n.isDraining() {
+		return port.ErrUnavailable
+	}
+	select {
+	case n.handovers <- partition:
+		return nil
+	default:
+		return port.ErrUnavailable
+	}
+}
+
+// JobStatus answers for a job of a partition that this node owns.
+func (n *Node) JobStatus(ctx context.Context, id job.ID) (job.Status, error) {
+	entry, found := n.state.job(id)
+	if !found {
+		return job.Status{}, port.ErrNotFound
+	}
+	o := n.owners.get(entry.record.Partition)
+	if o == nil {
+		return job.Status{}, port.ErrNotFound
+	}
+	reply, err := ask(ctx, o, func(c chan statusReply) event { return statusQuery{id, c} })
+	if err != nil {
+		return job.Status{}, err
+	}
+	if !reply.found {
+		return job.Status{}, port.ErrNotFound
+	}
+	return reply.status, nil
+}
+
+// ask sends a query to an owner's loop and waits for the reply.
+func ask[R any](ctx context.Context, o *owner, query func(chan R) event) (R, error) {
+	var none R
+	reply := make(chan R, 1)
+	o.send(query(reply))
+	select {
+	case r := <-reply:
+		return r, nil
+	case <-o.done:
+		return none, port.ErrNotFound
+	case <-ctx.Done():
+		return none, errors.Wrap(port.ErrUnavailable, "the owner's loop didn't answer in time")
+	}
+}
--- /dev/null
+++ b/internal/node/jobs.go
@@ -0,0 +1,303 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"reflect"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"sequoiastall/internal/core/configuration"
+	"sequoiastall/internal/core/job"
+	"sequoiastall/internal/core/membership"
+	"sequoiastall/internal/core/object"
+	"sequoiastall/internal/core/resource"
+	"sequoiastall/internal/gateway"
+	"sequoiastall/internal/port"
+)
+
+// Submit makes a job durable before it is acknowledged. The key in the store follows from the team and the caller's
+// idempotency key, so that of several submissions, at any nodes, one creates the job and the others find it.
+func (n *Node) Submit(ctx context.Context, team, key string, spec job.Spec) (job.Status, error) {
+	held := n.current()
+	if held == nil {
+		return job.Status{}, errors.Wrap(gateway.ErrNotTaken, "no configuration is in force")
+	}
+	spec, err := admit(held, spec)
+	if err != nil {
+		return job.Status{}, err
+	}
+	record := job.Record{ID: job.NewID(team, key), Key: key, Spec: spec, Partition: n.choosePartition(held, spec),
+		SubmittedMS: n.ports.Clock.Now().UnixMilli(), Phase: job.Pending, Writer: n.nextWriter()}
+	if record.Partition == "" {
+		return job.Status{}, errors.Wrap(gateway.ErrNotTaken, "no partition is known")
+	}
+	stored, err := n.createJob(ctx, record)
+	if err != nil {
+		return job.Status{}, err
+	}
+	if stored.Key != key || stored.Spec.Team != team || !reflect.DeepEqual(stored.Spec, spec) {
+		return job.Status{}, gateway.ErrConflict
+	}
+	n.log.Info("job", "action", "accepted", "job", string(stored.ID), "team", team, "queue", spec.Queue,
+		"partition", stored.Partition, "tasks", spec.Tasks, "repeated", stored.Writer != record.Writer)
+	return job.Status{Record: stored, Phase: stored.Phase, Pending: stored.Spec.Tasks}, nil
+}
+
+// createJob writes the record if there is none. After an unknown outcome it repeats the write, of which at most one can
+// succeed, until the context ends.
+func (n *Node) createJob(ctx context.Context, r job.Record) (job.Record, error) {
+	value, err := json.Marshal(r)
+	if err != nil {
+		return job.Record{}, errors.Wrap(gateway.ErrInvalid, err.Error())
+	}
+	uncertain := false
+	for {
+		call, cancel := context.WithTimeout(ctx, n.options.Timing.StoreTimeout)
+		revision, err := n.ports.Store.Put(call, port.Write{Key: port.JobPrefix + string(r.ID), Value: value, Condition: port.IfAbsent})
+		cancel()
+		n.storeAnswered(err)
+		var conflict *port.ConflictError
+		switch {
+		case err == nil:
+			n.state.putJob(r, revision)
+			n.notifyOwners(port.JobPrefix + string(r.ID))
+			return r, nil
+		case errors.As(err, &conflict) && conflict.Current != nil:
+			var stored job.Record
+			err := json.Unmarshal(conflict.Current.Value, &stored)
+			return stored, errors.Wrap(err, "job record")
+		case errors.Is(err, port.ErrUnavailable) && !uncertain:
+			return job.Record{}, errors.Wrap(gateway.ErrNotTaken, "the store doesn't answer")
+		}
+		uncertain = true
+		if !sleep(ctx, syncRetry) {
+			return job.Record{}, errors.Wrap(port.ErrUnknownOutcome, "the store hasn't confirmed the job")
+		}
+	}
+}
+
+// admit completes a specification from its queue, and rejects a job that the configuration can't ever let run.
+func admit(held *configuration.Held, spec job.Spec) (job.Spec, error) {
+	q, found := held.Index.Queue(spec.Queue)
+	switch {
+	case !found:
+		return spec, errors.Wrapf(gateway.ErrInvalid, "unknown queue %q", spec.Queue)
+	case string(q.Class) != string(spec.Class):
+		return spec, errors.Wrapf(gateway.ErrInvalid, "queue %s takes class %s, not %s", q.Name, q.Class, spec.Class)
+	case spec.Tasks > q.TaskLimit():
+		return spec, errors.Wrapf(gateway.ErrInvalid, "queue %s takes at most %d tasks in a job", q.Name, q.TaskLimit())
+	}
+	spec.Urgent = q.Priority == object.Urgent
+	spec.Resources.Slots = max(1, spec.Resources.Slots)
+	if len(spec.Payload) == 0 {
+		spec.Payload = nil // as it is after a round trip through the store
+	}
+	limit, limited := limitOf(held, spec.Team)
+	need := spec.Resources
+	if spec.Class == job.Gang {
+		need = need.Scale(int64(spec.Tasks))
+	}
+	if limited && !need.Fits(limit) {
+		return spec, errors.Wrapf(gateway.ErrInvalid, "it needs more at once than the limit of team %s", spec.Team)
+	}
+	return spec, nil
+}
+
+// choosePartition prefers a settled partition whose free capacity holds the job, then the one with the least backlog in
+// relation to its capacity.
+func (n *Node) choosePartition(held *configuration.Held, spec job.Spec) string {
+	need := spec.Resources.Scale(int64(spec.Tasks))
+	best, bestScore := "", 0.0
+	for _, s := range n.remoteSummaries("") {
+		if s.Workers == 0 {
+			continue
+		}
+		if score := partitionScore(s, need, spec); best == "" || score > bestScore {
+			best, bestScore = s.Partition, score
+		}
+	}
+	if best == "" {
+		if partitions := n.partitionsOf(held); len(partitions) > 0 {
+			best = string(partitions[0])
+		}
+	}
+	return best
+}
+
+func partitionScore(s membership.Summary, need resource.Vector, spec job.Spec) float64 {
+	var backlog resource.Vector
+	for _, t := range s.Teams {
+		backlog = backlog.Add(t.Backlog)
+	}
+	score := -backlog.DominantShare(s.Capacity) - need.DominantShare(s.Free)
+	if s.Settled {
+		score += 1000
+	}
+	if spec.Class == job.Gang && !need.Fits(s.Capacity) {
+		score -= 100000
+	}
+	return score
+}
+
+// Status returns a job's status: the final record, the word of its partition's owner, or else the cached record.
+func (n *Node) Status(ctx context.Context, id job.ID) (job.Status, error) {
+	entry, found := n.state.job(id)
+	if !found {
+		record, err := n.readJob(ctx, id)
+		if err != nil {
+			return job.Status{}, err
+		}
+		entry = record
+	}
+	r := entry.record
+	if r.Phase.Final() {
+		return job.Status{Record: r, Phase: r.Phase}, nil
+	}
+	var status job.Status
+	var err error
+	if address, known := n.holders()[r.Partition]; known && address != "" {
+		status, err = n.ports.Peers.JobStatus(ctx, address, id)
+	} else {
+		status, err = n.JobStatus(ctx, id)
+	}
+	if err != nil {
+		waiting := "the owner of partition " + r.Partition + " doesn't answer"
+		return job.Status{Record: r, Phase: r.Phase, Pending: r.Spec.Tasks, Waiting: waiting}, nil
+	}
+	return status, nil
+}
+
+func (n *Node) readJob(ctx context.Context, id job.ID) (jobEntry, error) {
+	call, cancel := context.WithTimeout(ctx, n.options.Timing.StoreTimeout)
+	defer cancel()
+	e, err := n.ports.Store.Get(call, port.JobPrefix+string(id))
+	if errors.Is(err, port.ErrNotFound) {
+		return jobEntry{}, gateway.ErrNotFound
+	}
+	n.storeAnswered(err)
+	if err != nil {
+		return jobEntry{}, err
+	}
+	var r job.Record
+	if err := json.Unmarshal(e.Value, &r); err != nil {
+		return jobEntry{}, errors.Wrap(err, "job record")
+	}
+	n.state.putJob(r, e.Revision)
+	return jobEntry{r, e.Revision}, nil
+}
+
+// Cancel writes the request into the job's record, where the owner of its partition finds it.
+func (n *Node) Cancel(ctx context.Context, id job.ID) (job.Status, error) {
+	entry, err := n.changeJob(ctx, id, func(r job.Record) (job.Record, bool) {
+		if r.Phase.Final() || r.CancelRequested {
+			return r, false
+		}
+		r.CancelRequested = true
+		return r, true
+	})
+	if err != nil {
+		return job.Status{}, err
+	}
+	n.log.Info("job", "action", "cancel", "job", string(id))
+	return job.Status{Record: entry.record, Phase: entry.record.Phase}, nil
+}
+
+// finishJob writes the final record of a job. The owner repeats it until the store shows it.
+func (n *Node) finishJob(ctx context.Context, final job.Record) {
+	_, err := n.changeJob(ctx, final.ID, func(r job.Record) (job.Record, bool) {
+		if r.Phase.Final() || r.Partition != final.Partition {
+			return r, false
+		}
+		final.CancelRequested = r.CancelRequested
+		return final, true
+	})
+	if err != nil {
+		n.log.Warn("final record not written yet", "job", string(final.ID), "error", err)
+		return
+	}
+	n.log.Info("job", "action", "ended", "job", string(final.ID), "phase", string(final.Phase), "succeeded", final.Succeeded,
+		"unknown", final.Unknown, "reason", final.Reason)
+	n.metrics.JobEnded(string(final.Phase))
+}
+
+// changeJob changes a record by compare-and-swap. change returns false if nothing has to be written. An unknown outcome
+// is resolved by writing again: the record then shows the first write, or the second one succeeds.
+func (n *Node) changeJob(ctx context.Context, id job.ID, change func(job.Record) (job.Record, bool)) (jobEntry, error) {
+	entry, found := n.state.job(id)
+	if !found {
+		var err error
+		if entry, err = n.readJob(ctx, id); err != nil {
+			return jobEntry{}, err
+		}
+	}
+	uncertain := false
+	for tries := 0; tries < maxConflicts; tries++ {
+		next, write := change(entry.record)
+		if !write {
+			return entry, nil
+		}
+		next.Writer = n.nextWriter()
+		revision, current, err := n.putJob(ctx, next, entry.revision)
+		switch {
+		case err == nil:
+			n.state.putJob(next, revision)
+			n.notifyOwners(port.JobPrefix + string(id))
+			return jobEntry{next, revision}, nil
+		case current != nil:
+			entry = *current
+			n.state.putJob(entry.record, entry.revision)
+		case errors.Is(err, port.ErrUnavailable) && !uncertain:
+			return jobEntry{}, errors.Wrap(gateway.ErrNotTaken, "the store doesn't answer")
+		default:
+			uncertain = uncertain || errors.Is(err, port.ErrUnknownOutcome)
+			if !uncertain || !sleep(ctx, syncRetry) {
+				return jobEntry{}, err
+			}
+		}
+	}
+	return jobEntry{}, errors.Wrapf(port.ErrUnknownOutcome, "job %s: not confirmed in %d tries", id, maxConflicts)
+}
+
+func (n *Node) putJob(ctx context.Context, r job.Record, revision int64) (int64, *jobEntry, error) {
+	value, err := json.Marshal(r)
+	if err != nil {
+		return 0, nil, errors.Wrap(err, "job record")
+	}
+	call, cancel := context.WithTimeout(ctx, n.options.Timing.StoreTimeout)
+	defer cancel()
+	written, err := n.ports.Store.Put(call, port.Write{Key: port.JobPrefix + string(r.ID), Value: value,
+		Condition: port.IfRevision, Revision: revision})
+	n.storeAnswered(err)
+	var conflict *port.ConflictError
+	if !errors.As(err, &conflict) {
+		return written, nil, err
+	}
+	if conflict.Current == nil {
+		return 0, nil, gateway.ErrNotFound
+	}
+	var current job.Record
+	if err := json.Unmarshal(conflict.Current.Value, &current); err != nil {
+		return 0, nil, errors.Wrap(err, "job record")
+	}
+	return 0, &jobEntry{current, conflict.Current.Revision}, conflict
+}
+
+// dropOldJobs deletes final records that are older than their retention, a few at a time, for the partitions of this node.
+func (n *Node) dropOldJobs(ctx context.Context, partition string) {
+	const most = 20
+	before := n.ports.Clock.Now().Add(-n.options.Timing.JobRetention)
+	dropped := 0
+	for _, r := range n.state.jobsOf(partition) {
+		if !r.Phase.Final() || time.UnixMilli(r.EndedMS).After(before) {
+			continue
+		}
+		call, cancel := context.WithTimeout(ctx, n.options.Timing.StoreTimeout)
+		err := n.ports.Store.Delete(call, port.JobPrefix+string(r.ID), 0)
+		cancel()
+		if dropped++; err != nil || dropped >= most {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/node/link.go
@@ -0,0 +1,138 @@
+package node
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"sequoiastall/internal/port"
+)
+
+// Delays between tries of a link.
+const (
+	acquireRetry    = 250 * time.Millisecond
+	syncRetry       = 100 * time.Millisecond
+	commandTimeout  = time.Second
+	acquireTimeout  = time.Second
+	pollTimeoutOver = time.Second // beyond the wait of a poll
+)
+
+// link talks to one worker on behalf of an owner. One goroutine acquires the control lease and polls for events, another
+// sends batches.
+type link struct {
+	owner   *owner
+	host    atomic.Pointer[port.Host]
+	batches chan port.Sync
+	// busy tells the owner's loop that a batch is on its way.
+	busy   atomic.Bool
+	forget atomic.Uint64 // events that are durable, with the mark that says so
+	mark   atomic.Uint64
+}
+
+func newLink(o *owner, h port.Host) *link {
+	l := &link{owner: o, batches: make(chan port.Sync, 1)}
+	l.host.Store(&h)
+	return l
+}
+
+// run holds the worker's control lease for as long as it can.
+func (l *link) run(ctx context.Context) {
+	n := l.owner.node
+	for ctx.Err() == nil {
+		if !l.owner.mayRenew() {
+			sleep(ctx, acquireRetry)
+			continue
+		}
+		host := *l.host.Load()
+		call, cancel := context.WithTimeout(ctx, acquireTimeout)
+		sent := n.ports.Clock.Now()
+		t := n.options.Timing.Partition
+		inventory, err := n.ports.Workers.Acquire(call, host, n.options.ID, t.ControlLease, t.TaskLease)
+		cancel()
+		if err != nil {
+			sleep(ctx, retryAfter(err))
+			continue
+		}
+		l.forget.Store(0)
+		l.owner.send(workerAcquired{host.ID, inventory, sent})
+		l.hold(ctx, host, inventory, sent)
+	}
+}
+
+func retryAfter(err error) time.Duration {
+	var held *port.HeldError
+	if errors.As(err, &held) {
+		return min(acquireRetry, held.For+time.Millisecond)
+	}
+	return acquireRetry
+}
+
+// hold renews the lease and collects events until the lease is lost.
+func (l *link) hold(ctx context.Context, host port.Host, inventory port.Inventory, acquired time.Time) {
+	tenure, end := context.WithCancel(ctx)
+	defer end()
+	go l.sendBatches(tenure, end, inventory.Token)
+	l.poll(tenure, host, inventory, acquired)
+	l.owner.send(workerLost{host.ID, inventory.Token})
+}
+
+func (l *link) poll(ctx context.Context, host port.Host, inventory port.Inventory, renewed time.Time) {
+	n := l.owner.node
+	lease := n.options.Timing.Partition.ControlLease
+	seen := inventory.Sequence
+	for ctx.Err() == nil && l.owner.mayRenew() {
+		s := port.Sync{Token: inventory.Token, Node: n.options.ID, SeenThrough: seen, ForgetThrough: l.forget.Load(),
+			DurableMark: l.mark.Load(), Wait: n.options.Timing.WorkerPoll}
+		sent := n.ports.Clock.Now()
+		call, cancel := context.WithTimeout(ctx, s.Wait+pollTimeoutOver)
+		result, err := n.ports.Workers.Sync(call, host, s)
+		cancel()
+		now := n.ports.Clock.Now()
+		switch {
+		case err == nil:
+			renewed = sent
+			for _, e := range result.Events {
+				seen = max(seen, e.Sequence)
+			}
+			l.owner.send(workerSynced{host.ID, s, result})
+		case errors.Is(err, port.ErrFenced), now.Sub(renewed) > lease:
+			return
+		default:
+			sleep(ctx, syncRetry)
+		}
+	}
+}
+
+// sendBatches sends what the owner's loop hands over. A batch whose effect isn't known goes back to the loop.
+func (l *link) sendBatches(ctx context.Context, end context.CancelFunc, token port.Token) {
+	n := l.owner.node
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case s := <-l.batches:
+			if s.Token != token {
+				l.busy.Store(false)
+				continue
+			}
+			host := *l.host.Load()
+			call, cancel := context.WithTimeout(ctx, commandTimeout)
+			result, err := n.ports.Workers.Sync(call, host, s)
+			cancel()
+			l.busy.Store(false)
+			switch {
+			case err == nil:
+				l.owner.send(workerSynced{host.ID, s, result})
+			case errors.Is(err, port.ErrFenced):
+				end()
+				return
+			default:
+				n.log.Warn("batch to worker failed", "worker", host.ID, "error", err)
+				sleep(ctx, syncRetry)
+				l.owner.send(batchFailed{host.ID, s})
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/node/metrics.go
@@ -0,0 +1,109 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"sequoiastall/internal/port"
+	"sequoiastall/internal/telemetry"
+)
+
+// meters are the node's metrics.
+type meters struct {
+	*telemetry.Registry
+	waiting  *telemetry.Histogram
+	decision *telemetry.Histogram
+}
+
+func newMeters(r *telemetry.Registry) *meters {
+	return &meters{Registry: r, waiting: r.Histogram("task_waiting_us"), decision: r.Histogram("cycle_us")}
+}
+
+// ObserveWaiting records how long a task waited until it was placed.
+func (m *meters) ObserveWaiting(d time.Duration) { m.waiting.Record(d) }
+
+// ObserveDecision records a scheduling cycle and its decisions.
+func (m *meters) ObserveDecision(d time.Duration, decisions int) {
+	if decisions > 0 {
+		m.decision.Record(d)
+		m.Counter("decisions").Inc(int64(decisions))
+	}
+}
+
+// JobEnded counts a job by its final phase.
+func (m *meters) JobEnded(phase string) {
+	m.Counter("jobs_ended", telemetry.Label{Name: "phase", Value: phase}).Inc(1)
+}
+
+// meteredStore counts the calls to the store by method and outcome.
+type meteredStore struct {
+	port.Store
+	metrics *meters
+}
+
+func (s meteredStore) record(method string, begun time.Time, err error) {
+	outcome := "ok"
+	var conflict *port.ConflictError
+	switch {
+	case err == nil:
+	case errors.As(err, &conflict):
+		outcome = "conflict"
+	case errors.Is(err, port.ErrNotFound):
+		outcome = "not_found"
+	case errors.Is(err, port.ErrUnknownOutcome):
+		outcome = "unknown"
+	default:
+		outcome = "unavailable"
+	}
+	s.metrics.StoreCall(method, outcome, time.Since(begun))
+}
+
+// Get implements port.Store.
+func (s meteredStore) Get(ctx context.Context, key string) (port.Entry, error) {
+	begun := time.Now()
+	e, err := s.Store.Get(ctx, key)
+	s.record("get", begun, err)
+	return e, err
+}
+
+// Range implements port.Store.
+func (s meteredStore) Range(ctx context.Context, prefix string) ([]port.Entry, int64, error) {
+	begun := time.Now()
+	entries, revision, err := s.Store.Range(ctx, prefix)
+	s.record("range", begun, err)
+	return entries, revision, err
+}
+
+// Put implements port.Store.
+func (s meteredStore) Put(ctx context.Context, w port.Write) (int64, error) {
+	begun := time.Now()
+	revision, err := s.Store.Put(ctx, w)
+	s.record("put", begun, err)
+	return revision, err
+}
+
+// Delete implements port.Store.
+func (s meteredStore) Delete(ctx context.Context, key string, ifRevision int64) error {
+	begun := time.Now()
+	err := s.Store.Delete(ctx, key, ifRevision)
+	s.record("delete", begun, err)
+	return err
+}
+
+// Grant implements port.Store.
+func (s meteredStore) Grant(ctx context.Context, ttl time.Duration) (port.LeaseID, error) {
+	begun := time.Now()
+	lease, err := s.Store.Grant(ctx, ttl)
+	s.record("grant", begun, err)
+	return lease, err
+}
+
+// KeepAlive implements port.Store.
+func (s meteredStore) KeepAlive(ctx context.Context, lease port.LeaseID) error {
+	begun := time.Now()
+	err := s.Store.KeepAlive(ctx, lease)
+	s.record("keepalive", begun, err)
+	return err
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,181 @@
+// Package node is the process of an ingress node: it joins the core's decisions with the store, the host list, the
+// workers, the other nodes and the callers. Each duty has a goroutine of its own.
+package node
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"sequoiastall/internal/core/configuration"
+	"sequoiastall/internal/core/membership"
+	"sequoiastall/internal/core/partition"
+	"sequoiastall/internal/core/routing"
+	"sequoiastall/internal/port"
+	"sequoiastall/internal/telemetry"
+)
+
+// Options are the settings of a node.
+type Options struct {
+	ID          string
+	Zone        string
+	PeerAddress string   // IP:port at which other nodes reach this one
+	HTTPAddress string   // IP:port of the callers' interface
+	Seeds       []string // peer addresses to ask before the store has named any
+	Timing      Timing
+}
+
+// Timing holds the intervals of the node's duties.
+type Timing struct {
+	Partition        partition.Timing
+	Gossip           time.Duration
+	ConfigPoll       time.Duration
+	HostPoll         time.Duration
+	Register         time.Duration // of the node's own entry in the store, whose event also proves that the watch works
+	RegisterTTL      time.Duration
+	StoreTimeout     time.Duration
+	PeerTimeout      time.Duration
+	Cycle            time.Duration // longest time between two scheduling cycles
+	WorkerPoll       time.Duration // a waiting poll of a worker, which renews the control lease
+	ProgressInterval time.Duration
+	IsolationStart   time.Duration // an isolated owner starts nothing after so long
+	Drain            time.Duration
+	JobRetention     time.Duration // final job records are kept for so long
+}
+
+// DefaultTiming returns the intervals of the design page.
+func DefaultTiming() Timing {
+	return Timing{
+		Partition: partition.DefaultTiming(), Gossip: 500 * time.Millisecond, ConfigPoll: time.Second, HostPoll: time.Second,
+		Register: 5 * time.Second, RegisterTTL: 15 * time.Second, StoreTimeout: 500 * time.Millisecond,
+		PeerTimeout: time.Second, Cycle: 50 * time.Millisecond, WorkerPoll: time.Second,
+		ProgressInterval: 2 * time.Second, IsolationStart: 5 * time.Second, Drain: 30 * time.Second,
+		JobRetention: 24 * time.Hour,
+	}
+}
+
+// Ports are the node's connections to the outside.
+type Ports struct {
+	Store   port.Store
+	Hosts   port.HostList
+	Workers port.Workers
+	Peers   port.Peers
+	Clock   port.Clock
+}
+
+// Routes is the route table of the gateway.
+type Routes interface {
+	Apply(set routing.EndpointSet, sentAt time.Time)
+	Request(node, partition string) routing.EndpointsRequest
+	Demand() []routing.ServiceDemand
+	Remove(partition string)
+}
+
+// Node is one ingress node.
+type Node struct {
+	options Options
+	ports   Ports
+	log     *slog.Logger
+	metrics *meters
+	routes  Routes
+
+	mu      sync.Mutex // guards table, holder, random and draining
+	table   *membership.Table
+	holder  *configuration.Holder
+	random  *rand.Rand
+	drained bool
+	// outside is when a member of another zone was last heard.
+	outside time.Time
+
+	held       atomic.Pointer[configuration.Held]
+	state      *stateCache
+	hosts      hostCache
+	owners     ownerSet
+	storeSeen  atomic.Int64 // Unix nanoseconds of the last successful store call
+	handovers  chan string
+	wants      wants
+	sequence   atomic.Uint64 // of writes, for recognising a lost answer
+	registered atomic.Uint64 // registrations that the store has acknowledged
+	started    time.Time
+}
+
+// New returns a node that hasn't started its duties.
+func New(o Options, p Ports, routes Routes, log *slog.Logger, metrics *telemetry.Registry) *Node {
+	now := p.Clock.Now()
+	meters := newMeters(metrics)
+	p.Store = meteredStore{p.Store, meters}
+	self := membership.Member{ID: o.ID, Zone: o.Zone, Address: o.PeerAddress, HTTPAddress: o.HTTPAddress, Incarnation: now.UnixMilli()}
+	n := &Node{
+		options: o, ports: p, log: log.With("node", o.ID), metrics: meters, routes: routes,
+		table:  membership.NewTable(self, membership.Options{}),
+		holder: configuration.NewHolder(configuration.FreshFor),
+		random: rand.New(rand.NewPCG(uint64(now.UnixNano()), 1)),
+		state:  newStateCache(), handovers: make(chan string, 64), started: now, outside: now,
+	}
+	n.owners.init()
+	return n
+}
+
+// Run performs the node's duties until ctx ends. Call Drain before for a graceful stop.
+func (n *Node) Run(ctx context.Context) {
+	var duties conc.WaitGroup
+	for _, duty := range []func(context.Context){
+		n.gossipDuty, n.configDuty, n.stateDuty, n.hostsDuty, n.registerDuty, n.supervise, n.endpointsDuty, n.allowanceDuty,
+	} {
+		duties.Go(func() { duty(ctx) })
+	}
+	duties.Wait()
+	n.owners.wait()
+}
+
+// every calls f at once and then at each interval, until ctx ends.
+func every(ctx context.Context, interval time.Duration, f func(context.Context)) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		f(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// sleep waits for d or the end of ctx, and reports whether ctx goes on.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// nextWriter returns a mark for a write, by which this node recognises it after a lost answer.
+func (n *Node) nextWriter() string {
+	return fmt.Sprintf("%s/%d/%d", n.options.ID, n.started.UnixMilli(), n.sequence.Add(1))
+}
+
+// storeAnswered notes a successful store call.
+func (n *Node) storeAnswered(err error) {
+	if err == nil {
+		n.storeSeen.Store(n.ports.Clock.Now().UnixNano())
+	}
+}
+
+// storeReachable reports whether the store has answered lately.
+func (n *Node) storeReachable(now time.Time) bool {
+	return now.UnixNano()-n.storeSeen.Load() < (2 * n.options.Timing.ConfigPoll).Nanoseconds()
+}
+
+// current returns the configuration in force, nil if there is none.
+func (n *Node) current() *configuration.Held { return n.held.Load() }
--- /dev/null
+++ b/internal/node/owner.go
@@ -0,0 +1,324 @@
+package node
+
+import (
+	"context"
+	"log/slog"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"sequoiastall/internal/core/membership"
+	"sequoiastall/internal/core/partition"
+	"sequoiastall/internal/core/resource"
+	"sequoiastall/internal/ring"
+)
+
+// ringCapacity bounds the messages that wait for an owner's loop. Senders wait while it is full.
+const ringCapacity = 4096
+
+// minCycleGap is the shortest time between two cycles, so that a burst of events shares one.
+const minCycleGap = 5 * time.Millisecond
+
+// refreshInterval is how often a loop looks at gossip and publishes its summary.
+const refreshInterval = 100 * time.Millisecond
+
+// ownerView is what other goroutines may read of an owner.
+type ownerView struct {
+	summary membership.Summary
+}
+
+// owner runs one partition on this node: its loop feeds the state machine, and links, writers and timers feed the loop.
+type owner struct {
+	node      *Node
+	partition string
+	log       *slog.Logger
+	cancel    context.CancelFunc
+	done      chan struct{}
+	began     time.Time
+
+	inbox     *ring.Ring[event]
+	machine   *partition.Machine
+	permits   *permitBook
+	links     map[string]*link
+	verified  bool
+	lastCycle time.Time
+	refreshed time.Time
+	tidied    time.Time
+	saving    bool
+	savedAt   time.Time
+	given     map[string]resource.Vector // allowance given away whose record isn't written yet, by team
+	populated []string                   // partitions with workers, as of the last configuration
+	tasks     sync.WaitGroup
+
+	view atomic.Pointer[ownerView]
+}
+
+func newOwner(n *Node, name string, cancel context.CancelFunc) *owner {
+	now := n.ports.Clock.Now()
+	return &owner{
+		node: n, partition: name, cancel: cancel, done: make(chan struct{}), began: now,
+		log:   n.log.With("partition", name),
+		inbox: ring.New[event](ringCapacity),
+		machine: partition.New(partition.Options{Partition: name, Node: n.options.ID, Timing: n.options.Timing.Partition,
+			Invariant: n.metrics.Invariant}, now),
+		permits: newPermitBook(name, now),
+		links:   map[string]*link{},
+		given:   map[string]resource.Vector{},
+	}
+}
+
+// send hands an event to the loop. It waits while the loop is behind, and drops the event if the owner has stopped.
+func (o *owner) send(e event) {
+	for !o.inbox.TryPush(e) {
+		select {
+		case <-o.done:
+			return
+		case <-time.After(time.Millisecond):
+		}
+	}
+}
+
+// stop ends the owner and waits until its workers are released.
+func (o *owner) stop() {
+	o.cancel()
+	<-o.done
+}
+
+// run is the owner's loop.
+func (o *owner) run(ctx context.Context) {
+	defer close(o.done)
+	o.prime()
+	o.tasks.Add(2)
+	go o.timer(ctx)
+	go o.verify(ctx)
+	for ctx.Err() == nil {
+		e, err := o.inbox.Pop(ctx)
+		if err != nil {
+			break
+		}
+		o.handle(ctx, e)
+	}
+	o.release()
+	o.tasks.Wait()
+}
+
+// prime loads the machine from the node's caches.
+func (o *owner) prime() {
+	now := o.node.ports.Clock.Now()
+	o.applyConfig(now)
+	o.applyHosts(now)
+	if p, found := o.node.state.progressOf(o.partition); found {
+		o.machine.LoadProgress(p.doc, p.revision)
+	}
+	for _, r := range o.node.state.jobsOf(o.partition) {
+		o.machine.SetJob(r, now)
+	}
+	o.machine.JobsLoaded()
+	o.applyAllowances()
+}
+
+func (o *owner) timer(ctx context.Context) {
+	defer o.tasks.Done()
+	for sleep(ctx, o.node.options.Timing.Cycle) {
+		o.inbox.TryPush(tick{})
+	}
+}
+
+// handle applies an event and those that already wait, then runs a cycle.
+func (o *owner) handle(ctx context.Context, e event) {
+	now := o.node.ports.Clock.Now()
+	e.apply(o, now)
+	for {
+		next, ok := o.inbox.TryPop()
+		if !ok {
+			break
+		}
+		next.apply(o, now)
+	}
+	if now.Sub(o.lastCycle) < minCycleGap {
+		return
+	}
+	o.lastCycle = now
+	o.cycle(ctx, now)
+}
+
+func (o *owner) cycle(ctx context.Context, now time.Time) {
+	refresh := now.Sub(o.refreshed) >= refreshInterval
+	if refresh {
+		o.refreshed = now
+		o.applySurroundings(now)
+	}
+	begun := time.Now()
+	report := o.machine.Cycle(now)
+	o.node.metrics.ObserveDecision(time.Since(begun), len(report.Decisions))
+	o.logDecisions(report.Decisions)
+	for _, r := range report.Ended {
+		o.spawn(func() { o.node.finishJob(ctx, r) })
+	}
+	for _, need := range report.Needs {
+		o.node.wantAllowance(o.partition, need)
+	}
+	o.syncLinks(ctx)
+	o.dispatch(now)
+	o.saveProgress(ctx, now)
+	o.permits.update(o.machine.Instances(), now)
+	if refresh {
+		o.view.Store(&ownerView{summary: o.machine.Summary()})
+	}
+	o.tidy(ctx, now)
+}
+
+// tidyInterval is how often an owner looks for jobs to move and records to drop.
+const tidyInterval = 2 * time.Second
+
+func (o *owner) tidy(ctx context.Context, now time.Time) {
+	if now.Sub(o.tidied) < tidyInterval {
+		return
+	}
+	o.tidied = now
+	o.rebalance(ctx, now)
+	if o.machine.ProgressBehind() {
+		o.spawn(func() { o.reread(ctx) })
+	}
+	o.spawn(func() { o.node.dropOldJobs(ctx, o.partition) })
+}
+
+// applySurroundings passes on what the node knows of the cell: its own isolation, the other members and their usage.
+func (o *owner) applySurroundings(now time.Time) {
+	o.machine.SetAuthority(o.node.isolatedFor(now) < o.node.options.Timing.IsolationStart)
+	claimed, complete := o.node.claimed(o.partition)
+	o.machine.SetExclusive(complete && !claimed, now)
+	o.applyRemote()
+}
+
+func (o *owner) spawn(f func()) {
+	o.tasks.Add(1)
+	go func() {
+		defer o.tasks.Done()
+		f()
+	}()
+}
+
+// syncLinks starts a link for each worker that should be held. Links live until the owner stops.
+func (o *owner) syncLinks(ctx context.Context) {
+	for _, h := range o.machine.ToAcquire(o.node.ports.Clock.Now()) {
+		if l := o.links[h.ID]; l != nil {
+			l.host.Store(&h)
+			continue
+		}
+		l := newLink(o, h)
+		o.links[h.ID] = l
+		o.spawn(func() { l.run(ctx) })
+	}
+}
+
+// dispatch hands waiting batches to links that aren't busy.
+func (o *owner) dispatch(now time.Time) {
+	for id, l := range o.links {
+		forget, mark := o.machine.Durable(id)
+		l.forget.Store(forget)
+		l.mark.Store(mark)
+		if !o.machine.HasWork(id) || !l.busy.CompareAndSwap(false, true) {
+			continue
+		}
+		batch, ok := o.machine.TakeBatch(id, now)
+		if !ok {
+			l.busy.Store(false)
+			continue
+		}
+		l.batches <- batch
+	}
+}
+
+// mayRenew applies the isolation rule to leases.
+func (o *owner) mayRenew() bool {
+	return o.node.isolatedFor(o.node.ports.Clock.Now()) < o.node.options.Timing.Partition.Isolation
+}
+
+// release gives up the control leases, so that a successor doesn't have to wait for them to lapse.
+func (o *owner) release() {
+	ctx, cancel := context.WithTimeout(context.Background(), acquireTimeout)
+	defer cancel()
+	var wg sync.WaitGroup
+	for id, l := range o.links {
+		token, held := o.machine.Held(id)
+		if !held {
+			continue
+		}
+		host := *l.host.Load()
+		wg.Go(func() {
+			if err := o.node.ports.Workers.Release(ctx, host, o.node.options.ID, token); err != nil {
+				o.log.Warn("release failed", "worker", host.ID, "error", err)
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// applyConfig hands the configuration in force to the machine.
+func (o *owner) applyConfig(now time.Time) {
+	held := o.node.current()
+	if held == nil {
+		return
+	}
+	o.machine.SetConfig(o.node.partitionConfig(held, o.partition), now)
+	o.applyAllowances()
+}
+
+// applyHosts passes on the host list. Zones that come or go change how services are spread over the partitions.
+func (o *owner) applyHosts(now time.Time) {
+	o.machine.SetHosts(o.node.hostsOf(o.partition), now)
+	if populated := o.node.populated(); !slices.Equal(populated, o.populated) {
+		o.populated = populated
+		o.applyConfig(now)
+	}
+}
+
+// applyRemote passes on what gossip tells of the other partitions.
+func (o *owner) applyRemote() {
+	total := o.machine.Summary().Capacity
+	usage := map[string]resource.Vector{}
+	for _, s := range o.node.remoteSummaries(o.partition) {
+		total = total.Add(s.Capacity)
+		for _, t := range s.Teams {
+			usage[t.Team] = usage[t.Team].Add(t.Running)
+		}
+	}
+	o.machine.SetCellCapacity(total)
+	if held := o.node.current(); held != nil {
+		for _, team := range held.Index.Teams() {
+			o.machine.SetRemoteUsage(team, usage[team])
+		}
+	}
+}
+
+func (n *Node) remoteSummaries(except string) []membership.Summary {
+	var summaries []membership.Summary
+	n.mu.Lock()
+	for _, v := range n.table.Members(n.ports.Clock.Now()) {
+		if v.Self || v.Status == membership.Dead {
+			continue
+		}
+		summaries = append(summaries, v.Partitions...)
+	}
+	n.mu.Unlock()
+	summaries = append(summaries, n.owners.summaries()...)
+	kept := summaries[:0]
+	for _, s := range summaries {
+		if s.Partition != except {
+			kept = append(kept, s)
+		}
+	}
+	return kept
+}
+
+func (o *owner) logDecisions(decisions []partition.Decision) {
+	for _, d := range decisions {
+		if d.Kind == partition.DecideStart {
+			o.node.metrics.ObserveWaiting(d.Waited)
+		}
+		o.log.Info("placement", "decision", string(d.Kind), "task", d.Task.String(), "team", d.Team, "worker", d.Worker,
+			"reason", d.Reason, "score", d.Score, "considered", d.Considered, "waited_ms", d.Waited.Milliseconds())
+	}
+}
--- /dev/null
+++ b/internal/node/progress.go
@@ -0,0 +1,136 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"sequoiastall/internal/core/partition"
+	"sequoiastall/internal/port"
+)
+
+// intentInterval bounds the writes of a partition that has intents to write: many share one write.
+const intentInterval = 50 * time.Millisecond
+
+// saveProgress writes the partition's progress document when it is due.
+func (o *owner) saveProgress(ctx context.Context, now time.Time) {
+	interval := o.node.options.Timing.ProgressInterval
+	if o.machine.ProgressUrgent() {
+		interval = intentInterval
+	}
+	if o.saving || now.Sub(o.savedAt) < interval {
+		return
+	}
+	doc, revision, ok := o.machine.BuildProgress()
+	if !ok {
+		return
+	}
+	o.saving, o.savedAt = true, now
+	doc.Writer = o.node.nextWriter()
+	o.spawn(func() { o.writeProgress(ctx, doc, revision) })
+}
+
+// writeProgress writes a document until the outcome is known: a repeated write can't take effect twice.
+func (o *owner) writeProgress(ctx context.Context, doc partition.Progress, revision int64) {
+	write := port.Write{Key: port.ProgressPrefix + o.partition, Value: doc.Encode(), Condition: port.IfRevision, Revision: revision}
+	if revision == 0 {
+		write.Condition = port.IfAbsent
+	}
+	for {
+		call, cancel := context.WithTimeout(ctx, o.node.options.Timing.StoreTimeout)
+		written, err := o.node.ports.Store.Put(call, write)
+		cancel()
+		o.node.storeAnswered(err)
+		var conflict *port.ConflictError
+		switch {
+		case err == nil:
+			o.send(progressSaved{written})
+			return
+		case errors.As(err, &conflict):
+			o.resolveConflict(doc, conflict)
+			return
+		case errors.Is(err, port.ErrUnavailable):
+			o.send(progressFailed{})
+			return
+		}
+		if !sleep(ctx, syncRetry) {
+			o.send(progressFailed{})
+			return
+		}
+	}
+}
+
+// resolveConflict recognises this owner's own write, and otherwise merges what another owner wrote.
+func (o *owner) resolveConflict(doc partition.Progress, conflict *port.ConflictError) {
+	if conflict.Current == nil {
+		o.send(progressFailed{})
+		o.send(progressRead{partition.Progress{}, 0})
+		return
+	}
+	current, err := partition.DecodeProgress(conflict.Current.Value)
+	if err == nil && current.Writer == doc.Writer {
+		o.send(progressSaved{conflict.Current.Revision})
+		return
+	}
+	o.send(progressFailed{})
+	if err != nil {
+		o.log.Error("progress document can't be read", "error", err)
+		return
+	}
+	o.log.Warn("progress document was written by another owner", "writer", current.Writer)
+	o.send(progressRead{current, conflict.Current.Revision})
+}
+
+// verify compares the node's cache with the store after the owner has begun: allowances may have been given away, and
+// progress written, by a former owner shortly before.
+func (o *owner) verify(ctx context.Context) {
+	defer o.tasks.Done()
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, 4*o.node.options.Timing.StoreTimeout)
+		entries, _, err := o.node.ports.Store.Range(call, port.StatePrefix)
+		cancel()
+		o.node.storeAnswered(err)
+		if err == nil {
+			o.applyVerified(entries)
+			return
+		}
+		sleep(ctx, acquireRetry)
+	}
+}
+
+func (o *owner) applyVerified(entries []port.Entry) {
+	found := false
+	for _, e := range entries {
+		if err := o.node.state.apply(port.WatchEvent{Entry: e}); err != nil {
+			o.log.Error("state entry ignored", "error", err)
+			continue
+		}
+		o.node.notifyOwners(e.Key)
+		if e.Key != port.ProgressPrefix+o.partition {
+			continue
+		}
+		if doc, err := partition.DecodeProgress(e.Value); err == nil {
+			found = true
+			o.send(progressRead{doc, e.Revision})
+		}
+	}
+	if !found {
+		o.send(progressRead{partition.Progress{}, 0})
+	}
+	o.send(stateVerified{})
+}
+
+// reread brings the progress document up to date when a worker has seen a later one than this owner.
+func (o *owner) reread(ctx context.Context) {
+	call, cancel := context.WithTimeout(ctx, o.node.options.Timing.StoreTimeout)
+	defer cancel()
+	e, err := o.node.ports.Store.Get(call, port.ProgressPrefix+o.partition)
+	o.node.storeAnswered(err)
+	if err != nil {
+		return
+	}
+	if doc, err := partition.DecodeProgress(e.Value); err == nil {
+		o.send(progressRead{doc, e.Revision})
+	}
+}
--- /dev/null
+++ b/internal/node/state.go
@@ -0,0 +1,278 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"sequoiastall/internal/core/job"
+	"sequoiastall/internal/core/partition"
+	"sequoiastall/internal/core/quota"
+	"sequoiastall/internal/port"
+)
+
+// jobEntry is a cached job record with its store revision.
+type jobEntry struct {
+	record   job.Record
+	revision int64
+}
+
+// allowanceEntry is a cached allowance record with its store revision.
+type allowanceEntry struct {
+	record   quota.Record
+	revision int64
+}
+
+// progressEntry is a cached progress document with its store revision.
+type progressEntry struct {
+	doc      partition.Progress
+	revision int64
+}
+
+// Registration is the value of a node's own key.
+type Registration struct {
+	Address     string `json:"address"` // for other nodes
+	HTTPAddress string `json:"http_address"`
+	Zone        string `json:"zone"`
+	Count       uint64 `json:"count"`
+}
+
+// stateCache is this node's copy of the store's state. The watch applies changes in revision order.
+type stateCache struct {
+	mu         sync.Mutex
+	loaded     bool
+	jobs       map[job.ID]jobEntry
+	allowances map[string]allowanceEntry
+	progress   map[string]progressEntry
+	nodes      map[string]Registration
+}
+
+func newStateCache() *stateCache {
+	return &stateCache{jobs: map[job.ID]jobEntry{}, allowances: map[string]allowanceEntry{},
+		progress: map[string]progressEntry{}, nodes: map[string]Registration{}}
+}
+
+// apply stores one change unless the cache is ahead of it. It returns an error for a value that can't be decoded; such
+// a value is left out.
+func (c *stateCache) apply(e port.WatchEvent) error {
+	key, revision := e.Entry.Key, e.Entry.Revision
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case strings.HasPrefix(key, port.JobPrefix):
+		id := job.ID(key[len(port.JobPrefix):])
+		return applyTo(c.jobs, id, c.jobs[id].revision, e, func(r job.Record) jobEntry { return jobEntry{r, revision} })
+	case strings.HasPrefix(key, port.AllowancePrefix):
+		team := key[len(port.AllowancePrefix):]
+		return applyTo(c.allowances, team, c.allowances[team].revision, e,
+			func(r quota.Record) allowanceEntry { return allowanceEntry{r, revision} })
+	case strings.HasPrefix(key, port.ProgressPrefix):
+		name := key[len(port.ProgressPrefix):]
+		return applyTo(c.progress, name, c.progress[name].revision, e,
+			func(p partition.Progress) progressEntry { return progressEntry{p, revision} })
+	case strings.HasPrefix(key, port.NodePrefix):
+		return applyTo(c.nodes, key[len(port.NodePrefix):], 0, e, func(r Registration) Registration { return r })
+	}
+	return nil
+}
+
+func applyTo[K comparable, V, E any](m map[K]E, key K, known int64, e port.WatchEvent, wrap func(V) E) error {
+	if known > e.Entry.Revision {
+		return nil
+	}
+	if e.Deleted {
+		delete(m, key)
+		return nil
+	}
+	var value V
+	if err := json.Unmarshal(e.Entry.Value, &value); err != nil {
+		return errors.Wrapf(err, "value of %s", e.Entry.Key)
+	}
+	m[key] = wrap(value)
+	return nil
+}
+
+// replace takes over the content of a complete read at once, so that nobody sees a part of it.
+func (c *stateCache) replace(entries []port.Entry) (failed []error) {
+	fresh := newStateCache()
+	for _, e := range entries {
+		if err := fresh.apply(port.WatchEvent{Entry: e}); err != nil {
+			failed = append(failed, err)
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.jobs, c.allowances, c.progress, c.nodes, c.loaded = fresh.jobs, fresh.allowances, fresh.progress, fresh.nodes, true
+	return failed
+}
+
+// job returns the cached record of a job.
+func (c *stateCache) job(id job.ID) (jobEntry, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	e, found := c.jobs[id]
+	return e, found
+}
+
+// putJob caches a record that this node wrote, unless the cache is ahead.
+func (c *stateCache) putJob(r job.Record, revision int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.jobs[r.ID].revision < revision {
+		c.jobs[r.ID] = jobEntry{r, revision}
+	}
+}
+
+// jobsOf returns the records of a partition, or all if the partition is empty.
+func (c *stateCache) jobsOf(partition string) []job.Record {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var records []job.Record
+	for _, e := range c.jobs {
+		if partition == "" || e.record.Partition == partition {
+			records = append(records, e.record)
+		}
+	}
+	return records
+}
+
+func (c *stateCache) allowance(team string) (allowanceEntry, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	e, found := c.allowances[team]
+	return e, found
+}
+
+// putAllowance caches a record, unless the cache is ahead.
+func (c *stateCache) putAllowance(r quota.Record, revision int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.allowances[r.Team].revision < revision {
+		c.allowances[r.Team] = allowanceEntry{r, revision}
+	}
+}
+
+func (c *stateCache) progressOf(partition string) (progressEntry, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	e, found := c.progress[partition]
+	return e, found
+}
+
+func (c *stateCache) nodeAddresses() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var addresses []string
+	for _, r := range c.nodes {
+		addresses = append(addresses, r.Address)
+	}
+	return addresses
+}
+
+func (c *stateCache) isLoaded() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.loaded
+}
+
+// stateDuty keeps the cache: it loads everything and then follows the watch. A watch whose events stop, as seen by this
+// node's own registration, is started again.
+func (n *Node) stateDuty(ctx context.Context) {
+	for ctx.Err() == nil {
+		if err := n.followState(ctx); err != nil && ctx.Err() == nil {
+			n.log.Warn("state watch ended", "error", err)
+		}
+		if !sleep(ctx, 200*time.Millisecond) {
+			return
+		}
+	}
+}
+
+func (n *Node) followState(ctx context.Context) error {
+	call, cancelCall := context.WithTimeout(ctx, 4*n.options.Timing.StoreTimeout)
+	entries, revision, err := n.ports.Store.Range(call, port.StatePrefix)
+	cancelCall()
+	n.storeAnswered(err)
+	if err != nil {
+		return err
+	}
+	n.loadState(entries)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go n.guardWatch(ctx, cancel)
+	return n.ports.Store.Watch(ctx, port.StatePrefix, revision, func(events []port.WatchEvent) error {
+		n.applyEvents(events)
+		return nil
+	})
+}
+
+// guardWatch ends a watch that hasn't shown this node's registration for several writes of it.
+func (n *Node) guardWatch(ctx context.Context, cancel context.CancelFunc) {
+	const missed = 2
+	for sleep(ctx, n.options.Timing.Register) {
+		written := n.registered.Load()
+		n.state.mu.Lock()
+		seen := n.state.nodes[n.options.ID].Count
+		n.state.mu.Unlock()
+		if written >= seen+missed {
+			n.log.Warn("state watch is silent, starting it again", "registrations_written", written, "registrations_seen", seen)
+			cancel()
+			return
+		}
+	}
+}
+
+// loadState replaces the cache by a complete read, and tells the owners what differs.
+func (n *Node) loadState(entries []port.Entry) {
+	before := n.state.jobsOf("")
+	for _, err := range n.state.replace(entries) {
+		n.log.Error("state entry ignored", "error", err)
+	}
+	for _, e := range entries {
+		if e.Key == port.ConfigKey {
+			n.offerEntry(e, time.Time{}, false)
+		}
+		n.notifyOwners(e.Key)
+	}
+	for _, r := range before {
+		if _, found := n.state.job(r.ID); !found {
+			n.owners.each(func(o *owner) { o.send(jobRemoved{r.ID}) })
+		}
+	}
+}
+
+// applyEvents updates the cache and tells the owners.
+func (n *Node) applyEvents(events []port.WatchEvent) {
+	for _, e := range events {
+		if e.Entry.Key == port.ConfigKey && !e.Deleted {
+			n.offerEntry(e.Entry, time.Time{}, false)
+			continue
+		}
+		if err := n.state.apply(e); err != nil {
+			n.log.Error("state entry ignored", "error", err)
+			continue
+		}
+		n.notifyOwners(e.Entry.Key)
+	}
+}
+
+func (n *Node) notifyOwners(key string) {
+	switch {
+	case strings.HasPrefix(key, port.JobPrefix):
+		id := job.ID(key[len(port.JobPrefix):])
+		entry, found := n.state.job(id)
+		n.owners.each(func(o *owner) {
+			if found && entry.record.Partition == o.partition {
+				o.send(jobChanged{entry.record})
+			} else {
+				o.send(jobRemoved{id})
+			}
+		})
+	case strings.HasPrefix(key, port.AllowancePrefix):
+		n.owners.each(func(o *owner) { o.send(allowanceChanged{}) })
+	}
+}
--- /dev/null
+++ b/internal/node/supervise.go
@@ -0,0 +1,200 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"sequoiastall/internal/core/membership"
+)
+
+// superviseInterval is how often the assignment of partitions is compared with what this node owns.
+const superviseInterval = 200 * time.Millisecond
+
+// yieldAfter is how long a partition must be assigned to another member before its owner hands it over. Tables differ
+// for a moment after each change.
+const yieldAfter = 3 * time.Second
+
+// ownerSet holds the owners of the partitions that this node holds or tries to acquire.
+type ownerSet struct {
+	mu     sync.Mutex
+	owners map[string]*owner
+	wg     sync.WaitGroup
+}
+
+func (s *ownerSet) init() { s.owners = map[string]*owner{} }
+
+func (s *ownerSet) get(partition string) *owner {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.owners[partition]
+}
+
+func (s *ownerSet) all() []*owner {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := make([]*owner, 0, len(s.owners))
+	for _, o := range s.owners {
+		all = append(all, o)
+	}
+	return all
+}
+
+func (s *ownerSet) each(f func(*owner)) {
+	for _, o := range s.all() {
+		f(o)
+	}
+}
+
+func (s *ownerSet) wait() { s.wg.Wait() }
+
+// summaries returns the digests of the partitions of which a worker is held.
+func (s *ownerSet) summaries() []membership.Summary {
+	var summaries []membership.Summary
+	for _, o := range s.all() {
+		if v := o.view.Load(); v != nil && (v.summary.Workers > 0 || v.summary.Settled) {
+			summaries = append(summaries, v.summary)
+		}
+	}
+	return summaries
+}
+
+// supervise starts owners for the partitions that are assigned to this node, and hands over those that aren't any more.
+func (n *Node) supervise(ctx context.Context) {
+	elsewhere := map[string]time.Time{}
+	every(ctx, superviseInterval, func(ctx context.Context) {
+		held := n.current()
+		if held == nil || !n.state.isLoaded() {
+			return
+		}
+		if _, loaded := n.hosts.get(); !loaded {
+			return
+		}
+		now := n.ports.Clock.Now()
+		n.mu.Lock()
+		assigned := n.table.Assign(n.partitionsOf(held), now)
+		n.mu.Unlock()
+		if n.isDraining() {
+			return
+		}
+		for p, member := range assigned {
+			n.adjust(ctx, string(p), member, elsewhere, now)
+		}
+		n.adoptHandovers(ctx)
+	})
+}
+
+func (n *Node) adjust(ctx context.Context, partition, member string, elsewhere map[string]time.Time, now time.Time) {
+	o := n.owners.get(partition)
+	mine := member == n.options.ID
+	switch {
+	case mine:
+		delete(elsewhere, partition)
+		if o == nil && n.startup(now) {
+			n.startOwner(ctx, partition)
+		}
+	case o == nil || member == "":
+	case elsewhere[partition].IsZero():
+		elsewhere[partition] = now
+	case now.Sub(elsewhere[partition]) >= yieldAfter:
+		delete(elsewhere, partition)
+		go n.yield(o, member)
+	}
+}
+
+// startupDelay lets a starting node hear of the members that already own partitions.
+const startupDelay = 1500 * time.Millisecond
+
+func (n *Node) startup(now time.Time) bool { return now.Sub(n.started) >= startupDelay }
+
+func (n *Node) adoptHandovers(ctx context.Context) {
+	for {
+		select {
+		case p := <-n.handovers:
+			if n.owners.get(p) == nil {
+				n.startOwner(ctx, p)
+			}
+		default:
+			return
+		}
+	}
+}
+
+func (n *Node) startOwner(ctx context.Context, partition string) {
+	ctx, cancel := context.WithCancel(ctx)
+	o := newOwner(n, partition, cancel)
+	n.owners.mu.Lock()
+	if n.owners.owners[partition] != nil {
+		n.owners.mu.Unlock()
+		cancel()
+		return
+	}
+	n.owners.owners[partition] = o
+	n.owners.mu.Unlock()
+	n.log.Info("partition", "action", "acquire", "partition", partition)
+	n.owners.wg.Add(1)
+	go func() {
+		defer n.owners.wg.Done()
+		o.run(ctx)
+	}()
+}
+
+// yield stops an owner, releases its workers and tells the successor.
+func (n *Node) yield(o *owner, successor string) {
+	n.owners.mu.Lock()
+	if n.owners.owners[o.partition] != o {
+		n.owners.mu.Unlock()
+		return
+	}
+	delete(n.owners.owners, o.partition)
+	n.owners.mu.Unlock()
+	o.stop()
+	n.log.Info("partition", "action", "release", "partition", o.partition, "successor", successor)
+	address := n.addressOf(successor)
+	if address == "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), n.options.Timing.PeerTimeout)
+	defer cancel()
+	if err := n.ports.Peers.Handover(ctx, address, o.partition); err != nil {
+		n.log.Warn("handover notice failed", "partition", o.partition, "successor", successor, "error", err)
+	}
+}
+
+func (n *Node) addressOf(member string) string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, v := range n.table.Members(n.ports.Clock.Now()) {
+		if v.ID == member && !v.Self {
+			return v.Address
+		}
+	}
+	return ""
+}
+
+// claimed reports whether another member claims the partition, and whether every other member is either heard or has
+// left, so that nobody else can hold a worker of a partition that nobody claims.
+func (n *Node) claimed(partition string) (claimed, complete bool) {
+	now := n.ports.Clock.Now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	complete = true
+	for _, v := range n.table.Members(now) {
+		if v.Self || v.Status == membership.Gone {
+			continue
+		}
+		if v.Status != membership.Alive {
+			complete = false
+		}
+		for _, s := range v.Partitions {
+			claimed = claimed || s.Partition == partition
+		}
+	}
+	return claimed, complete
+}
+
+func (n *Node) isDraining() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.drained
+}
--- /dev/null
+++ b/internal/port/keys.go
@@ -0,0 +1,15 @@
+package port
+
+import "sequoiastall/internal/core/configuration"
+
+// Keys of the store. All but RequestPrefix lie below StatePrefix, which every node watches with a single watch: its
+// events arrive in revision order, so that a node that has seen one write has seen all earlier ones.
+const (
+	StatePrefix     = "cell/"
+	ConfigKey       = configuration.StoreKey
+	JobPrefix       = StatePrefix + "jobs/"
+	ProgressPrefix  = StatePrefix + "progress/"
+	AllowancePrefix = StatePrefix + "allowance/"
+	NodePrefix      = StatePrefix + "nodes/"
+	RequestPrefix   = "requests/"
+)
--- a/internal/port/workers.go
+++ b/internal/port/workers.go
@@ -50,6 +50,9 @@
 	Pool        string
 	Tasks       []TaskRecord
 	Sequence    uint64 // of the last event
+	// DurableMark is the largest mark of a Sync that made the worker forget events. The holder of the lease uses the
+	// sequence of its progress document, so that its successor knows how recent a copy of the document it needs.
+	DurableMark uint64
 }
 
 // HeldError tells that another node holds a live control lease.
@@ -107,6 +110,7 @@
 	Starts        []StartGroup
 	Commands      []Command
 	ForgetThrough uint64 // events up to here are durable
+	DurableMark   uint64 // see Inventory.DurableMark
 	SeenThrough   uint64 // return events after this one
 	Wait          time.Duration
 	WantUsage     bool
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -62,7 +62,7 @@
 		Seeds: []string{}, LogLevel: "info",
 		Timing: Timing{
 			ControlLeaseMS: 3_000, SyncIntervalMS: 1_000, TaskLeaseMS: 12_000, DriftMarginPercent: 5, HostAnnounceMS: 2_000,
-			IsolationStopStartsMS: 10_000, IsolationStopRenewalMS: 30_000, ProgressIntervalMS: 2_000, IntentsPerSecond: 20,
+			IsolationStopStartsMS: 5_000, IsolationStopRenewalMS: 10_000, ProgressIntervalMS: 2_000, IntentsPerSecond: 20,
 			StoreTimeoutMS: 500, HostListPollMS: 1_000, NodeLeaseMS: 15_000, NodeRenewMS: 5_000, ConfigPollMS: 1_000,
 			ConfigFreshMS: 3_000, RequestClaimTTLS: 86_400,
 			GossipIntervalMS: 500, GossipFanout: 3, GossipAllBelow: 9, SuspectAfterMS: 2_000, DeadAfterMS: 3_000,
--- a/internal/standin/worker/lease.go
+++ b/internal/standin/worker/lease.go
@@ -65,7 +65,7 @@
 func (w *Worker) inventory() *workerpb.AcquireResponse {
 	out := &workerpb.AcquireResponse{
 		Granted: true, Token: w.lease.token, Capacity: fromVector(w.options.Capacity), Connections: w.options.Connections,
-		EventSequence: w.sequence, Pool: w.options.Pool,
+		EventSequence: w.sequence, Pool: w.options.Pool, DurableMark: w.durableMark,
 	}
 	for _, t := range w.running {
 		out.Tasks = append(out.Tasks, t.record(workerpb.TaskState_RUNNING))
--- a/internal/standin/worker/sync.go
+++ b/internal/standin/worker/sync.go
@@ -65,6 +65,7 @@
 	w.lease.renew(now)
 	w.armLapse(now)
 	w.forget(r.ForgetThrough)
+	w.durableMark = max(w.durableMark, r.DurableMark)
 	for _, c := range r.Commands {
 		w.command(c, now)
 	}
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -63,10 +63,12 @@
 	lease    lease
 	lapse    *time.Timer
 	sequence uint64
-	events   []*workerpb.Event // not forgotten, in order of sequence
-	running  map[job.TaskID]*task
-	ended    map[attemptID]*workerpb.TaskRecord // not forgotten
-	used     resource.Vector
+	// durableMark is the largest mark that came with a batch.
+	durableMark uint64
+	events      []*workerpb.Event // not forgotten, in order of sequence
+	running     map[job.TaskID]*task
+	ended       map[attemptID]*workerpb.TaskRecord // not forgotten
+	used        resource.Vector
 }
 
 // attemptID names one attempt of a task.
--- a/internal/workerclient/mapping.go
+++ b/internal/workerclient/mapping.go
@@ -62,7 +62,7 @@
 func toInventory(host port.Host, r *workerpb.AcquireResponse) (port.Inventory, error) {
 	out := port.Inventory{
 		Token: port.Token(r.Token), Capacity: toVector(r.Capacity), Connections: r.Connections, Pool: r.Pool,
-		Sequence: r.EventSequence,
+		Sequence: r.EventSequence, DurableMark: r.DurableMark,
 	}
 	for _, t := range r.Tasks {
 		record, err := toRecord(host, t)
@@ -76,7 +76,7 @@
 
 func fromSync(s port.Sync) (*workerpb.SyncRequest, error) {
 	out := &workerpb.SyncRequest{
-		Token: uint64(s.Token), Node: s.Node, ForgetThrough: s.ForgetThrough, SeenThrough: s.SeenThrough,
+		Token: uint64(s.Token), Node: s.Node, ForgetThrough: s.ForgetThrough, SeenThrough: s.SeenThrough, DurableMark: s.DurableMark,
 		WaitMs: s.Wait.Milliseconds(), WantUsage: s.WantUsage,
 	}
 	for _, g := range s.Starts {
