Verify an owner's cache by a write instead of a full read

Cause: a new owner read all keys below cell/ to make sure that its cache holds what its predecessor wrote. Change: it writes the node's registration and waits until the single watch shows it; everything older has then been seen too. A watch that stays silent for 2 s is started again. The freshness rule's answer is kept for 50 ms instead of being computed under the node's lock for each request. An owner that has lost all workers starts over, because another owner may have run the partition meanwhile, and workers that another live member may renew are never taken for lapsed. Conclusion: one small write for a takeover; not yet shown under failure.

--- a/internal/core/partition/machine.go
+++ b/internal/core/partition/machine.go
@@ -39,6 +39,7 @@
 	settled    bool
 	exclusive  time.Time // since when no other node can hold a worker of the partition; zero if one may
 	mayStart   bool
+	claimed    bool
 
 	queue       queue
 	reservation *reservation
@@ -129,6 +130,10 @@
 	}
 }
 
+// SetClaimed tells whether another live member claims the partition. Workers that it may renew aren't taken for lapsed,
+// whatever the host list says of them.
+func (m *Machine) SetClaimed(claimed bool) { m.claimed = claimed }
+
 // Settled reports whether every worker of the partition is accounted for.
 func (m *Machine) Settled() bool { return m.settled }
 
--- a/internal/core/partition/workers.go
+++ b/internal/core/partition/workers.go
@@ -317,6 +317,9 @@
 }
 
 func (m *Machine) lapsed(w *worker, now time.Time) bool {
+	if m.claimed {
+		return false
+	}
 	last := w.lastSent
 	margin := m.options.Timing.Own()
 	if !w.owned {
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -139,12 +139,27 @@
 	return configuration.Reachability{Known: r.Known, Heard: r.Heard, Reaching: r.StoreReachable, Store: n.storeReachable(now)}
 }
 
+// authorityAge is how long an answer of the freshness rule is used again. Requests ask for it far more often than it
+// changes, and it adds to the 3 s for which a confirmation counts; both together stay below the 4 s in which a revoked
+// key must stop working.
+const authorityAge = 50 * time.Millisecond
+
+type cachedAuthority struct {
+	configuration.Authority
+	at time.Time
+}
+
 // authority applies the freshness rule.
 func (n *Node) authority() configuration.Authority {
 	now := n.ports.Clock.Now()
+	if c := n.authorized.Load(); c != nil && now.Sub(c.at) < authorityAge {
+		return c.Authority
+	}
 	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.holder.Authority(now, n.reachability(now))
+	a := n.holder.Authority(now, n.reachability(now))
+	n.mu.Unlock()
+	n.authorized.Store(&cachedAuthority{a, now})
+	return a
 }
 
 // isolatedFor returns how long neither the store nor a member of another zone has been heard. A node of a cell with a
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -101,7 +101,9 @@
 	handovers  chan string
 	wants      wants
 	sequence   atomic.Uint64 // of writes, for recognising a lost answer
-	registered atomic.Uint64 // registrations that the store has acknowledged
+	registrar  registrar
+	rewatch    chan struct{} // asks for a new state watch
+	authorized atomic.Pointer[cachedAuthority]
 	started    time.Time
 }
 
@@ -116,8 +118,10 @@
 		table:  membership.NewTable(self, membership.Options{}),
 		holder: configuration.NewHolder(configuration.FreshFor),
 		random: rand.New(rand.NewPCG(uint64(now.UnixNano()), 1)),
-		state:  newStateCache(), handovers: make(chan string, 64), started: now, outside: now,
+		state:  newStateCache(), handovers: make(chan string, 64), rewatch: make(chan struct{}, 1), started: now, outside: now,
 	}
+	// A later life of the node must not take the registrations of an earlier one for its own.
+	n.registrar.written = uint64(now.UnixMicro())
 	n.owners.init()
 	return n
 }
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -177,6 +177,12 @@
 		return
 	}
 	o.tidied = now
+	if o.machine.Settled() && o.machine.Unheld() > 0 && o.machine.Summary().Workers == 0 {
+		// While it held no worker, another owner may have run the partition: what this one knows can be out of date.
+		o.log.Warn("partition", "action", "start over", "reason", "all workers were lost")
+		go o.node.startOver(o)
+		return
+	}
 	o.rebalance(ctx, now)
 	if o.machine.ProgressBehind() {
 		o.spawn(func() { o.reread(ctx) })
@@ -189,6 +195,7 @@
 	o.machine.SetAuthority(o.node.isolatedFor(now) < o.node.options.Timing.IsolationStart)
 	claimed, complete := o.node.claimed(o.partition)
 	o.machine.SetExclusive(complete && !claimed, now)
+	o.machine.SetClaimed(claimed)
 	o.applyRemote()
 }
 
--- a/internal/node/progress.go
+++ b/internal/node/progress.go
@@ -82,42 +82,17 @@
 	o.send(progressRead{current, conflict.Current.Revision})
 }
 
-// verify compares the node's cache with the store after the owner has begun: allowances may have been given away, and
+// verify brings the node's cache up to the time at which the owner began: allowances may have been given away, and
 // progress written, by a former owner shortly before.
 func (o *owner) verify(ctx context.Context) {
 	defer o.tasks.Done()
-	for ctx.Err() == nil {
-		call, cancel := context.WithTimeout(ctx, 4*o.node.options.Timing.StoreTimeout)
-		entries, _, err := o.node.ports.Store.Range(call, port.StatePrefix)
-		cancel()
-		o.node.storeAnswered(err)
-		if err == nil {
-			o.applyVerified(entries)
+	for o.node.barrier(ctx) != nil {
+		if !sleep(ctx, acquireRetry) {
 			return
 		}
-		sleep(ctx, acquireRetry)
-	}
-}
-
-func (o *owner) applyVerified(entries []port.Entry) {
-	found := false
-	for _, e := range entries {
-		if err := o.node.state.apply(port.WatchEvent{Entry: e}); err != nil {
-			o.log.Error("state entry ignored", "error", err)
-			continue
-		}
-		o.node.notifyOwners(e.Key)
-		if e.Key != port.ProgressPrefix+o.partition {
-			continue
-		}
-		if doc, err := partition.DecodeProgress(e.Value); err == nil {
-			found = true
-			o.send(progressRead{doc, e.Revision})
-		}
-	}
-	if !found {
-		o.send(progressRead{partition.Progress{}, 0})
 	}
+	p, _ := o.node.state.progressOf(o.partition)
+	o.send(progressRead(p))
 	o.send(stateVerified{})
 }
 
--- a/internal/node/register.go
+++ b/internal/node/register.go
@@ -3,49 +3,100 @@
 import (
 	"context"
 	"encoding/json"
+	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 
 	"sequoiastall/internal/port"
 )
 
+// registrar writes this node's registration. Each write has a higher count, which the state watch shows in its turn.
+type registrar struct {
+	mu      sync.Mutex
+	lease   port.LeaseID
+	written uint64 // count of the last write that the store has acknowledged
+}
+
 // registerDuty keeps this node's key in the store, so that starting nodes find it.
 func (n *Node) registerDuty(ctx context.Context) {
-	var lease port.LeaseID
 	every(ctx, n.options.Timing.Register, func(ctx context.Context) {
-		ctx, cancel := context.WithTimeout(ctx, n.options.Timing.StoreTimeout)
-		defer cancel()
-		var err error
-		if lease, err = n.keepLease(ctx, lease); err == nil {
-			err = n.register(ctx, lease)
-		}
-		n.storeAnswered(err)
-		if err != nil {
+		if _, err := n.register(ctx); err != nil {
 			n.log.Debug("registration failed", "error", err)
 		}
 	})
 }
 
-func (n *Node) keepLease(ctx context.Context, lease port.LeaseID) (port.LeaseID, error) {
-	if lease != 0 {
-		err := n.ports.Store.KeepAlive(ctx, lease)
+// register writes the registration under a live store lease and returns its count.
+func (n *Node) register(ctx context.Context) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, 2*n.options.Timing.StoreTimeout)
+	defer cancel()
+	r := &n.registrar
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	err := n.keepLease(ctx, r)
+	if err == nil {
+		err = n.putRegistration(ctx, r)
+	}
+	n.storeAnswered(err)
+	return r.written, err
+}
+
+func (n *Node) keepLease(ctx context.Context, r *registrar) error {
+	if r.lease != 0 {
+		err := n.ports.Store.KeepAlive(ctx, r.lease)
 		if !errors.Is(err, port.ErrLeaseLapsed) {
-			return lease, err
+			return err
 		}
 	}
 	granted, err := n.ports.Store.Grant(ctx, n.options.Timing.RegisterTTL)
-	return granted, errors.Wrap(err, "store lease")
+	if err == nil {
+		r.lease = granted
+	}
+	return errors.Wrap(err, "store lease")
 }
 
-func (n *Node) register(ctx context.Context, lease port.LeaseID) error {
-	count := n.registered.Load() + 1
-	value, err := json.Marshal(Registration{Address: n.options.PeerAddress, HTTPAddress: n.options.HTTPAddress, Zone: n.options.Zone, Count: count})
+func (n *Node) putRegistration(ctx context.Context, r *registrar) error {
+	value, err := json.Marshal(Registration{Address: n.options.PeerAddress, HTTPAddress: n.options.HTTPAddress,
+		Zone: n.options.Zone, Count: r.written + 1})
 	if err != nil {
 		return errors.Wrap(err, "registration")
 	}
-	_, err = n.ports.Store.Put(ctx, port.Write{Key: port.NodePrefix + n.options.ID, Value: value, Lease: lease})
+	_, err = n.ports.Store.Put(ctx, port.Write{Key: port.NodePrefix + n.options.ID, Value: value, Lease: r.lease})
 	if err == nil {
-		n.registered.Store(count)
+		r.written++
 	}
 	return err
 }
+
+func (r *registrar) count() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.written
+}
+
+const (
+	// barrierWait is how long the watch may take to show a write of this node before it counts as silent.
+	barrierWait = 2 * time.Second
+	barrierStep = 20 * time.Millisecond
+)
+
+// barrier returns when the state cache holds every write that the store had applied when barrier was called: it writes
+// this node's registration and waits until the watch, whose events come in revision order, shows it. That costs one
+// small write where reading the state again would cost megabytes. A watch that stays silent is started again.
+func (n *Node) barrier(ctx context.Context) error {
+	count, err := n.register(ctx)
+	if err != nil {
+		return err
+	}
+	for waited := time.Duration(0); n.state.registrationSeen(n.options.ID) < count; waited += barrierStep {
+		if waited >= barrierWait {
+			n.restartWatch()
+			return errors.Wrap(port.ErrUnavailable, "the state watch is silent")
+		}
+		if !sleep(ctx, barrierStep) {
+			return ctx.Err()
+		}
+	}
+	return nil
+}
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -210,22 +210,42 @@
 	})
 }
 
-// guardWatch ends a watch that hasn't shown this node's registration for several writes of it.
+// guardWatch ends a watch when a barrier has found it silent, or when it hasn't shown several registrations.
 func (n *Node) guardWatch(ctx context.Context, cancel context.CancelFunc) {
 	const missed = 2
-	for sleep(ctx, n.options.Timing.Register) {
-		written := n.registered.Load()
-		n.state.mu.Lock()
-		seen := n.state.nodes[n.options.ID].Count
-		n.state.mu.Unlock()
-		if written >= seen+missed {
-			n.log.Warn("state watch is silent, starting it again", "registrations_written", written, "registrations_seen", seen)
-			cancel()
+	ticker := time.NewTicker(n.options.Timing.Register)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
 			return
+		case <-n.rewatch:
+		case <-ticker.C:
+			if n.registrar.count() < n.state.registrationSeen(n.options.ID)+missed {
+				continue
+			}
 		}
+		n.log.Warn("state watch is silent, starting it again")
+		cancel()
+		return
+	}
+}
+
+// restartWatch asks for a new state watch.
+func (n *Node) restartWatch() {
+	select {
+	case n.rewatch <- struct{}{}:
+	default:
 	}
 }
 
+// registrationSeen returns the count of a node's registration in the cache.
+func (c *stateCache) registrationSeen(id string) uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.nodes[id].Count
+}
+
 // loadState replaces the cache by a complete read, and tells the owners what differs.
 func (n *Node) loadState(entries []port.Entry) {
 	before := n.state.jobsOf("")
--- a/internal/node/supervise.go
+++ b/internal/node/supervise.go
@@ -30,6 +30,17 @@
 	return s.owners[partition]
 }
 
+// detach removes an owner, unless that was done already.
+func (s *ownerSet) detach(o *owner) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.owners[o.partition] != o {
+		return false
+	}
+	delete(s.owners, o.partition)
+	return true
+}
+
 func (s *ownerSet) all() []*owner {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -139,15 +150,18 @@
 	}()
 }
 
+// startOver replaces an owner by one that knows only what the store and the workers tell.
+func (n *Node) startOver(o *owner) {
+	if n.owners.detach(o) {
+		o.stop()
+	}
+}
+
 // yield stops an owner, releases its workers and tells the successor.
 func (n *Node) yield(o *owner, successor string) {
-	n.owners.mu.Lock()
-	if n.owners.owners[o.partition] != o {
-		n.owners.mu.Unlock()
+	if !n.owners.detach(o) {
 		return
 	}
-	delete(n.owners.owners, o.partition)
-	n.owners.mu.Unlock()
 	o.stop()
 	n.log.Info("partition", "action", "release", "partition", o.partition, "successor", successor)
 	address := n.addressOf(successor)
