--- a/internal/core/job/state.go
+++ b/internal/core/job/state.go
@@ -33,6 +33,7 @@
 type Task struct {
 	Phase      TaskPhase
 	Attempt    int32 // of the current or last attempt, from 1
+	Seen       int32 // largest attempt in any worker's record
 	Worker     string
 	Address    string // of a running service instance
 	Reserved   resource.Vector
@@ -71,7 +72,9 @@
 type State struct {
 	Record Record
 	Tasks  []Task
-	counts [taskPhases]int32
+	// Abandoned tells that the job won't be tried again; tasks that end otherwise than well are broken.
+	Abandoned bool
+	counts    [taskPhases]int32
 	// next is a position at or before the first pending task.
 	next int32
 }
--- a/internal/core/partition/cycle.go
+++ b/internal/core/partition/cycle.go
@@ -41,6 +41,10 @@
 // Cycle accounts for lost workers, starts what may start and fits, and makes room where policy allows it.
 func (m *Machine) Cycle(now time.Time) Report {
 	m.settle(now)
+	m.giveUpMoves(now)
+	m.dropOrphans(now)
+	m.tendGangs(now)
+	m.tendLeaving()
 	m.tendServices(now)
 	if m.verified {
 		m.stopStrangers()
@@ -111,7 +115,7 @@
 }
 
 func (m *Machine) runnable(s *job.State) bool {
-	return s.Count(job.TaskPending) > 0 && !s.Record.CancelRequested && !m.goalDraining(s.Record.ID) && !m.moving[s.Record.ID]
+	return s.Count(job.TaskPending) > 0 && !s.Record.CancelRequested && !m.goalDraining(s.Record.ID) && m.moving[s.Record.ID] == nil
 }
 
 // startNext starts the next task of a job, or the whole of a gang. It returns false when nothing of it can start in
@@ -144,7 +148,8 @@
 // whose last attempt has certainly ended.
 func (m *Machine) nextStartable(s *job.State, from int32) int32 {
 	for i := s.NextPending(from); i >= 0; i = s.NextPending(i + 1) {
-		if m.settled || m.accountedTask(job.TaskID{Job: s.Record.ID, Index: i}) || s.Record.Spec.Class == job.Service {
+		id := job.TaskID{Job: s.Record.ID, Index: i}
+		if _, intended := m.progress.intents[id]; !intended && (m.settled || m.certain(id)) {
 			return i
 		}
 	}
@@ -230,7 +235,8 @@
 	}
 	m.shares.AddLocal(spec.Team, t.Reserved)
 	t.Worker, t.StartedAt = d.Worker, c.now
-	t.Attempt++
+	t.Attempt = max(t.Attempt, t.Seen) + 1
+	m.workers[d.Worker].tasks[id] = &booking{attempt: t.Attempt, reserved: true}
 	waited := m.waited(s, id, c.now)
 	m.decide(Decision{Kind: DecideStart, Task: id, Team: spec.Team, Worker: d.Worker, Reason: d.Reason, Score: d.Score,
 		Considered: d.Considered, Waited: waited})
@@ -247,8 +253,8 @@
 }
 
 func (m *Machine) waited(s *job.State, id job.TaskID, now time.Time) time.Duration {
-	if at, known := m.requeued[id]; known && !at.IsZero() {
-		return now.Sub(at)
+	if r, known := m.requeued[id]; known {
+		return now.Sub(r.at)
 	}
 	return now.Sub(s.Record.Submitted())
 }
--- a/internal/core/partition/gang.go
+++ b/internal/core/partition/gang.go
@@ -86,7 +86,7 @@
 	}
 	for k, i := range indexes {
 		if _, ok := m.assign(c, s, i, decisions[k], r); !ok {
-			m.breakGang(s, -1)
+			m.breakGang(s, -1, c.now)
 			return false
 		}
 	}
--- a/internal/core/partition/jobs.go
+++ b/internal/core/partition/jobs.go
@@ -1,69 +1,18 @@
 package partition
 
 import (
-	"cmp"
 	"fmt"
-	"slices"
 	"time"
 
 	"sequoiastall/internal/core/job"
 	"sequoiastall/internal/port"
 )
 
-// JobsLoaded tells that SetJob has been called for every job of the partition that the store holds.
-func (m *Machine) JobsLoaded() { m.jobsLoaded = true }
-
-// StateVerified tells that the jobs that were set agree with the store at a time after this machine was made. Running
-// tasks of other jobs may then be stopped.
-func (m *Machine) StateVerified() { m.verified = true }
-
-// Movable returns the record of a job of which no task runs or can run, with its progress, for a move to another
-// partition; nil if the job must stay. The job doesn't start until MoveFailed is called or its record has changed.
-func (m *Machine) Movable(id job.ID) *job.Record {
-	s := m.jobs[id]
-	if s == nil || !m.settled || s.Record.CancelRequested || s.Record.Spec.Class == job.Service ||
-		s.Count(job.TaskRunning)+s.Count(job.TaskIntended) > 0 || s.Ended() {
-		return nil
-	}
-	r := s.Record
-	for i := range s.Tasks {
-		switch s.Tasks[i].Phase {
-		case job.TaskSucceeded:
-			r.Completed.Add(int32(i))
-		case job.TaskUnknown:
-			r.Undecided.Add(int32(i))
-		default:
-		}
-	}
-	m.moving[id] = true
-	return &r
-}
-
-// Stuck returns the records of jobs of which nothing runs although they have waited for a time, oldest first.
-func (m *Machine) Stuck(now time.Time, waited time.Duration) []job.Record {
-	var stuck []job.Record
-	for id, s := range m.jobs {
-		if m.settled && !m.moving[id] && s.Record.Spec.Class != job.Service && m.runnable(s) &&
-			s.Count(job.TaskRunning)+s.Count(job.TaskIntended) == 0 && now.Sub(s.Record.Submitted()) >= waited {
-			stuck = append(stuck, s.Record)
-		}
-	}
-	slices.SortFunc(stuck, func(a, b job.Record) int {
-		return cmp.Or(cmp.Compare(a.SubmittedMS, b.SubmittedMS), cmp.Compare(a.ID, b.ID))
-	})
-	return stuck
-}
-
-// MoveFailed tells that a job which was to move to another partition stays.
-func (m *Machine) MoveFailed(id job.ID) { delete(m.moving, id) }
-
 // SetJob adds a job or applies a newer record of it.
 func (m *Machine) SetJob(r job.Record, now time.Time) {
 	s := m.jobs[r.ID]
 	if r.Phase.Final() {
-		if s != nil {
-			m.drop(s)
-		}
+		m.RemoveJob(r.ID)
 		return
 	}
 	if s != nil {
@@ -74,27 +23,30 @@
 	s = job.NewState(r)
 	m.jobs[r.ID] = s
 	m.queue.touch(s)
-	finish := func(phase job.TaskPhase) func(int32) {
-		return func(i int32) {
-			if int(i) < len(s.Tasks) && !s.Tasks[i].Phase.Final() {
-				m.setPhase(s, i, phase)
-			}
-		}
-	}
-	r.Completed.Each(finish(job.TaskSucceeded))
-	r.Undecided.Each(finish(job.TaskUnknown))
+	r.Completed.Each(func(i int32) { m.finish(s, i, job.TaskSucceeded) })
+	r.Undecided.Each(func(i int32) { m.finish(s, i, job.TaskUnknown) })
 	m.adopt(s, now)
 	if jp, known := m.loadedJobs[r.ID]; known {
+		delete(m.loadedJobs, r.ID)
 		m.mergeProgress(s, jp)
 	}
 	m.cancel(s)
 }
 
-// RemoveJob forgets a job that moved to another partition or was deleted. It must not have running tasks.
+// RemoveJob forgets a job that has ended, moved to another partition or was deleted, and stops what runs of it.
 func (m *Machine) RemoveJob(id job.ID) {
 	if s := m.jobs[id]; s != nil {
 		m.drop(s)
 	}
+	if _, loaded := m.loadedJobs[id]; loaded {
+		delete(m.loadedJobs, id)
+		m.progress.dirty = true
+	}
+	for _, w := range m.workers {
+		if len(takeOrphans(w, id)) > 0 {
+			m.progress.dirty = true
+		}
+	}
 }
 
 // HasJob reports whether the job is known and not ended.
@@ -104,11 +56,13 @@
 	for i := range s.Tasks {
 		id := job.TaskID{Job: s.Record.ID, Index: int32(i)}
 		delete(m.requeued, id)
-		if s.Tasks[i].Phase == job.TaskRunning {
-			m.sendCommand(s, int32(i), stopCommand)
-		}
-		if s.Tasks[i].Phase == job.TaskRunning || s.Tasks[i].Phase == job.TaskIntended {
+		delete(m.progress.intents, id)
+		switch s.Tasks[i].Phase {
+		case job.TaskRunning:
+			m.displace(s, int32(i))
+		case job.TaskIntended:
 			m.unbook(s, int32(i))
+		default:
 		}
 	}
 	id := s.Record.ID
@@ -146,10 +100,15 @@
 
 // abandon stops a job that will not be tried again; its pending tasks are broken.
 func (m *Machine) abandon(s *job.State) {
+	s.Abandoned = true
 	for i := range s.Tasks {
 		switch s.Tasks[i].Phase {
 		case job.TaskRunning:
 			m.sendCommand(s, int32(i), stopCommand)
+		case job.TaskIntended:
+			m.unbook(s, int32(i))
+			m.setPhase(s, int32(i), job.TaskPending)
+			m.setPhase(s, int32(i), job.TaskBroken)
 		case job.TaskPending:
 			m.setPhase(s, int32(i), job.TaskBroken)
 		default:
@@ -159,8 +118,8 @@
 
 // breakGang restarts a gang as a whole when one of its tasks has to run again: the others stop with a checkpoint, and
 // the gang is placed again when none is running.
-func (m *Machine) breakGang(s *job.State, failed int32) {
-	if s.Record.Spec.Class != job.Gang {
+func (m *Machine) breakGang(s *job.State, failed int32, now time.Time) {
+	if s.Record.Spec.Class != job.Gang || s.Abandoned {
 		return
 	}
 	for i := range s.Tasks {
@@ -170,13 +129,29 @@
 		case t.Phase == job.TaskIntended:
 			m.unbook(s, int32(i))
 			m.setPhase(s, int32(i), job.TaskPending)
-			m.account(job.TaskID{Job: s.Record.ID, Index: int32(i)})
+			m.requeued[job.TaskID{Job: s.Record.ID, Index: int32(i)}] = requeued{now, true}
 		case t.Phase == job.TaskRunning:
 			m.sendCommand(s, int32(i), checkpointCommand)
 		}
 	}
 }
 
+// tendGangs restarts gangs of which only a part runs, for instance after a takeover in the middle of their start. A gang
+// of which a task will never succeed is given up.
+func (m *Machine) tendGangs(now time.Time) {
+	for _, s := range m.jobs {
+		if s.Record.Spec.Class != job.Gang || !m.settled || s.Abandoned || s.Record.CancelRequested || s.Ended() {
+			continue
+		}
+		switch {
+		case s.Count(job.TaskUnknown)+s.Count(job.TaskBroken) > 0:
+			m.abandon(s)
+		case s.Count(job.TaskPending) > 0 && s.Count(job.TaskRunning)+s.Count(job.TaskIntended) > 0:
+			m.breakGang(s, -1, now)
+		}
+	}
+}
+
 // sendStart hands a placed task to its worker.
 func (m *Machine) sendStart(s *job.State, index int32, now time.Time) {
 	t := &s.Tasks[index]
@@ -187,7 +162,6 @@
 		return
 	}
 	m.setPhase(s, index, job.TaskRunning)
-	w.tasks[id] = t.Attempt
 	w.starts = append(w.starts, pendingStart{id, t.Attempt})
 }
 
@@ -200,6 +174,9 @@
 		return
 	}
 	t.Stopping = true
+	if b := w.tasks[job.TaskID{Job: s.Record.ID, Index: index}]; b != nil {
+		b.command = &action
+	}
 	w.commands = append(w.commands, port.Command{Task: job.TaskID{Job: s.Record.ID, Index: index}, Attempt: t.Attempt, Action: action})
 }
 
--- a/internal/core/partition/machine.go
+++ b/internal/core/partition/machine.go
@@ -39,14 +39,15 @@
 	settled    bool
 	exclusive  time.Time // since when no other node can hold a worker of the partition; zero if one may
 	mayStart   bool
+	announced  int // workers that a former owner announced
 	claimed    bool
 
 	queue       queue
 	reservation *reservation
 	waiting     map[job.ID]string
-	requeued    map[job.TaskID]time.Time
+	requeued    map[job.TaskID]requeued
 	started     map[job.ID]time.Time
-	moving      map[job.ID]bool
+	moving      map[job.ID]*move
 	quarantined map[string]bool
 	roomFor     map[job.TaskID]job.ID // victims that are stopping, and for which job
 	makingRoom  map[job.ID]int        // the same by job
@@ -72,11 +73,11 @@
 		jobs:     map[job.ID]*job.State{},
 		goals:    map[job.ID]ServiceGoal{},
 		waiting:  map[job.ID]string{},
-		requeued: map[job.TaskID]time.Time{},
+		requeued: map[job.TaskID]requeued{},
 		started:  map[job.ID]time.Time{},
 		ended:    map[job.ID]time.Time{},
-		mayStart: true,
-		moving:   map[job.ID]bool{}, quarantined: map[string]bool{}, roomFor: map[job.TaskID]job.ID{}, makingRoom: map[job.ID]int{},
+		mayStart: true, progress: progressState{intents: map[job.TaskID]string{}},
+		moving: map[job.ID]*move{}, quarantined: map[string]bool{}, roomFor: map[job.TaskID]job.ID{}, makingRoom: map[job.ID]int{},
 	}
 }
 
@@ -134,6 +135,10 @@
 // whatever the host list says of them.
 func (m *Machine) SetClaimed(claimed bool) { m.claimed = claimed }
 
+// SetAnnounced tells how many workers of the partition its former owner announced last. This owner's host list lags
+// behind as long as it holds fewer.
+func (m *Machine) SetAnnounced(workers int) { m.announced = workers }
+
 // Settled reports whether every worker of the partition is accounted for.
 func (m *Machine) Settled() bool { return m.settled }
 
--- a/internal/core/partition/progress.go
+++ b/internal/core/partition/progress.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"sequoiastall/internal/core/job"
+	"sequoiastall/internal/port"
 )
 
 // Progress is the value of the store key progress/<partition>: what the workers' inventories don't keep for good.
@@ -23,8 +24,10 @@
 	Succeeded job.Ranges `json:"succeeded"`
 	Broken    job.Ranges `json:"broken"`
 	Unknown   job.Ranges `json:"unknown"`
-	// Intents are non-idempotent tasks that may have been started and have no known outcome.
-	Intents job.Ranges `json:"intents"`
+	// Intents are non-idempotent tasks that may have been started and have no known outcome, by worker.
+	Intents map[string]*job.Ranges `json:"intents,omitempty"`
+	// Moving tells that the job's record may have gone to another partition.
+	Moving bool `json:"moving,omitempty"`
 }
 
 // DecodeProgress parses a value of progress/<partition>.
@@ -54,14 +57,25 @@
 	dirty    bool // the state has changed since the last document was built
 	urgent   bool // an intent waits for the write
 	building *pendingWrite
-	intents  map[job.ID]*job.Ranges // open intents of the last durable document, until settled
+	// marking tells that a document of this owner since it settled is durable. Only then do workers get marks: a mark
+	// tells a successor that the worker remembers all that was started since.
+	marking bool
+	intents map[job.TaskID]string // open intents of a former owner, with their workers
 }
 
 // pendingWrite is a document on its way to the store.
 type pendingWrite struct {
 	sequence uint64
-	seen     map[string]uint64 // events that the document covers, by worker
-	intents  []job.TaskID      // tasks that may start once the document is durable
+	seen     map[string]coverage
+	intents  []job.TaskID // tasks that may start once the document is durable
+	moves    []job.ID
+	settled  bool
+}
+
+// coverage names the events of a worker that a document covers.
+type coverage struct {
+	token port.Token
+	seen  uint64
 }
 
 // BuildProgress returns the next document to write and the store revision that it must replace (0: the key must be
@@ -71,7 +85,7 @@
 	if !p.loaded || !p.dirty || p.building != nil {
 		return Progress{}, 0, false
 	}
-	pending := &pendingWrite{sequence: p.sequence + 1, seen: map[string]uint64{}}
+	pending := &pendingWrite{sequence: p.sequence + 1, seen: map[string]coverage{}, settled: m.settled}
 	doc = Progress{Sequence: pending.sequence, Writer: m.options.Node, Jobs: map[job.ID]JobProgress{}}
 	for id, s := range m.jobs {
 		if s.Record.Spec.Class == job.Service {
@@ -81,8 +95,13 @@
 			doc.Jobs[id] = jp
 		}
 	}
+	for id, jp := range m.loadedJobs {
+		doc.Jobs[id] = jp // its record may still come
+	}
 	for id, w := range m.workers {
-		pending.seen[id] = w.seen
+		if w.held && len(w.orphans) == 0 {
+			pending.seen[id] = coverage{w.token, w.seen}
+		}
 	}
 	p.building, p.dirty, p.urgent = pending, false, false
 	return doc, p.revision, true
@@ -100,21 +119,39 @@
 		case job.TaskUnknown:
 			jp.Unknown.Add(index)
 		case job.TaskIntended:
-			jp.Intents.Add(index)
+			jp.intend(t.Worker, index)
 			pending.intents = append(pending.intents, job.TaskID{Job: s.Record.ID, Index: index})
 		case job.TaskRunning:
 			if s.Record.Spec.Idempotent {
 				continue
 			}
-			jp.Intents.Add(index)
-		default:
-			continue
+			jp.intend(t.Worker, index)
+		case job.TaskPending:
+			worker, open := m.progress.intents[job.TaskID{Job: s.Record.ID, Index: index}]
+			if !open {
+				continue
+			}
+			jp.intend(worker, index)
 		}
 		any = true
 	}
+	if m.moving[s.Record.ID] != nil {
+		jp.Moving, any = true, true
+		pending.moves = append(pending.moves, s.Record.ID)
+	}
 	return jp, any
 }
 
+func (jp *JobProgress) intend(worker string, index int32) {
+	if jp.Intents == nil {
+		jp.Intents = map[string]*job.Ranges{}
+	}
+	if jp.Intents[worker] == nil {
+		jp.Intents[worker] = &job.Ranges{}
+	}
+	jp.Intents[worker].Add(index)
+}
+
 // ProgressUrgent reports whether a start waits for the next write.
 func (m *Machine) ProgressUrgent() bool { return m.progress.urgent }
 
@@ -127,9 +164,15 @@
 	}
 	p.building = nil
 	p.sequence, p.revision = b.sequence, revision
-	for id, seen := range b.seen {
-		if w := m.workers[id]; w != nil && w.held {
-			w.forget = max(w.forget, seen)
+	p.marking = p.marking || (b.settled && m.settled)
+	for id, c := range b.seen {
+		if w := m.workers[id]; w != nil && w.held && w.token == c.token {
+			w.forget = max(w.forget, c.seen)
+		}
+	}
+	for _, id := range b.moves {
+		if mv := m.moving[id]; mv != nil && mv.sequence == 0 {
+			mv.sequence = b.sequence
 		}
 	}
 	for _, id := range b.intents {
@@ -167,39 +210,53 @@
 	}
 	p.loaded = true
 	p.sequence, p.revision = max(p.sequence, doc.Sequence), revision
-	if p.intents == nil {
-		p.intents = map[job.ID]*job.Ranges{}
-	}
-	m.loadedJobs = doc.Jobs
+	// The records of the jobs may be older than the document.
+	m.jobsLoaded = false
+	m.loadedJobs = map[job.ID]JobProgress{}
 	for id, jp := range doc.Jobs {
 		if s := m.jobs[id]; s != nil {
 			m.mergeProgress(s, jp)
+		} else {
+			m.loadedJobs[id] = jp
 		}
 	}
 	m.progress.dirty = true
 }
 
-// mergeProgress applies what is durable about a job. Inventories may already have told more.
-func (m *Machine) mergeProgress(s *job.State, jp JobProgress) {
-	finish := func(phase job.TaskPhase) func(int32) {
-		return func(i int32) {
-			if int(i) >= len(s.Tasks) || s.Tasks[i].Phase.Final() {
-				return
-			}
-			m.options.Invariant("task_runs_after_its_end", s.Tasks[i].Phase != job.TaskRunning,
-				"task", job.TaskID{Job: s.Record.ID, Index: i}.String())
-			if s.Tasks[i].Phase == job.TaskRunning {
-				m.sendCommand(s, i, stopCommand)
-				return
-			}
-			m.setPhase(s, i, phase)
+// JobsLoaded tells that SetJob has been called for every job of the partition that the store held when the progress
+// document that was loaded last was written.
+func (m *Machine) JobsLoaded() { m.jobsLoaded = true }
+
+// StateVerified tells that the jobs that were set agree with the store at a time after the progress document was
+// loaded. Running tasks of other jobs may then be stopped.
+func (m *Machine) StateVerified() {
+	m.verified, m.jobsLoaded = true, true
+	m.progress.dirty = m.progress.dirty || len(m.loadedJobs) > 0
+	clear(m.loadedJobs)
+	for id, mv := range m.moving {
+		if mv.foreign {
+			m.MoveFailed(id)
 		}
 	}
+}
+
+// mergeProgress applies what is durable about a job. Inventories may already have told more.
+func (m *Machine) mergeProgress(s *job.State, jp JobProgress) {
+	finish := func(phase job.TaskPhase) func(int32) { return func(i int32) { m.finish(s, i, phase) } }
 	jp.Succeeded.Each(finish(job.TaskSucceeded))
 	jp.Broken.Each(finish(job.TaskBroken))
 	jp.Unknown.Each(finish(job.TaskUnknown))
-	if jp.Intents.Len() > 0 {
-		open := jp.Intents.Clone()
-		m.progress.intents[s.Record.ID] = &open
+	if jp.Broken.Len() > 0 && s.Record.Spec.Idempotent {
+		m.abandon(s)
+	}
+	for worker, indexes := range jp.Intents {
+		indexes.Each(func(i int32) {
+			if int(i) < len(s.Tasks) && s.Tasks[i].Phase == job.TaskPending {
+				m.progress.intents[job.TaskID{Job: s.Record.ID, Index: i}] = worker
+			}
+		})
+	}
+	if jp.Moving && m.moving[s.Record.ID] == nil {
+		m.moving[s.Record.ID] = &move{foreign: true, offered: true}
 	}
 }
--- a/internal/core/partition/queue.go
+++ b/internal/core/partition/queue.go
@@ -40,6 +40,7 @@
 	q.teams[team] = slices.DeleteFunc(q.teams[team], func(s *job.State) bool { return s.Record.ID == id })
 	if len(q.teams[team]) == 0 {
 		delete(q.teams, team)
+		delete(q.dirty, team)
 	}
 }
 
--- a/internal/core/partition/reconcile.go
+++ b/internal/core/partition/reconcile.go
@@ -1,6 +1,7 @@
 package partition
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -19,39 +20,56 @@
 	return &s.Tasks[id.Index]
 }
 
-// reconcile merges a worker's inventory. The inventory is complete: a task that is booked on the worker and has no
-// record there was never started.
-func (m *Machine) reconcile(w *worker, records []port.TaskRecord, now time.Time) {
-	present := map[job.TaskID]bool{}
-	w.strangers = map[job.TaskID]stranger{}
-	m.restoreReservations(w)
-	for _, r := range records {
+// reconcile merges a worker's inventory. The inventory is complete: an attempt that is booked on the worker and has no
+// record there was never started, unless the worker has lost its memory.
+func (m *Machine) reconcile(w *worker, inv port.Inventory, now time.Time) {
+	present := map[attemptID]bool{}
+	for id := range w.strangers {
+		m.releaseStranger(w, id)
+	}
+	w.orphans = nil
+	for _, b := range w.tasks {
+		b.reserved = false
+	}
+	for _, r := range inv.Tasks {
+		present[attemptID{r.Task, r.Attempt}] = true
 		if r.State == port.TaskRunning {
-			present[r.Task] = true
 			m.foundRunning(w, r, now)
 		}
 	}
-	for _, r := range records {
+	for _, r := range inv.Tasks {
 		if r.State != port.TaskRunning {
-			present[r.Task] = true
 			m.apply(w, r, now)
 		}
 	}
-	for id, attempt := range w.tasks {
-		if t := m.task(id); !present[id] && t != nil && t.Phase == job.TaskRunning && t.Attempt == attempt {
-			m.requeue(m.jobs[id.Job], id.Index, "worker never started it", now)
+	for _, id := range sortedTasks(w.tasks) {
+		b, s, t := w.tasks[id], m.jobs[id.Job], m.task(id)
+		switch {
+		case b == nil || t == nil || b.reserved || present[attemptID{id, b.attempt}]:
+		case t.Phase == job.TaskIntended && m.cluster.Reserve(w.host.ID, m.request(s, t)) == nil:
+			b.reserved = true
+		case t.Phase == job.TaskRunning && inv.DurableMark == 0 && atMostOnce(s):
+			m.unbook(s, id.Index)
+			m.setPhase(s, id.Index, job.TaskUnknown)
+		default:
+			m.requeue(s, id.Index, "worker never started it", now)
 		}
 	}
 }
 
-// restoreReservations books the tasks that stayed assigned to a worker while its lease was lost.
-func (m *Machine) restoreReservations(w *worker) {
-	for id := range w.tasks {
-		if t := m.task(id); t != nil {
-			m.options.Invariant("host_capacity", m.cluster.Reserve(w.host.ID, m.request(m.jobs[id.Job], t)) == nil,
-				"worker", w.host.ID, "task", id.String())
-		}
-	}
+// attemptID identifies an attempt of a task.
+type attemptID struct {
+	task   job.TaskID
+	number int32
+}
+
+// atMostOnce reports whether a task of the job may have at most one attempt that could have run.
+func atMostOnce(s *job.State) bool {
+	return !s.Record.Spec.Idempotent && s.Record.Spec.Class != job.Service
+}
+
+func sortedTasks[V any](tasks map[job.TaskID]V) []job.TaskID {
+	return slices.SortedFunc(maps.Keys(tasks), compareTaskIDs)
 }
 
 // foundRunning books an attempt that a worker reports as running.
@@ -61,83 +79,68 @@
 		m.foundStranger(w, r)
 		return
 	}
-	if t.Phase == job.TaskRunning && t.Worker == w.host.ID {
-		t.Attempt, t.Confirmed, t.Address, t.Throttled = r.Attempt, true, r.Address, r.Throttled
-		w.tasks[r.Task] = r.Attempt
+	delete(m.progress.intents, r.Task)
+	t.Seen = max(t.Seen, r.Attempt)
+	b := w.tasks[r.Task]
+	if t.Phase == job.TaskRunning && b != nil && b.attempt == r.Attempt {
+		t.Confirmed, t.Address, t.Throttled = true, r.Address, r.Throttled
+		b.reserved = m.reserveFound(w, s, t)
+		if b.command != nil {
+			w.commands = append(w.commands, port.Command{Task: r.Task, Attempt: r.Attempt, Action: *b.command})
+		}
+		m.endUnwanted(s, r.Task.Index)
 		return
 	}
-	if t.Phase == job.TaskRunning || t.Phase.Final() {
-		m.options.Invariant("one_place_per_task", false, "task", r.Task.String(), "worker", w.host.ID, "other", t.Worker)
-		w.commands = append(w.commands, port.Command{Task: r.Task, Attempt: r.Attempt, Action: stopCommand})
+	if other := m.workers[t.Worker]; t.Phase.Final() || (t.Phase == job.TaskRunning && other != w && m.fresh(other, now)) {
+		m.options.Invariant("one_place_per_task", t.Phase == job.TaskUnknown || t.Phase == job.TaskBroken,
+			"task", r.Task.String(), "worker", w.host.ID, "other", t.Worker)
 		m.foundStranger(w, r)
+		m.stopStranger(w, r.Task)
 		return
 	}
-	if t.Phase == job.TaskIntended {
+	if t.Phase != job.TaskPending {
+		// Booked by this owner before another one restarted it, or not started yet.
 		m.unbook(s, r.Task.Index)
 		m.setPhase(s, r.Task.Index, job.TaskPending)
 	}
 	t.Attempt, t.Worker, t.Reserved, t.Address = r.Attempt, w.host.ID, r.Reserved, r.Address
 	t.StartedAt, t.Confirmed, t.Throttled, t.Inherited = now, true, r.Throttled, true
 	m.setPhase(s, r.Task.Index, job.TaskRunning)
-	w.tasks[r.Task] = r.Attempt
-	request := m.request(s, t)
-	m.options.Invariant("host_capacity", m.cluster.Reserve(w.host.ID, request) == nil, "worker", w.host.ID, "task", r.Task.String())
+	w.tasks[r.Task] = &booking{attempt: r.Attempt, reserved: m.reserveFound(w, s, t)}
 	m.ledger.Restore(s.Record.Spec.Team, t.Reserved)
 	m.shares.AddLocal(s.Record.Spec.Team, t.Reserved)
 	m.markStarted(s, now)
+	m.endUnwanted(s, r.Task.Index)
 }
 
-// foundStranger reserves the capacity of a running task whose job isn't known yet or any more.
-func (m *Machine) foundStranger(w *worker, r port.TaskRecord) {
-	request := placement.Request{Job: r.Task.Job, Resources: r.Reserved}
-	if m.cluster.Reserve(w.host.ID, request) == nil {
-		w.strangers[r.Task] = stranger{request: request, attempt: r.Attempt, address: r.Address}
-	}
-}
-
-// adopt books tasks of a job that becomes known after the inventories that name them.
-func (m *Machine) adopt(s *job.State, now time.Time) {
-	for _, id := range m.workerIDs() {
-		w := m.workers[id]
-		for task, x := range w.strangers {
-			if task.Job != s.Record.ID {
-				continue
-			}
-			m.cluster.Release(w.host.ID, x.request)
-			delete(w.strangers, task)
-			m.foundRunning(w, port.TaskRecord{Task: task, Attempt: x.attempt, Reserved: x.request.Resources, Address: x.address}, now)
-		}
-	}
+func (m *Machine) reserveFound(w *worker, s *job.State, t *job.Task) bool {
+	return w.held && m.options.Invariant("host_capacity", m.cluster.Reserve(w.host.ID, m.request(s, t)) == nil,
+		"worker", w.host.ID, "job", string(s.Record.ID))
 }
 
-// stopStrangers stops tasks of jobs that don't exist any more, once the job table is complete.
-func (m *Machine) stopStrangers() {
-	for _, w := range m.workers {
-		for id, x := range w.strangers {
-			if !w.held || x.stopping {
-				continue
-			}
-			action := stopCommand
-			if x.address != "" {
-				action = drainCommand
-			}
-			x.stopping = true
-			w.strangers[id] = x
-			w.commands = append(w.commands, port.Command{Task: id, Attempt: x.attempt, Action: action})
-		}
+// endUnwanted stops a running task of a job that was cancelled or given up.
+func (m *Machine) endUnwanted(s *job.State, index int32) {
+	if s.Record.CancelRequested || s.Abandoned {
+		m.sendCommand(s, index, stopCommand)
 	}
 }
 
 // apply handles the end of an attempt, or the address of a started instance.
 func (m *Machine) apply(w *worker, r port.TaskRecord, now time.Time) {
-	if x, known := w.strangers[r.Task]; known && r.State != port.TaskRunning {
-		m.cluster.Release(w.host.ID, x.request)
-		delete(w.strangers, r.Task)
+	if x, known := w.strangers[r.Task]; known && r.State != port.TaskRunning && x.attempt == r.Attempt {
+		m.releaseStranger(w, r.Task)
+		if x.team != "" {
+			return
+		}
 	}
 	s, t := m.jobs[r.Task.Job], m.task(r.Task)
 	if t == nil {
+		if r.State != port.TaskRunning {
+			w.orphans, w.orphanedAt = append(w.orphans, r), now
+		}
 		return
 	}
+	t.Seen = max(t.Seen, r.Attempt)
 	booked := t.Phase == job.TaskRunning && t.Worker == w.host.ID && t.Attempt == r.Attempt
 	if r.State == port.TaskRunning {
 		if booked {
@@ -153,30 +156,42 @@
 }
 
 // applyUnbooked handles the end of an attempt that this owner hadn't booked, for instance one that a previous owner
-// started.
+// started. It doesn't tell that no later attempt runs on a worker that hasn't reported yet.
 func (m *Machine) applyUnbooked(s *job.State, t *job.Task, r port.TaskRecord) {
-	if t.Phase.Final() || t.Phase == job.TaskRunning {
+	delete(m.progress.intents, r.Task)
+	if t.Phase.Final() {
 		return
 	}
-	t.Attempt = max(t.Attempt, r.Attempt)
-	switch r.State {
-	case port.TaskSucceeded:
-		if t.Phase == job.TaskIntended {
-			m.unbook(s, r.Task.Index)
+	if t.Phase == job.TaskRunning {
+		if r.State == port.TaskSucceeded {
+			m.finish(s, r.Task.Index, job.TaskSucceeded)
 		}
-		m.setPhase(s, r.Task.Index, job.TaskSucceeded)
-	case port.TaskCheckpointed:
-		t.Checkpoint = r.Checkpoint
-		m.account(r.Task)
-	case port.TaskFailed, port.TaskLapsed:
-		if !s.Record.Spec.Idempotent {
-			m.setPhase(s, r.Task.Index, job.TaskUnknown)
-			return
+		return
+	}
+	switch {
+	case r.State == port.TaskSucceeded:
+		m.finish(s, r.Task.Index, job.TaskSucceeded)
+	case r.State == port.TaskCheckpointed:
+		if r.Attempt >= t.Seen {
+			t.Checkpoint = r.Checkpoint
 		}
-		m.account(r.Task)
-	default:
-		m.account(r.Task)
+	case atMostOnce(s) && !s.Record.CancelRequested:
+		m.finish(s, r.Task.Index, job.TaskUnknown)
+	}
+}
+
+// finish puts a task into a final phase that another source than its booked attempt tells.
+func (m *Machine) finish(s *job.State, index int32, phase job.TaskPhase) {
+	switch {
+	case int(index) >= len(s.Tasks) || s.Tasks[index].Phase.Final():
+		return
+	case s.Tasks[index].Phase == job.TaskRunning:
+		m.displace(s, index)
+	case s.Tasks[index].Phase == job.TaskIntended:
+		m.unbook(s, index)
+		m.setPhase(s, index, job.TaskPending)
 	}
+	m.setPhase(s, index, phase)
 }
 
 // ended_ handles the end of a booked attempt.
@@ -204,15 +219,13 @@
 	case port.TaskCheckpointed:
 		t.Checkpoint = r.Checkpoint
 		m.requeue(s, index, "checkpointed", now)
-	case port.TaskLapsed:
-		if !s.Record.Spec.Idempotent && s.Record.Spec.Class != job.Service {
+	default:
+		if atMostOnce(s) {
 			m.unbook(s, index)
 			m.setPhase(s, index, job.TaskUnknown)
 			return
 		}
-		m.requeue(s, index, "lease lapsed", now)
-	default:
-		m.requeue(s, index, "stopped", now)
+		m.requeue(s, index, r.State.String(), now)
 	}
 }
 
@@ -235,30 +248,29 @@
 	m.recordOutcome(s, index, w, false, now)
 }
 
+// requeued is a task whose last attempt this owner has seen end.
+type requeued struct {
+	at time.Time
+	// certain tells that no attempt runs anywhere, so that the task may start before the partition is settled.
+	certain bool
+}
+
 // requeue makes a task pending again whose last attempt has certainly ended.
 func (m *Machine) requeue(s *job.State, index int32, reason string, now time.Time) {
 	id := job.TaskID{Job: s.Record.ID, Index: index}
 	worker := s.Tasks[index].Worker
 	m.unbook(s, index)
 	m.setPhase(s, index, job.TaskPending)
-	m.account(id)
-	m.requeued[id] = now
 	m.decide(Decision{Kind: DecideRequeue, Task: id, Team: s.Record.Spec.Team, Worker: worker, Reason: reason})
-	m.breakGang(s, index)
-}
-
-// account notes that a pending task has certainly no running attempt, so that it may start before the partition is
-// settled.
-func (m *Machine) account(id job.TaskID) {
-	if _, known := m.requeued[id]; !known {
-		m.requeued[id] = time.Time{}
+	if s.Abandoned {
+		m.setPhase(s, index, job.TaskBroken)
+		return
 	}
+	m.requeued[id] = requeued{now, true}
+	m.breakGang(s, index, now)
 }
 
-func (m *Machine) accountedTask(id job.TaskID) bool {
-	_, known := m.requeued[id]
-	return known
-}
+func (m *Machine) certain(id job.TaskID) bool { return m.requeued[id].certain }
 
 // unbook gives back what a task holds on its worker and of its team's allowance.
 func (m *Machine) unbook(s *job.State, index int32) {
@@ -267,12 +279,13 @@
 	if t.Worker == "" {
 		return
 	}
-	if w := m.workers[t.Worker]; w != nil {
-		delete(w.tasks, id)
-		if w.held {
+	if w := m.workers[t.Worker]; w != nil && w.tasks[id] != nil {
+		if w.held && w.tasks[id].reserved {
 			m.cluster.Release(t.Worker, m.request(s, t))
 		}
+		delete(w.tasks, id)
 	}
+	t.Worker = ""
 	m.roomMade(id)
 	m.ledger.Release(s.Record.Spec.Team, t.Reserved)
 	m.shares.AddLocal(s.Record.Spec.Team, resource.Vector{}.Sub(t.Reserved))
@@ -280,19 +293,23 @@
 
 // loseTasks accounts for the tasks of a worker whose leases have certainly lapsed.
 func (m *Machine) loseTasks(w *worker, now time.Time) {
-	for id := range w.tasks {
+	for _, id := range sortedTasks(w.tasks) {
 		s, t := m.jobs[id.Job], m.task(id)
-		if t == nil || t.Worker != w.host.ID || t.Phase.Final() {
+		if w.tasks[id] == nil || t == nil || t.Worker != w.host.ID || t.Phase.Final() {
 			continue
 		}
-		if s.Record.Spec.Idempotent || s.Record.Spec.Class == job.Service || t.Phase == job.TaskIntended {
+		if !atMostOnce(s) || t.Phase == job.TaskIntended {
 			m.requeue(s, id.Index, "worker lost", now)
 			continue
 		}
 		m.unbook(s, id.Index)
 		m.setPhase(s, id.Index, job.TaskUnknown)
 	}
-	w.tasks = map[job.TaskID]int32{}
+	w.tasks = map[job.TaskID]*booking{}
+	for id := range w.strangers {
+		m.releaseStranger(w, id)
+	}
+	w.orphans = nil
 }
 
 // setPhase moves a task to a phase; a forbidden transition is an invariant violation and changes nothing.
--- a/internal/core/partition/services.go
+++ b/internal/core/partition/services.go
@@ -5,6 +5,7 @@
 
 	"sequoiastall/internal/core/job"
 	"sequoiastall/internal/core/routing"
+	"sequoiastall/internal/port"
 )
 
 // replaceTimeout bounds how long instances of an old version of a service are kept for the sake of the new version's
@@ -127,6 +128,15 @@
 	return n
 }
 
+// tendLeaving moves work off the workers that are leaving.
+func (m *Machine) tendLeaving() {
+	for _, w := range m.workers {
+		if w.held && w.host.State == port.HostLeaving && len(w.tasks) > 0 {
+			m.vacate(w)
+		}
+	}
+}
+
 // vacate moves work off a worker that is leaving: instances are drained and batch tasks continue elsewhere from a
 // checkpoint.
 func (m *Machine) vacate(w *worker) {
--- /dev/null
+++ b/internal/core/partition/strangers.go
@@ -0,0 +1,111 @@
+package partition
+
+import (
+	"time"
+
+	"sequoiastall/internal/core/job"
+	"sequoiastall/internal/core/placement"
+	"sequoiastall/internal/port"
+)
+
+// foundStranger reserves the capacity of a running task whose job isn't known yet or any more.
+func (m *Machine) foundStranger(w *worker, r port.TaskRecord) {
+	request := placement.Request{Job: r.Task.Job, Resources: r.Reserved}
+	w.strangers[r.Task] = stranger{request: request, attempt: r.Attempt, address: r.Address,
+		reserved: m.cluster.Reserve(w.host.ID, request) == nil}
+}
+
+func (m *Machine) releaseStranger(w *worker, id job.TaskID) {
+	x := w.strangers[id]
+	delete(w.strangers, id)
+	if w.held && x.reserved {
+		m.cluster.Release(w.host.ID, x.request)
+	}
+	if x.team != "" {
+		m.ledger.Release(x.team, x.request.Resources)
+	}
+}
+
+// displace ends the booking of a running attempt whose task is not this owner's any more or has ended elsewhere. The
+// attempt keeps its room until the worker has stopped it.
+func (m *Machine) displace(s *job.State, index int32) {
+	t, id := &s.Tasks[index], job.TaskID{Job: s.Record.ID, Index: index}
+	w := m.workers[t.Worker]
+	request, attempt, address, team := m.request(s, t), t.Attempt, t.Address, s.Record.Spec.Team
+	m.unbook(s, index)
+	if w == nil || !w.held {
+		return
+	}
+	m.ledger.Restore(team, request.Resources)
+	w.strangers[id] = stranger{request: request, attempt: attempt, address: address, team: team,
+		reserved: m.cluster.Reserve(w.host.ID, request) == nil}
+	m.stopStranger(w, id)
+}
+
+// adopt books tasks of a job that becomes known after the inventories that name them.
+func (m *Machine) adopt(s *job.State, now time.Time) {
+	for _, id := range m.workerIDs() {
+		w := m.workers[id]
+		for task, x := range w.strangers {
+			if task.Job != s.Record.ID || x.team != "" {
+				continue
+			}
+			m.releaseStranger(w, task)
+			m.foundRunning(w, port.TaskRecord{Task: task, Attempt: x.attempt, Reserved: x.request.Resources, Address: x.address}, now)
+		}
+		for _, r := range takeOrphans(w, s.Record.ID) {
+			m.apply(w, r, now)
+		}
+	}
+}
+
+// takeOrphans removes and returns the records of a job's ended attempts.
+func takeOrphans(w *worker, id job.ID) (taken []port.TaskRecord) {
+	kept := w.orphans[:0]
+	for _, r := range w.orphans {
+		if r.Task.Job == id {
+			taken = append(taken, r)
+		} else {
+			kept = append(kept, r)
+		}
+	}
+	w.orphans = kept
+	return taken
+}
+
+// orphanTime is how long the record of an ended attempt waits for its job to become known. Another owner may have
+// learned of a new job earlier.
+const orphanTime = time.Minute
+
+// dropOrphans gives up records of attempts whose jobs don't exist any more.
+func (m *Machine) dropOrphans(now time.Time) {
+	for _, w := range m.workers {
+		if len(w.orphans) > 0 && m.verified && now.Sub(w.orphanedAt) >= orphanTime {
+			w.orphans = nil
+			m.progress.dirty = true
+		}
+	}
+}
+
+// stopStrangers stops tasks of jobs that don't exist any more, once the job table is complete.
+func (m *Machine) stopStrangers() {
+	for _, w := range m.workers {
+		for id, x := range w.strangers {
+			if !w.held || x.stopping {
+				continue
+			}
+			m.stopStranger(w, id)
+		}
+	}
+}
+
+func (m *Machine) stopStranger(w *worker, id job.TaskID) {
+	x := w.strangers[id]
+	action := stopCommand
+	if x.address != "" {
+		action = drainCommand
+	}
+	x.stopping = true
+	w.strangers[id] = x
+	w.commands = append(w.commands, port.Command{Task: id, Attempt: x.attempt, Action: action})
+}
--- a/internal/core/partition/workers.go
+++ b/internal/core/partition/workers.go
@@ -29,24 +29,38 @@
 	token  port.Token
 	// lastSent is when the last message that could renew the control lease was sent.
 	lastSent    time.Time
-	owned       bool // this machine has held the lease before
-	accounted   bool // its tasks are known: held, or certainly stopped
-	expired     bool // accounted for only because its leases have lapsed
+	renewed     time.Time // when the last message that the worker has accepted was sent
+	owned       bool      // this machine has held the lease before
+	accounted   bool      // its tasks are known: held, or certainly stopped
+	expired     bool      // accounted for only because its leases have lapsed
 	capacity    resource.Vector
 	pool        string
 	connections int64
 	seen        uint64 // last event applied
 	forget      uint64 // events up to here are durable
-	mark        uint64 // largest durable mark that it reported
-	tasks       map[job.TaskID]int32
+	mark        uint64 // largest durable mark that it reported or accepted
+	tasks       map[job.TaskID]*booking
 	strangers   map[job.TaskID]stranger // running tasks of jobs that aren't known
-	starts      []pendingStart
-	commands    []port.Command
-	usageAt     time.Time
+	orphans     []port.TaskRecord       // ended attempts of jobs that aren't known
+	orphanedAt  time.Time
+	// doubtful tells that a batch with starts may still arrive: records that would show it as a duplicate are kept.
+	doubtful bool
+	starts   []pendingStart
+	commands []port.Command
+	usageAt  time.Time
+}
+
+// booking is what a task holds on a worker.
+type booking struct {
+	attempt  int32
+	reserved bool         // in the cluster; not while the worker isn't held
+	command  *port.Action // the last command that ends the attempt
 }
 
 // stranger is a running task whose job isn't known.
 type stranger struct {
+	team     string // whose allowance it still uses; empty if unknown
+	reserved bool
 	request  placement.Request // reserved on the worker
 	attempt  int32
 	address  string // of a service instance
@@ -65,10 +79,9 @@
 		listed[h.ID] = true
 		w := m.workers[h.ID]
 		if w == nil {
-			w = &worker{listedAt: now, tasks: map[job.TaskID]int32{}, strangers: map[job.TaskID]stranger{}}
+			w = &worker{listedAt: now, tasks: map[job.TaskID]*booking{}, strangers: map[job.TaskID]stranger{}}
 			m.workers[h.ID] = w
 		}
-		leaving := h.State == port.HostLeaving && w.host.State != port.HostLeaving
 		w.host = h
 		switch {
 		case h.State != port.HostDead:
@@ -79,9 +92,6 @@
 		if w.held {
 			m.upsert(w)
 		}
-		if leaving {
-			m.vacate(w)
-		}
 	}
 	for id, w := range m.workers {
 		// A worker that vanishes from the list counts as dead until its tasks are accounted for.
@@ -92,6 +102,8 @@
 			}
 			if w.accounted && !w.held && len(w.tasks) == 0 {
 				delete(m.workers, id)
+				delete(m.quarantined, id)
+				m.health.ForgetWorker(id)
 			}
 		}
 	}
@@ -130,16 +142,23 @@
 	if w == nil {
 		return
 	}
+	if w.held {
+		m.LeaseLost(id, now)
+	}
+	if !m.anchored(now) {
+		m.unsettle(now)
+	}
 	w.held, w.owned, w.expired = true, true, false
-	w.token, w.lastSent = inv.Token, sentAt
+	w.token, w.lastSent, w.renewed = inv.Token, sentAt, sentAt
+	w.forget, w.doubtful = 0, false
 	w.capacity, w.pool, w.connections = inv.Capacity, inv.Pool, inv.Connections
 	w.seen = inv.Sequence
 	m.hostSize = m.hostSize.Max(inv.Capacity)
 	m.sizes.SetCapacity(m.hostSize)
-	w.mark = max(w.mark, inv.DurableMark)
+	w.mark = inv.DurableMark
 	w.starts, w.commands = nil, nil
 	m.upsert(w)
-	m.reconcile(w, inv.Tasks, now)
+	m.reconcile(w, inv, now)
 	w.accounted = true
 }
 
@@ -172,7 +191,12 @@
 	}
 	w.held, w.accounted = false, false
 	w.starts, w.commands = nil, nil
+	w.lastSent = now // polls, which also renew the lease, were sent until now
 	m.cluster.Remove(id)
+	for task, x := range w.strangers {
+		x.reserved = false
+		w.strangers[task] = x
+	}
 }
 
 // TakeBatch returns the next message for a worker. Work in it is handed over: the caller must report its end through
@@ -200,9 +224,15 @@
 	if w == nil {
 		return 0, 0
 	}
-	if !m.progress.dirty && m.progress.building == nil {
+	if !m.progress.marking {
+		return 0, 0
+	}
+	if !m.progress.dirty && m.progress.building == nil && len(w.orphans) == 0 {
 		w.forget = w.seen
 	}
+	if w.doubtful {
+		return 0, m.progress.sequence
+	}
 	return w.forget, m.progress.sequence
 }
 
@@ -239,12 +269,14 @@
 }
 
 // SyncFailed tells that a batch had no effect, or that its effect isn't known. Starts are repeated with the same
-// attempt, which the worker recognises.
+// attempt, which the worker recognises as long as it keeps the attempt's record. It keeps all records until the lease
+// is acquired again, whose token fences a batch that is still on its way.
 func (m *Machine) SyncFailed(id string, sent port.Sync) {
 	w := m.workers[id]
 	if w == nil || !w.held || w.token != sent.Token {
 		return
 	}
+	w.doubtful = w.doubtful || len(sent.Starts) > 0
 	for _, g := range sent.Starts {
 		for _, t := range g.Tasks {
 			w.starts = append(w.starts, pendingStart{job.TaskID{Job: g.Job, Index: t.Index}, t.Attempt})
@@ -253,12 +285,14 @@
 	w.commands = append(w.commands, sent.Commands...)
 }
 
-// Synced applies the answer to a batch.
-func (m *Machine) Synced(id string, sent port.Sync, r port.SyncResult, now time.Time) {
+// Synced applies the answer to a batch that was sent at sentAt.
+func (m *Machine) Synced(id string, sent port.Sync, r port.SyncResult, sentAt, now time.Time) {
 	w := m.workers[id]
 	if w == nil || !w.held || w.token != sent.Token {
 		return
 	}
+	w.renewed = later(w.renewed, sentAt)
+	w.mark = max(w.mark, sent.DurableMark)
 	for _, g := range sent.Starts {
 		for _, t := range g.Tasks {
 			m.confirm(w, job.TaskID{Job: g.Job, Index: t.Index}, t.Attempt)
@@ -304,34 +338,6 @@
 	m.requeue(s, r.Task.Index, reason, now)
 }
 
-// expire finds workers whose leases have certainly lapsed, and accounts for their tasks.
-func (m *Machine) expire(now time.Time) {
-	for _, id := range m.workerIDs() {
-		w := m.workers[id]
-		if w.held || w.accounted || !m.lapsed(w, now) {
-			continue
-		}
-		w.accounted, w.expired = true, true
-		m.loseTasks(w, now)
-	}
-}
-
-func (m *Machine) lapsed(w *worker, now time.Time) bool {
-	if m.claimed {
-		return false
-	}
-	last := w.lastSent
-	margin := m.options.Timing.Own()
-	if !w.owned {
-		last = m.since
-		margin = m.options.Timing.Foreign()
-	}
-	if !w.deadAt.IsZero() && now.Sub(later(w.deadAt, last)) >= m.options.Timing.Foreign() {
-		return true
-	}
-	return !m.exclusive.IsZero() && now.Sub(later(m.exclusive, last)) >= margin
-}
-
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
@@ -339,40 +345,6 @@
 	return b
 }
 
-// settle decides whether tasks that aren't accounted for may be started.
-func (m *Machine) settle(now time.Time) {
-	m.expire(now)
-	if m.settled || !m.jobsLoaded || !m.progress.loaded || len(m.workers) == 0 {
-		return
-	}
-	lost := false
-	for _, w := range m.workers {
-		if !w.accounted || w.mark > m.progress.sequence {
-			return
-		}
-		lost = lost || w.expired
-	}
-	m.settled = true
-	m.resolveIntents(lost, now)
-}
-
-// resolveIntents decides on non-idempotent tasks that a previous owner may have started. If every worker has
-// reported, an intent without a record was never carried out. If a worker was lost, its outcome can't be known.
-func (m *Machine) resolveIntents(lost bool, now time.Time) {
-	for id, open := range m.progress.intents {
-		s := m.jobs[id]
-		if s == nil || !lost {
-			continue
-		}
-		open.Each(func(i int32) {
-			if int(i) < len(s.Tasks) && s.Tasks[i].Phase == job.TaskPending && !m.accountedTask(job.TaskID{Job: id, Index: i}) {
-				m.setPhase(s, i, job.TaskUnknown)
-			}
-		})
-	}
-	m.progress.intents = nil
-}
-
 func (m *Machine) workerIDs() []string {
 	ids := make([]string, 0, len(m.workers))
 	for id := range m.workers {
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -37,6 +37,7 @@
 		worker string
 		sent   port.Sync
 		result port.SyncResult
+		sentAt time.Time
 	}
 	batchFailed struct {
 		worker string
@@ -108,7 +109,7 @@
 }
 
 func (e workerSynced) apply(o *owner, now time.Time) {
-	o.machine.Synced(e.worker, e.sent, e.result, now)
+	o.machine.Synced(e.worker, e.sent, e.result, e.sentAt, now)
 }
 
 func (e batchFailed) apply(o *owner, _ time.Time) { o.machine.SyncFailed(e.worker, e.sent) }
--- a/internal/node/link.go
+++ b/internal/node/link.go
@@ -96,7 +96,7 @@
 			for _, e := range result.Events {
 				seen = max(seen, e.Sequence)
 			}
-			l.owner.send(workerSynced{host.ID, s, result})
+			l.owner.send(workerSynced{host.ID, s, result, sent})
 		case errors.Is(err, port.ErrFenced), now.Sub(renewed) > lease:
 			return
 		default:
@@ -119,12 +119,13 @@
 			}
 			host := *l.host.Load()
 			call, cancel := context.WithTimeout(ctx, commandTimeout)
+			sent := n.ports.Clock.Now()
 			result, err := n.ports.Workers.Sync(call, host, s)
 			cancel()
 			l.busy.Store(false)
 			switch {
 			case err == nil:
-				l.owner.send(workerSynced{host.ID, s, result})
+				l.owner.send(workerSynced{host.ID, s, result, sent})
 			case errors.Is(err, port.ErrFenced):
 				end()
 				return
@@ -132,6 +133,10 @@
 				n.log.Warn("batch to worker failed", "worker", host.ID, "error", err)
 				sleep(ctx, syncRetry)
 				l.owner.send(batchFailed{host.ID, s})
+				if !errors.Is(err, port.ErrUnavailable) {
+					end() // the token of a new lease fences the batch if it is still on its way
+					return
+				}
 			}
 		}
 	}
--- a/internal/node/progress.go
+++ b/internal/node/progress.go
@@ -48,7 +48,7 @@
 			o.send(progressSaved{written})
 			return
 		case errors.As(err, &conflict):
-			o.resolveConflict(doc, conflict)
+			o.resolveConflict(ctx, doc, conflict)
 			return
 		case errors.Is(err, port.ErrUnavailable):
 			o.send(progressFailed{})
@@ -62,7 +62,7 @@
 }
 
 // resolveConflict recognises this owner's own write, and otherwise merges what another owner wrote.
-func (o *owner) resolveConflict(doc partition.Progress, conflict *port.ConflictError) {
+func (o *owner) resolveConflict(ctx context.Context, doc partition.Progress, conflict *port.ConflictError) {
 	if conflict.Current == nil {
 		o.send(progressFailed{})
 		o.send(progressRead{partition.Progress{}, 0})
@@ -80,12 +80,19 @@
 	}
 	o.log.Warn("progress document was written by another owner", "writer", current.Writer)
 	o.send(progressRead{current, conflict.Current.Revision})
+	o.catchUp(ctx)
 }
 
 // verify brings the node's cache up to the time at which the owner began: allowances may have been given away, and
 // progress written, by a former owner shortly before.
 func (o *owner) verify(ctx context.Context) {
 	defer o.tasks.Done()
+	o.catchUp(ctx)
+}
+
+// catchUp makes the machine's copies of the records and of the progress document as recent as the store is now. Both
+// come from the cache, whose order of changes is the store's.
+func (o *owner) catchUp(ctx context.Context) {
 	for o.node.barrier(ctx) != nil {
 		if !sleep(ctx, acquireRetry) {
 			return
@@ -96,16 +103,12 @@
 	o.send(stateVerified{})
 }
 
-// reread brings the progress document up to date when a worker has seen a later one than this owner.
+// reread brings the progress document up to date when a worker has seen a later one than this owner. The document
+// alone would be more recent than the records of the jobs, of which one may have moved to another partition.
 func (o *owner) reread(ctx context.Context) {
-	call, cancel := context.WithTimeout(ctx, o.node.options.Timing.StoreTimeout)
-	defer cancel()
-	e, err := o.node.ports.Store.Get(call, port.ProgressPrefix+o.partition)
-	o.node.storeAnswered(err)
-	if err != nil {
-		return
-	}
-	if doc, err := partition.DecodeProgress(e.Value); err == nil {
-		o.send(progressRead{doc, e.Revision})
+	if o.node.barrier(ctx) == nil {
+		p, _ := o.node.state.progressOf(o.partition)
+		o.send(progressRead(p))
+		o.send(stateVerified{})
 	}
 }
--- a/internal/node/rebalance.go
+++ b/internal/node/rebalance.go
@@ -29,7 +29,7 @@
 		if target == "" {
 			continue
 		}
-		record := o.machine.Movable(r.ID)
+		record := o.machine.Movable(r.ID, now)
 		if record == nil {
 			continue
 		}
