Enforce key queue lists and queue classes; add views and one client

Cause: a key's queue list was ignored by the gateway. A job could be put on a queue of another class. A submitted job of class service was accepted, but no published service asked for it, so that its owner dropped it without a trace. Publish asked /v1/nodes without a key, which is refused, so that it could not see the revision in force at any node. Metrics of the gateway went to a registry that nothing exposes.

Change: admission uses object.Index.MayUse; closed queues also need the key of the service's team; the class of a job must be that of its queue; submissions of class service are refused as not run. New views: GET /v1/jobs, /v1/partitions and, without a key, /v1/revision, which publish uses now. Queue views count running tasks. Request metrics are part of /metrics.

Queues of class request are still referred to by no object.

--- a/internal/cli/nodes.go
+++ b/internal/cli/nodes.go
@@ -9,7 +9,7 @@
 
 	"github.com/pkg/errors"
 
-	"sequoiastall/internal/gateway"
+	"sequoiastall/internal/callerclient"
 	"sequoiastall/internal/node"
 	"sequoiastall/internal/platform"
 	"sequoiastall/internal/port"
@@ -53,29 +53,15 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, nodeTimeout)
 	defer cancel()
-	views, err := listNodes(ctx, registered.HTTPAddress)
-	if err != nil {
+	c := callerclient.Client{Address: registered.HTTPAddress, HTTP: http.DefaultClient}
+	view, err := c.Revision(ctx)
+	switch {
+	case err != nil:
 		r.Error = err.Error()
-		return r
-	}
-	for _, v := range views {
-		if v.ID == r.Node {
-			r.Revision = v.Revision
-		}
+	case view.Node != r.Node:
+		r.Error = "its address is now that of node " + view.Node
+	default:
+		r.Revision = view.Revision
 	}
 	return r
 }
-
-func listNodes(ctx context.Context, address string) ([]gateway.NodeView, error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/v1/nodes", nil)
-	if err != nil {
-		return nil, errors.Wrap(err, "node")
-	}
-	answer, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return nil, errors.Wrap(err, "node")
-	}
-	defer func() { _ = answer.Body.Close() }()
-	var views []gateway.NodeView
-	return views, errors.Wrap(json.NewDecoder(answer.Body).Decode(&views), "node")
-}
--- a/internal/core/partition/services.go
+++ b/internal/core/partition/services.go
@@ -11,9 +11,10 @@
 // start.
 const replaceTimeout = 30 * time.Second
 
-// serviceID is the same at every node that computes it, so that a new owner recognises the running instances.
-func (m *Machine) serviceID(g ServiceGoal) job.ID {
-	return job.NewID("service/"+g.Spec.Service, m.options.Partition+"/"+g.Version)
+// ServiceID returns the ID of the job whose tasks are a service's instances in a partition. It is the same at every
+// node that computes it, so that a new owner recognises the running instances.
+func ServiceID(partition string, g ServiceGoal) job.ID {
+	return job.NewID("service/"+g.Spec.Service, partition+"/"+g.Version)
 }
 
 // applyServices brings the service jobs in line with the configuration. Services have no record in the store: the
@@ -21,7 +22,7 @@
 func (m *Machine) applyServices(now time.Time) {
 	wanted := map[job.ID]ServiceGoal{}
 	for _, g := range m.config.Services {
-		id := m.serviceID(g)
+		id := ServiceID(m.options.Partition, g)
 		wanted[id] = g
 		s := m.jobs[id]
 		if s == nil {
--- a/internal/dev/cell.go
+++ b/internal/dev/cell.go
@@ -7,11 +7,13 @@
 	"io"
 	"log/slog"
 	"net"
+	"net/http"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc"
 
+	"sequoiastall/internal/callerclient"
 	"sequoiastall/internal/core/configuration"
 	"sequoiastall/internal/core/object"
 	"sequoiastall/internal/core/resource"
@@ -183,6 +185,11 @@
 	c.serving.Wait()
 }
 
+// Caller returns a client of the i-th node.
+func (c *Cell) Caller(i int, secret string, client *http.Client) *callerclient.Client {
+	return &callerclient.Client{Address: c.Nodes[i].Server.HTTPAddress(), Secret: secret, HTTP: client}
+}
+
 // Capacity returns the capacity of each worker by host ID.
 func (c *Cell) Capacity() map[string]resource.Vector {
 	all := map[string]resource.Vector{}
--- a/internal/dev/cell_test.go
+++ b/internal/dev/cell_test.go
@@ -10,6 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"sequoiastall/internal/callerclient"
 	"sequoiastall/internal/core/job"
 	"sequoiastall/internal/core/object"
 	"sequoiastall/internal/core/resource"
@@ -44,9 +45,7 @@
 	defer cell.Stop()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
-	caller := func(i int, secret string) *Caller {
-		return &Caller{Address: cell.Nodes[i].Server.HTTPAddress(), Secret: secret, HTTP: http.DefaultClient}
-	}
+	caller := func(i int, secret string) *callerclient.Client { return cell.Caller(i, secret, http.DefaultClient) }
 
 	batch, err := caller(0, "example-harbour-batch").Submit(ctx, "batch-1", job.Spec{Queue: "harbour-reports", Class: job.Batch,
 		Tasks: 20, Resources: resource.Vector{Slots: 1, MilliCPU: 1000, MemoryMB: 512}, DurationMS: 200, Idempotent: true})
@@ -72,7 +71,8 @@
 				assert.NilError(t, json.Unmarshal(data, &body))
 				break
 			}
-			assert.Assert(t, pause(ctx), err)
+			assert.NilError(t, ctx.Err(), err)
+			time.Sleep(100 * time.Millisecond)
 		}
 		assert.Equal(t, body.Path, "/gates/7")
 	}
--- a/internal/gateway/errors.go
+++ b/internal/gateway/errors.go
@@ -22,6 +22,7 @@
 	CodeNoKey           Code = "key_missing"
 	CodeUnknownKey      Code = "key_unknown"
 	CodeWrongTeam       Code = "wrong_team"
+	CodeQueueNotAllowed Code = "queue_not_allowed"
 	CodeUnknownQueue    Code = "unknown_queue"
 	CodeUnknownService  Code = "unknown_service"
 	CodeNotFound        Code = "not_found"
@@ -40,7 +41,8 @@
 
 var statuses = map[Code]int{
 	CodeInvalid: 400, CodeTooLarge: 413, CodeSlowSender: 408, CodeNoKey: 401, CodeUnknownKey: 401, CodeWrongTeam: 403,
-	CodeUnknownQueue: 404, CodeUnknownService: 404, CodeNotFound: 404, CodeMethod: 405, CodeConflict: 409,
+	CodeQueueNotAllowed: 403,
+	CodeUnknownQueue:    404, CodeUnknownService: 404, CodeNotFound: 404, CodeMethod: 405, CodeConflict: 409,
 	CodeDuplicate: 409, CodeNoAuthority: 503, CodeDraining: 503, CodeOverload: 503, CodeNoInstance: 503, CodeStore: 503,
 	CodeUpstreamFailed: 502, CodeUpstreamTimeout: 504, CodeInternal: 500,
 }
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -9,18 +9,19 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/rcrowley/go-metrics"
 	"gotest.tools/v3/assert"
 
 	"sequoiastall/internal/core/job"
 	"sequoiastall/internal/core/routing"
 	"sequoiastall/internal/port"
+	"sequoiastall/internal/telemetry"
 )
 
 // upstream is a service instance on loopback whose answers a test writes byte by byte.
@@ -136,9 +137,11 @@
 func (n *fakeNode) Authenticate(secret string) (Identity, error) {
 	switch secret {
 	case "secret-a":
-		return Identity{"key-a", "a"}, nil
+		return Identity{Key: "key-a", Team: "a"}, nil
 	case "secret-b":
-		return Identity{"key-b", "b"}, nil
+		return Identity{Key: "key-b", Team: "b"}, nil
+	case "secret-a-shared":
+		return Identity{Key: "key-a-shared", Team: "a", Queues: []string{"shared"}}, nil
 	}
 	return Identity{}, ErrUnknownKey
 }
@@ -150,7 +153,9 @@
 }
 
 func (n *fakeNode) Queue(name string) (Queue, bool) {
-	q, ok := map[string]Queue{"qa": {Name: "qa", Team: "a"}, "shared": {Name: "shared"}, "open": {Name: "open", Open: true}}[name]
+	q, ok := map[string]Queue{"qa": {Name: "qa", Team: "a", Class: job.Batch}, "shared": {Name: "shared", Class: job.Service},
+		"open": {Name: "open", Open: true, Class: job.Batch}, "gangs": {Name: "gangs", Team: "a", Class: job.Gang},
+		"requests": {Name: "requests", Team: "a", Class: "request"}}[name]
 	return q, ok
 }
 
@@ -197,9 +202,19 @@
 	return s, nil
 }
 
-func (n *fakeNode) Nodes() []NodeView   { return []NodeView{{ID: "n1", Zone: "z1", State: "live"}} }
-func (n *fakeNode) Queues() []QueueView { return []QueueView{{Name: "qa", Team: "a"}} }
-func (n *fakeNode) Teams() []TeamView   { return []TeamView{{Name: "a", Limit: 8}} }
+func (n *fakeNode) MayUse(id Identity, queue string) bool {
+	return len(id.Queues) == 0 || slices.Contains(id.Queues, queue)
+}
+
+func (n *fakeNode) Jobs(_ context.Context, team string) JobList {
+	return JobList{Jobs: []JobView{{ID: "J-" + job.ID(team)}}, Total: 1}
+}
+
+func (n *fakeNode) Nodes() []NodeView                  { return []NodeView{{ID: "n1", Zone: "z1", State: "live"}} }
+func (n *fakeNode) Queues(context.Context) []QueueView { return []QueueView{{Name: "qa", Team: "a"}} }
+func (n *fakeNode) Teams() []TeamView                  { return []TeamView{{Name: "a", Limit: 8}} }
+func (n *fakeNode) Partitions() []PartitionView        { return []PartitionView{{Name: "z1/0", Owner: "n1"}} }
+func (n *fakeNode) Revision() RevisionView             { return RevisionView{Node: "n1", Revision: 3} }
 
 // fakeStore keeps claims in memory. A fault, if set, replaces the answer of the next Put or Get.
 type fakeStore struct {
@@ -279,11 +294,11 @@
 }
 
 func newRig(t testing.TB, permits int32, upstreams ...*upstream) *rig {
-	r := &rig{t: t, node: &fakeNode{jobs: map[job.ID]job.Status{}, service: Service{Name: "lookup", Queue: "shared", Deadline: 5 * time.Second}},
+	r := &rig{t: t, node: &fakeNode{jobs: map[job.ID]job.Status{}, service: Service{Name: "lookup", Team: "a", Queue: "shared", Deadline: 5 * time.Second}},
 		store: &fakeStore{entries: map[string]port.Entry{}}, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
 	r.router = NewRouter("z1", rand.New(rand.NewPCG(1, 2)), port.SystemClock{})
 	r.gateway = New(Options{NodeID: "n1", Node: r.node, Router: r.router, Store: r.store, Clock: port.SystemClock{},
-		Log: slog.New(slog.DiscardHandler), Registry: metrics.NewRegistry(), BodyLimit: 1 << 20, ReadTimeout: 300 * time.Millisecond,
+		Log: slog.New(slog.DiscardHandler), Registry: telemetry.NewRegistry(slog.New(slog.DiscardHandler)), BodyLimit: 1 << 20, ReadTimeout: 300 * time.Millisecond,
 		Metrics: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "metrics") })})
 	r.apply(permits, 64, upstreams...)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"net"
 	"net/http"
@@ -16,6 +17,7 @@
 	"sequoiastall/internal/core/job"
 	"sequoiastall/internal/core/routing"
 	"sequoiastall/internal/port"
+	"sequoiastall/internal/telemetry"
 )
 
 // Defaults of Options.
@@ -36,7 +38,7 @@
 	Store       port.Store // for claims of keyed requests
 	Clock       port.Clock
 	Log         *slog.Logger
-	Registry    metrics.Registry
+	Registry    *telemetry.Registry
 	Metrics     http.Handler  // serves GET /metrics, nil for none
 	BodyLimit   int           // bytes of a request body, 0 for 4 MB
 	ReadTimeout time.Duration // for the whole request from the caller, 0 for 10 s
@@ -53,13 +55,13 @@
 
 type meters struct {
 	requests, tries, retries, hedges, refused metrics.Counter
-	latency                                   metrics.Timer
+	latency                                   *telemetry.Histogram
 }
 
-func newMeters(r metrics.Registry) *meters {
-	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("gateway."+name, r) }
-	return &meters{counter("requests"), counter("tries"), counter("retries"), counter("hedges"), counter("refused"),
-		metrics.GetOrRegisterTimer("gateway.try_latency", r)}
+func newMeters(r *telemetry.Registry) *meters {
+	counter := func(name string) metrics.Counter { return r.Counter("request_" + name + "_total") }
+	return &meters{r.Counter("requests_total"), counter("tries"), counter("retries"), counter("hedges"), counter("refusals"),
+		r.Histogram("request_try_time_us")}
 }
 
 // New returns a gateway that isn't serving yet.
@@ -86,9 +88,13 @@
 	g.app.Post("/v1/jobs", g.work(g.submit))
 	g.app.Get("/v1/jobs/:id", g.status)
 	g.app.Delete("/v1/jobs/:id", g.cancel)
-	g.app.Get("/v1/nodes", g.view(func() any { return g.node.Nodes() }))
-	g.app.Get("/v1/queues", g.view(func() any { return g.node.Queues() }))
-	g.app.Get("/v1/teams", g.view(func() any { return g.node.Teams() }))
+	g.app.Get("/v1/jobs", g.view(func(ctx context.Context, id Identity) any { return g.node.Jobs(ctx, id.Team) }))
+	g.app.Get("/v1/nodes", g.view(func(context.Context, Identity) any { return g.node.Nodes() }))
+	g.app.Get("/v1/queues", g.view(func(ctx context.Context, _ Identity) any { return g.node.Queues(ctx) }))
+	g.app.Get("/v1/teams", g.view(func(context.Context, Identity) any { return g.node.Teams() }))
+	g.app.Get("/v1/partitions", g.view(func(context.Context, Identity) any { return g.node.Partitions() }))
+	// Operators have no key when they publish and wait for the revision to be in force.
+	g.app.Get("/v1/revision", func(c fiber.Ctx) error { return c.JSON(g.node.Revision()) })
 	g.app.All("/services/:service/*", g.work(g.request))
 	g.app.Get("/healthz", g.health)
 	if metricsHandler != nil {
@@ -159,26 +165,25 @@
 	if err != nil {
 		return "", err
 	}
-	if queue.Open {
-		if id == nil {
+	if id == nil {
+		if queue.Open {
 			return team, nil
 		}
-		if team != "" && team != id.Team {
-			return "", notRun(CodeWrongTeam, "the key is of another team than the work")
-		}
-		return id.Team, nil
+		return "", keyNeeded()
 	}
 	switch {
-	case id == nil:
-		return "", notRun(CodeNoKey, "a key is needed: Authorization: Bearer <secret>")
 	case team != "" && team != id.Team:
 		return "", notRun(CodeWrongTeam, "the key is of another team than the work")
-	case queue.Team != "" && queue.Team != id.Team:
+	case !queue.Open && queue.Team != "" && queue.Team != id.Team:
 		return "", notRun(CodeWrongTeam, "the queue is of another team than the key")
+	case !g.node.MayUse(*id, queue.Name):
+		return "", notRun(CodeQueueNotAllowed, "the key may not use queue "+strconv.Quote(queue.Name))
 	}
 	return id.Team, nil
 }
 
+func keyNeeded() *Error { return notRun(CodeNoKey, "a key is needed: Authorization: Bearer <secret>") }
+
 func (g *Gateway) submit(c fiber.Ctx) error {
 	key := strings.Clone(c.Get(HeaderKey))
 	if key == "" {
@@ -205,6 +210,9 @@
 	if team == "" {
 		return notRun(CodeInvalid, "team is missing")
 	}
+	if queue.Class != spec.Class {
+		return notRun(CodeInvalid, fmt.Sprintf("queue %q takes class %s, not %s", queue.Name, queue.Class, spec.Class))
+	}
 	spec.Team = team
 	ctx, cancel := context.WithTimeout(context.Background(), submitTimeout)
 	defer cancel()
@@ -224,7 +232,7 @@
 	status, err := g.node.Status(ctx, job.ID(strings.Clone(c.Params("id"))))
 	if err != nil {
 		if id == nil {
-			return job.Status{}, notRun(CodeNoKey, "a key is needed: Authorization: Bearer <secret>")
+			return job.Status{}, keyNeeded()
 		}
 		return job.Status{}, fromNode(err, false)
 	}
@@ -233,7 +241,7 @@
 	case id != nil && id.Team == status.Spec.Team, ok && queue.Open:
 		return status, nil
 	case id == nil:
-		return job.Status{}, notRun(CodeNoKey, "a key is needed: Authorization: Bearer <secret>")
+		return job.Status{}, keyNeeded()
 	}
 	return job.Status{}, notRun(CodeWrongTeam, "the key is of another team than the job")
 }
@@ -261,16 +269,18 @@
 	return c.JSON(status)
 }
 
-func (g *Gateway) view(get func() any) fiber.Handler {
+func (g *Gateway) view(get func(ctx context.Context, id Identity) any) fiber.Handler {
 	return func(c fiber.Ctx) error {
 		id, bad := g.identify(c)
 		if bad != nil {
 			return bad
 		}
 		if id == nil {
-			return notRun(CodeNoKey, "a key is needed: Authorization: Bearer <secret>")
+			return keyNeeded()
 		}
-		return c.JSON(get())
+		ctx, cancel := context.WithTimeout(context.Background(), submitTimeout)
+		defer cancel()
+		return c.JSON(get(ctx, *id))
 	}
 }
 
@@ -323,6 +333,9 @@
 	if bad != nil {
 		return nil, bad
 	}
+	if !queue.Open && svc.Team != team {
+		return nil, notRun(CodeWrongTeam, "the service is of another team than the key")
+	}
 	x := &call{in: c.Request(), service: svc, team: team, idempotent: svc.Idempotent, path: upstreamPath(c)}
 	if text := c.Get(HeaderIdempotent); text != "" {
 		if text != "true" && text != "false" {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -56,6 +56,14 @@
 		{"queue of another team", with(`"team":"a"`, `"team":"b"`), []string{key, "Authorization: Bearer secret-b"}, 403, CodeWrongTeam},
 		{"key of another team on an open queue", with(`"qa"`, `"open"`), []string{key, "Authorization: Bearer secret-b"}, 403, CodeWrongTeam},
 		{"revoked key on an open queue", with(`"qa"`, `"open"`), []string{key, "Authorization: Bearer zzz"}, 401, CodeUnknownKey},
+		{"key limited to other queues", spec, []string{key, "Authorization: Bearer secret-a-shared"}, 403, CodeQueueNotAllowed},
+		{"key limited to other queues on an open queue", with(`"qa"`, `"open"`), []string{key, "Authorization: Bearer secret-a-shared"}, 403, CodeQueueNotAllowed},
+		{"batch on a queue for gangs", with(`"qa"`, `"gangs"`), []string{key}, 400, CodeInvalid},
+		{"gang on a queue for batch", with(`batch`, `gang`), []string{key}, 400, CodeInvalid},
+		{"batch on a queue for requests", with(`"qa"`, `"requests"`), []string{key}, 400, CodeInvalid},
+		{"service instances", with(`batch"`, `service","service":"lookup","concurrency":4`), []string{key}, 400, CodeInvalid},
+		{"concurrency of a batch job", with(`"tasks"`, `"concurrency":4,"tasks"`), []string{key}, 400, CodeInvalid},
+		{"no team on an open queue", strings.Replace(with(`"qa"`, `"open"`), `"team":"a",`, ``, 1), []string{key, "Authorization: "}, 400, CodeInvalid},
 		{"compressed", spec, []string{key, "Content-Encoding: gzip"}, 400, CodeInvalid},
 		{"oversized", strings.Repeat(" ", 1<<20+1) + spec, []string{key}, 413, CodeTooLarge},
 		{"oversized header", spec, []string{key, "X: " + strings.Repeat("x", 20<<10)}, 413, CodeTooLarge},
@@ -78,6 +86,8 @@
 		{"/services/nope/", "X: 1", 404, CodeUnknownService},
 		{"/services/lookup/", "Authorization: ", 401, CodeNoKey},
 		{"/services/lookup/", "Authorization: Bearer zzz", 401, CodeUnknownKey},
+		{"/services/lookup/", "Authorization: Bearer secret-b", 403, CodeWrongTeam},
+		{"/services/opened/", "Authorization: Bearer secret-a-shared", 403, CodeQueueNotAllowed},
 		{"/services/lookup/", HeaderDeadline + ": 0", 400, CodeInvalid},
 		{"/services/lookup/", HeaderDeadline + ": 30001", 400, CodeInvalid},
 		{"/services/lookup/", HeaderDeadline + ": soon", 400, CodeInvalid},
@@ -171,13 +181,16 @@
 // Guards against views without a key or with other content than the node's.
 func TestViews(t *testing.T) {
 	r := newRig(t, 4)
-	for path, part := range map[string]string{"nodes": `"zone":"z1"`, "queues": `"name":"qa"`, "teams": `"limit":8`} {
+	for path, part := range map[string]string{"nodes": `"zone":"z1"`, "queues": `"name":"qa"`, "teams": `"limit":8`,
+		"partitions": `"owner":"n1"`, "jobs": `"id":"J-a"`} {
 		a := r.do("GET", "/v1/"+path, "")
 		assert.Equal(t, a.status, 200)
 		assert.Assert(t, strings.Contains(a.body, part), a.body)
 		r.do("GET", "/v1/"+path, "", "Authorization: ").has(t, 401, CodeNoKey, "not_run")
 	}
 	assert.Equal(t, r.do("GET", "/metrics", "").body, "metrics")
+	assert.Equal(t, r.do("GET", "/v1/revision", "", "Authorization: ").body, `{"node":"n1","revision":3}`)
+	assert.Equal(t, r.do("GET", "/services/lookup/x", "", "Authorization: Bearer secret-a-shared").status, 503, "no instance")
 }
 
 // BenchmarkRequest compares a request through the gateway with one that goes to the instance itself.
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"sequoiastall/internal/core/job"
+	"sequoiastall/internal/core/resource"
 )
 
 // Errors that a Node returns. Any other error of a method that changes state means that the outcome is unknown.
@@ -28,20 +29,23 @@
 
 // Identity is whom a key speaks for.
 type Identity struct {
-	Key  string // name of the key object
-	Team string
+	Key    string // name of the key object
+	Team   string
+	Queues []string // queues that the key is limited to, none for no limit
 }
 
 // Queue is what the gateway needs to know of a queue.
 type Queue struct {
-	Name string
-	Team string // team that owns the queue, empty if several teams may use it
-	Open bool   // takes work of any team, with or without a key
+	Name  string
+	Team  string    // team that owns the queue, empty if several teams may use it
+	Open  bool      // takes work of any team, with or without a key
+	Class job.Class // of the jobs that it takes; "request" for one that takes none
 }
 
 // Service is what the gateway needs to know of a service.
 type Service struct {
 	Name       string
+	Team       string // whose key a request needs, unless the queue is open
 	Queue      string
 	Class      int           // 0 is shed first
 	Idempotent bool          // default for requests that don't say
@@ -70,15 +74,54 @@
 	Name    string `json:"name"`
 	Team    string `json:"team,omitempty"`
 	Open    bool   `json:"open,omitempty"`
-	Pending int64  `json:"pending"` // tasks
-	Running int64  `json:"running"` // tasks
+	Class   string `json:"class"`
+	Pending int64  `json:"pending"` // tasks of jobs
+	Running int64  `json:"running"` // tasks of jobs
+}
+
+// PartitionView is one partition in GET /v1/partitions.
+type PartitionView struct {
+	Name    string `json:"name"`
+	Owner   string `json:"owner,omitempty"` // node, empty if none is known
+	Workers int32  `json:"workers"`         // workers that the owner holds
+	// Settled tells that every worker of the partition is accounted for.
+	Settled  bool            `json:"settled"`
+	Capacity resource.Vector `json:"capacity"`
+	Free     resource.Vector `json:"free"`
+}
+
+// JobView is one job in GET /v1/jobs.
+type JobView struct {
+	ID          job.ID    `json:"id"`
+	Name        string    `json:"name,omitempty"`
+	Queue       string    `json:"queue"`
+	Partition   string    `json:"partition"`
+	Phase       job.Phase `json:"phase"`
+	Tasks       int32     `json:"tasks"`
+	Pending     int32     `json:"pending"`
+	Running     int32     `json:"running"`
+	SubmittedMS int64     `json:"submitted_ms"`      // Unix time
+	Waiting     string    `json:"waiting,omitempty"` // why pending tasks wait
+}
+
+// JobList is the answer to GET /v1/jobs: jobs that haven't ended, oldest first.
+type JobList struct {
+	Jobs  []JobView `json:"jobs"`
+	Total int       `json:"total"` // also those that the list leaves out because of its length
+}
+
+// RevisionView is the answer to GET /v1/revision.
+type RevisionView struct {
+	Node     string `json:"node"`
+	Revision int64  `json:"revision"` // in force, 0 for none
 }
 
 // TeamView is one team in GET /v1/teams. Figures are slots.
 type TeamView struct {
 	Name    string  `json:"name"`
 	Weight  float64 `json:"weight"`
-	Limit   int64   `json:"limit"`
+	Limit   int64   `json:"limit"` // meaningful if Limited
+	Limited bool    `json:"limited"`
 	Running int64   `json:"running"`
 	Backlog int64   `json:"backlog"`
 }
@@ -102,7 +145,15 @@
 	// Cancel requests that a job ends; repeated calls are harmless. ErrNotFound, ErrNotTaken.
 	Cancel(ctx context.Context, id job.ID) (job.Status, error)
 
+	// MayUse reports whether work that was presented with the identity's key is accepted on a queue.
+	MayUse(id Identity, queue string) bool
+
+	// Jobs lists the jobs of a team that haven't ended.
+	Jobs(ctx context.Context, team string) JobList
+	// Queues asks the owners of the partitions what runs.
+	Queues(ctx context.Context) []QueueView
 	Nodes() []NodeView
-	Queues() []QueueView
 	Teams() []TeamView
+	Partitions() []PartitionView
+	Revision() RevisionView
 }
--- a/internal/gateway/proxy.go
+++ b/internal/gateway/proxy.go
@@ -185,7 +185,7 @@
 		result = routing.Abandoned
 	}
 	p.router.done(pick, result, observed)
-	p.metrics.latency.Update(latency)
+	p.metrics.latency.Record(latency)
 	p.logTry(c, &t, kind, latency)
 	return t
 }
--- a/internal/gateway/spec.go
+++ b/internal/gateway/spec.go
@@ -70,14 +70,17 @@
 		}
 	}
 	switch {
-	case s.Class != job.Batch && s.Class != job.Gang && s.Class != job.Service:
-		return fmt.Sprintf("class is %q, must be batch, gang or service", s.Class)
+	case s.Class == job.Service:
+		// The published services say which instances run; an owner drops a service job that none of them asks for.
+		return "class is service: operators start services by publishing them"
+	case s.Class != job.Batch && s.Class != job.Gang:
+		return fmt.Sprintf("class is %q, must be batch or gang", s.Class)
 	case r == resource.Vector{}:
 		return "resources is empty"
-	case (s.Class == job.Service) != (s.Service != ""):
-		return "service must be given for class service, and only then"
-	case (s.Class == job.Service) != (s.Concurrency > 0):
-		return "concurrency must be given for class service, and only then"
+	case s.Service != "":
+		return "service must not be given"
+	case s.Concurrency > 0:
+		return "concurrency must not be given"
 	}
 	return ""
 }
--- a/internal/node/policy.go
+++ b/internal/node/policy.go
@@ -86,6 +86,11 @@
 	return partition.ServiceGoal{Spec: spec, Version: serviceVersion(s, resources)}
 }
 
+// ServiceID returns the ID of the job whose tasks are a service's instances in a partition.
+func ServiceID(name string, s object.Service) job.ID {
+	return partition.ServiceID(name, serviceGoal(s, 0))
+}
+
 // serviceVersion changes when running instances have to be replaced.
 func serviceVersion(s object.Service, r resource.Vector) string {
 	text := s.Team + "\x00" + s.Pool + "\x00" + strconv.Itoa(int(s.Concurrency))
--- a/internal/node/views.go
+++ b/internal/node/views.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"sequoiastall/internal/core/job"
 	"sequoiastall/internal/core/membership"
 	"sequoiastall/internal/core/object"
 	"sequoiastall/internal/core/resource"
@@ -24,7 +25,13 @@
 	if !found {
 		return gateway.Identity{}, gateway.ErrUnknownKey
 	}
-	return gateway.Identity{Key: key.Name, Team: key.Team}, nil
+	return gateway.Identity{Key: key.Name, Team: key.Team, Queues: key.Queues}, nil
+}
+
+// MayUse reports whether work that was presented with the identity's key is accepted on a queue.
+func (n *Node) MayUse(id gateway.Identity, queue string) bool {
+	held := n.current()
+	return held != nil && held.Index.MayUse(object.Key{Team: id.Team, Queues: id.Queues}, queue)
 }
 
 // Authority applies the freshness rule.
@@ -42,7 +49,7 @@
 		return gateway.Queue{}, false
 	}
 	q, found := held.Index.Queue(name)
-	return gateway.Queue{Name: q.Name, Team: q.Team, Open: q.Open}, found
+	return gateway.Queue{Name: q.Name, Team: q.Team, Open: q.Open, Class: job.Class(q.Class)}, found
 }
 
 // Service returns a service of the configuration in force.
@@ -55,7 +62,7 @@
 	if !found {
 		return gateway.Service{}, false
 	}
-	view := gateway.Service{Name: s.Name, Queue: s.Queue, Idempotent: s.Idempotent, Hedge: s.Idempotent,
+	view := gateway.Service{Name: s.Name, Team: s.Team, Queue: s.Queue, Idempotent: s.Idempotent, Hedge: s.Idempotent,
 		Deadline: time.Duration(s.RequestTimeoutMS) * time.Millisecond}
 	if q, found := held.Index.Queue(s.Queue); found {
 		view.WaitingLimit = int(q.WaitingLimit())
@@ -73,7 +80,7 @@
 func (n *Node) Nodes() []gateway.NodeView {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	var views []gateway.NodeView
+	views := []gateway.NodeView{}
 	for _, v := range n.table.Members(n.ports.Clock.Now()) {
 		state := v.State.String()
 		if v.Status != membership.Alive && !v.Self {
@@ -88,30 +95,11 @@
 	return views
 }
 
-// Queues lists the queues with what is pending and running in them.
-func (n *Node) Queues() []gateway.QueueView {
-	held := n.current()
-	if held == nil {
-		return nil
-	}
-	pending := map[string]int64{}
-	for _, r := range n.state.jobsOf("") {
-		if !r.Phase.Final() {
-			pending[r.Spec.Queue] += int64(r.Spec.Tasks)
-		}
-	}
-	var views []gateway.QueueView
-	for _, q := range held.Set.Queues {
-		views = append(views, gateway.QueueView{Name: q.Name, Team: q.Team, Open: q.Open, Pending: pending[q.Name]})
-	}
-	return views
-}
-
 // Teams lists the teams with what they run and wait for.
 func (n *Node) Teams() []gateway.TeamView {
 	held := n.current()
 	if held == nil {
-		return nil
+		return []gateway.TeamView{}
 	}
 	running, backlog := map[string]resource.Vector{}, map[string]resource.Vector{}
 	for _, s := range n.remoteSummaries("") {
@@ -120,15 +108,66 @@
 			backlog[t.Team] = backlog[t.Team].Add(t.Backlog)
 		}
 	}
-	var views []gateway.TeamView
+	views := []gateway.TeamView{}
 	for _, name := range held.Index.Teams() {
 		team, _ := held.Index.Team(name)
 		view := gateway.TeamView{Name: name, Weight: team.Weight, Running: running[name].Slots, Backlog: backlog[name].Slots}
 		if team.Limited {
-			view.Limit = team.Limit.Slots
+			view.Limit, view.Limited = team.Limit.Slots, true
 		}
 		views = append(views, view)
 	}
 	sort.Slice(views, func(i, j int) bool { return views[i].Name < views[j].Name })
 	return views
 }
+
+// Partitions lists the partitions of the configuration in force with what their owners announce.
+func (n *Node) Partitions() []gateway.PartitionView {
+	views := []gateway.PartitionView{}
+	held := n.current()
+	if held == nil {
+		return views
+	}
+	announced := n.announcedPartitions()
+	for _, p := range n.partitionsOf(held) {
+		view, known := announced[string(p)]
+		if !known {
+			view.Name = string(p)
+		}
+		views = append(views, view)
+	}
+	return views
+}
+
+// announcedPartitions returns the partitions that live members announce. Of this node's own partitions it is what the
+// owners know themselves.
+func (n *Node) announcedPartitions() map[string]gateway.PartitionView {
+	views := map[string]gateway.PartitionView{}
+	add := func(owner string, s membership.Summary) {
+		views[s.Partition] = gateway.PartitionView{Name: s.Partition, Owner: owner, Workers: s.Workers, Settled: s.Settled,
+			Capacity: s.Capacity, Free: s.Free}
+	}
+	n.mu.Lock()
+	for _, v := range n.table.Members(n.ports.Clock.Now()) {
+		if v.Self || v.Status == membership.Dead {
+			continue
+		}
+		for _, s := range v.Partitions {
+			add(v.ID, s)
+		}
+	}
+	n.mu.Unlock()
+	for _, s := range n.owners.summaries() {
+		add(n.options.ID, s)
+	}
+	return views
+}
+
+// Revision returns the revision in force at this node.
+func (n *Node) Revision() gateway.RevisionView {
+	view := gateway.RevisionView{Node: n.options.ID}
+	if held := n.current(); held != nil {
+		view.Revision = held.Document.Revision
+	}
+	return view
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/rcrowley/go-metrics"
 	"github.com/sourcegraph/conc"
 
 	"sequoiastall/internal/core/partition"
@@ -67,7 +66,7 @@
 		HTTPAddress: httpAt.Addr().String(), Seeds: s.Seeds, Timing: timing(s.Timing)},
 		node.Ports{Store: store, Hosts: store, Workers: v.workers, Peers: v.peers, Clock: clock}, router, log, registry)
 	v.gateway = gateway.New(gateway.Options{NodeID: s.NodeID, Node: v.node, Router: router, Store: store, Clock: clock, Log: log,
-		Registry: metrics.NewRegistry(), Metrics: registryHandler(registry)})
+		Registry: registry, Metrics: registryHandler(registry, router)})
 	v.peerGRPC = peer.NewServer(v.node, peer.Options{Stats: registry.StatsHandler(telemetry.PeerNode)})
 	return v, nil
 }
@@ -85,9 +84,11 @@
 	return d
 }
 
-func registryHandler(r *telemetry.Registry) http.Handler {
+func registryHandler(r *telemetry.Registry, router *gateway.Router) http.Handler {
+	permits := r.Gauge("permit_violations")
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+		permits.Update(int64(router.Violations()))
+		w.Header().Set("Content-Type", telemetry.ContentType)
 		_ = r.WriteText(w)
 	})
 }
