Add the dev command and its demonstration

Cause: a whole cell could only be started from a test.

Change: `dev` runs a cell on loopback and prints its addresses.

--- a/internal/cli/validate.go
+++ b/internal/cli/validate.go
@@ -46,6 +46,11 @@
 	if err != nil {
 		return object.Set{}, err
 	}
+	return checkedSet(cmd, dir, files)
+}
+
+// checkedSet validates files that were read from a directory. Problems go to stderr, one per line.
+func checkedSet(cmd *cobra.Command, dir string, files []object.File) (object.Set, error) {
 	set, problems := object.Validate(files)
 	if len(problems) == 0 {
 		return set, nil
--- /dev/null
+++ b/internal/demo/checks.go
@@ -0,0 +1,181 @@
+package demo
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"sequoiastall/internal/callerclient"
+	"sequoiastall/internal/core/job"
+	"sequoiastall/internal/core/resource"
+	"sequoiastall/internal/node"
+	"sequoiastall/internal/port"
+	"sequoiastall/internal/standin/worker"
+)
+
+// checkRuns compares the run log with the jobs: each task succeeded exactly once, no worker and no team was ever beyond
+// its bound.
+func (d *demo) checkRuns(runs []worker.Run, jobs []*plannedJob) {
+	for _, v := range d.cell.Runs.Violations(d.cell.Capacity()) {
+		d.breach(v)
+	}
+	succeeded := map[job.TaskID]int{}
+	for _, r := range runs {
+		if r.State == port.TaskSucceeded {
+			succeeded[r.Task]++
+		}
+	}
+	for _, j := range jobs {
+		d.checkJob(j, succeeded)
+	}
+	teams := d.teamsOf(jobs)
+	for _, r := range runs {
+		if teams[r.Task.Job] == "" {
+			d.breach(fmt.Sprintf("%s belongs to no job and no service of the run", r))
+		}
+	}
+	limits := map[string]resource.Vector{}
+	for _, t := range d.set.Teams {
+		if quota, ok := d.index.Team(t.Name); ok && quota.Limited {
+			limits[t.Name] = quota.Limit
+		}
+	}
+	for _, text := range limitViolations(runs, teams, limits) {
+		d.breach(text)
+	}
+}
+
+func (d *demo) checkJob(j *plannedJob, succeeded map[job.TaskID]int) {
+	if j.err != nil {
+		d.breach(fmt.Sprintf("%s job %s of %s was lost: %v", j.class, j.status.ID, j.team, j.err))
+		return
+	}
+	if j.status.Phase != job.Done || j.status.Succeeded != j.spec.Tasks {
+		d.breach(fmt.Sprintf("%s job %s of %s is %s with %d of %d tasks done, %d unknown: %s", j.class, j.status.ID, j.team,
+			j.status.Phase, j.status.Succeeded, j.spec.Tasks, j.status.Unknown, j.status.Reason))
+	}
+	for i := range j.spec.Tasks {
+		if n := succeeded[job.TaskID{Job: j.status.ID, Index: i}]; n != 1 {
+			d.breach(fmt.Sprintf("task %s/%d of %s ran to its end %d times", j.status.ID, i, j.team, n))
+		}
+	}
+}
+
+// teamsOf returns the team of each job of the run and of each service's instances.
+func (d *demo) teamsOf(jobs []*plannedJob) map[job.ID]string {
+	teams := map[job.ID]string{}
+	for _, j := range jobs {
+		teams[j.status.ID] = j.team
+	}
+	for _, z := range d.set.Zones {
+		for k := range max(1, d.set.Cell.PartitionsPerZone) {
+			for _, s := range d.set.Services {
+				teams[node.ServiceID(fmt.Sprintf("%s/%d", z.Name, k), s)] = s.Team
+			}
+		}
+	}
+	return teams
+}
+
+// change is a change of what runs, at a start or at an end.
+type change struct {
+	at     time.Time
+	amount resource.Vector
+	start  bool
+	run    worker.Run
+}
+
+// changesOf returns the starts and ends of runs in order. At the same moment, ends come first.
+func changesOf(runs []worker.Run) []change {
+	var changes []change
+	for _, r := range runs {
+		changes = append(changes, change{r.Start, r.Reserved, true, r})
+		if !r.End.IsZero() {
+			changes = append(changes, change{r.End, r.Reserved.Scale(-1), false, r})
+		}
+	}
+	slices.SortStableFunc(changes, func(a, b change) int {
+		return cmp.Or(a.at.Compare(b.at), cmp.Compare(order(a), order(b)))
+	})
+	return changes
+}
+
+func order(c change) int {
+	if c.start {
+		return 1
+	}
+	return 0
+}
+
+// limitViolations names every start by which a team exceeded its limit across the cell.
+func limitViolations(runs []worker.Run, teams map[job.ID]string, limits map[string]resource.Vector) []string {
+	var out []string
+	used := map[string]resource.Vector{}
+	for _, c := range changesOf(runs) {
+		team := teams[c.run.Task.Job]
+		used[team] = used[team].Add(c.amount)
+		if limit, limited := limits[team]; limited && c.start && !used[team].Fits(limit) {
+			out = append(out, fmt.Sprintf("%s took team %s beyond its limit: %+v of %+v", c.run, team, used[team], limit))
+		}
+	}
+	return out
+}
+
+// checkRequests compares the tries with what the instances ran.
+func (d *demo) checkRequests(exchanges []exchange) {
+	ran := d.cell.Runs.Requests()
+	for _, x := range exchanges {
+		if text := requestViolation(x, ran[x.id]); text != "" {
+			d.breach("request " + x.id + " to " + x.service + " " + text)
+		}
+	}
+}
+
+// requestViolation returns what is wrong with a try whose request ran n times, or nothing.
+func requestViolation(x exchange, n int) string {
+	switch {
+	case x.wrong != "":
+		return "got an answer that isn't its own: " + x.wrong
+	case x.outcome == callerclient.NotRun && n > 0:
+		return fmt.Sprintf("was refused as not run (%s) and ran %d times", x.code, n)
+	case !x.idempotent && n > 1:
+		return fmt.Sprintf("isn't idempotent and ran %d times", n)
+	case x.outcome == outcomeOK && n == 0:
+		return "was answered and never ran"
+	}
+	return ""
+}
+
+// checkMetrics looks for violations of invariants that the nodes counted.
+func (d *demo) checkMetrics(ctx context.Context) {
+	for i, n := range d.cell.Nodes {
+		data, err := d.caller(i, d.set.Teams[0].Name).Call(ctx, http.MethodGet, "/metrics", nil, nil)
+		if err != nil {
+			d.breach(fmt.Sprintf("the metrics of %s can't be read: %v", n.ID, err))
+			continue
+		}
+		for _, line := range countedViolations(string(data)) {
+			d.breach(n.ID + " counted " + line)
+		}
+	}
+}
+
+// countedViolations returns the lines of an exposition that count violations.
+func countedViolations(text string) []string {
+	var found []string
+	for line := range strings.Lines(text) {
+		name, value, ok := strings.Cut(strings.TrimSpace(line), " ")
+		if !ok || !strings.Contains(name, "violations") || strings.HasPrefix(name, "#") {
+			continue
+		}
+		if n, err := strconv.ParseFloat(value, 64); err != nil || n > 0 {
+			found = append(found, name+" "+value)
+		}
+	}
+	return found
+}
--- a/internal/dev/cell.go
+++ b/internal/dev/cell.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -40,6 +41,7 @@
 	Log            io.Writer       // JSON lines of all nodes
 	LogLevel       slog.Level
 	UsageLag       time.Duration
+	HTTPBase       int // port of the first node's callers' interface, the others use the following ones; 0 for any free ports
 }
 
 // DefaultOptions returns the sizes of the deployments: about 50 workers of 8 slots, 16 cores and 32 GB, six to a rack.
@@ -86,6 +88,7 @@
 	c.address = l.Addr().String()
 	c.serving.Go(func() { _ = c.Platform.Serve(l) })
 	if c.store, err = platform.New(c.address); err != nil {
+		c.Stop()
 		return nil, err
 	}
 	if err := c.startWorkers(); err != nil {
@@ -153,6 +156,9 @@
 func (c *Cell) StartNode(id, zone string) (*Node, error) {
 	s := settings.Default()
 	s.NodeID, s.Zone, s.PlatformAddress, s.PeerAddress, s.HTTPAddress = id, zone, c.address, loopback, loopback
+	if c.options.HTTPBase > 0 {
+		s.HTTPAddress = net.JoinHostPort("127.0.0.1", strconv.Itoa(c.options.HTTPBase+len(c.Nodes)))
+	}
 	log := telemetry.NewLogger(c.options.Log, c.options.LogLevel, id, zone)
 	v, err := server.New(s, log)
 	if err != nil {
@@ -190,6 +196,9 @@
 	return &callerclient.Client{Address: c.Nodes[i].Server.HTTPAddress(), Secret: secret, HTTP: client}
 }
 
+// PlatformAddress returns the address of the platform's stand-in, IP:port.
+func (c *Cell) PlatformAddress() string { return c.address }
+
 // Capacity returns the capacity of each worker by host ID.
 func (c *Cell) Capacity() map[string]resource.Vector {
 	all := map[string]resource.Vector{}
