--- a/internal/dev/cell.go
+++ b/internal/dev/cell.go
@@ -7,11 +7,14 @@
 	"io"
 	"log/slog"
 	"net"
+	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc"
 
+	"sequoiastall/internal/callerclient"
 	"sequoiastall/internal/core/configuration"
 	"sequoiastall/internal/core/object"
 	"sequoiastall/internal/core/resource"
@@ -39,6 +42,7 @@
 	LogLevel       slog.Level
 	UsageLag       time.Duration
 	Adjust         func(*settings.Settings) // of each node, nil for the defaults
+	HTTPBase       int                      // port of the first node's callers' interface, the others use the following ones; 0 for any free ports
 }
 
 // DefaultOptions returns the sizes of the deployments: about 50 workers of 8 slots, 16 cores and 32 GB, six to a rack.
@@ -85,6 +89,7 @@
 	c.address = l.Addr().String()
 	c.serving.Go(func() { _ = c.Platform.Serve(l) })
 	if c.store, err = platform.New(c.address); err != nil {
+		c.Stop()
 		return nil, err
 	}
 	if err := c.startWorkers(); err != nil {
@@ -155,6 +160,9 @@
 	if c.options.Adjust != nil {
 		c.options.Adjust(&s)
 	}
+	if c.options.HTTPBase > 0 {
+		s.HTTPAddress = net.JoinHostPort("127.0.0.1", strconv.Itoa(c.options.HTTPBase+len(c.Nodes)))
+	}
 	log := telemetry.NewLogger(c.options.Log, c.options.LogLevel, id, zone)
 	v, err := server.New(s, log)
 	if err != nil {
@@ -187,6 +195,14 @@
 	c.serving.Wait()
 }
 
+// Caller returns a client of the i-th node.
+func (c *Cell) Caller(i int, secret string, client *http.Client) *callerclient.Client {
+	return &callerclient.Client{Address: c.Nodes[i].Server.HTTPAddress(), Secret: secret, HTTP: client}
+}
+
+// PlatformAddress returns the address of the platform's stand-in, IP:port.
+func (c *Cell) PlatformAddress() string { return c.address }
+
 // Capacity returns the capacity of each worker by host ID.
 func (c *Cell) Capacity() map[string]resource.Vector {
 	all := map[string]resource.Vector{}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -182,13 +182,5 @@
 	return now.UnixNano()-n.storeSeen.Load() < (2 * n.options.Timing.ConfigPoll).Nanoseconds()
 }
 
-// Revision returns the revision of the configuration in force, 0 if there is none.
-func (n *Node) Revision() int64 {
-	if held := n.current(); held != nil {
-		return held.Document.Revision
-	}
-	return 0
-}
-
 // current returns the configuration in force, nil if there is none.
 func (n *Node) current() *configuration.Held { return n.held.Load() }
