Divide a job into parts that several partitions run

Change: core/job can describe a job as parts, each a range of its tasks in one partition, and derive the record that a partition runs from each. Nothing uses it yet. Conclusion: the store keeps one record for a job, so that its acceptance stays one write.

--- /dev/null
+++ b/internal/core/job/parts.go
@@ -0,0 +1,112 @@
+package job
+
+import (
+	"strconv"
+	"strings"
+)
+
+// Part is a range of a job's tasks that one partition runs. A job whose tasks don't fit into one partition's free
+// capacity is divided when it is accepted, so that it can use the room of several.
+type Part struct {
+	Partition string `json:"partition"`
+	First     int32  `json:"first"` // index of its first task within the job
+	Count     int32  `json:"count"`
+	Phase     Phase  `json:"phase"` // Pending until final
+	Reason    string `json:"reason,omitempty"`
+	Succeeded int32  `json:"succeeded,omitempty"`
+	Unknown   int32  `json:"unknown,omitempty"`
+	// Completed and Undecided carry the progress of a part that moved, with indexes from 0 within the part.
+	Completed Ranges `json:"completed"`
+	Undecided Ranges `json:"undecided"`
+}
+
+// partSeparator stands between a job's ID and the number of a part.
+const partSeparator = "."
+
+// PartID returns the ID under which a partition runs a part.
+func (id ID) PartID(number int) ID { return id + partSeparator + ID(strconv.Itoa(number)) }
+
+// Parent returns the ID of the job and the number of the part, or the ID itself and -1 for an undivided job.
+func (id ID) Parent() (ID, int) {
+	parent, suffix, divided := strings.Cut(string(id), partSeparator)
+	number, err := strconv.Atoi(suffix)
+	if !divided || err != nil {
+		return id, -1
+	}
+	return ID(parent), number
+}
+
+// Runs returns the records that partitions run for this one: itself if it is undivided, otherwise one for each part.
+func (r Record) Runs() []Record {
+	if len(r.Parts) == 0 {
+		return []Record{r}
+	}
+	runs := make([]Record, len(r.Parts))
+	for k := range r.Parts {
+		runs[k] = r.run(k)
+	}
+	return runs
+}
+
+func (r Record) run(k int) Record {
+	p := r.Parts[k]
+	run := r
+	run.ID, run.Parts, run.Partition, run.Phase = r.ID.PartID(k), nil, p.Partition, p.Phase
+	run.Spec.Tasks, run.Spec.FirstIndex = p.Count, p.First
+	run.Reason, run.Succeeded, run.Unknown = p.Reason, p.Succeeded, p.Unknown
+	run.Completed, run.Undecided = p.Completed, p.Undecided
+	return run
+}
+
+// Partitions returns the partitions that run the job.
+func (r Record) Partitions() []string {
+	if len(r.Parts) == 0 {
+		return []string{r.Partition}
+	}
+	names := make([]string, len(r.Parts))
+	for k, p := range r.Parts {
+		names[k] = p.Partition
+	}
+	return names
+}
+
+// WithRun returns the record after one of its Runs has ended or moved. It leaves a record alone that is final, or whose
+// run has ended or moved already: changed is false then.
+func (r Record) WithRun(run Record, from string) (next Record, changed bool) {
+	_, k := run.ID.Parent()
+	if r.Phase.Final() || k >= len(r.Parts) || (k < 0) != (len(r.Parts) == 0) {
+		return r, false
+	}
+	if k < 0 {
+		if r.Partition != from {
+			return r, false
+		}
+		run.CancelRequested, run.Writer = r.CancelRequested, r.Writer
+		return run, true
+	}
+	old := r.Parts[k]
+	if old.Phase.Final() || old.Partition != from {
+		return r, false
+	}
+	r.Parts = append([]Part(nil), r.Parts...)
+	r.Parts[k] = Part{Partition: run.Partition, First: old.First, Count: old.Count, Phase: run.Phase, Reason: run.Reason,
+		Succeeded: run.Succeeded, Unknown: run.Unknown, Completed: run.Completed, Undecided: run.Undecided}
+	r.conclude(run.EndedMS)
+	return r, true
+}
+
+// conclude sets the phase of a divided job once all its parts have ended: cancelled or failed parts decide it.
+func (r *Record) conclude(endedMS int64) {
+	r.Succeeded, r.Unknown = 0, 0
+	phase, reason := Done, ""
+	for _, p := range r.Parts {
+		r.Succeeded, r.Unknown = r.Succeeded+p.Succeeded, r.Unknown+p.Unknown
+		switch {
+		case !p.Phase.Final():
+			return
+		case p.Phase == Failed || (p.Phase == Cancelled && phase == Done):
+			phase, reason = p.Phase, p.Reason
+		}
+	}
+	r.Phase, r.Reason, r.EndedMS = phase, reason, endedMS
+}
--- a/internal/core/job/types.go
+++ b/internal/core/job/types.go
@@ -58,6 +58,8 @@
 	Payload    []byte          `json:"payload,omitempty"`     // handed to each task as it is
 	// Service is the name of the service object whose instances the tasks are; empty for other classes.
 	Service string `json:"service,omitempty"`
+	// FirstIndex is the index, within the caller's job, of the first task; set for parts of a divided job only.
+	FirstIndex int32 `json:"first_index,omitempty"`
 	// Concurrency is the number of requests that a service instance serves at once.
 	Concurrency int32 `json:"concurrency,omitempty"`
 }
@@ -79,10 +81,12 @@
 
 // Record is the store's value for a job, at key jobs/<id>.
 type Record struct {
-	ID              ID     `json:"id"`
-	Key             string `json:"key"` // the caller's idempotency key
-	Spec            Spec   `json:"spec"`
-	Partition       string `json:"partition"`
+	ID   ID     `json:"id"`
+	Key  string `json:"key"` // the caller's idempotency key
+	Spec Spec   `json:"spec"`
+	// Partition runs the whole job; empty if the job is divided into Parts.
+	Partition       string `json:"partition,omitempty"`
+	Parts           []Part `json:"parts,omitempty"`
 	SubmittedMS     int64  `json:"submitted_ms"` // Unix time
 	CancelRequested bool   `json:"cancel_requested,omitempty"`
 	Phase           Phase  `json:"phase"` // Pending until final: running isn't stored
