--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -90,6 +90,7 @@
 	holder  *configuration.Holder
 	random  *rand.Rand
 	drained bool
+	left    bool
 	// outside is when a member of another zone was last heard.
 	outside time.Time
 
