Wire worker health fully, replace service instances before they are drained

Cause: deaths of workers never reached the health tracker, quarantined workers were never probed, and instances on leaving workers were drained at once. The directed tests (rules_test.go) and services in the model state what is wanted.

Change: - health.Died is told of a lapsed worker that the host list calls dead, and of one that came back without its memory; quarantined workers get one idempotent batch task as a probe, before shares are served; a probe that ends without an outcome is cancelled; ForgetWorker when a worker leaves the list. - Services: a missing instance is started before an instance on a leaving worker or of an old version is drained, one at a time where there is no room; scaling down drains surplus instances; a new owner recognises instances beyond the wanted number, starts none before it has settled, and lets instances of unknown versions run until the wanted ones are ready. - The successor waits for as many workers as its predecessor announced; the rule was on the design page but not in the code. - An attempt that a worker refuses as a duplicate of a record from before the job was forgotten takes the next number; before, it stayed booked for ever. - A displaced start that was never sent left its reservation behind. - A shape that never fits no longer counts as starved.

The probe test failed while probes came after the share order: no task was left for them.

--- a/internal/core/job/state.go
+++ b/internal/core/job/state.go
@@ -128,6 +128,15 @@
 	return -1
 }
 
+// Reopen makes a task of a service pending again whose last instance was drained.
+func (s *State) Reopen(index int32) {
+	t := &s.Tasks[index]
+	s.counts[t.Phase]--
+	s.counts[TaskPending]++
+	*t = Task{Attempt: t.Attempt, Seen: t.Seen}
+	s.next = min(s.next, index)
+}
+
 // Resize changes the number of tasks of a service. Tasks beyond a smaller number are dropped; the caller has stopped
 // them before.
 func (s *State) Resize(n int32) {
@@ -141,5 +150,4 @@
 		s.counts[TaskPending]++
 	}
 	s.next = min(s.next, n)
-	s.Record.Spec.Tasks = n
 }
--- a/internal/core/partition/cell_model_test.go
+++ b/internal/core/partition/cell_model_test.go
@@ -166,8 +166,9 @@
 // heal ends all faults and lets everything finish.
 func (m *model) heal(t *rapid.T) {
 	m.faults, m.storeDown, m.late = nil, false, nil
+	m.services, m.revision = map[string][]ServiceGoal{}, m.revision+1
 	for _, w := range m.workers {
-		w.cut, w.failing = false, false
+		w.cut, w.leaving, w.host.State = false, false, port.HostLive
 		if w.down {
 			w.restart()
 		}
@@ -197,6 +198,9 @@
 // checkEnd asserts that every job has ended with a truthful record and that nothing is left of them.
 func (m *model) checkEnd(t *rapid.T) {
 	for id, spec := range m.specs {
+		if spec.Class == job.Service {
+			continue
+		}
 		r, _ := m.record(id)
 		if !r.Phase.Final() {
 			t.Fatalf("job %s (%+v) didn't end: %+v", id, spec, m.status(id))
@@ -253,6 +257,15 @@
 		m := newModel(t)
 		t.Repeat(map[string]func(*rapid.T){
 			"tick": m.tick, "tick again": m.tick, "wait": m.wait, "submit": m.submitAny, "finish": m.finish, "move": m.move,
+			"service": func(t *rapid.T) {
+				m.setService(rapid.SampledFrom([]string{"p", "q"}).Draw(t, "p"), rapid.SampledFrom([]string{"v1", "v2"}).Draw(t, "version"),
+					int32(rapid.IntRange(0, 3).Draw(t, "instances")))
+			},
+			"leave": func(*rapid.T) {
+				w := m.pickWorker()
+				w.leaving = !w.leaving
+				w.host.State = map[bool]port.HostState{true: port.HostLeaving}[w.leaving]
+			},
 			"cancel": m.cancelAny,
 			"pause":  func(*rapid.T) { o := m.pickOwner(); o.paused = !o.paused },
 			"kill":   func(*rapid.T) { m.kill(m.pickOwner()) },
--- a/internal/core/partition/cell_test.go
+++ b/internal/core/partition/cell_test.go
@@ -35,6 +35,7 @@
 	born      int
 	services  map[string][]ServiceGoal
 	teams     map[string]resource.Vector
+	revision  int // of services and teams
 }
 
 // fakeOwner drives a machine as internal/node does.
@@ -50,6 +51,7 @@
 	saving    []byte // document whose write is under way
 	revision  int64
 	verified  bool
+	config    int // revision of the configuration in force
 }
 
 type fakeLink struct {
@@ -158,6 +160,7 @@
 		o.m.SetAllowance(team, allowance)
 	}
 	o.m.SetConfig(config, o.cell.now)
+	o.config = o.cell.revision
 	o.m.SetCellCapacity(resource.Vector{Slots: 16, MilliCPU: 16000, MemoryMB: 16000})
 }
 
@@ -207,6 +210,9 @@
 			o.m.StateVerified()
 		}
 	}
+	if o.config != c.revision && !c.chance(50) {
+		o.configure()
+	}
 	if !c.chance(70) {
 		o.hosts = c.hosts
 		o.m.SetHosts(o.partitionHosts(), c.now)
@@ -289,6 +295,7 @@
 	switch r, accepted, answered := o.call(id, s); {
 	case !answered:
 		o.m.SyncFailed(id, s)
+		o.lose(id)
 	case !accepted:
 		o.lose(id)
 	default:
--- a/internal/core/partition/cycle.go
+++ b/internal/core/partition/cycle.go
@@ -44,16 +44,19 @@
 	m.giveUpMoves(now)
 	m.dropOrphans(now)
 	m.tendGangs(now)
+	m.strange = m.hasStrangers()
+	m.endProbes(now)
 	m.tendLeaving()
 	m.tendServices(now)
 	if m.verified {
-		m.stopStrangers()
+		m.stopStrangers(now)
 	}
 	c := &cycle{now: now, misfits: map[shape]placementFailure{}, blocked: map[job.ID]bool{},
 		cursor: map[job.ID]int32{}, needs: map[string]resource.Vector{}}
 	if m.mayStart {
 		m.refreshReservation(c)
 		m.startUrgent(c)
+		m.startProbes(c)
 		m.startByShare(c)
 		m.startReserved(c)
 		m.makeRoom(c)
@@ -149,7 +152,7 @@
 func (m *Machine) nextStartable(s *job.State, from int32) int32 {
 	for i := s.NextPending(from); i >= 0; i = s.NextPending(i + 1) {
 		id := job.TaskID{Job: s.Record.ID, Index: i}
-		if _, intended := m.progress.intents[id]; !intended && (m.settled || m.certain(id)) {
+		if _, intended := m.progress.intents[id]; !intended && (m.settled || m.certain(id)) && !m.isStranger(id) {
 			return i
 		}
 	}
@@ -170,7 +173,9 @@
 	key := shape{t.Reserved, spec.Pool, m.backfills(c, s)}
 	if len(t.FailedOn) == 0 {
 		if failure, known := c.misfits[key]; known {
-			c.starved = append(c.starved, s)
+			if !failure.never {
+				c.starved = append(c.starved, s)
+			}
 			return failure.reason, false
 		}
 	}
--- a/internal/core/partition/machine.go
+++ b/internal/core/partition/machine.go
@@ -39,7 +39,8 @@
 	settled    bool
 	exclusive  time.Time // since when no other node can hold a worker of the partition; zero if one may
 	mayStart   bool
-	announced  int // workers that a former owner announced
+	strange    bool // a worker may run a task of a job that isn't known; updated by each cycle
+	announced  int  // workers that a former owner announced
 	claimed    bool
 
 	queue       queue
@@ -49,6 +50,7 @@
 	started     map[job.ID]time.Time
 	moving      map[job.ID]*move
 	quarantined map[string]bool
+	probes      map[string]job.TaskID // by worker
 	roomFor     map[job.TaskID]job.ID // victims that are stopping, and for which job
 	makingRoom  map[job.ID]int        // the same by job
 	sharedAt    time.Time             // last preemption for the sake of shares
@@ -77,7 +79,7 @@
 		started:  map[job.ID]time.Time{},
 		ended:    map[job.ID]time.Time{},
 		mayStart: true, progress: progressState{intents: map[job.TaskID]string{}},
-		moving: map[job.ID]*move{}, quarantined: map[string]bool{}, roomFor: map[job.TaskID]job.ID{}, makingRoom: map[job.ID]int{},
+		moving: map[job.ID]*move{}, quarantined: map[string]bool{}, probes: map[string]job.TaskID{}, roomFor: map[job.TaskID]job.ID{}, makingRoom: map[job.ID]int{},
 	}
 }
 
@@ -136,7 +138,7 @@
 func (m *Machine) SetClaimed(claimed bool) { m.claimed = claimed }
 
 // SetAnnounced tells how many workers of the partition its former owner announced last. This owner's host list lags
-// behind as long as it holds fewer.
+// behind if it holds fewer; a worker that it doesn't show has lapsed after the wait for a foreign one.
 func (m *Machine) SetAnnounced(workers int) { m.announced = workers }
 
 // Settled reports whether every worker of the partition is accounted for.
--- a/internal/core/partition/reconcile.go
+++ b/internal/core/partition/reconcile.go
@@ -74,6 +74,7 @@
 
 // foundRunning books an attempt that a worker reports as running.
 func (m *Machine) foundRunning(w *worker, r port.TaskRecord, now time.Time) {
+	m.openInstance(r.Task)
 	s, t := m.jobs[r.Task.Job], m.task(r.Task)
 	if t == nil {
 		m.foundStranger(w, r)
@@ -163,7 +164,7 @@
 		return
 	}
 	if t.Phase == job.TaskRunning {
-		if r.State == port.TaskSucceeded {
+		if r.State == port.TaskSucceeded && s.Record.Spec.Class != job.Service {
 			m.finish(s, r.Task.Index, job.TaskSucceeded)
 		}
 		return
@@ -208,6 +209,11 @@
 		}
 		return
 	}
+	if t.Stopping && s.Record.Spec.Class == job.Service {
+		m.unbook(s, index)
+		m.setPhase(s, index, job.TaskSucceeded) // drained
+		return
+	}
 	switch r.State {
 	case port.TaskSucceeded:
 		m.unbook(s, index)
--- a/internal/core/partition/services.go
+++ b/internal/core/partition/services.go
@@ -8,10 +8,12 @@
 	"sequoiastall/internal/port"
 )
 
-// replaceTimeout bounds how long instances of an old version of a service are kept for the sake of the new version's
-// start.
+// replaceTimeout bounds how long instances on leaving workers are kept for the sake of their replacement's start.
 const replaceTimeout = 30 * time.Second
 
+// maxInstances bounds what a worker's report can make of a service.
+const maxInstances = 1 << 16
+
 // ServiceID returns the ID of the job whose tasks are a service's instances in a partition. It is the same at every
 // node that computes it, so that a new owner recognises the running instances.
 func ServiceID(partition string, g ServiceGoal) job.ID {
@@ -32,33 +34,16 @@
 			s = job.NewState(record)
 			m.jobs[id] = s
 		}
-		m.resize(s, g.Spec.Tasks)
+		if n := g.Spec.Tasks; n > int32(len(s.Tasks)) {
+			s.Resize(n)
+		}
+		s.Record.Spec.Tasks = g.Spec.Tasks
 		m.queue.touch(s)
 		m.adopt(s, now)
 	}
-	for id, s := range m.jobs {
-		if _, keep := wanted[id]; s.Record.Spec.Class == job.Service && !keep && m.ended[id].IsZero() {
-			m.ended[id] = now // draining since
-		}
-	}
-	for id := range wanted {
-		delete(m.ended, id)
-	}
 	m.goals = wanted
 }
 
-// resize changes the number of instances. Instances beyond a smaller number are drained and dropped when they end.
-func (m *Machine) resize(s *job.State, n int32) {
-	if n >= int32(len(s.Tasks)) {
-		s.Resize(n)
-		return
-	}
-	s.Record.Spec.Tasks = n
-	for i := n; i < int32(len(s.Tasks)); i++ {
-		m.sendCommand(s, i, drainCommand)
-	}
-}
-
 // goalDraining reports whether a service job is no longer wanted.
 func (m *Machine) goalDraining(id job.ID) bool {
 	s := m.jobs[id]
@@ -69,54 +54,134 @@
 	return !wanted
 }
 
-// tendServices drains instances that are no longer wanted, once their replacement runs or its time is up, and drops
-// what has ended.
+// tendServices keeps the wanted number of instances running, and replaces old versions and the instances of leaving
+// workers before they are drained, where there is room.
 func (m *Machine) tendServices(now time.Time) {
 	for id, s := range m.jobs {
 		if s.Record.Spec.Class != job.Service {
 			continue
 		}
-		if _, wanted := m.goals[id]; wanted {
-			m.trim(s)
-			continue
-		}
-		if s.Count(job.TaskRunning)+s.Count(job.TaskIntended) == 0 {
-			m.drop(s)
-			continue
-		}
-		if !m.replaced(s) && now.Sub(m.ended[id]) < replaceTimeout {
-			continue
+		if g, wanted := m.goals[id]; wanted {
+			m.tendWanted(s, g.Spec.Tasks, now)
+		} else {
+			m.tendOld(s)
 		}
-		for i := range s.Tasks {
-			m.sendCommand(s, int32(i), drainCommand)
+	}
+}
+
+// serving lists the instances of a service that are neither draining nor, unless they are asked for, on workers that
+// are leaving. Highest indexes come first.
+func (m *Machine) serving(s *job.State, leaving bool) (indexes []int32) {
+	for i := int32(len(s.Tasks)) - 1; i >= 0; i-- {
+		t := &s.Tasks[i]
+		w := m.workers[t.Worker]
+		if t.Phase == job.TaskRunning && !t.Stopping && w != nil && (w.host.State == port.HostLeaving) == leaving {
+			indexes = append(indexes, i)
 		}
 	}
+	return indexes
 }
 
-// trim drops ended instances beyond the wanted number.
-func (m *Machine) trim(s *job.State) {
-	n := s.Record.Spec.Tasks
+// tendWanted makes tasks pending for the instances that are missing, and drains those that aren't needed. Drained tasks
+// are in phase succeeded until they are opened again.
+func (m *Machine) tendWanted(s *job.State, n int32, now time.Time) {
+	if !m.settled {
+		return
+	}
+	stay := m.serving(s, false)
+	m.setPending(s, max(0, n-int32(len(stay))))
+	for len(stay) > int(n) {
+		m.sendCommand(s, stay[0], drainCommand)
+		stay = stay[1:]
+	}
+	surplus := m.ready(s) - n
+	for _, i := range m.serving(s, true) {
+		left := now.Sub(m.workers[s.Tasks[i].Worker].leavingAt)
+		if surplus--; surplus >= 0 || m.waiting[s.Record.ID] != "" || left >= replaceTimeout {
+			m.sendCommand(s, i, drainCommand)
+		}
+	}
 	keep := int32(len(s.Tasks))
-	for keep > n && s.Tasks[keep-1].Phase != job.TaskRunning {
+	for keep > n && s.Tasks[keep-1].Phase == job.TaskSucceeded {
 		keep--
 	}
-	if keep < int32(len(s.Tasks)) {
-		s.Resize(keep)
-		s.Record.Spec.Tasks = n
+	s.Resize(keep)
+	s.Record.Spec.Tasks = n
+}
+
+// setPending opens or closes tasks until the given number is pending or about to start.
+func (m *Machine) setPending(s *job.State, n int32) {
+	pending := s.Count(job.TaskPending) + s.Count(job.TaskIntended)
+	for i := range s.Tasks {
+		if pending < n && s.Tasks[i].Phase == job.TaskSucceeded {
+			s.Reopen(int32(i))
+			pending++
+		}
+	}
+	if pending < n {
+		s.Resize(int32(len(s.Tasks)) + n - pending)
+	}
+	for i := len(s.Tasks) - 1; i >= 0 && pending > n; i-- {
+		if s.Tasks[i].Phase == job.TaskPending {
+			m.setPhase(s, int32(i), job.TaskSucceeded)
+			pending--
+		}
+	}
+	if n == 0 {
+		delete(m.waiting, s.Record.ID)
 	}
+	m.queue.touch(s)
 }
 
-// replaced reports whether another version of the service runs in full, or none is wanted.
-func (m *Machine) replaced(old *job.State) bool {
+// openInstance makes room for an instance that a worker reports and this owner doesn't expect.
+func (m *Machine) openInstance(id job.TaskID) {
+	s := m.jobs[id.Job]
+	if s == nil || s.Record.Spec.Class != job.Service || id.Index < 0 || id.Index > maxInstances {
+		return
+	}
+	for int(id.Index) >= len(s.Tasks) {
+		s.Resize(int32(len(s.Tasks)) + 1)
+		m.setPhase(s, int32(len(s.Tasks))-1, job.TaskSucceeded)
+	}
+	if s.Tasks[id.Index].Phase == job.TaskSucceeded {
+		s.Reopen(id.Index)
+	}
+}
+
+// tendOld drains a version of a service that is no longer wanted: as many instances as the new version has ready beyond
+// the wanted number, and one at a time where the new version finds no room beside it.
+func (m *Machine) tendOld(old *job.State) {
+	if old.Count(job.TaskRunning)+old.Count(job.TaskIntended) == 0 {
+		m.drop(old)
+		return
+	}
+	running := append(m.serving(old, true), m.serving(old, false)...)
+	surplus := int32(len(running))
 	for id, g := range m.goals {
 		if g.Spec.Service != old.Record.Spec.Service || g.Spec.Tasks == 0 {
 			continue
 		}
-		if m.ready(m.jobs[id]) < g.Spec.Tasks {
-			return false
+		surplus = m.ready(old) + m.ready(m.jobs[id]) - g.Spec.Tasks
+		if surplus <= 0 && m.waiting[id] != "" && len(running) == int(old.Count(job.TaskRunning)) {
+			surplus = 1
+		}
+	}
+	for _, i := range running {
+		if surplus--; surplus >= 0 {
+			m.sendCommand(old, i, drainCommand)
+		}
+	}
+}
+
+// awaitsReplacement reports whether instances of unknown jobs, which may be an old version of a service, should stay
+// until the wanted services run.
+func (m *Machine) awaitsReplacement(now time.Time) bool {
+	for id, g := range m.goals {
+		if m.ready(m.jobs[id]) < g.Spec.Tasks && m.waiting[id] == "" {
+			return now.Sub(m.since) < m.options.Timing.Foreign()+replaceTimeout
 		}
 	}
-	return true
+	return false
 }
 
 func (m *Machine) ready(s *job.State) int32 {
@@ -129,27 +194,16 @@
 	return n
 }
 
-// tendLeaving moves work off the workers that are leaving.
+// tendLeaving moves batch work off the workers that are leaving; it continues elsewhere from a checkpoint.
 func (m *Machine) tendLeaving() {
 	for _, w := range m.workers {
-		if w.held && w.host.State == port.HostLeaving && len(w.tasks) > 0 {
-			m.vacate(w)
-		}
-	}
-}
-
-// vacate moves work off a worker that is leaving: instances are drained and batch tasks continue elsewhere from a
-// checkpoint.
-func (m *Machine) vacate(w *worker) {
-	for id := range w.tasks {
-		s := m.jobs[id.Job]
-		if s == nil || m.task(id) == nil {
+		if !w.held || w.host.State != port.HostLeaving {
 			continue
 		}
-		if s.Record.Spec.Class == job.Service {
-			m.sendCommand(s, id.Index, drainCommand)
-		} else {
-			m.sendCommand(s, id.Index, checkpointCommand)
+		for id := range w.tasks {
+			if s := m.jobs[id.Job]; s != nil && m.task(id) != nil && s.Record.Spec.Class != job.Service {
+				m.sendCommand(s, id.Index, checkpointCommand)
+			}
 		}
 	}
 }
--- a/internal/core/partition/settle.go
+++ b/internal/core/partition/settle.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"sequoiastall/internal/core/health"
 	"sequoiastall/internal/core/job"
 )
 
@@ -15,7 +14,9 @@
 			continue
 		}
 		w.accounted, w.expired = true, true
-		m.died(w, now)
+		if !w.deadAt.IsZero() {
+			m.died(w, now)
+		}
 		m.loseTasks(w, now)
 	}
 }
@@ -81,8 +82,13 @@
 	}
 }
 
+func (m *Machine) listLags(now time.Time) bool {
+	lapsed := !m.exclusive.IsZero() && now.Sub(later(m.exclusive, m.since)) >= m.options.Timing.Foreign()
+	return len(m.workers) < m.announced && !lapsed
+}
+
 func (m *Machine) allReported(now time.Time) bool {
-	if !m.jobsLoaded || !m.progress.loaded || len(m.workers) == 0 || len(m.workers) < m.announced {
+	if !m.jobsLoaded || !m.progress.loaded || len(m.workers) == 0 || m.listLags(now) {
 		return false
 	}
 	for _, w := range m.workers {
@@ -113,32 +119,3 @@
 		}
 	}
 }
-
-// died passes the loss of a worker that the host list calls dead to the evidence on jobs.
-func (m *Machine) died(w *worker, now time.Time) {
-	if w.deadAt.IsZero() {
-		return
-	}
-	d := health.Death{Worker: w.host.ID, Zone: w.host.Zone, Rack: w.host.Rack, Workers: len(m.workers)}
-	seen := map[job.ID]bool{}
-	for task := range w.tasks {
-		s := m.jobs[task.Job]
-		if s == nil || seen[task.Job] || s.Tasks[task.Index].Phase != job.TaskRunning {
-			continue
-		}
-		seen[task.Job] = true
-		d.Jobs = append(d.Jobs, health.Presence{Job: task.Job, Workers: workersOf(s)})
-	}
-	m.follow(m.health.Died(d, now))
-	delete(m.quarantined, w.host.ID)
-}
-
-func workersOf(s *job.State) int {
-	names := map[string]bool{}
-	for i := range s.Tasks {
-		if s.Tasks[i].Phase == job.TaskRunning {
-			names[s.Tasks[i].Worker] = true
-		}
-	}
-	return len(names)
-}
--- a/internal/core/partition/strangers.go
+++ b/internal/core/partition/strangers.go
@@ -1,6 +1,7 @@
 package partition
 
 import (
+	"slices"
 	"time"
 
 	"sequoiastall/internal/core/job"
@@ -15,6 +16,28 @@
 		reserved: m.cluster.Reserve(w.host.ID, request) == nil}
 }
 
+func (m *Machine) hasStrangers() bool {
+	for _, w := range m.workers {
+		if len(w.strangers) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// isStranger reports whether an attempt of the task still runs that isn't booked.
+func (m *Machine) isStranger(id job.TaskID) bool {
+	if !m.strange {
+		return false
+	}
+	for _, w := range m.workers {
+		if _, runs := w.strangers[id]; runs {
+			return true
+		}
+	}
+	return false
+}
+
 func (m *Machine) releaseStranger(w *worker, id job.TaskID) {
 	x := w.strangers[id]
 	delete(w.strangers, id)
@@ -36,6 +59,10 @@
 	if w == nil || !w.held {
 		return
 	}
+	if i := slices.Index(w.starts, pendingStart{id, attempt}); i >= 0 && !w.doubtful {
+		w.starts = slices.Delete(w.starts, i, i+1) // it was never sent
+		return
+	}
 	m.ledger.Restore(team, request.Resources)
 	w.strangers[id] = stranger{request: request, attempt: attempt, address: address, team: team,
 		reserved: m.cluster.Reserve(w.host.ID, request) == nil}
@@ -88,10 +115,11 @@
 }
 
 // stopStrangers stops tasks of jobs that don't exist any more, once the job table is complete.
-func (m *Machine) stopStrangers() {
+func (m *Machine) stopStrangers(now time.Time) {
+	await := m.awaitsReplacement(now)
 	for _, w := range m.workers {
 		for id, x := range w.strangers {
-			if !w.held || x.stopping {
+			if !w.held || x.stopping || (await && x.address != "") {
 				continue
 			}
 			m.stopStranger(w, id)
--- a/internal/core/partition/usage.go
+++ b/internal/core/partition/usage.go
@@ -70,7 +70,10 @@
 	for _, v := range verdicts {
 		switch v.Action {
 		case health.Quarantine, health.Restore:
-			m.quarantined[v.Worker] = v.Action == health.Quarantine
+			delete(m.quarantined, v.Worker)
+			if v.Action == health.Quarantine {
+				m.quarantined[v.Worker] = true
+			}
 			if w := m.workers[v.Worker]; w != nil && w.held {
 				m.upsert(w)
 			}
--- a/internal/core/partition/workers.go
+++ b/internal/core/partition/workers.go
@@ -24,9 +24,10 @@
 	host     port.Host
 	listedAt time.Time
 	// deadAt is when the host list first said that the worker is dead; zero if it doesn't.
-	deadAt time.Time
-	held   bool
-	token  port.Token
+	deadAt    time.Time
+	leavingAt time.Time // when it first said that the worker is leaving; zero if it doesn't
+	held      bool
+	token     port.Token
 	// lastSent is when the last message that could renew the control lease was sent.
 	lastSent    time.Time
 	renewed     time.Time // when the last message that the worker has accepted was sent
@@ -82,6 +83,12 @@
 			w = &worker{listedAt: now, tasks: map[job.TaskID]*booking{}, strangers: map[job.TaskID]stranger{}}
 			m.workers[h.ID] = w
 		}
+		switch {
+		case h.State != port.HostLeaving:
+			w.leavingAt = time.Time{}
+		case w.leavingAt.IsZero():
+			w.leavingAt = now
+		}
 		w.host = h
 		switch {
 		case h.State != port.HostDead:
@@ -152,11 +159,14 @@
 	w.token, w.lastSent, w.renewed = inv.Token, sentAt, sentAt
 	w.forget, w.doubtful = 0, false
 	w.capacity, w.pool, w.connections = inv.Capacity, inv.Pool, inv.Connections
-	w.seen = inv.Sequence
 	m.hostSize = m.hostSize.Max(inv.Capacity)
 	m.sizes.SetCapacity(m.hostSize)
-	w.mark = inv.DurableMark
+	lost := inv.Sequence < w.seen || inv.DurableMark < w.mark
+	w.seen, w.mark = inv.Sequence, inv.DurableMark
 	w.starts, w.commands = nil, nil
+	if lost {
+		m.died(w, now) // and came back without its memory
+	}
 	m.upsert(w)
 	m.reconcile(w, inv, now)
 	w.accounted = true
@@ -317,10 +327,15 @@
 	}
 }
 
-// refused applies a worker's refusal to start. A duplicate is either a repeated message for the same attempt, whose
-// events will tell the rest, or an earlier attempt that this owner doesn't know of, which the inventory will show.
+// refused applies a worker's refusal to start. A duplicate of a batch that was in doubt is left to the inventory that
+// follows. Otherwise the worker keeps the record of an attempt with the same number, from before this owner forgot and
+// learned of the job again; the task takes the next number.
 func (m *Machine) refused(w *worker, r port.Refusal, now time.Time) {
-	if r.Code == port.RefusedDuplicate {
+	if r.Code == port.RefusedDuplicate && w.doubtful {
+		return
+	}
+	if x, displaced := w.strangers[r.Task]; displaced && x.attempt == r.Attempt {
+		m.releaseStranger(w, r.Task)
 		return
 	}
 	s := m.jobs[r.Task.Job]
@@ -332,8 +347,11 @@
 		return
 	}
 	reason := "worker refused: no capacity"
-	if r.Code == port.RefusedLeaving {
+	switch r.Code {
+	case port.RefusedLeaving:
 		reason = "worker refused: leaving"
+	case port.RefusedDuplicate:
+		reason = "worker refused: it knows the attempt"
 	}
 	m.requeue(s, r.Task.Index, reason, now)
 }
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -194,6 +194,7 @@
 func (o *owner) applySurroundings(now time.Time) {
 	o.machine.SetAuthority(o.node.isolatedFor(now) < o.node.options.Timing.IsolationStart)
 	claimed, complete := o.node.claimed(o.partition)
+	o.machine.SetAnnounced(o.node.announced(o.partition))
 	o.machine.SetExclusive(complete && !claimed, now)
 	o.machine.SetClaimed(claimed)
 	o.applyRemote()
--- a/internal/node/supervise.go
+++ b/internal/node/supervise.go
@@ -207,6 +207,21 @@
 	return claimed, complete
 }
 
+// announced returns how many workers of the partition another member has announced last, dead ones included.
+func (n *Node) announced(partition string) int {
+	most := int32(0)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, v := range n.table.Members(n.ports.Clock.Now()) {
+		for _, s := range v.Partitions {
+			if !v.Self && s.Partition == partition {
+				most = max(most, s.Workers)
+			}
+		}
+	}
+	return int(most)
+}
+
 func (n *Node) isDraining() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
