Divide batch jobs over partitions and place them by what was accepted

Cause: all jobs that arrived within 10 s went to one partition, because gossip announces free capacity only every 10 s, and a job's tasks could use one partition only. The demonstration left a third of the slots idle while tasks waited. Change: a batch job that doesn't fit into the free room of its partition is divided into parts when it is accepted; free room and backlog follow from the accepted job records, which every node sees at once through the state watch. Conclusion: jobs submitted at the same moment at different nodes still choose the same partition, and a partition that has run out of work takes over whole waiting runs only.

--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -12,8 +12,10 @@
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc/pool"
 
+	"sequoiastall/internal/core/job"
 	"sequoiastall/internal/core/object"
 	"sequoiastall/internal/dev"
+	"sequoiastall/internal/standin/worker"
 )
 
 const (
@@ -148,7 +150,7 @@
 		return Report{}, errors.Wrap(err, "interrupted")
 	}
 	d.options.Progress("checking the run log of the workers and the metrics of the nodes")
-	runs := d.cell.Runs.Runs()
+	runs := wholeJobs(d.cell.Runs.Runs(), jobs)
 	d.checkRuns(runs, jobs)
 	d.checkRequests(exchanges)
 	// The metrics are also of interest when the work took too long.
@@ -158,6 +160,21 @@
 	return d.report(runs, jobs, exchanges), nil
 }
 
+// wholeJobs names the tasks of divided jobs by their index in the whole job.
+func wholeJobs(runs []worker.Run, jobs []*plannedJob) []worker.Run {
+	records := map[job.ID]job.Record{}
+	for _, j := range jobs {
+		records[j.status.ID] = j.status.Record
+	}
+	for i := range runs {
+		parent, _ := runs[i].Task.Job.Parent()
+		if r, known := records[parent]; known {
+			runs[i].Task = r.WholeTask(runs[i].Task)
+		}
+	}
+	return runs
+}
+
 func (d *demo) breach(text string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- /dev/null
+++ b/internal/node/demand.go
@@ -0,0 +1,51 @@
+package node
+
+import (
+	"sequoiastall/internal/core/job"
+	"sequoiastall/internal/core/membership"
+	"sequoiastall/internal/core/resource"
+)
+
+// demandSummaries returns the announced partitions with free capacity and backlog as they follow from the jobs that have
+// been accepted. Gossip announces quantities only every 10 s, and jobs that arrive in between would all be sent to the
+// partition that was the emptiest then; the state watch shows each accepted job to every node at once.
+func (n *Node) demandSummaries() []membership.Summary {
+	demand := map[string]resource.Vector{}
+	for _, r := range n.state.all() {
+		if r.Phase.Final() || r.CancelRequested {
+			continue
+		}
+		for _, run := range r.Runs() {
+			if !run.Phase.Final() {
+				demand[run.Partition] = demand[run.Partition].Add(remaining(run))
+			}
+		}
+	}
+	n.addServices(demand)
+	summaries := n.remoteSummaries("")
+	for i := range summaries {
+		s := &summaries[i]
+		wanted := demand[s.Partition]
+		s.Free = s.Capacity.Sub(wanted).Max(resource.Vector{})
+		s.Teams = []membership.TeamUsage{{Running: wanted.Min(s.Capacity), Backlog: wanted.Sub(s.Capacity).Max(resource.Vector{})}}
+	}
+	return summaries
+}
+
+// remaining is what the tasks of a run hold or wait for, as far as its record tells.
+func remaining(run job.Record) resource.Vector {
+	return run.Spec.Resources.Scale(int64(run.Spec.Tasks - run.Completed.Len()))
+}
+
+// addServices adds what the instances of the services hold.
+func (n *Node) addServices(demand map[string]resource.Vector) {
+	held := n.current()
+	if held == nil {
+		return
+	}
+	for _, p := range n.partitionsOf(held) {
+		for _, g := range n.partitionConfig(held, string(p)).Services {
+			demand[string(p)] = demand[string(p)].Add(g.Spec.Resources.Scale(int64(g.Spec.Tasks)))
+		}
+	}
+}
--- a/internal/node/handler.go
+++ b/internal/node/handler.go
@@ -71,13 +71,13 @@
 	}
 }
 
-// JobStatus answers for a job of a partition that this node owns.
+// JobStatus answers for a run of a job in a partition that this node owns.
 func (n *Node) JobStatus(ctx context.Context, id job.ID) (job.Status, error) {
-	entry, found := n.state.job(id)
+	run, found := n.state.run(id)
 	if !found {
 		return job.Status{}, port.ErrNotFound
 	}
-	o := n.owners.get(entry.record.Partition)
+	o := n.owners.get(run.Partition)
 	if o == nil {
 		return job.Status{}, port.ErrNotFound
 	}
--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -33,6 +33,7 @@
 	if record.Partition == "" {
 		return job.Status{}, errors.Wrap(gateway.ErrNotTaken, "no partition is known")
 	}
+	record = n.divide(record)
 	stored, err := n.createJob(ctx, record)
 	if err != nil {
 		return job.Status{}, err
@@ -41,7 +42,7 @@
 		return job.Status{}, gateway.ErrConflict
 	}
 	n.log.Info("job", "action", "accepted", "job", string(stored.ID), "team", team, "queue", spec.Queue,
-		"partition", stored.Partition, "tasks", spec.Tasks, "repeated", stored.Writer != record.Writer)
+		"partitions", stored.Partitions(), "tasks", spec.Tasks, "repeated", stored.Writer != record.Writer)
 	return job.Status{Record: stored, Phase: stored.Phase, Pending: stored.Spec.Tasks}, nil
 }
 
@@ -91,6 +92,7 @@
 	}
 	spec.Urgent = q.Priority == object.Urgent
 	spec.Resources.Slots = max(1, spec.Resources.Slots)
+	spec.FirstIndex = 0
 	if len(spec.Payload) == 0 {
 		spec.Payload = nil // as it is after a round trip through the store
 	}
@@ -110,7 +112,7 @@
 func (n *Node) choosePartition(held *configuration.Held, spec job.Spec) string {
 	need := spec.Resources.Scale(int64(spec.Tasks))
 	best, bestScore := "", 0.0
-	for _, s := range n.remoteSummaries("") {
+	for _, s := range n.demandSummaries() {
 		if s.Workers == 0 {
 			continue
 		}
@@ -155,18 +157,11 @@
 	if r.Phase.Final() {
 		return job.Status{Record: r, Phase: r.Phase}, nil
 	}
-	var status job.Status
-	var err error
-	if address, known := n.holders()[r.Partition]; known && address != "" {
-		status, err = n.ports.Peers.JobStatus(ctx, address, id)
-	} else {
-		status, err = n.JobStatus(ctx, id)
+	var runs []job.Status
+	for _, run := range r.Runs() {
+		runs = append(runs, n.statusOfRun(ctx, run))
 	}
-	if err != nil {
-		waiting := "the owner of partition " + r.Partition + " doesn't answer"
-		return job.Status{Record: r, Phase: r.Phase, Pending: r.Spec.Tasks, Waiting: waiting}, nil
-	}
-	return status, nil
+	return combine(r, runs), nil
 }
 
 func (n *Node) readJob(ctx context.Context, id job.ID) (jobEntry, error) {
@@ -206,13 +201,7 @@
 
 // finishJob writes the final record of a job. The owner repeats it until the store shows it.
 func (n *Node) finishJob(ctx context.Context, final job.Record) {
-	_, err := n.changeJob(ctx, final.ID, func(r job.Record) (job.Record, bool) {
-		if r.Phase.Final() || r.Partition != final.Partition {
-			return r, false
-		}
-		final.CancelRequested = r.CancelRequested
-		return final, true
-	})
+	_, err := n.replaceRun(ctx, final, final.Partition)
 	if err != nil {
 		n.log.Warn("final record not written yet", "job", string(final.ID), "error", err)
 		return
@@ -289,8 +278,8 @@
 	const most = 20
 	before := n.ports.Clock.Now().Add(-n.options.Timing.JobRetention)
 	dropped := 0
-	for _, r := range n.state.jobsOf(partition) {
-		if !r.Phase.Final() || time.UnixMilli(r.EndedMS).After(before) {
+	for _, r := range n.state.all() {
+		if r.Partitions()[0] != partition || !r.Phase.Final() || time.UnixMilli(r.EndedMS).After(before) {
 			continue
 		}
 		call, cancel := context.WithTimeout(ctx, n.options.Timing.StoreTimeout)
--- a/internal/node/jobviews.go
+++ b/internal/node/jobviews.go
@@ -20,7 +20,7 @@
 
 // activeJobs returns the jobs that haven't ended, oldest first; of all teams if team is empty.
 func (n *Node) activeJobs(team string) []job.Record {
-	active := slices.DeleteFunc(n.state.jobsOf(""), func(r job.Record) bool {
+	active := slices.DeleteFunc(n.state.all(), func(r job.Record) bool {
 		return r.Phase.Final() || team != "" && r.Spec.Team != team
 	})
 	slices.SortFunc(active, func(a, b job.Record) int {
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -111,7 +111,7 @@
 	if p, found := o.node.state.progressOf(o.partition); found {
 		o.machine.LoadProgress(p.doc, p.revision)
 	}
-	for _, r := range o.node.state.jobsOf(o.partition) {
+	for _, r := range o.node.state.runsOf(o.partition) {
 		o.machine.SetJob(r, now)
 	}
 	o.machine.JobsLoaded()
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -127,19 +127,45 @@
 	}
 }
 
-// jobsOf returns the records of a partition, or all if the partition is empty.
-func (c *stateCache) jobsOf(partition string) []job.Record {
+// run returns the record that a partition runs under the ID.
+func (c *stateCache) run(id job.ID) (job.Record, bool) {
+	parent, _ := id.Parent()
+	entry, found := c.job(parent)
+	if !found {
+		return job.Record{}, false
+	}
+	for _, r := range entry.record.Runs() {
+		if r.ID == id {
+			return r, true
+		}
+	}
+	return job.Record{}, false
+}
+
+// all returns the records of all jobs.
+func (c *stateCache) all() []job.Record {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var records []job.Record
+	records := make([]job.Record, 0, len(c.jobs))
 	for _, e := range c.jobs {
-		if partition == "" || e.record.Partition == partition {
-			records = append(records, e.record)
-		}
+		records = append(records, e.record)
 	}
 	return records
 }
 
+// runsOf returns the records that a partition runs.
+func (c *stateCache) runsOf(partition string) []job.Record {
+	var runs []job.Record
+	for _, r := range c.all() {
+		for _, run := range r.Runs() {
+			if run.Partition == partition {
+				runs = append(runs, run)
+			}
+		}
+	}
+	return runs
+}
+
 func (c *stateCache) allowance(team string) (allowanceEntry, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -248,7 +274,7 @@
 
 // loadState replaces the cache by a complete read, and tells the owners what differs.
 func (n *Node) loadState(entries []port.Entry) {
-	before := n.state.jobsOf("")
+	before := n.state.all()
 	for _, err := range n.state.replace(entries) {
 		n.log.Error("state entry ignored", "error", err)
 	}
@@ -260,7 +286,7 @@
 	}
 	for _, r := range before {
 		if _, found := n.state.job(r.ID); !found {
-			n.owners.each(func(o *owner) { o.send(jobRemoved{r.ID}) })
+			n.dropRuns(r)
 		}
 	}
 }
@@ -283,16 +309,31 @@
 func (n *Node) notifyOwners(key string) {
 	switch {
 	case strings.HasPrefix(key, port.JobPrefix):
-		id := job.ID(key[len(port.JobPrefix):])
-		entry, found := n.state.job(id)
-		n.owners.each(func(o *owner) {
-			if found && entry.record.Partition == o.partition {
-				o.send(jobChanged{entry.record})
-			} else {
-				o.send(jobRemoved{id})
-			}
-		})
+		if entry, found := n.state.job(job.ID(key[len(port.JobPrefix):])); found {
+			n.announceRuns(entry.record)
+		}
 	case strings.HasPrefix(key, port.AllowancePrefix):
 		n.owners.each(func(o *owner) { o.send(allowanceChanged{}) })
 	}
 }
+
+// announceRuns tells each owner of the runs in its partition, and of those that it doesn't or no longer has.
+func (n *Node) announceRuns(r job.Record) {
+	runs := r.Runs()
+	n.owners.each(func(o *owner) {
+		for _, run := range runs {
+			if run.Partition == o.partition {
+				o.send(jobChanged{run})
+			} else {
+				o.send(jobRemoved{run.ID})
+			}
+		}
+	})
+}
+
+// dropRuns tells the owners of a job that is gone from the store.
+func (n *Node) dropRuns(r job.Record) {
+	for _, run := range r.Runs() {
+		n.owners.each(func(o *owner) { o.send(jobRemoved{run.ID}) })
+	}
+}
