--- a/internal/cli/exit.go
+++ b/internal/cli/exit.go
@@ -17,16 +17,18 @@
 	ExitConflict    = 4
 	ExitUnavailable = 5
 	ExitUnknown     = 6
+	ExitNotRun      = 7
 )
 
 const exitHelp = `Exit codes:
   0  success
-  1  failure
+  1  failure, also of a job that was waited for
   2  wrong usage
-  3  invalid objects or settings
-  4  conflict: somebody else has published
-  5  unavailable: the platform can't be reached; nothing was changed
-  6  outcome unknown: the change may have taken effect`
+  3  invalid objects, settings or job
+  4  conflict: somebody else has published, or the idempotency key was used for another job
+  5  unavailable: the platform or the node can't be reached; nothing was changed
+  6  outcome unknown: the change may have taken effect
+  7  refused for now: nothing was run, and the same call may be made again later`
 
 // ExitError is an error with the exit code of the process.
 type ExitError struct {
