Measure control bytes on the wire and add the load command

Cause: a node's metrics told neither the bytes to the store and the workers nor its processor time and memory, so nobody could say what control costs.

--- a/internal/cli/nodes.go
+++ b/internal/cli/nodes.go
@@ -13,13 +13,14 @@
 	"sequoiastall/internal/node"
 	"sequoiastall/internal/platform"
 	"sequoiastall/internal/port"
+	"sequoiastall/internal/rpc/connection"
 )
 
 // nodeTimeout bounds the question to one node.
 const nodeTimeout = time.Second
 
 func openStore(address string) (port.Store, func() error, error) {
-	c, err := platform.New(address)
+	c, err := platform.New(address, connection.Options{})
 	if err != nil {
 		return nil, nil, err
 	}
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -42,7 +42,7 @@
 
 // processCommands lists the commands that run processes: serve, dev, platform, worker. They are added here.
 func processCommands() []*cobra.Command {
-	return []*cobra.Command{NewServeCommand(), NewPlatformCommand(), NewWorkerCommand()}
+	return []*cobra.Command{NewServeCommand(), NewPlatformCommand(), NewWorkerCommand(), NewLoadCommand()}
 }
 
 // NewRoot returns the root command.
--- a/internal/cli/standin_test.go
+++ b/internal/cli/standin_test.go
@@ -18,6 +18,7 @@
 
 	"sequoiastall/internal/platform"
 	"sequoiastall/internal/port"
+	"sequoiastall/internal/rpc/connection"
 	"sequoiastall/internal/workerclient"
 )
 
@@ -86,14 +87,14 @@
 	for range 3 {
 		assert.Equal(t, w.line(t)["msg"], "worker is listening")
 	}
-	store, err := platform.New(address)
+	store, err := platform.New(address, connection.Options{})
 	assert.NilError(t, err)
 	defer store.Close()
 	list, err := store.List(t.Context())
 	assert.NilError(t, err)
 	assert.Equal(t, len(list), 4)
 	assert.Equal(t, list[2].ID+" "+list[2].Rack+" "+list[3].State.String(), "a-w2 a-r1 leaving")
-	workers := workerclient.New(port.SystemClock{})
+	workers := workerclient.New(port.SystemClock{}, connection.Options{})
 	defer workers.Close()
 	_, err = workers.Acquire(t.Context(), list[0], "n1", time.Minute, time.Minute)
 	assert.NilError(t, err)
--- a/internal/cli/worker.go
+++ b/internal/cli/worker.go
@@ -19,7 +19,7 @@
 
 // NewWorkerCommand returns the command that runs stand-ins for workers.
 func NewWorkerCommand() *cobra.Command {
-	var platformAddress string
+	var platformAddress, runLog string
 	o := worker.FleetOptions{}
 	c := &cobra.Command{
 		Use:   "worker",
@@ -28,7 +28,7 @@
 			"stand-in, and are dead there when they have ended.",
 		Args:         cobra.NoArgs,
 		SilenceUsage: true,
-		RunE:         func(c *cobra.Command, _ []string) error { return runWorkers(c, platformAddress, o) },
+		RunE:         func(c *cobra.Command, _ []string) error { return runWorkers(c, platformAddress, runLog, o) },
 	}
 	f := c.Flags()
 	f.StringVar(&o.Listen, "listen", "127.0.0.1:0", "address of the first worker, IP:port; the others use the following ports, or any free ones with port 0")
@@ -44,6 +44,7 @@
 	f.Int64Var(&o.Worker.Capacity.Accelerators, "accelerators", 0, "accelerators of a worker")
 	f.Int64Var(&o.Worker.Connections, "connections", 64, "connections to the service instances of a worker")
 	f.DurationVar(&o.Worker.UsageLag, "usage-lag", 5*time.Second, "how old reported usage is")
+	f.StringVar(&runLog, "run-log", "", "file to write all runs to at the end, a JSON object a line")
 	f.StringVar(&platformAddress, "platform", defaultPlatformAddress, "address of the platform stand-in, IP:port")
 	if err := c.MarkFlagRequired("zone"); err != nil {
 		panic(err) // only if the flag isn't defined
@@ -51,7 +52,7 @@
 	return c
 }
 
-func runWorkers(c *cobra.Command, platformAddress string, o worker.FleetOptions) error {
+func runWorkers(c *cobra.Command, platformAddress, runLog string, o worker.FleetOptions) error {
 	if o.Worker.Zone == "" || o.Worker.Capacity.HasNegative() || o.Worker.Connections < 0 || o.Worker.UsageLag < 0 {
 		return errors.New("worker: --zone must not be empty, and no capacity, limit or lag may be negative")
 	}
@@ -78,6 +79,11 @@
 	<-ctx.Done()
 	fleet.Stop()
 	logEnd(logger, fleet)
+	if runLog != "" {
+		if err := fleet.Log().WriteFile(runLog); err != nil {
+			return errors.Wrap(err, "worker")
+		}
+	}
 	// The command's context is over; the platform still has to learn that the hosts are dead.
 	return errors.Wrap(register(context.WithoutCancel(ctx), platformAddress, fleet.Hosts(), port.HostDead), "worker: unregister")
 }
--- a/internal/dev/cell.go
+++ b/internal/dev/cell.go
@@ -17,6 +17,7 @@
 	"sequoiastall/internal/core/resource"
 	"sequoiastall/internal/platform"
 	"sequoiastall/internal/port"
+	"sequoiastall/internal/rpc/connection"
 	"sequoiastall/internal/server"
 	"sequoiastall/internal/settings"
 	platformstandin "sequoiastall/internal/standin/platform"
@@ -83,7 +84,7 @@
 	}
 	c.address = l.Addr().String()
 	c.serving.Go(func() { _ = c.Platform.Serve(l) })
-	if c.store, err = platform.New(c.address); err != nil {
+	if c.store, err = platform.New(c.address, connection.Options{}); err != nil {
 		return nil, err
 	}
 	if err := c.startWorkers(); err != nil {
--- /dev/null
+++ b/internal/load/cell.go
@@ -0,0 +1,446 @@
+// Package load puts load on a cell and measures what control costs: every node is a process of its own, and the
+// stand-ins for workers run in processes that don't count as the nodes' cost.
+package load
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"sequoiastall/internal/core/configuration"
+	"sequoiastall/internal/core/object"
+	"sequoiastall/internal/gateway"
+	"sequoiastall/internal/platform"
+	"sequoiastall/internal/port"
+	"sequoiastall/internal/rpc/connection"
+	"sequoiastall/internal/settings"
+)
+
+// Bounds of the start and stop of a cell.
+const (
+	startTimeout = 60 * time.Second
+	stopTimeout  = 8 * time.Second
+	pollInterval = 100 * time.Millisecond
+)
+
+// nodeAccess is a node as the tool reaches it. process is nil for a node that somebody else started.
+type nodeAccess struct {
+	id      string
+	address string // IP:port of the callers' interface
+	process *process
+}
+
+// process is a process that this tool started.
+type process struct {
+	command *exec.Cmd
+	log     string // file with its output
+	ended   chan struct{}
+}
+
+// cell is a cell under load.
+type cell struct {
+	platform  string
+	store     *platform.Client
+	http      *http.Client
+	nodes     []*nodeAccess
+	workers   []*process
+	server    *process // the platform's stand-in
+	directory string
+	keep      bool // the directory
+	binary    string
+	shape     Shape
+	options   Options
+}
+
+// start starts a program of this binary. Its output goes to a file.
+func (c *cell) start(name string, args ...string) (*process, error) {
+	path := filepath.Join(c.directory, name+".log")
+	file, err := os.Create(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "log file")
+	}
+	defer func() { _ = file.Close() }()
+	command := exec.Command(c.binary, args...)
+	command.Stdout, command.Stderr = file, file
+	if err := command.Start(); err != nil {
+		return nil, errors.Wrap(err, name)
+	}
+	p := &process{command: command, log: path, ended: make(chan struct{})}
+	go func() {
+		_ = command.Wait()
+		close(p.ended)
+	}()
+	return p, nil
+}
+
+// stop ends a process gracefully, or by force when it takes too long.
+func (p *process) stop() {
+	_ = p.command.Process.Signal(syscall.SIGTERM)
+	select {
+	case <-p.ended:
+	case <-time.After(stopTimeout):
+		p.kill()
+	}
+}
+
+func (p *process) kill() {
+	_ = p.command.Process.Kill()
+	<-p.ended
+}
+
+// logLine is what the tool reads of a log line.
+type logLine struct {
+	Time      time.Time `json:"time"`
+	Message   string    `json:"msg"`
+	Action    string    `json:"action"`
+	Decision  string    `json:"decision"`
+	Partition string    `json:"partition"`
+	Address   string    `json:"address"`
+	Revision  int64     `json:"revision"`
+	Task      string    `json:"task"`
+}
+
+// lines calls f with each line of the log that contains a word, until f returns false.
+func (p *process) lines(word string, f func(logLine) bool) error {
+	file, err := os.Open(p.log)
+	if err != nil {
+		return errors.Wrap(err, "log file")
+	}
+	defer func() { _ = file.Close() }()
+	scanner := bufio.NewScanner(file)
+	scanner.Buffer(make([]byte, 64<<10), 4<<20)
+	for scanner.Scan() {
+		var l logLine
+		if !strings.Contains(scanner.Text(), word) || json.Unmarshal(scanner.Bytes(), &l) != nil {
+			continue
+		}
+		if !f(l) {
+			return nil
+		}
+	}
+	return errors.Wrap(scanner.Err(), "log file")
+}
+
+// startCell starts the platform, the workers and the nodes, and publishes the generated set.
+func startCell(ctx context.Context, o Options) (*cell, error) {
+	binary, err := os.Executable()
+	if err != nil {
+		return nil, errors.Wrap(err, "own program")
+	}
+	c := &cell{binary: binary, directory: o.Directory, keep: o.Directory != "", shape: o.Shape, options: o, http: newHTTPClient()}
+	if !c.keep {
+		if c.directory, err = os.MkdirTemp("", "sequoiastall-load-"); err != nil {
+			return nil, errors.Wrap(err, "directory for logs")
+		}
+	}
+	if err := c.bringUp(ctx, o); err != nil {
+		c.stop()
+		return nil, err
+	}
+	return c, nil
+}
+
+func newHTTPClient() *http.Client {
+	return &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 256}}
+}
+
+func (c *cell) bringUp(ctx context.Context, o Options) (err error) {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	if c.server, err = c.start("platform", "platform", "--listen", "127.0.0.1:0"); err != nil {
+		return err
+	}
+	for c.platform == "" {
+		_ = c.server.lines("listening", func(l logLine) bool { c.platform = l.Address; return false })
+		if c.platform == "" && !pause(ctx, pollInterval) {
+			return errors.Wrap(ctx.Err(), "platform stand-in didn't start")
+		}
+	}
+	if c.store, err = platform.New(c.platform, connection.Options{}); err != nil {
+		return err
+	}
+	if err := c.startWorkers(o); err != nil {
+		return err
+	}
+	if err := c.publish(ctx, o.Shape); err != nil {
+		return err
+	}
+	for i := range o.Nodes {
+		if err := c.startNode(i); err != nil {
+			return err
+		}
+	}
+	if err := c.findNodes(ctx, o.Nodes); err != nil {
+		return err
+	}
+	return c.awaitOwners(ctx)
+}
+
+// startWorkers starts one process for the workers of each zone.
+func (c *cell) startWorkers(o Options) error {
+	for z := range o.Shape.Zones {
+		count := o.Shape.Workers / o.Shape.Zones
+		if z < o.Shape.Workers%o.Shape.Zones {
+			count++
+		}
+		if count == 0 {
+			continue
+		}
+		name := "workers-" + zoneName(z)
+		p, err := c.start(name, "worker", "--zone", zoneName(z), "--count", fmt.Sprint(count), "--platform", c.platform,
+			"--slots", fmt.Sprint(o.Shape.Slots), "--milli-cpu", fmt.Sprint(o.Shape.Slots*2000),
+			"--memory-mb", fmt.Sprint(o.Shape.Slots*4096), "--connections", fmt.Sprint(o.Shape.Slots*8),
+			"--run-log", c.runLogPath(name))
+		if err != nil {
+			return err
+		}
+		c.workers = append(c.workers, p)
+	}
+	return nil
+}
+
+func (c *cell) runLogPath(name string) string { return filepath.Join(c.directory, name+".runs") }
+
+func (c *cell) startNode(i int) error {
+	s := settings.Default()
+	s.NodeID, s.Zone, s.Region = fmt.Sprintf("node%02d", i), zoneName(i%c.shape.Zones), "one"
+	http, err := freeAddress()
+	if err != nil {
+		return err
+	}
+	s.PlatformAddress, s.PeerAddress, s.HTTPAddress = c.platform, "127.0.0.1:0", http
+	data, err := json.Marshal(s)
+	if err != nil {
+		return errors.Wrap(err, "settings")
+	}
+	path := filepath.Join(c.directory, s.NodeID+".json")
+	if err := os.WriteFile(path, data, 0o600); err != nil {
+		return errors.Wrap(err, "settings")
+	}
+	p, err := c.start(s.NodeID, "serve", "--settings", path)
+	if err != nil {
+		return err
+	}
+	c.nodes = append(c.nodes, &nodeAccess{id: s.NodeID, process: p})
+	return nil
+}
+
+// freeAddress returns a loopback address whose port is free at the moment. The settings reject two equal addresses, so
+// that not both of a node's can leave the port open.
+func freeAddress() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", errors.Wrap(err, "free port")
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String(), nil
+}
+
+// ended returns an error if a process that should run has ended, with the end of its log.
+func (c *cell) ended() error {
+	all := append([]*process{c.server}, c.workers...)
+	for _, n := range c.nodes {
+		all = append(all, n.process)
+	}
+	for _, p := range all {
+		if p == nil {
+			continue
+		}
+		select {
+		case <-p.ended:
+			data, _ := os.ReadFile(p.log)
+			const shown = 500
+			return errors.Errorf("%s has ended: %s", filepath.Base(p.log), data[max(0, len(data)-shown):])
+		default:
+		}
+	}
+	return nil
+}
+
+// publish writes a generated set as the next revision, and returns when the store has it.
+func (c *cell) publish(ctx context.Context, s Shape) error {
+	set, problems := object.Validate(s.Files())
+	if len(problems) > 0 {
+		return errors.Errorf("generated objects: %v", problems[0])
+	}
+	w := port.Write{Key: port.ConfigKey, Condition: port.IfAbsent}
+	revision := int64(1)
+	entry, err := c.store.Get(ctx, port.ConfigKey)
+	switch {
+	case err == nil:
+		current, err := configuration.Unmarshal(entry.Value)
+		if err != nil {
+			return err
+		}
+		w.Condition, w.Revision, revision = port.IfRevision, entry.Revision, current.Revision+1
+	case !errors.Is(err, port.ErrNotFound):
+		return err
+	}
+	d, err := configuration.NewDocument(set, revision, "load")
+	if err != nil {
+		return err
+	}
+	if w.Value, err = d.Marshal(); err != nil {
+		return err
+	}
+	_, err = c.store.Put(ctx, w)
+	return errors.Wrap(err, "publish")
+}
+
+// findNodes reads the nodes' addresses from their registrations in the store.
+func (c *cell) findNodes(ctx context.Context, count int) error {
+	for {
+		entries, _, err := c.store.Range(ctx, port.NodePrefix)
+		if err == nil && len(entries) >= count {
+			return c.adoptRegistrations(entries)
+		}
+		if err := c.ended(); err != nil {
+			return err
+		}
+		if !pause(ctx, pollInterval) {
+			return errors.Errorf("%d of %d nodes have registered: %v", len(entries), count, err)
+		}
+	}
+}
+
+func (c *cell) adoptRegistrations(entries []port.Entry) error {
+	known := map[string]*nodeAccess{}
+	for _, n := range c.nodes {
+		known[n.id] = n
+	}
+	for _, e := range entries {
+		var r struct {
+			HTTPAddress string `json:"http_address"`
+		}
+		if err := json.Unmarshal(e.Value, &r); err != nil {
+			return errors.Wrapf(err, "registration %s", e.Key)
+		}
+		id := e.Key[len(port.NodePrefix):]
+		if known[id] == nil {
+			known[id] = &nodeAccess{id: id}
+			c.nodes = append(c.nodes, known[id])
+		}
+		known[id].address = r.HTTPAddress
+	}
+	return nil
+}
+
+// awaitOwners waits until every partition has an owner that holds workers.
+func (c *cell) awaitOwners(ctx context.Context) error {
+	wanted := c.shape.Zones * c.shape.PartitionsPerZone
+	for {
+		views, err := c.views(ctx)
+		found := map[string]bool{}
+		for _, v := range views {
+			for _, p := range v.Partitions {
+				found[p] = true
+			}
+		}
+		if len(found) >= wanted {
+			return nil
+		}
+		if !pause(ctx, pollInterval) {
+			return errors.Errorf("%d of %d partitions have owners: %v", len(found), wanted, err)
+		}
+	}
+}
+
+// views returns the nodes as the first node that answers sees them.
+func (c *cell) views(ctx context.Context) ([]gateway.NodeView, error) {
+	var last error
+	for _, n := range c.nodes {
+		var views []gateway.NodeView
+		if last = c.get(ctx, n.address, "/v1/nodes", c.secret(), &views); last == nil {
+			return views, nil
+		}
+	}
+	return nil, last
+}
+
+// secret returns the secret for questions about the whole cell.
+func (c *cell) secret() string {
+	if c.options.Secret != "" {
+		return c.options.Secret
+	}
+	return urgentSecret
+}
+
+// get reads JSON from a node.
+func (c *cell) get(ctx context.Context, address, path, secret string, into any) error {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
+	if err != nil {
+		return errors.Wrap(err, path)
+	}
+	r.Header.Set("Authorization", "Bearer "+secret)
+	answer, err := c.http.Do(r)
+	if err != nil {
+		return errors.Wrap(err, path)
+	}
+	defer func() { _ = answer.Body.Close() }()
+	if answer.StatusCode != http.StatusOK {
+		return errors.Errorf("%s of %s: status %d", path, address, answer.StatusCode)
+	}
+	return errors.Wrap(json.NewDecoder(answer.Body).Decode(into), path)
+}
+
+// stopNodes ends the nodes that this tool started, all at once.
+func (c *cell) stopNodes() {
+	for _, n := range c.nodes {
+		if n.process != nil {
+			n.process.kill()
+		}
+	}
+}
+
+// stop ends what this tool started and removes its temporary directory.
+func (c *cell) stop() {
+	c.stopNodes()
+	c.stopWorkers()
+	if c.store != nil {
+		_ = c.store.Close()
+	}
+	if c.server != nil {
+		c.server.stop()
+	}
+	if !c.keep && c.directory != "" {
+		_ = os.RemoveAll(c.directory)
+	}
+}
+
+// stopWorkers lets the stand-ins write their run logs.
+func (c *cell) stopWorkers() {
+	done := make(chan struct{}, len(c.workers))
+	for _, p := range c.workers {
+		go func() {
+			p.stop()
+			done <- struct{}{}
+		}()
+	}
+	for range c.workers {
+		<-done
+	}
+	c.workers = nil
+}
+
+// pause waits for d, and reports false if ctx ended.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/load/submit.go
@@ -0,0 +1,148 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"sequoiastall/internal/core/job"
+	"sequoiastall/internal/core/resource"
+	"sequoiastall/internal/dev"
+)
+
+// submitTimeout bounds a submission with its repetitions.
+const submitTimeout = 10 * time.Second
+
+// submission is a job that was sent.
+type submission struct {
+	id     job.ID
+	tasks  int32
+	urgent bool
+	at     time.Time
+	node   int
+	secret string
+	err    error // why it wasn't accepted
+}
+
+// submitter sends jobs at a steady rate, whatever becomes of the earlier ones.
+type submitter struct {
+	cell    *cell
+	options Options
+	mu      sync.Mutex
+	sent    []submission
+	wait    sync.WaitGroup
+}
+
+// run submits jobs until ctx ends, and returns when all submissions have an outcome.
+func (s *submitter) run(ctx context.Context) {
+	defer s.wait.Wait()
+	if s.options.Rate <= 0 {
+		return
+	}
+	interval := time.Duration(float64(s.options.TasksPerJob) / s.options.Rate * float64(time.Second))
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for i := 0; ; i++ {
+		s.send(ctx, i, s.options.TasksPerJob, false)
+		if s.options.UrgentEvery > 0 && i%s.options.UrgentEvery == 0 {
+			s.send(ctx, i, 1, true)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (s *submitter) send(ctx context.Context, i, tasks int, urgent bool) {
+	s.wait.Go(func() {
+		sub := s.submit(context.WithoutCancel(ctx), i, int32(tasks), urgent)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.sent = append(s.sent, sub)
+	})
+}
+
+func (s *submitter) submit(ctx context.Context, i int, tasks int32, urgent bool) submission {
+	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
+	defer cancel()
+	team := i % s.options.Shape.Teams
+	spec := job.Spec{Queue: teamQueue(team), Class: job.Batch, Tasks: tasks, Idempotent: true,
+		Resources:  resource.Vector{Slots: 1, MilliCPU: 500, MemoryMB: 256},
+		DurationMS: s.options.TaskDuration.Milliseconds()}
+	secret, key := teamSecret(team), fmt.Sprintf("load-%d", i)
+	if s.options.Secret != "" {
+		secret, spec.Queue = s.options.Secret, s.options.Queue
+	}
+	if urgent {
+		spec.Queue, secret, key = urgentQueue, urgentSecret, key+"-urgent"
+	}
+	node := i % len(s.cell.nodes)
+	sub := submission{tasks: tasks, urgent: urgent, at: time.Now(), node: node, secret: secret}
+	caller := dev.Caller{Address: s.cell.nodes[node].address, Secret: secret, HTTP: s.cell.http}
+	status, err := caller.Submit(ctx, s.options.KeyPrefix+key, spec)
+	sub.id, sub.err = status.ID, err
+	return sub
+}
+
+// requests sends requests to the services at a steady rate.
+type requests struct {
+	cell    *cell
+	options Options
+	mu      sync.Mutex
+	times   []time.Duration
+	result  RequestResult
+	wait    sync.WaitGroup
+}
+
+func (r *requests) run(ctx context.Context) {
+	if r.options.RequestRate <= 0 || r.options.Shape.Services == 0 {
+		return
+	}
+	ticker := time.NewTicker(time.Duration(float64(time.Second) / r.options.RequestRate))
+	defer ticker.Stop()
+	for i := 0; ; i++ {
+		r.wait.Go(func() { r.send(context.WithoutCancel(ctx), i) })
+		select {
+		case <-ctx.Done():
+			r.wait.Wait()
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (r *requests) send(ctx context.Context, i int) {
+	service := i % r.options.Shape.Services
+	caller := dev.Caller{Address: r.cell.nodes[i%len(r.cell.nodes)].address, HTTP: r.cell.http,
+		Secret: teamSecret(service % r.options.Shape.Teams)}
+	begun := time.Now()
+	_, err := caller.Call(ctx, http.MethodGet, "/services/"+serviceName(service)+"/load", nil, nil)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.result.Sent++
+	if err != nil {
+		r.result.Failed++
+		return
+	}
+	r.result.OK++
+	r.times = append(r.times, time.Since(begun))
+}
+
+func (r *requests) summary() RequestResult {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	w := summarise(r.times)
+	r.result.P50MS, r.result.P99MS = w.P50MS, w.P99MS
+	return r.result
+}
+
+// accepted reports whether the submission is in the store for certain.
+func (s submission) accepted() bool { return s.err == nil }
+
+var errNoNodes = errors.New("no ingress node is known")
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
 
 	"sequoiastall/internal/port"
 	"sequoiastall/internal/telemetry"
@@ -15,10 +17,14 @@
 	*telemetry.Registry
 	waiting  *telemetry.Histogram
 	decision *telemetry.Histogram
+	watches  metrics.Gauge // waiting watches of the store
+	watched  metrics.Counter
+	watching atomic.Int64
 }
 
 func newMeters(r *telemetry.Registry) *meters {
-	return &meters{Registry: r, waiting: r.Histogram("task_waiting_us"), decision: r.Histogram("cycle_us")}
+	return &meters{Registry: r, waiting: r.Histogram("task_waiting_us"), decision: r.Histogram("cycle_us"),
+		watches: r.Gauge("store_watches"), watched: r.Counter("store_watch_events_total")}
 }
 
 // ObserveWaiting records how long a task waited until it was placed.
@@ -60,6 +66,33 @@
 	s.metrics.StoreCall(method, outcome, time.Since(begun))
 }
 
+// Watch implements port.Store. The number of waiting watches is a gauge; events count by message.
+func (s meteredStore) Watch(ctx context.Context, prefix string, after int64, handle func([]port.WatchEvent) error) error {
+	begun := time.Now()
+	s.metrics.watches.Update(s.metrics.watching.Add(1))
+	defer func() { s.metrics.watches.Update(s.metrics.watching.Add(-1)) }()
+	err := s.Store.Watch(ctx, prefix, after, func(events []port.WatchEvent) error {
+		s.metrics.watched.Inc(int64(len(events)))
+		return handle(events)
+	})
+	s.record("watch", begun, err)
+	return err
+}
+
+// meteredHosts counts the reads of the host list.
+type meteredHosts struct {
+	port.HostList
+	metrics *meters
+}
+
+// List implements port.HostList.
+func (s meteredHosts) List(ctx context.Context) ([]port.Host, error) {
+	begun := time.Now()
+	hosts, err := s.HostList.List(ctx)
+	meteredStore{metrics: s.metrics}.record("list", begun, err)
+	return hosts, err
+}
+
 // Get implements port.Store.
 func (s meteredStore) Get(ctx context.Context, key string) (port.Entry, error) {
 	begun := time.Now()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -109,7 +109,7 @@
 func New(o Options, p Ports, routes Routes, log *slog.Logger, metrics *telemetry.Registry) *Node {
 	now := p.Clock.Now()
 	meters := newMeters(metrics)
-	p.Store = meteredStore{p.Store, meters}
+	p.Store, p.Hosts = meteredStore{p.Store, meters}, meteredHosts{p.Hosts, meters}
 	self := membership.Member{ID: o.ID, Zone: o.Zone, Address: o.PeerAddress, HTTPAddress: o.HTTPAddress, Incarnation: now.UnixMilli()}
 	n := &Node{
 		options: o, ports: p, log: log.With("node", o.ID), metrics: meters, routes: routes,
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -102,12 +103,24 @@
 		}),
 		grpc.WithStatsHandler(progressHandler{}),
 	}
+	if c.options.Wire != nil {
+		options = append(options, grpc.WithContextDialer(c.dial))
+	}
 	if c.options.Stats != nil {
 		options = append(options, grpc.WithStatsHandler(c.options.Stats))
 	}
 	return options
 }
 
+// dial opens a connection whose bytes are counted.
+func (c *Client) dial(ctx context.Context, address string) (net.Conn, error) {
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "connect")
+	}
+	return c.options.Wire.Conn(conn), nil
+}
+
 // replace closes a connection that went silent, unless another call has already replaced it.
 func (c *Client) replace(address string, l *link) {
 	c.mu.Lock()
--- a/internal/peer/doc.go
+++ b/internal/peer/doc.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"google.golang.org/grpc/stats"
+
+	"sequoiastall/internal/telemetry"
 )
 
 const (
@@ -33,9 +35,10 @@
 
 // Options of a Client or Server. Zero fields take their defaults.
 type Options struct {
-	CallTimeout time.Duration // of each call but Endpoints
-	PollTimeout time.Duration // of Endpoints
-	Stats       stats.Handler // observes messages, may be nil
+	CallTimeout time.Duration   // of each call but Endpoints
+	PollTimeout time.Duration   // of Endpoints
+	Stats       stats.Handler   // observes messages, may be nil
+	Wire        *telemetry.Wire // counts bytes, may be nil
 }
 
 func (o Options) withDefaults() Options {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -15,11 +15,13 @@
 	"sequoiastall/internal/core/quota"
 	"sequoiastall/internal/port"
 	"sequoiastall/internal/rpc/peerpb"
+	"sequoiastall/internal/telemetry"
 )
 
 // Server serves the calls of other nodes.
 type Server struct {
 	grpc *grpc.Server
+	wire *telemetry.Wire
 }
 
 // NewServer returns a server that passes calls to h, which must be safe for concurrent use.
@@ -34,13 +36,13 @@
 	if o.Stats != nil {
 		options = append(options, grpc.StatsHandler(o.Stats))
 	}
-	s := &Server{grpc: grpc.NewServer(options...)}
+	s := &Server{grpc: grpc.NewServer(options...), wire: o.Wire}
 	peerpb.RegisterPeerServer(s.grpc, &service{handler: h})
 	return s
 }
 
 // Serve accepts connections until Stop, or until the listener fails. It closes the listener.
-func (s *Server) Serve(l net.Listener) error { return s.grpc.Serve(l) }
+func (s *Server) Serve(l net.Listener) error { return s.grpc.Serve(s.wire.Listener(l)) }
 
 // Stop lets calls in progress end, for a few seconds at most, and closes all connections.
 func (s *Server) Stop() {
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -42,8 +42,8 @@
 )
 
 // New returns a client of the platform at address, IP:port. It connects with the first call.
-func New(address string) (*Client, error) {
-	conn, err := connection.New(address)
+func New(address string, o connection.Options) (*Client, error) {
+	conn, err := connection.New(address, o)
 	if err != nil {
 		return nil, errors.Wrap(err, "platform")
 	}
--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -16,6 +16,7 @@
 
 	"sequoiastall/internal/platform"
 	"sequoiastall/internal/port"
+	"sequoiastall/internal/rpc/connection"
 	"sequoiastall/internal/rpc/platformpb"
 	"sequoiastall/internal/rpc/standinpb"
 	standin "sequoiastall/internal/standin/platform"
@@ -37,7 +38,7 @@
 
 func connect(t *testing.T, address string) *platform.Client {
 	t.Helper()
-	c, err := platform.New(address)
+	c, err := platform.New(address, connection.Options{})
 	assert.NilError(t, err)
 	t.Cleanup(func() { assert.NilError(t, c.Close()) })
 	return c
--- a/internal/rpc/connection/connection.go
+++ b/internal/rpc/connection/connection.go
@@ -62,6 +62,7 @@
 // deadline of a call is the context's.
 type Conn struct {
 	address string
+	options Options
 
 	mu      sync.Mutex
 	current *transport
@@ -74,25 +75,34 @@
 	lastRead atomic.Int64 // Unix nanoseconds
 }
 
+// Options observe a connection. Zero fields observe nothing.
+type Options struct {
+	Stats stats.Handler             // sees the messages
+	Wrap  func(c net.Conn) net.Conn // sees the bytes
+}
+
 // New returns a connection that dials with its first call.
-func New(address string) (*Conn, error) {
+func New(address string, o Options) (*Conn, error) {
 	if _, err := net.ResolveTCPAddr("tcp", address); err != nil {
 		return nil, errors.Wrapf(err, "address %q", address)
 	}
-	return &Conn{address: address}, nil
+	return &Conn{address: address, options: o}, nil
 }
 
-func dial(address string) (*transport, error) {
+func dial(address string, o Options) (*transport, error) {
 	t := &transport{}
 	dialer := func(ctx context.Context, address string) (net.Conn, error) {
 		c, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
 		if err != nil {
 			return nil, err
 		}
+		if o.Wrap != nil {
+			c = o.Wrap(c)
+		}
 		return &watchedConn{Conn: c, lastRead: &t.lastRead}, nil
 	}
 	reconnect := backoff.Config{BaseDelay: firstReconnect, Multiplier: 1.6, Jitter: 0.2, MaxDelay: maxReconnect}
-	cc, err := grpc.NewClient("passthrough:///"+address,
+	options := []grpc.DialOption{
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithContextDialer(dialer),
 		grpc.WithStatsHandler(sentHandler{}),
@@ -103,7 +113,11 @@
 		grpc.WithConnectParams(grpc.ConnectParams{Backoff: reconnect, MinConnectTimeout: connectTimeout}),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: pingInterval, Timeout: pingTimeout}),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(math.MaxInt32)),
-	)
+	}
+	if o.Stats != nil {
+		options = append(options, grpc.WithStatsHandler(o.Stats))
+	}
+	cc, err := grpc.NewClient("passthrough:///"+address, options...)
 	if err != nil {
 		return nil, errors.Wrapf(err, "connect to %s", address)
 	}
@@ -158,7 +172,7 @@
 		return nil, ErrClosed
 	}
 	if c.current == nil {
-		t, err := dial(c.address)
+		t, err := dial(c.address, c.options)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -20,6 +20,7 @@
 	"sequoiastall/internal/peer"
 	"sequoiastall/internal/platform"
 	"sequoiastall/internal/port"
+	"sequoiastall/internal/rpc/connection"
 	"sequoiastall/internal/settings"
 	"sequoiastall/internal/telemetry"
 	"sequoiastall/internal/workerclient"
@@ -52,15 +53,17 @@
 		_ = peerAt.Close()
 		return nil, errors.Wrap(err, "http address")
 	}
-	store, err := platform.New(s.PlatformAddress)
+	registry.ExposeProcess()
+	store, err := platform.New(s.PlatformAddress, observe(registry, telemetry.PeerStore))
 	if err != nil {
 		_ = peerAt.Close()
 		_ = httpAt.Close()
 		return nil, errors.Wrap(err, "platform address")
 	}
 	clock := port.SystemClock{}
-	v := &Server{settings: s, log: log, registry: registry, platform: store, workers: workerclient.New(clock),
-		peers:  peer.NewClient(peer.Options{Stats: registry.StatsHandler(telemetry.PeerNode)}),
+	peers := peer.Options{Stats: registry.StatsHandler(telemetry.PeerNode), Wire: registry.Wire(telemetry.PeerNode)}
+	v := &Server{settings: s, log: log, registry: registry, platform: store, workers: workerclient.New(clock, observe(registry, telemetry.PeerWorker)),
+		peers:  peer.NewClient(peers),
 		peerAt: peerAt, httpAt: httpAt}
 	router := gateway.NewRouter(s.Zone, rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), 2)), clock)
 	v.node = node.New(node.Options{ID: s.NodeID, Zone: s.Zone, PeerAddress: peerAt.Addr().String(),
@@ -68,10 +71,15 @@
 		node.Ports{Store: store, Hosts: store, Workers: v.workers, Peers: v.peers, Clock: clock}, router, log, registry)
 	v.gateway = gateway.New(gateway.Options{NodeID: s.NodeID, Node: v.node, Router: router, Store: store, Clock: clock, Log: log,
 		Registry: metrics.NewRegistry(), Metrics: registryHandler(registry)})
-	v.peerGRPC = peer.NewServer(v.node, peer.Options{Stats: registry.StatsHandler(telemetry.PeerNode)})
+	v.peerGRPC = peer.NewServer(v.node, peers)
 	return v, nil
 }
 
+// observe counts the messages and bytes of connections to a kind of peer.
+func observe(r *telemetry.Registry, k telemetry.PeerKind) connection.Options {
+	return connection.Options{Stats: r.StatsHandler(k), Wrap: r.Wire(k).Conn}
+}
+
 // timing converts the settings' units.
 func timing(t settings.Timing) node.Timing {
 	ms := settings.Milliseconds
--- a/internal/standin/worker/runlog.go
+++ b/internal/standin/worker/runlog.go
@@ -90,7 +90,12 @@
 // Violations names every pair of runs of one task that overlap, every task that succeeded twice, and every moment when
 // a worker's runs reserved more than its capacity. Workers that capacity doesn't name are not checked for that.
 func (l *RunLog) Violations(capacity map[string]resource.Vector) []string {
-	runs := l.Runs()
+	return Violations(l.Runs(), capacity)
+}
+
+// Violations checks runs that may come from several logs, as RunLog.Violations does.
+func Violations(runs []Run, capacity map[string]resource.Vector) []string {
+	runs = slices.Clone(runs)
 	slices.SortStableFunc(runs, func(a, b Run) int { return a.Start.Compare(b.Start) })
 	return append(taskViolations(runs), capacityViolations(runs, capacity)...)
 }
--- a/internal/telemetry/exposition.go
+++ b/internal/telemetry/exposition.go
@@ -38,6 +38,12 @@
 
 // WriteText writes all metrics in the Prometheus text format, in the order of names and labels.
 func (r *Registry) WriteText(w io.Writer) error {
+	r.mu.Lock()
+	collectors := slices.Clone(r.collectors)
+	r.mu.Unlock()
+	for _, collect := range collectors {
+		collect()
+	}
 	r.mu.Lock()
 	all := slices.Collect(maps.Values(r.series))
 	r.mu.Unlock()
--- a/internal/telemetry/registry.go
+++ b/internal/telemetry/registry.go
@@ -76,6 +76,8 @@
 	mu     sync.Mutex
 	series map[string]*series // by name and labels
 	kinds  map[string]kind    // by metric name
+	// collectors bring gauges up to date before an exposition.
+	collectors []func()
 }
 
 // NewRegistry returns an empty registry that logs violations to logger.
--- /dev/null
+++ b/internal/telemetry/wire.go
@@ -0,0 +1,75 @@
+package telemetry
+
+import (
+	"net"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// WireBytes counts all bytes of connections, with HTTP/2 frames and headers but without those of TCP and IP.
+const WireBytes = "wire_bytes_total"
+
+// ConnectionsOpened counts connections, so that reconnects show.
+const ConnectionsOpened = "connections_opened_total"
+
+// Wire counts the bytes of connections to one kind of peer.
+type Wire struct {
+	in, out, opened metrics.Counter
+}
+
+// Wire returns the counters of the connections to a kind of peer.
+func (r *Registry) Wire(k PeerKind) *Wire {
+	labels := func(direction string) []Label { return []Label{{"kind", string(k)}, {"direction", direction}} }
+	return &Wire{in: r.Counter(WireBytes, labels("in")...), out: r.Counter(WireBytes, labels("out")...),
+		opened: r.Counter(ConnectionsOpened, Label{"kind", string(k)})}
+}
+
+// Conn returns a connection that counts its bytes. A nil Wire returns c.
+func (w *Wire) Conn(c net.Conn) net.Conn {
+	if w == nil {
+		return c
+	}
+	w.opened.Inc(1)
+	return &wiredConn{Conn: c, wire: w}
+}
+
+// Listener returns a listener whose connections count their bytes. A nil Wire returns l.
+func (w *Wire) Listener(l net.Listener) net.Listener {
+	if w == nil {
+		return l
+	}
+	return &wiredListener{Listener: l, wire: w}
+}
+
+type wiredConn struct {
+	net.Conn
+	wire *Wire
+}
+
+// Read implements net.Conn.
+func (c *wiredConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.wire.in.Inc(int64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *wiredConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.wire.out.Inc(int64(n))
+	return n, err
+}
+
+type wiredListener struct {
+	net.Listener
+	wire *Wire
+}
+
+// Accept implements net.Listener.
+func (l *wiredListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return l.wire.Conn(c), nil
+}
--- a/internal/workerclient/client.go
+++ b/internal/workerclient/client.go
@@ -32,7 +32,8 @@
 
 // Client implements port.Workers with one connection per worker.
 type Client struct {
-	clock port.Clock
+	clock   port.Clock
+	options connection.Options // of each connection
 
 	mu      sync.Mutex
 	workers map[string]*link // by address
@@ -48,8 +49,8 @@
 }
 
 // New returns a client that connects to a worker with the first call.
-func New(clock port.Clock) *Client {
-	return &Client{clock: clock, workers: map[string]*link{}}
+func New(clock port.Clock, o connection.Options) *Client {
+	return &Client{clock: clock, options: o, workers: map[string]*link{}}
 }
 
 // Close ends all calls.
@@ -77,7 +78,7 @@
 	l := c.workers[host.Address]
 	if l == nil {
 		c.closeIdle(now)
-		conn, err := connection.New(host.Address)
+		conn, err := connection.New(host.Address, c.options)
 		if err != nil {
 			return nil, errors.Wrapf(port.ErrUnavailable, "worker %s: %v", host.ID, err)
 		}
--- a/internal/workerclient/client_test.go
+++ b/internal/workerclient/client_test.go
@@ -11,6 +11,7 @@
 	"sequoiastall/internal/core/job"
 	"sequoiastall/internal/core/resource"
 	"sequoiastall/internal/port"
+	"sequoiastall/internal/rpc/connection"
 	"sequoiastall/internal/standin/worker"
 	"sequoiastall/internal/workerclient"
 )
@@ -27,7 +28,7 @@
 	})
 	assert.NilError(t, err)
 	t.Cleanup(f.Stop)
-	c := workerclient.New(port.SystemClock{})
+	c := workerclient.New(port.SystemClock{}, connection.Options{})
 	t.Cleanup(func() { assert.NilError(t, c.Close()) })
 	return f, c
 }
