--- a/internal/load/experiment.go
+++ b/internal/load/experiment.go
@@ -8,9 +8,9 @@
 
 	"github.com/pkg/errors"
 
+	"sequoiastall/internal/callerclient"
 	"sequoiastall/internal/core/job"
 	"sequoiastall/internal/core/resource"
-	"sequoiastall/internal/dev"
 	"sequoiastall/internal/gateway"
 )
 
@@ -178,7 +178,7 @@
 	const team = 0
 	spec := job.Spec{Queue: teamQueue(team), Class: job.Batch, Tasks: int32(s.limit()) * 2, Idempotent: true,
 		Resources: resource.Vector{Slots: 1, MilliCPU: 500, MemoryMB: 256}, DurationMS: 60_000}
-	caller := dev.Caller{Address: c.nodes[0].address, Secret: teamSecret(team), HTTP: http.DefaultClient}
+	caller := callerclient.Client{Address: c.nodes[0].address, Secret: teamSecret(team), HTTP: http.DefaultClient}
 	if _, err := caller.Submit(ctx, "allowance", spec); err != nil {
 		return nil, err
 	}
--- a/internal/load/submit.go
+++ b/internal/load/submit.go
@@ -9,9 +9,9 @@
 
 	"github.com/pkg/errors"
 
+	"sequoiastall/internal/callerclient"
 	"sequoiastall/internal/core/job"
 	"sequoiastall/internal/core/resource"
-	"sequoiastall/internal/dev"
 )
 
 // submitTimeout bounds a submission with its repetitions.
@@ -84,7 +84,7 @@
 	}
 	node := i % len(s.cell.nodes)
 	sub := submission{tasks: tasks, urgent: urgent, at: time.Now(), node: node, secret: secret}
-	caller := dev.Caller{Address: s.cell.nodes[node].address, Secret: secret, HTTP: s.cell.http}
+	caller := callerclient.Client{Address: s.cell.nodes[node].address, Secret: secret, HTTP: s.cell.http}
 	status, err := caller.Submit(ctx, s.options.KeyPrefix+key, spec)
 	sub.id, sub.err = status.ID, err
 	return sub
@@ -119,7 +119,7 @@
 
 func (r *requests) send(ctx context.Context, i int) {
 	service := i % r.options.Shape.Services
-	caller := dev.Caller{Address: r.cell.nodes[i%len(r.cell.nodes)].address, HTTP: r.cell.http,
+	caller := callerclient.Client{Address: r.cell.nodes[i%len(r.cell.nodes)].address, HTTP: r.cell.http,
 		Secret: teamSecret(service % r.options.Shape.Teams)}
 	begun := time.Now()
 	_, err := caller.Call(ctx, http.MethodGet, "/services/"+serviceName(service)+"/load", nil, nil)
