Confirm the configuration by the watch's position in place of reading it

Cause: each node read the whole configuration every second to confirm it: 6 KB/s of store bytes at 6 teams, with a base that grows with the object set (190 teams: about 100 KB/s), against a bound of 6 KB/s for all control. Change: a node reads its own small registration for the store's revision; when the watch, whose events arrive in revision order, has reached that revision, what it has shown of the configuration is confirmed as of the call. Without that for 1.5 s (silent watch, unreadable value) it reads the configuration as before. Two peer and http addresses with port 0 are no longer taken for one address. After: in a deterministic test of one node with 190 teams, no read of the configuration and under 200 bytes of values a second over 60 s; a newer configuration behind a silent watch is in force within 4 s at ten phases.

--- a/internal/load/cell.go
+++ b/internal/load/cell.go
@@ -7,7 +7,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -215,11 +214,7 @@
 func (c *cell) startNode(i int) error {
 	s := settings.Default()
 	s.NodeID, s.Zone, s.Region = fmt.Sprintf("node%02d", i), zoneName(i%c.shape.Zones), "one"
-	http, err := freeAddress()
-	if err != nil {
-		return err
-	}
-	s.PlatformAddress, s.PeerAddress, s.HTTPAddress = c.platform, "127.0.0.1:0", http
+	s.PlatformAddress, s.PeerAddress, s.HTTPAddress = c.platform, "127.0.0.1:0", "127.0.0.1:0"
 	data, err := json.Marshal(s)
 	if err != nil {
 		return errors.Wrap(err, "settings")
@@ -236,17 +231,6 @@
 	return nil
 }
 
-// freeAddress returns a loopback address whose port is free at the moment. The settings reject two equal addresses, so
-// that not both of a node's can leave the port open.
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", errors.Wrap(err, "free port")
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
-}
-
 // ended returns an error if a process that should run has ended, with the end of its log.
 func (c *cell) ended() error {
 	all := append([]*process{c.server}, c.workers...)
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -10,27 +10,60 @@
 	"sequoiastall/internal/port"
 )
 
-// configDuty reads the published configuration at each interval. The watch usually brings it sooner, but may be silently
-// dead.
+// configDuty confirms the configuration at each interval: it asks the store for its revision, which the watch has to
+// reach. When that doesn't confirm in time, for instance because the watch is silently dead, it reads the configuration.
 func (n *Node) configDuty(ctx context.Context) {
 	every(ctx, n.options.Timing.ConfigPoll, func(ctx context.Context) {
-		ctx, cancel := context.WithTimeout(ctx, n.options.Timing.StoreTimeout)
-		defer cancel()
-		sent := n.ports.Clock.Now()
-		entry, err := n.ports.Store.Get(ctx, port.ConfigKey)
-		if errors.Is(err, port.ErrNotFound) {
-			n.storeAnswered(nil)
+		if n.current() != nil && n.askRevision(ctx) != nil {
 			return
 		}
-		n.storeAnswered(err)
-		if err != nil {
-			n.log.Debug("configuration read failed", "error", err)
-			return
+		if !n.confirmedLately() {
+			n.readConfiguration(ctx)
 		}
-		n.offerEntry(entry, sent, true)
 	})
 }
 
+// askRevision reads this node's own small registration for the sake of the store's revision that comes with it.
+func (n *Node) askRevision(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, n.options.Timing.StoreTimeout)
+	defer cancel()
+	sent := n.ports.Clock.Now()
+	_, revision, err := n.ports.Store.Range(ctx, port.NodePrefix+n.options.ID)
+	n.storeAnswered(err)
+	if err != nil {
+		n.log.Debug("store revision read failed", "error", err)
+		return err
+	}
+	n.position.ask(revision, sent)
+	n.confirmByWatch()
+	return nil
+}
+
+// confirmedLately reports whether the confirmation is young enough to wait for the watch until the next interval.
+func (n *Node) confirmedLately() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	age, confirmed := n.holder.Age(n.ports.Clock.Now())
+	return confirmed && age < n.options.Timing.ConfigPoll*3/2
+}
+
+func (n *Node) readConfiguration(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, n.options.Timing.StoreTimeout)
+	defer cancel()
+	sent := n.ports.Clock.Now()
+	entry, err := n.ports.Store.Get(ctx, port.ConfigKey)
+	if errors.Is(err, port.ErrNotFound) {
+		n.storeAnswered(nil)
+		return
+	}
+	n.storeAnswered(err)
+	if err != nil {
+		n.log.Debug("configuration read failed", "error", err)
+		return
+	}
+	n.offerEntry(entry, sent, true)
+}
+
 // offerEntry applies the store's value of the configuration.
 func (n *Node) offerEntry(e port.Entry, sent time.Time, confirms bool) {
 	d, err := configuration.Unmarshal(e.Value)
--- /dev/null
+++ b/internal/node/cost_test.go
@@ -0,0 +1,246 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"sequoiastall/internal/core/configuration"
+	"sequoiastall/internal/core/object"
+	"sequoiastall/internal/core/routing"
+	"sequoiastall/internal/port"
+	"sequoiastall/internal/telemetry"
+)
+
+// costStore is a store in memory that counts calls and the bytes of values. Watches can be made silent.
+type costStore struct {
+	mu       sync.Mutex
+	revision int64
+	entries  map[string]port.Entry
+	changed  chan struct{}
+	events   []port.WatchEvent
+	silent   bool
+	calls    map[string]int
+	read     int // bytes of values
+	watched  int // bytes of values
+}
+
+func newCostStore() *costStore {
+	return &costStore{entries: map[string]port.Entry{}, changed: make(chan struct{}), calls: map[string]int{}}
+}
+
+func (s *costStore) Get(_ context.Context, key string) (port.Entry, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls["get "+key]++
+	e, found := s.entries[key]
+	if !found {
+		return port.Entry{}, port.ErrNotFound
+	}
+	s.read += len(e.Value)
+	return e, nil
+}
+
+func (s *costStore) Range(_ context.Context, prefix string) ([]port.Entry, int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls["range "+prefix]++
+	var entries []port.Entry
+	for key, e := range s.entries {
+		if strings.HasPrefix(key, prefix) {
+			s.read += len(e.Value)
+			entries = append(entries, e)
+		}
+	}
+	return entries, s.revision, nil
+}
+
+func (s *costStore) Put(_ context.Context, w port.Write) (int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls["put"]++
+	s.revision++
+	e := port.Entry{Key: w.Key, Value: w.Value, Revision: s.revision}
+	s.entries[w.Key] = e
+	s.events = append(s.events, port.WatchEvent{Entry: e})
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return s.revision, nil
+}
+
+func (s *costStore) Delete(context.Context, string, int64) error { return port.ErrUnavailable }
+
+func (s *costStore) Grant(context.Context, time.Duration) (port.LeaseID, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls["grant"]++
+	return 1, nil
+}
+
+func (s *costStore) KeepAlive(context.Context, port.LeaseID) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls["keepalive"]++
+	return nil
+}
+
+func (s *costStore) Watch(ctx context.Context, prefix string, after int64, handle func([]port.WatchEvent) error) error {
+	for {
+		s.mu.Lock()
+		var events []port.WatchEvent
+		for _, e := range s.events {
+			if !s.silent && e.Entry.Revision > after && strings.HasPrefix(e.Entry.Key, prefix) {
+				events = append(events, e)
+				s.watched += len(e.Entry.Value)
+				after = e.Entry.Revision
+			}
+		}
+		changed := s.changed
+		s.mu.Unlock()
+		if len(events) > 0 {
+			if err := handle(events); err != nil {
+				return err
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+		}
+	}
+}
+
+func (s *costStore) setSilent(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent = on
+}
+
+// take returns the calls and the bytes read since the last one.
+func (s *costStore) take() (calls map[string]int, read int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	calls, read = s.calls, s.read
+	s.calls, s.read, s.watched = map[string]int{}, 0, 0
+	return calls, read
+}
+
+type costHosts struct{}
+
+func (costHosts) List(context.Context) ([]port.Host, error) { return nil, nil }
+
+type costRoutes struct{}
+
+func (costRoutes) Apply(routing.EndpointSet, time.Time) {}
+func (costRoutes) Request(node, partition string) routing.EndpointsRequest {
+	return routing.EndpointsRequest{Node: node, Partition: partition}
+}
+func (costRoutes) Demand() []routing.ServiceDemand { return nil }
+func (costRoutes) Remove(string)                   {}
+
+// costSet returns the value of a configuration with many teams.
+func costSet(t *testing.T, teams int, revision int64) []byte {
+	t.Helper()
+	text := `[{"kind":"cell","name":"c","policy":{"packing":1}},{"kind":"zone","name":"z","region":"r"}`
+	for i := range teams {
+		text += fmt.Sprintf(`,{"kind":"team","name":"team%03d"}`, i)
+	}
+	set, problems := object.Validate([]object.File{{Name: "f", Data: []byte(text + "]")}})
+	assert.Equal(t, len(problems), 0, "%v", problems)
+	d, err := configuration.NewDocument(set, revision, "test")
+	assert.NilError(t, err)
+	value, err := d.Marshal()
+	assert.NilError(t, err)
+	return value
+}
+
+// runCostNode runs a node alone against the store until the test's bubble ends it.
+func runCostNode(t *testing.T, store port.Store) *Node {
+	t.Helper()
+	log := slog.New(slog.NewJSONHandler(io.Discard, nil))
+	n := New(Options{ID: "n1", Zone: "z", PeerAddress: "127.0.0.1:1", HTTPAddress: "127.0.0.1:2", Timing: DefaultTiming()},
+		Ports{Store: store, Hosts: costHosts{}, Clock: port.SystemClock{}}, costRoutes{}, log, telemetry.NewRegistry(log))
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); n.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return n
+}
+
+// Guards the bound of 6 KB of control a second: with the 190 teams of the target, reading the configuration at each
+// interval would break it. An idle node confirms a configuration that doesn't change without reading it.
+func TestIdleNodeDoesNotReadTheConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newCostStore()
+		_, err := store.Put(context.Background(), port.Write{Key: port.ConfigKey, Value: costSet(t, 190, 1)})
+		assert.NilError(t, err)
+		n := runCostNode(t, store)
+		time.Sleep(10 * time.Second)
+		store.take()
+		const seconds = 60
+		time.Sleep(seconds * time.Second)
+		calls, read := store.take()
+		assert.Equal(t, calls["get "+port.ConfigKey], 0)
+		assert.Assert(t, calls["range "+port.NodePrefix+"n1"] <= seconds+1, "%v", calls)
+		assert.Assert(t, calls["put"] <= seconds/5+1 && calls["keepalive"] <= seconds/5+1, "%v", calls)
+		assert.Assert(t, read <= seconds*200, "%d bytes read", read)
+		assert.NilError(t, n.Authority())
+	})
+}
+
+// Guards against a confirmation that a silent watch lets go on: the configuration must be read then, and a newer one
+// come into force within 4 s.
+func TestSilentWatchDoesNotConfirm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newCostStore()
+		_, err := store.Put(context.Background(), port.Write{Key: port.ConfigKey, Value: costSet(t, 2, 1)})
+		assert.NilError(t, err)
+		n := runCostNode(t, store)
+		time.Sleep(10 * time.Second)
+		for revision := int64(2); revision < 12; revision++ {
+			store.setSilent(true)
+			_, err := store.Put(context.Background(), port.Write{Key: port.ConfigKey, Value: costSet(t, 2, revision)})
+			assert.NilError(t, err)
+			time.Sleep(4*time.Second - time.Millisecond)
+			assert.Equal(t, n.current().Document.Revision, revision)
+			assert.NilError(t, n.Authority())
+			store.setSilent(false)
+			time.Sleep(time.Duration(revision) * 370 * time.Millisecond) // other phases of the intervals
+		}
+	})
+}
+
+// Guards against a confirmation by a configuration that the watch showed but that can't be read.
+func TestUnreadableConfigurationIsNotConfirmed(t *testing.T) {
+	p := &watchPosition{}
+	good := port.Entry{Key: port.ConfigKey, Value: costSet(t, 1, 7), Revision: 3}
+	p.load([]port.Entry{good}, 5)
+	sent := time.Unix(100, 0)
+	p.ask(6, sent)
+	_, _, ok := p.confirmed()
+	assert.Assert(t, !ok, "the watch hasn't reached the revision")
+	p.advance([]port.WatchEvent{{Entry: port.Entry{Key: port.NodePrefix + "x", Revision: 6}}})
+	document, at, ok := p.confirmed()
+	assert.Assert(t, ok)
+	assert.Equal(t, document, int64(7))
+	assert.Equal(t, at, sent)
+	_, _, ok = p.confirmed()
+	assert.Assert(t, !ok, "one ask confirms once")
+	for _, bad := range []port.WatchEvent{{Entry: port.Entry{Key: port.ConfigKey, Value: []byte("{"), Revision: 8}},
+		{Entry: port.Entry{Key: port.ConfigKey, Revision: 9}, Deleted: true}} {
+		p.advance([]port.WatchEvent{{Entry: good}})
+		p.advance([]port.WatchEvent{bad})
+		p.ask(8, sent)
+		_, _, ok = p.confirmed()
+		assert.Assert(t, !ok)
+	}
+	assert.Equal(t, p.document, int64(0))
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -96,6 +96,7 @@
 
 	held       atomic.Pointer[configuration.Held]
 	state      *stateCache
+	position   watchPosition
 	hosts      hostCache
 	owners     ownerSet
 	storeSeen  atomic.Int64 // Unix nanoseconds of the last successful store call
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -201,11 +201,15 @@
 		return err
 	}
 	n.loadState(entries)
+	n.position.load(entries, revision)
+	n.confirmByWatch()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go n.guardWatch(ctx, cancel)
 	return n.ports.Store.Watch(ctx, port.StatePrefix, revision, func(events []port.WatchEvent) error {
 		n.applyEvents(events)
+		n.position.advance(events)
+		n.confirmByWatch()
 		return nil
 	})
 }
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -33,7 +33,8 @@
 			report(f.field, "%s", message)
 		}
 	}
-	if s.PeerAddress == s.HTTPAddress {
+	// Two ports that the system chooses differ.
+	if s.PeerAddress == s.HTTPAddress && !strings.HasSuffix(s.HTTPAddress, ":0") {
 		report("http_address", "is the same as peer_address")
 	}
 	for i, seed := range s.Seeds {
