--- a/internal/dev/cell.go
+++ b/internal/dev/cell.go
@@ -20,6 +20,7 @@
 	"sequoiastall/internal/core/resource"
 	"sequoiastall/internal/platform"
 	"sequoiastall/internal/port"
+	"sequoiastall/internal/rpc/connection"
 	"sequoiastall/internal/server"
 	"sequoiastall/internal/settings"
 	platformstandin "sequoiastall/internal/standin/platform"
@@ -88,7 +89,7 @@
 	}
 	c.address = l.Addr().String()
 	c.serving.Go(func() { _ = c.Platform.Serve(l) })
-	if c.store, err = platform.New(c.address); err != nil {
+	if c.store, err = platform.New(c.address, connection.Options{}); err != nil {
 		c.Stop()
 		return nil, err
 	}
