--- a/internal/gateway/proxy.go
+++ b/internal/gateway/proxy.go
@@ -213,9 +213,9 @@
 		return
 	}
 	attrs := []slog.Attr{slog.String("service", c.service.Name), slog.String("instance", t.pick.Instance.String()),
-		slog.String("worker", t.pick.Worker), slog.String("zone", t.pick.Zone), slog.Int("try", t.number),
+		slog.String("worker", t.pick.Worker), slog.String("instance_zone", t.pick.Zone), slog.Int("try", t.number),
 		slog.String("kind", kind), slog.String("reason", t.pick.Reason.String()),
-		slog.String("outcome", t.outcome.String()), slog.Duration("latency", latency)}
+		slog.String("outcome", t.outcome.String()), slog.Int64("latency_us", latency.Microseconds())}
 	if t.err != nil {
 		attrs = append(attrs, slog.String("error", t.err.Error()))
 	}
--- a/internal/gateway/proxy_test.go
+++ b/internal/gateway/proxy_test.go
@@ -442,10 +442,10 @@
 	for i, line := range lines {
 		var fields map[string]any
 		assert.NilError(t, json.Unmarshal([]byte(line), &fields))
-		for name, want := range map[string]any{"service": "lookup", "instance": "J/0", "worker": "w0", "zone": "z1",
+		for name, want := range map[string]any{"service": "lookup", "instance": "J/0", "worker": "w0", "instance_zone": "z1",
 			"try": float64(i + 1), "reason": "own zone", "outcome": "not_run"} {
 			assert.Equal(t, fields[name], want, name)
 		}
-		assert.Assert(t, fields["latency"] != nil)
+		assert.Assert(t, fields["latency_us"] != nil)
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -115,7 +115,7 @@
 	p.Store = meteredStore{p.Store, meters}
 	self := membership.Member{ID: o.ID, Zone: o.Zone, Address: o.PeerAddress, HTTPAddress: o.HTTPAddress, Incarnation: now.UnixMilli()}
 	n := &Node{
-		options: o, ports: p, log: log.With("node", o.ID), metrics: meters, routes: routes,
+		options: o, ports: p, log: log, metrics: meters, routes: routes,
 		table:  membership.NewTable(self, membership.Options{}),
 		holder: configuration.NewHolder(configuration.FreshFor),
 		random: rand.New(rand.NewPCG(uint64(now.UnixNano()), 1)),
