--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -96,6 +96,7 @@
 
 	held       atomic.Pointer[configuration.Held]
 	state      *stateCache
+	position   watchPosition
 	hosts      hostCache
 	owners     ownerSet
 	storeSeen  atomic.Int64 // Unix nanoseconds of the last successful store call
@@ -112,7 +113,7 @@
 func New(o Options, p Ports, routes Routes, log *slog.Logger, metrics *telemetry.Registry) *Node {
 	now := p.Clock.Now()
 	meters := newMeters(metrics)
-	p.Store = meteredStore{p.Store, meters}
+	p.Store, p.Hosts = meteredStore{p.Store, meters}, meteredHosts{p.Hosts, meters}
 	self := membership.Member{ID: o.ID, Zone: o.Zone, Address: o.PeerAddress, HTTPAddress: o.HTTPAddress, Incarnation: now.UnixMilli()}
 	n := &Node{
 		options: o, ports: p, log: log, metrics: meters, routes: routes,
