Check the team and first_index of submissions; read divided jobs in the demo

Cause: a job of an unknown team on an open queue was refused with a message about the team's limit. A caller could give first_index, which a node sets in parts of a divided job. The demonstration takes tasks of parts for strangers.

Conclusion: the demonstration can judge divided jobs once nodes divide them.

--- a/internal/demo/checks.go
+++ b/internal/demo/checks.go
@@ -50,6 +50,21 @@
 	}
 }
 
+// joinParts gives the tasks of divided jobs the ID and the index that they have in the whole job.
+func joinParts(runs []worker.Run, jobs []*plannedJob) []worker.Run {
+	parts := map[job.ID][]job.Part{}
+	for _, j := range jobs {
+		parts[j.status.ID] = j.status.Parts
+	}
+	for i := range runs {
+		t := &runs[i].Task
+		if parent, k := t.Job.Parent(); k >= 0 && k < len(parts[parent]) {
+			*t = job.TaskID{Job: parent, Index: parts[parent][k].First + t.Index}
+		}
+	}
+	return runs
+}
+
 func (d *demo) checkJob(j *plannedJob, succeeded map[job.TaskID]int) {
 	if j.err != nil {
 		d.breach(fmt.Sprintf("%s job %s of %s was lost: %v", j.class, j.status.ID, j.team, j.err))
--- a/internal/demo/checks_test.go
+++ b/internal/demo/checks_test.go
@@ -93,6 +93,17 @@
 	}
 }
 
+// Guards against tasks of divided jobs that are taken for those of another job or for each other.
+func TestJoinParts(t *testing.T) {
+	j := &plannedJob{status: job.Status{Record: job.Record{ID: "A", Parts: []job.Part{{First: 0, Count: 3}, {First: 3, Count: 2}}}}}
+	var got []string
+	for _, r := range joinParts([]worker.Run{run("A.0", 2, "w", 1, 0, 1), run("A.1", 1, "w", 1, 0, 1), run("A.2", 0, "w", 1, 0, 1),
+		run("S", 4, "w", 1, 0, 1)}, []*plannedJob{j}) {
+		got = append(got, r.Task.String())
+	}
+	assert.DeepEqual(t, got, []string{"A/2", "A/4", "A.2/0", "S/4"})
+}
+
 // Guards against counted violations that the demonstration doesn't find in the exposition.
 func TestCountedViolations(t *testing.T) {
 	text := "# TYPE sequoiastall_invariant_violations_total counter\n" +
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -63,6 +63,7 @@
 		{"batch on a queue for requests", with(`"qa"`, `"requests"`), []string{key}, 400, CodeInvalid},
 		{"service instances", with(`batch"`, `service","service":"lookup","concurrency":4`), []string{key}, 400, CodeInvalid},
 		{"concurrency of a batch job", with(`"tasks"`, `"concurrency":4,"tasks"`), []string{key}, 400, CodeInvalid},
+		{"index of a divided job", with(`"tasks"`, `"first_index":4,"tasks"`), []string{key}, 400, CodeInvalid},
 		{"no team on an open queue", strings.Replace(with(`"qa"`, `"open"`), `"team":"a",`, ``, 1), []string{key, "Authorization: "}, 400, CodeInvalid},
 		{"compressed", spec, []string{key, "Content-Encoding: gzip"}, 400, CodeInvalid},
 		{"oversized", strings.Repeat(" ", 1<<20+1) + spec, []string{key}, 413, CodeTooLarge},
--- a/internal/gateway/spec.go
+++ b/internal/gateway/spec.go
@@ -79,6 +79,8 @@
 		return "resources is empty"
 	case s.Service != "":
 		return "service must not be given"
+	case s.FirstIndex != 0:
+		return "first_index must not be given" // a node sets it in parts of a divided job
 	case s.Concurrency > 0:
 		return "concurrency must not be given"
 	}
--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -90,6 +90,9 @@
 	case spec.Tasks > q.TaskLimit():
 		return spec, errors.Wrapf(gateway.ErrInvalid, "queue %s takes at most %d tasks in a job", q.Name, q.TaskLimit())
 	}
+	if _, known := held.Index.Team(spec.Team); !known {
+		return spec, errors.Wrapf(gateway.ErrInvalid, "unknown team %q", spec.Team)
+	}
 	spec.Urgent = q.Priority == object.Urgent
 	spec.Resources.Slots = max(1, spec.Resources.Slots)
 	spec.FirstIndex = 0
