Resolve a pool's name to the label of its workers

Cause: services and jobs name a pool object, while workers carry the pool's label.

Change: admission and service goals use the label; a job with an unknown pool is refused as invalid.

Conclusion: pools can be used by name.

--- a/internal/demo/checks.go
+++ b/internal/demo/checks.go
@@ -90,7 +90,7 @@
 	for _, z := range d.set.Zones {
 		for k := range max(1, d.set.Cell.PartitionsPerZone) {
 			for _, s := range d.set.Services {
-				teams[node.ServiceID(fmt.Sprintf("%s/%d", z.Name, k), s)] = s.Team
+				teams[node.ServiceID(d.index, fmt.Sprintf("%s/%d", z.Name, k), s)] = s.Team
 			}
 		}
 	}
--- a/internal/node/admit_test.go
+++ b/internal/node/admit_test.go
@@ -15,6 +15,7 @@
 func heldSet(t *testing.T) *configuration.Held {
 	slots := int64(8)
 	set := object.Set{Teams: []object.Team{{Meta: object.Meta{Name: "a"}}, {Meta: object.Meta{Name: "b"}}},
+		Pools:  []object.Pool{{Meta: object.Meta{Name: "standard"}, Label: "16c-32g"}},
 		Limits: []object.Limit{{Team: "a", Max: object.LimitSize{Slots: &slots}}},
 		Queues: []object.Queue{{Meta: object.Meta{Name: "batch"}, Class: object.ClassBatch, Open: true, MaxTasks: 50},
 			{Meta: object.Meta{Name: "urgent"}, Class: object.ClassBatch, Team: "a", Priority: object.Urgent},
@@ -65,6 +66,19 @@
 	assert.Assert(t, got.Urgent)
 }
 
+// Guards against work that asks for a pool by its name and waits for ever, because its workers carry the label.
+func TestPools(t *testing.T) {
+	held := heldSet(t)
+	got, err := admit(held, job.Spec{Team: "a", Queue: "batch", Class: job.Batch, Tasks: 1, Pool: "standard"})
+	assert.NilError(t, err)
+	assert.Equal(t, got.Pool, "16c-32g")
+	_, err = admit(held, job.Spec{Team: "a", Queue: "batch", Class: job.Batch, Tasks: 1, Pool: "16c-32g"})
+	assert.ErrorIs(t, err, gateway.ErrInvalid)
+	goal := serviceGoal(held.Index, object.Service{Team: "a", Pool: "standard", Concurrency: 2}, 1)
+	assert.Equal(t, goal.Spec.Pool, "16c-32g")
+	assert.Equal(t, serviceGoal(held.Index, object.Service{Team: "a", Concurrency: 2}, 1).Spec.Pool, "")
+}
+
 // Guards against a key list that the node doesn't pass on to the gateway.
 func TestMayUse(t *testing.T) {
 	n := &Node{}
--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -93,6 +93,10 @@
 	if _, known := held.Index.Team(spec.Team); !known {
 		return spec, errors.Wrapf(gateway.ErrInvalid, "unknown team %q", spec.Team)
 	}
+	if _, known := held.Index.Pool(spec.Pool); !known && spec.Pool != "" {
+		return spec, errors.Wrapf(gateway.ErrInvalid, "unknown pool %q", spec.Pool)
+	}
+	spec.Pool = poolLabel(held.Index, spec.Pool)
 	spec.Urgent = q.Priority == object.Urgent
 	spec.Resources.Slots = max(1, spec.Resources.Slots)
 	spec.FirstIndex = 0
--- a/internal/node/policy.go
+++ b/internal/node/policy.go
@@ -46,7 +46,7 @@
 	}
 	populated := n.populated()
 	for _, s := range held.Set.Services {
-		c.Services = append(c.Services, serviceGoal(s, instancesIn(s, name, populated)))
+		c.Services = append(c.Services, serviceGoal(held.Index, s, instancesIn(s, name, populated)))
 	}
 	return c
 }
@@ -76,24 +76,32 @@
 	return share
 }
 
-func serviceGoal(s object.Service, instances int32) partition.ServiceGoal {
+func serviceGoal(index *object.Index, s object.Service, instances int32) partition.ServiceGoal {
 	resources := s.Resources.Vector()
 	if resources.Slots == 0 {
 		resources.Slots = int64(s.Concurrency)
 	}
 	spec := job.Spec{Team: s.Team, Queue: s.Queue, Name: s.Name, Class: job.Service, Tasks: instances, Resources: resources,
-		Idempotent: true, Pool: s.Pool, Service: s.Name, Concurrency: s.Concurrency}
-	return partition.ServiceGoal{Spec: spec, Version: serviceVersion(s, resources)}
+		Idempotent: true, Pool: poolLabel(index, s.Pool), Service: s.Name, Concurrency: s.Concurrency}
+	return partition.ServiceGoal{Spec: spec, Version: serviceVersion(s, spec.Pool, resources)}
+}
+
+// poolLabel returns the label that the workers of a pool carry, empty for no pool.
+func poolLabel(index *object.Index, name string) string {
+	if p, found := index.Pool(name); found && p.Label != "" {
+		return p.Label
+	}
+	return name
 }
 
 // ServiceID returns the ID of the job whose tasks are a service's instances in a partition.
-func ServiceID(name string, s object.Service) job.ID {
-	return partition.ServiceID(name, serviceGoal(s, 0))
+func ServiceID(index *object.Index, name string, s object.Service) job.ID {
+	return partition.ServiceID(name, serviceGoal(index, s, 0))
 }
 
 // serviceVersion changes when running instances have to be replaced.
-func serviceVersion(s object.Service, r resource.Vector) string {
-	text := s.Team + "\x00" + s.Pool + "\x00" + strconv.Itoa(int(s.Concurrency))
+func serviceVersion(s object.Service, pool string, r resource.Vector) string {
+	text := s.Team + "\x00" + pool + "\x00" + strconv.Itoa(int(s.Concurrency))
 	for _, v := range []int64{r.Slots, r.MilliCPU, r.MemoryMB, r.Accelerators} {
 		text += "\x00" + strconv.FormatInt(v, 10)
 	}
