Blur the choice of a partition at random

Cause: jobs that arrive at several nodes within a few milliseconds all went to the partition that was the emptiest before them. Change: free capacity and backlog are changed at random by up to 30% for the choice of a new job's partition.

--- a/internal/node/demand.go
+++ b/internal/node/demand.go
@@ -32,6 +32,23 @@
 	return summaries
 }
 
+// blurPercent is by how much free capacity and backlog are changed at random.
+const blurPercent = 30
+
+// blur changes free capacity and backlog at random, so that nodes that take jobs at the same moment don't all choose the
+// same partition. They see each other's choices a few milliseconds later only.
+func (n *Node) blur(summaries []membership.Summary) []membership.Summary {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for i := range summaries {
+		s := &summaries[i]
+		s.Free = s.Free.MulDiv(int64(100-n.random.IntN(blurPercent)), 100)
+		extra := s.Capacity.MulDiv(int64(n.random.IntN(blurPercent)), 100)
+		s.Teams = append(s.Teams, membership.TeamUsage{Backlog: extra})
+	}
+	return summaries
+}
+
 // remaining is what the tasks of a run hold or wait for, as far as its record tells.
 func remaining(run job.Record) resource.Vector {
 	return run.Spec.Resources.Scale(int64(run.Spec.Tasks - run.Completed.Len()))
--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -119,7 +119,7 @@
 func (n *Node) choosePartition(held *configuration.Held, spec job.Spec) string {
 	need := spec.Resources.Scale(int64(spec.Tasks))
 	best, bestScore := "", 0.0
-	for _, s := range n.demandSummaries() {
+	for _, s := range n.blur(n.demandSummaries()) {
 		if s.Workers == 0 {
 			continue
 		}
