Scale the demonstration to its cell; name strangers among requests

Cause: the work was sized by the teams' limits, so that a small cell had many times its room to do, and a large one not enough to fill every partition. A request that is answered but missing in the run log left no trace to follow.

Change: batch work is four times the room beside the services, divided among teams by their own room. The checks name requests that ran and that nobody sent, and the instance that gave an unlogged answer.

The unlogged answer is not explained; neither is how often gangs are preempted on a small cell.

--- a/internal/demo/checks.go
+++ b/internal/demo/checks.go
@@ -144,6 +144,15 @@
 // checkRequests compares the tries with what the instances ran.
 func (d *demo) checkRequests(exchanges []exchange) {
 	ran := d.cell.Runs.Requests()
+	sent := map[string]bool{}
+	for _, x := range exchanges {
+		sent[x.id] = true
+	}
+	for id, n := range ran {
+		if !sent[id] {
+			d.breach(fmt.Sprintf("an instance ran request %q %d times, which nobody sent", id, n))
+		}
+	}
 	for _, x := range exchanges {
 		if text := requestViolation(x, ran[x.id]); text != "" {
 			d.breach("request " + x.id + " to " + x.service + " " + text)
@@ -161,7 +170,7 @@
 	case !x.idempotent && n > 1:
 		return fmt.Sprintf("isn't idempotent and ran %d times", n)
 	case x.outcome == outcomeOK && n == 0:
-		return "was answered and never ran"
+		return "was answered by " + x.from + " and isn't in the run log"
 	}
 	return ""
 }
--- a/internal/demo/checks_test.go
+++ b/internal/demo/checks_test.go
@@ -55,7 +55,7 @@
 		{exchange{outcome: outcomeOK}, 1, ""},
 		{exchange{outcome: outcomeOK, idempotent: true}, 2, ""},
 		{exchange{outcome: outcomeOK}, 2, "ran 2 times"},
-		{exchange{outcome: outcomeOK}, 0, "never ran"},
+		{exchange{outcome: outcomeOK, from: "J/0#1 on w"}, 0, "answered by J/0#1 on w and isn't in the run log"},
 		{exchange{outcome: outcomeOK, wrong: "other"}, 1, "isn't its own"},
 		{exchange{outcome: callerclient.NotRun, idempotent: true}, 0, ""},
 		{exchange{outcome: callerclient.NotRun, idempotent: true}, 1, "refused as not run"},
--- a/internal/demo/jobs.go
+++ b/internal/demo/jobs.go
@@ -51,10 +51,7 @@
 // waitFull waits until the cell is nearly full, or gives up when that takes too long.
 func (d *demo) waitFull(ctx context.Context) {
 	const looks = 60
-	var total int64
-	for _, v := range d.cell.Capacity() {
-		total += v.Slots
-	}
+	total := d.total().Slots
 	for range looks {
 		var used resource.Vector
 		for _, r := range d.cell.Runs.Runs() {
--- a/internal/demo/plan.go
+++ b/internal/demo/plan.go
@@ -15,8 +15,8 @@
 )
 
 const (
-	// demandFactor is how many times a team's room is asked for, so that work waits.
-	demandFactor = 2
+	// demandFactor is how many times the cell's room beside its services is asked for, so that work waits.
+	demandFactor = 4
 	// jobsPerTeam spreads a team's batch tasks over the partitions.
 	jobsPerTeam   = 4
 	gangTasks     = 8
@@ -79,10 +79,14 @@
 func (d *demo) planJobs() []*plannedJob {
 	rng := random.New(random.NewPCG(d.options.Seed, 1))
 	var jobs []*plannedJob
+	free, rooms := d.free(), int64(0)
+	for _, t := range d.set.Teams {
+		rooms += d.room(t.Name)
+	}
 	for _, t := range d.set.Teams {
 		room := d.room(t.Name)
 		if q, ok := d.queueOf(t.Name, object.ClassBatch, object.Normal); ok {
-			tasks := min(room*demandFactor/jobsPerTeam, int64(q.TaskLimit()))
+			tasks := min(demandFactor*free*room/max(1, rooms)/jobsPerTeam, int64(q.TaskLimit()))
 			for i := range jobsPerTeam {
 				jobs = d.add(jobs, classBatch, t.Name, q, tasks, taskSize, i%2 == 0, rng)
 			}
@@ -114,19 +118,37 @@
 
 // room returns the number of batch tasks that a team may run beside its services.
 func (d *demo) room(team string) int64 {
-	var most resource.Vector
-	for _, v := range d.cell.Capacity() {
-		most = most.Add(v)
-	}
+	most := d.total()
 	if quota, ok := d.index.Team(team); ok && quota.Limited {
 		most = most.Min(quota.Limit)
 	}
+	return tasksIn(most.Sub(d.services(team)))
+}
+
+// free returns the number of batch tasks that fit into the cell beside all services.
+func (d *demo) free() int64 { return tasksIn(d.total().Sub(d.services(""))) }
+
+func (d *demo) total() resource.Vector {
+	var total resource.Vector
+	for _, v := range d.cell.Capacity() {
+		total = total.Add(v)
+	}
+	return total
+}
+
+// services returns what the services of a team reserve, or those of all teams if team is empty.
+func (d *demo) services(team string) resource.Vector {
+	var used resource.Vector
 	for _, s := range d.set.Services {
-		if s.Team == team {
-			most = most.Sub(serviceSize(s).Scale(int64(s.Replicas)))
+		if team == "" || s.Team == team {
+			used = used.Add(serviceSize(s).Scale(int64(s.Replicas)))
 		}
 	}
-	return max(0, min(most.Slots/taskSize.Slots, most.MilliCPU/taskSize.MilliCPU, most.MemoryMB/taskSize.MemoryMB))
+	return used
+}
+
+func tasksIn(v resource.Vector) int64 {
+	return max(0, min(v.Slots/taskSize.Slots, v.MilliCPU/taskSize.MilliCPU, v.MemoryMB/taskSize.MemoryMB))
 }
 
 func serviceSize(s object.Service) resource.Vector {
--- a/internal/demo/requests.go
+++ b/internal/demo/requests.go
@@ -32,6 +32,7 @@
 	code       string // of a refusal
 	latency    time.Duration
 	wrong      string // how the answer differs from the caller's own
+	from       string // instance and worker that answered
 }
 
 const outcomeOK = "ok"
@@ -120,7 +121,9 @@
 	var echo worker.Echo
 	if err := json.Unmarshal(data, &echo); err != nil {
 		x.wrong = "it isn't whole: " + err.Error()
-	} else if echo.Path != path || echo.Body != body || echo.Method != http.MethodPost {
+	}
+	x.from = echo.Instance + " on " + echo.Worker
+	if x.wrong == "" && (echo.Path != path || echo.Body != body || echo.Method != http.MethodPost) {
 		x.wrong = fmt.Sprintf("it is that of %s %s with body %q", echo.Method, echo.Path, echo.Body)
 	}
 	return x
