Continue a state watch that ended instead of reading everything

Cause: at the target size (24 nodes, 1,300 workers, 25 partitions, 190 teams) the cell started its 7,410 instances and then hardly any task: 237 watches ended within two minutes, each node read the whole state after each, which timed out connections and ended further watches. Accepted jobs didn't reach their owners. Change: a watch that ended goes on from the last revision, after 200 to 400 ms; a silent watch still leads to a complete read. The store's stand-in finds a watch's events by search instead of scanning 4,096 for each write and watch. Conclusion: the complete read stays for compacted and silent watches.

--- a/internal/node/cost_test.go
+++ b/internal/node/cost_test.go
@@ -28,13 +28,14 @@
 	changed  chan struct{}
 	events   []port.WatchEvent
 	silent   bool
+	broken   chan struct{} // closing it ends the open watches with an error
 	calls    map[string]int
 	read     int // bytes of values
 	watched  int // bytes of values
 }
 
 func newCostStore() *costStore {
-	return &costStore{entries: map[string]port.Entry{}, changed: make(chan struct{}), calls: map[string]int{}}
+	return &costStore{entries: map[string]port.Entry{}, changed: make(chan struct{}), broken: make(chan struct{}), calls: map[string]int{}}
 }
 
 func (s *costStore) Get(_ context.Context, key string) (port.Entry, error) {
@@ -103,7 +104,7 @@
 				after = e.Entry.Revision
 			}
 		}
-		changed := s.changed
+		changed, broken := s.changed, s.broken
 		s.mu.Unlock()
 		if len(events) > 0 {
 			if err := handle(events); err != nil {
@@ -113,6 +114,8 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
+		case <-broken:
+			return port.ErrUnavailable
 		case <-changed:
 		}
 	}
@@ -124,6 +127,14 @@
 	s.silent = on
 }
 
+// breakWatches ends the open watches.
+func (s *costStore) breakWatches() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.broken)
+	s.broken = make(chan struct{})
+}
+
 // take returns the calls and the bytes read since the last one.
 func (s *costStore) take() (calls map[string]int, read int) {
 	s.mu.Lock()
@@ -244,3 +255,29 @@
 	}
 	assert.Equal(t, p.document, int64(0))
 }
+
+// Guards against a storm of complete reads: at the target size, 24 nodes whose watches had ended read the whole state
+// again and again, and the store didn't recover. A continued watch must miss nothing.
+func TestWatchThatEndedIsContinuedWithoutReadingEverything(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newCostStore()
+		_, err := store.Put(context.Background(), port.Write{Key: port.ConfigKey, Value: costSet(t, 2, 1)})
+		assert.NilError(t, err)
+		n := runCostNode(t, store)
+		time.Sleep(10 * time.Second)
+		store.take()
+		for revision := int64(2); revision < 12; revision++ {
+			store.breakWatches()
+			_, err := store.Put(context.Background(), port.Write{Key: port.ConfigKey, Value: costSet(t, 2, revision)})
+			assert.NilError(t, err)
+			time.Sleep(rewatchDelay*2 + time.Millisecond)
+			assert.Equal(t, n.current().Document.Revision, revision)
+		}
+		calls, _ := store.take()
+		assert.Equal(t, calls["range "+port.StatePrefix], 0)
+		store.setSilent(true)
+		time.Sleep(20 * time.Second)
+		calls, _ = store.take()
+		assert.Assert(t, calls["range "+port.StatePrefix] > 0, "a silent watch is not trusted")
+	})
+}
--- a/internal/node/position.go
+++ b/internal/node/position.go
@@ -47,6 +47,20 @@
 	}
 }
 
+// revision returns the store revision from which a new watch can go on, 0 if everything has to be read.
+func (p *watchPosition) revision() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.through
+}
+
+// reset gives the position up. Nothing is confirmed until the next complete read.
+func (p *watchPosition) reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.through, p.document = 0, 0
+}
+
 // ask notes that the store had a revision after a call that was sent at the given time.
 func (p *watchPosition) ask(revision int64, sent time.Time) {
 	p.mu.Lock()
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"strings"
 	"sync"
 	"time"
@@ -179,30 +180,55 @@
 	return c.loaded
 }
 
-// stateDuty keeps the cache: it loads everything and then follows the watch. A watch whose events stop, as seen by this
-// node's own registration, is started again.
+// stateDuty keeps the cache: it loads everything and then follows the watch. A watch that ends is continued where it
+// was: if every node read everything again after a moment of overload, the reads would prolong it. A watch whose events
+// stop, as seen by this node's own registration, is started again from a complete read.
 func (n *Node) stateDuty(ctx context.Context) {
 	for ctx.Err() == nil {
 		if err := n.followState(ctx); err != nil && ctx.Err() == nil {
 			n.log.Warn("state watch ended", "error", err)
 		}
-		if !sleep(ctx, 200*time.Millisecond) {
+		if !sleep(ctx, rewatchDelay+rand.N(rewatchDelay)) {
 			return
 		}
 	}
 }
 
+// rewatchDelay is the shortest time between two watches; as much again is random, so that nodes don't come at once.
+const rewatchDelay = 200 * time.Millisecond
+
 func (n *Node) followState(ctx context.Context) error {
+	revision := n.position.revision()
+	if revision == 0 {
+		var err error
+		if revision, err = n.readState(ctx); err != nil {
+			return err
+		}
+	}
+	err := n.watchState(ctx, revision)
+	if errors.Is(err, port.ErrCompacted) {
+		n.position.reset()
+	}
+	return err
+}
+
+// readState loads everything and returns the revision of the read.
+func (n *Node) readState(ctx context.Context) (int64, error) {
 	call, cancelCall := context.WithTimeout(ctx, 4*n.options.Timing.StoreTimeout)
 	entries, revision, err := n.ports.Store.Range(call, port.StatePrefix)
 	cancelCall()
 	n.storeAnswered(err)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	n.loadState(entries)
 	n.position.load(entries, revision)
 	n.confirmByWatch()
+	return revision, nil
+}
+
+// watchState applies the events after a revision until the watch ends.
+func (n *Node) watchState(ctx context.Context, revision int64) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go n.guardWatch(ctx, cancel)
@@ -230,6 +256,7 @@
 			}
 		}
 		n.log.Warn("state watch is silent, starting it again")
+		n.position.reset()
 		cancel()
 		return
 	}
--- a/internal/standin/platform/watch.go
+++ b/internal/standin/platform/watch.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"sort"
 	"strings"
 	"time"
 
@@ -80,8 +81,10 @@
 		return &platformpb.WatchResponse{Compacted: true}, nil, s.faults.Delay, nil
 	}
 	out := &platformpb.WatchResponse{}
-	for _, e := range s.events {
-		if e.Entry.Revision > w.after && strings.HasPrefix(e.Entry.Key, w.prefix) {
+	// Events are in order of revision; a scan of all of them for each watch and write would dominate a large cell.
+	first := sort.Search(len(s.events), func(i int) bool { return s.events[i].Entry.Revision > w.after })
+	for _, e := range s.events[first:] {
+		if strings.HasPrefix(e.Entry.Key, w.prefix) {
 			out.Events = append(out.Events, e)
 		}
 	}
