Report holdings to a new owner only until it has them

Cause: after one takeover a node repeated its report of holdings with each pull of endpoints, about 60 bytes for each instance, twice a second, for good. Change: an answer that doesn't ask for the report ends it. After: in the test, one report for each time the owner asks; the test fails without the change.

--- a/internal/core/routing/table.go
+++ b/internal/core/routing/table.go
@@ -125,7 +125,8 @@
 	if set.Version < p.version || (set.Unchanged && set.Version != p.version) {
 		return false
 	}
-	p.nonce = max(p.nonce, set.HoldingsNonce)
+	// An owner that has the report asks no more. Repeating it would cost about 60 bytes for each instance and request.
+	p.nonce = set.HoldingsNonce
 	if until := sentAt.Add(time.Duration(set.PermitTTLMS) * time.Millisecond); until.After(p.validTo) {
 		p.validTo = until
 	}
