Pull endpoints once a second when idle, gossip to three members from six on

Cause: 7 idle nodes with 4 partitions exchanged 5.6 KB/s of peer bytes each, nearly the whole bound of 6 KB/s: six gossip calls a round each, and two pulls a second for each partition by each node. Change: a node without open or waiting requests leaves out every second pull, except after a change of owner; with six to eight members, gossip goes to three in place of all. Conclusion: the pulls still grow with nodes times partitions.

--- a/internal/core/membership/options.go
+++ b/internal/core/membership/options.go
@@ -10,7 +10,7 @@
 	// A region may be out of reach for an hour; its members must still count as known then.
 	defaultForgetAfter = 2 * time.Hour
 	defaultFanout      = 3
-	defaultSmallTable  = 9
+	defaultSmallTable  = 6
 	// Usage by team only steers the order between teams, so it may be some seconds old.
 	defaultSummaryEvery = 10 * time.Second
 	defaultTeams        = 6
--- a/internal/node/cost_test.go
+++ b/internal/node/cost_test.go
@@ -281,3 +281,23 @@
 		assert.Assert(t, calls["range "+port.StatePrefix] > 0, "a silent watch is not trusted")
 	})
 }
+
+// Guards the number of pulls: two a second for each partition by each node were most messages of an idle cell. A
+// partition whose owner has changed is pulled at once, and so is every partition while requests are open or wait.
+func TestIdleNodePullsEndpointsOnceASecond(t *testing.T) {
+	p, holders := pulls{}, map[string]string{"z/0": "a", "z/1": "b"}
+	assert.Equal(t, len(p.next(holders, true)), 2, "unknown partitions")
+	const rounds = 20 // 10 s
+	total := 0
+	for range rounds {
+		total += len(p.next(holders, true))
+	}
+	assert.Equal(t, total, len(holders)*rounds/2)
+	for range 2 {
+		assert.Equal(t, len(p.next(holders, false)), 2, "with requests")
+	}
+	for _, owner := range []string{"c", "d"} {
+		due := p.next(map[string]string{"z/0": "a", "z/1": owner}, true)
+		assert.Equal(t, due["z/1"], owner)
+	}
+}
--- a/internal/node/endpoints.go
+++ b/internal/node/endpoints.go
@@ -11,14 +11,37 @@
 // draining instance still gets requests.
 const endpointsInterval = 500 * time.Millisecond
 
+// pulls remembers from whom each partition's endpoints were pulled last.
+type pulls struct {
+	round int
+	from  map[string]string // address by partition
+}
+
+// next begins a round and returns the partitions to pull. A node without open or waiting requests leaves out every
+// second round, except for partitions whose owner has changed: pulls for each partition by each node grow with the
+// product of both. A pull each second still leaves two further tries within the permit lease.
+func (p *pulls) next(holders map[string]string, idle bool) map[string]string {
+	p.round++
+	due := map[string]string{}
+	for partition, address := range holders {
+		if last, known := p.from[partition]; !known || last != address || !idle || p.round%2 == 0 {
+			due[partition] = address
+		}
+	}
+	p.from = holders
+	return due
+}
+
 // endpointsDuty pulls the endpoints of every partition from its owner.
 func (n *Node) endpointsDuty(ctx context.Context) {
-	known := map[string]bool{}
+	known, rounds := map[string]bool{}, pulls{}
 	every(ctx, endpointsInterval, func(ctx context.Context) {
 		holders := n.holders()
-		n.routes.Demand() // closes idle connections whose permits have lapsed
-		for p, address := range holders {
+		idle := len(n.routes.Demand()) == 0 // also closes idle connections whose permits have lapsed
+		for p := range holders {
 			known[p] = true
+		}
+		for p, address := range rounds.next(holders, idle) {
 			go n.pullEndpoints(ctx, p, address)
 		}
 		held := n.current()
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -65,7 +65,7 @@
 			IsolationStopStartsMS: 5_000, IsolationStopRenewalMS: 10_000, ProgressIntervalMS: 2_000, IntentsPerSecond: 20,
 			StoreTimeoutMS: 500, HostListPollMS: 1_000, NodeLeaseMS: 15_000, NodeRenewMS: 5_000, ConfigPollMS: 1_000,
 			ConfigFreshMS: 3_000, RequestClaimTTLS: 86_400,
-			GossipIntervalMS: 500, GossipFanout: 3, GossipAllBelow: 9, SuspectAfterMS: 2_000, DeadAfterMS: 3_000,
+			GossipIntervalMS: 500, GossipFanout: 3, GossipAllBelow: 6, SuspectAfterMS: 2_000, DeadAfterMS: 3_000,
 			OneEventWithinMS: 2_000, TakeoverStaggerMS: 500, TakeoverParallel: 16,
 			PermitLeaseMS: 3_000, DrainMS: 30_000,
 		},
