Tell a task its place in the caller's job

Cause: the tasks of a divided job start at index 0 in each part, so a task couldn't know which piece of the work it is. Change: a start carries the index of the part's first task; the stand-in's run log keeps the place in the whole job, by which the demonstration now checks that each task ran once. Conclusion: callers needn't know that a job was divided.

--- a/internal/core/job/parts.go
+++ b/internal/core/job/parts.go
@@ -58,15 +58,6 @@
 	return run
 }
 
-// WholeTask names a task of one of the record's Runs by its index in the whole job.
-func (r Record) WholeTask(t TaskID) TaskID {
-	parent, k := t.Job.Parent()
-	if k < 0 || k >= len(r.Parts) {
-		return t
-	}
-	return TaskID{Job: parent, Index: r.Parts[k].First + t.Index}
-}
-
 // Partitions returns the partitions that run the job.
 func (r Record) Partitions() []string {
 	if len(r.Parts) == 0 {
--- a/internal/core/partition/workers.go
+++ b/internal/core/partition/workers.go
@@ -269,7 +269,7 @@
 		if !known || groups[i].Reserved != t.Reserved {
 			groups = append(groups, port.StartGroup{Job: p.task.Job, Reserved: t.Reserved, Payload: spec.Payload,
 				Duration: time.Duration(spec.DurationMS) * time.Millisecond,
-				Service:  spec.Class == job.Service, Concurrency: spec.Concurrency})
+				Service:  spec.Class == job.Service, Concurrency: spec.Concurrency, FirstIndex: spec.FirstIndex})
 			i = len(groups) - 1
 			at[p.task.Job] = i
 		}
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -150,7 +150,7 @@
 		return Report{}, errors.Wrap(err, "interrupted")
 	}
 	d.options.Progress("checking the run log of the workers and the metrics of the nodes")
-	runs := wholeJobs(d.cell.Runs.Runs(), jobs)
+	runs := wholeJobs(d.cell.Runs.Runs())
 	d.checkRuns(runs, jobs)
 	d.checkRequests(exchanges)
 	// The metrics are also of interest when the work took too long.
@@ -160,17 +160,11 @@
 	return d.report(runs, jobs, exchanges), nil
 }
 
-// wholeJobs names the tasks of divided jobs by their index in the whole job.
-func wholeJobs(runs []worker.Run, jobs []*plannedJob) []worker.Run {
-	records := map[job.ID]job.Record{}
-	for _, j := range jobs {
-		records[j.status.ID] = j.status.Record
-	}
+// wholeJobs names the tasks of divided jobs by their place in the caller's job.
+func wholeJobs(runs []worker.Run) []worker.Run {
 	for i := range runs {
 		parent, _ := runs[i].Task.Job.Parent()
-		if r, known := records[parent]; known {
-			runs[i].Task = r.WholeTask(runs[i].Task)
-		}
+		runs[i].Task = job.TaskID{Job: parent, Index: runs[i].Index}
 	}
 	return runs
 }
--- a/internal/port/workers.go
+++ b/internal/port/workers.go
@@ -74,7 +74,9 @@
 	Service     bool
 	Concurrency int32
 	Payload     []byte
-	Tasks       []TaskStart
+	// FirstIndex is what a task adds to its index to know its place in the caller's job, of which this may be a part.
+	FirstIndex int32
+	Tasks      []TaskStart
 }
 
 // TaskStart is one attempt to start.
--- a/internal/standin/worker/runlog.go
+++ b/internal/standin/worker/runlog.go
@@ -18,6 +18,7 @@
 // Run is one attempt that ran on a worker.
 type Run struct {
 	Task     job.TaskID
+	Index    int32 // place in the caller's job, of which Task.Job may be a part
 	Attempt  int32
 	Worker   string
 	Reserved resource.Vector
@@ -46,7 +47,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.open[t] = len(l.runs)
-	l.runs = append(l.runs, Run{Task: t.id.task, Attempt: t.id.attempt, Worker: worker, Reserved: t.reserved, Start: t.started})
+	l.runs = append(l.runs, Run{Task: t.id.task, Index: t.first + t.id.task.Index, Attempt: t.id.attempt, Worker: worker, Reserved: t.reserved, Start: t.started})
 }
 
 func (l *RunLog) finish(t *task, state workerpb.TaskState, at time.Time) {
--- a/internal/standin/worker/sync.go
+++ b/internal/standin/worker/sync.go
@@ -146,7 +146,7 @@
 	case !reserved.Fits(w.options.Capacity.Sub(w.used)):
 		return workerpb.Refusal_CAPACITY, false
 	}
-	t := &task{id: id, reserved: reserved, since: now, started: now, changed: make(chan struct{})}
+	t := &task{id: id, first: g.FirstIndex, reserved: reserved, since: now, started: now, changed: make(chan struct{})}
 	if err := w.prepare(t, g, s); err != nil {
 		r := t.record(workerpb.TaskState_FAILED)
 		r.Message = err.Error()
--- a/internal/standin/worker/task.go
+++ b/internal/standin/worker/task.go
@@ -65,6 +65,7 @@
 // task is a running attempt. Worker.mu guards it.
 type task struct {
 	id        attemptID
+	first     int32 // index, in the caller's job, of the first task of the job that id names
 	reserved  resource.Vector
 	payload   Payload
 	endless   bool
--- a/internal/workerclient/mapping.go
+++ b/internal/workerclient/mapping.go
@@ -82,7 +82,7 @@
 	for _, g := range s.Starts {
 		group := &workerpb.StartGroup{
 			Job: string(g.Job), Reserved: fromVector(g.Reserved), DurationMs: g.Duration.Milliseconds(),
-			Service: g.Service, Concurrency: g.Concurrency, Payload: g.Payload,
+			Service: g.Service, Concurrency: g.Concurrency, Payload: g.Payload, FirstIndex: g.FirstIndex,
 		}
 		for _, t := range g.Tasks {
 			group.Tasks = append(group.Tasks, &workerpb.TaskStart{Index: t.Index, Attempt: t.Attempt, Checkpoint: t.Checkpoint})
