Guard the fake node of the command tests with a mutex

Cause: the race detector found that the fake node's fields were used by the handler of an aborted request and by the next one with nothing between them.

Change: a mutex in the fake node. Nothing that the tests check has changed.

Figures: go test -race ./internal/cli failed once (TestCallExitCodes, "lost, then a revoked key") after passing once before. With the mutex it passes, and 20 repetitions of the tests of the callers' commands pass as well.

Conclusion: the race was in the test only.

--- a/internal/cli/caller_test.go
+++ b/internal/cli/caller_test.go
@@ -8,7 +8,9 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
+	"sync"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -29,6 +31,7 @@
 
 // nodeServer is a fake node whose answers a test writes. The last answer of a path is repeated.
 type nodeServer struct {
+	mu       sync.Mutex
 	answers  map[string][]answer // by method and path
 	requests []string            // method, path and headers of interest
 	bodies   []string
@@ -37,6 +40,9 @@
 
 func (n *nodeServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
+	// An aborted request tells the test nothing, so that only the mutex orders it before the next one.
+	n.mu.Lock()
+	defer n.mu.Unlock()
 	n.requests = append(n.requests, r.Method+" "+r.URL.Path+" "+r.Header.Get("Authorization")+" "+r.Header.Get("Idempotency-Key"))
 	n.bodies = append(n.bodies, string(body))
 	if n.cut > 0 {
@@ -54,6 +60,13 @@
 	_, _ = io.WriteString(w, list[0].body)
 }
 
+// sent returns the requests so far.
+func (n *nodeServer) sent() []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return slices.Clone(n.requests)
+}
+
 func newNodeBench(t *testing.T) (*bench, *nodeServer) {
 	n := &nodeServer{answers: map[string][]answer{}}
 	s := httptest.NewServer(n)
@@ -86,7 +99,7 @@
 		"duration_ms": 6, "deadline_ms": 7, "idempotent": true, "pool": "p", "payload": "text",
 	}`), 0o600))
 	assert.Equal(t, b.run("submit", "-f", file, "--tasks", "2", "--idempotency-key", "k1"), ExitOK, b.stderr)
-	assert.Equal(t, n.requests[0], "POST /v1/jobs Bearer secret k1")
+	assert.Equal(t, n.sent()[0], "POST /v1/jobs Bearer secret k1")
 	var spec job.Spec
 	assert.NilError(t, json.Unmarshal([]byte(n.bodies[0]), &spec))
 	want := job.Spec{Queue: "q", Name: "n", Class: job.Batch, Tasks: 2, DurationMS: 6, DeadlineMS: 7, Idempotent: true, Pool: "p", Payload: []byte("text")}
@@ -98,7 +111,7 @@
 	var status job.Status
 	assert.NilError(t, json.Unmarshal([]byte(b.stdout), &status))
 	assert.Equal(t, status.ID, job.ID("J1"))
-	keys := strings.Fields(n.requests[1])
+	keys := strings.Fields(n.sent()[1])
 	assert.Equal(t, len(keys), 5, "a random idempotency key: %v", keys)
 }
 
@@ -125,7 +138,7 @@
 	assert.Equal(t, b.run("status"), ExitUsage)
 	t.Setenv(envNode, "")
 	assert.Equal(t, b.run("status"), ExitUsage)
-	assert.Equal(t, len(n.requests), 0)
+	assert.Equal(t, len(n.sent()), 0)
 }
 
 // Guards against an exit code that tells a script to repeat what may have run, or to give up what has not.
@@ -155,9 +168,9 @@
 			n.answers["POST /v1/jobs"], n.cut = c.answers, c.cut
 			b.giveUp(c.pauses)
 			assert.Equal(t, b.run("submit", "--queue", "q", "--idempotency-key", "k1"), c.code, b.stderr)
-			assert.Equal(t, len(n.requests), c.sent)
-			for _, r := range n.requests {
-				assert.Equal(t, r, n.requests[0], "the idempotency key stays the same")
+			assert.Equal(t, len(n.sent()), c.sent)
+			for _, r := range n.sent() {
+				assert.Equal(t, r, n.sent()[0], "the idempotency key stays the same")
 			}
 			if c.code != ExitOK {
 				assert.Assert(t, strings.Contains(b.stderr, "--idempotency-key k1"), b.stderr)
@@ -206,7 +219,7 @@
 	secret := filepath.Join(t.TempDir(), "key")
 	assert.NilError(t, os.WriteFile(secret, []byte("from-file\n"), 0o600))
 	assert.Equal(t, b.run("cancel", "J1", "--key-file", secret), ExitOK)
-	assert.Equal(t, n.requests[len(n.requests)-1], "DELETE /v1/jobs/J1 Bearer from-file ")
+	assert.Equal(t, n.sent()[len(n.sent())-1], "DELETE /v1/jobs/J1 Bearer from-file ")
 }
 
 // Guards against views that status leaves out.
@@ -259,7 +272,7 @@
 	n.answers["GET /v1/revision"] = []answer{{200, `{"node":"n1","revision":4}`}}
 	address := os.Getenv(envNode)
 	assert.DeepEqual(t, askRevision(t.Context(), entryOf("n1", `{"http_address":"`+address+`"}`)), NodeRevision{Node: "n1", Revision: 4})
-	assert.Equal(t, n.requests[0], "GET /v1/revision  ")
+	assert.Equal(t, n.sent()[0], "GET /v1/revision  ")
 	assert.Equal(t, askRevision(t.Context(), entryOf("n2", `{"http_address":"`+address+`"}`)).Error, "its address is now that of node n1")
 	assert.Assert(t, askRevision(t.Context(), entryOf("n1", `{`)).Error != "")
 	http.DefaultClient.CloseIdleConnections()
