--- a/internal/cli/worker.go
+++ b/internal/cli/worker.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"net/netip"
+	"os"
 	"os/signal"
 	"syscall"
 	"time"
@@ -19,7 +20,7 @@
 
 // NewWorkerCommand returns the command that runs stand-ins for workers.
 func NewWorkerCommand() *cobra.Command {
-	var platformAddress string
+	var platformAddress, runLog string
 	o := worker.FleetOptions{}
 	c := &cobra.Command{
 		Use:   "worker",
@@ -28,7 +29,7 @@
 			"stand-in, and are dead there when they have ended.",
 		Args:         cobra.NoArgs,
 		SilenceUsage: true,
-		RunE:         func(c *cobra.Command, _ []string) error { return runWorkers(c, platformAddress, o) },
+		RunE:         func(c *cobra.Command, _ []string) error { return runWorkers(c, platformAddress, runLog, o) },
 	}
 	f := c.Flags()
 	f.StringVar(&o.Listen, "listen", "127.0.0.1:0", "address of the first worker, IP:port; the others use the following ports, or any free ones with port 0")
@@ -45,13 +46,14 @@
 	f.Int64Var(&o.Worker.Connections, "connections", 64, "connections to the service instances of a worker")
 	f.DurationVar(&o.Worker.UsageLag, "usage-lag", 5*time.Second, "how old reported usage is")
 	f.StringVar(&platformAddress, "platform", defaultPlatformAddress, "address of the platform stand-in, IP:port")
+	f.StringVar(&runLog, "run-log", "", "file to which each start and end of a task and each request is appended, JSON lines")
 	if err := c.MarkFlagRequired("zone"); err != nil {
 		panic(err) // only if the flag isn't defined
 	}
 	return c
 }
 
-func runWorkers(c *cobra.Command, platformAddress string, o worker.FleetOptions) error {
+func runWorkers(c *cobra.Command, platformAddress, runLog string, o worker.FleetOptions) error {
 	if o.Worker.Zone == "" || o.Worker.Capacity.HasNegative() || o.Worker.Connections < 0 || o.Worker.UsageLag < 0 {
 		return errors.New("worker: --zone must not be empty, and no capacity, limit or lag may be negative")
 	}
@@ -63,6 +65,15 @@
 	defer stop()
 	logger := jsonLogger(c.ErrOrStderr())
 	o.Worker.Logger = logger
+	o.Worker.Log = worker.NewRunLog()
+	if runLog != "" {
+		file, err := os.OpenFile(runLog, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+		if err != nil {
+			return errors.Wrap(err, "worker: --run-log")
+		}
+		defer func() { _ = file.Close() }() // each line was written when it was logged
+		o.Worker.Log.RecordTo(file)
+	}
 	o.Worker.InstanceIP = address.Addr().String()
 	fleet, err := worker.NewFleet(o)
 	if err != nil {
--- /dev/null
+++ b/internal/proof/cell_test.go
@@ -0,0 +1,366 @@
+package proof
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+	"gotest.tools/v3/assert"
+
+	"sequoiastall/internal/core/job"
+	"sequoiastall/internal/core/resource"
+	"sequoiastall/internal/dev"
+	"sequoiastall/internal/gateway"
+	"sequoiastall/internal/platform"
+	"sequoiastall/internal/port"
+	"sequoiastall/internal/rpc/standinpb"
+	"sequoiastall/internal/settings"
+	"sequoiastall/internal/standin/worker"
+)
+
+// patience bounds every wait for an outcome. It is far above what an outcome takes on a machine that isn't busy.
+const patience = 90 * time.Second
+
+// The secrets of the objects in testdata.
+const (
+	redKey  = "secret-red"
+	blueKey = "secret-blue"
+	oldKey  = "secret-old"
+)
+
+// The cell of testdata: a node, a rack of workers and a partition in each zone.
+var zones = []string{"a", "b", "c"}
+
+const workersPerZone = 4
+
+var workerCapacity = resource.Vector{Slots: 8, MilliCPU: 16_000, MemoryMB: 32_768}
+
+// cells counts the cells of this test run, each of which has an IP address of its own.
+var cells atomic.Int64
+
+// cell is a cell of separate processes.
+type cell struct {
+	t       *testing.T
+	dir     string
+	ip      string
+	address string // of the platform
+	process *process
+	workers []*process
+	runLogs []string
+	nodes   []*member
+	control standinpb.ControlClient
+	store   *platform.Client
+	client  *http.Client
+}
+
+// member is an ingress node, which may be started again.
+type member struct {
+	*process
+	id, http, peer string
+	settings       string
+}
+
+// newCell starts a cell and publishes testdata/objects. via, if set, returns the platform's address for a node.
+func newCell(t *testing.T, via func(c *cell, node int) string) *cell {
+	t.Helper()
+	c := &cell{t: t, dir: t.TempDir(), client: &http.Client{Timeout: 40 * time.Second, Transport: &http.Transport{}}}
+	c.ip = fmt.Sprintf("127.%d.%d.1", 64+os.Getpid()%128, cells.Add(1))
+	c.address = c.ip + ":7300"
+	t.Cleanup(c.client.CloseIdleConnections)
+	c.process = launch(t, c.dir, "platform", "platform", "--listen", c.address)
+	conn, err := grpc.NewClient("passthrough:///"+c.address, grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithNoProxy(), grpc.WithDefaultCallOptions(grpc.WaitForReady(true)))
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	c.control = standinpb.NewControlClient(conn)
+	c.faults(&standinpb.Faults{})
+	c.store, err = platform.New(c.address)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = c.store.Close() })
+	for _, z := range zones {
+		c.startWorkers(z)
+	}
+	c.eventually("all workers are listed", func() error {
+		hosts, err := c.store.List(t.Context())
+		if err == nil && len(hosts) != len(zones)*workersPerZone {
+			err = fmt.Errorf("%d workers", len(hosts))
+		}
+		return err
+	})
+	code, out := c.command("publish", "testdata/objects", "--platform", c.address, "--wait", "0")
+	assert.Equal(t, code, 0, out)
+	for i, z := range zones {
+		platformAddress := c.address
+		if via != nil {
+			platformAddress = via(c, i)
+		}
+		c.nodes = append(c.nodes, c.addNode(i, z, platformAddress))
+	}
+	c.awaitOwners(c.nodes...)
+	return c
+}
+
+func (c *cell) startWorkers(zone string) {
+	c.t.Helper()
+	record := filepath.Join(c.dir, "runs-"+zone+".jsonl")
+	c.runLogs = append(c.runLogs, record)
+	c.workers = append(c.workers, launch(c.t, c.dir, "worker-"+zone, "worker", "--zone", zone, "--listen", c.ip+":0",
+		"--count", fmt.Sprint(workersPerZone), "--platform", c.address, "--run-log", record, "--usage-lag", "1s"))
+}
+
+func (c *cell) addNode(i int, zone, platformAddress string) *member {
+	c.t.Helper()
+	s := settings.Default()
+	s.NodeID, s.Zone, s.Region, s.PlatformAddress = fmt.Sprintf("node%d", i), zone, "r", platformAddress
+	s.PeerAddress, s.HTTPAddress = fmt.Sprintf("%s:%d", c.ip, 7400+i), fmt.Sprintf("%s:%d", c.ip, 7500+i)
+	for j := range i {
+		s.Seeds = append(s.Seeds, fmt.Sprintf("%s:%d", c.ip, 7400+j))
+	}
+	var text bytes.Buffer
+	assert.NilError(c.t, settings.Print(&text, s))
+	n := &member{id: s.NodeID, http: s.HTTPAddress, peer: s.PeerAddress, settings: filepath.Join(c.dir, s.NodeID+".jsonc")}
+	assert.NilError(c.t, os.WriteFile(n.settings, text.Bytes(), 0o600))
+	c.restart(n)
+	return n
+}
+
+// restart starts a node, whose earlier process has ended.
+func (c *cell) restart(n *member) {
+	c.t.Helper()
+	n.process = launch(c.t, c.dir, n.id, "serve", "--settings", n.settings)
+}
+
+// awaitOwners waits until the nodes, and only these, own all partitions, and serve the callers.
+func (c *cell) awaitOwners(nodes ...*member) {
+	c.t.Helper()
+	for _, n := range nodes {
+		c.eventually("all partitions are owned as seen by "+n.id, func() error {
+			views, err := c.caller(n, redKey).Nodes(c.t.Context())
+			if err != nil {
+				return err
+			}
+			return ownersProblem(views, nodes)
+		})
+	}
+}
+
+func ownersProblem(views []gateway.NodeView, nodes []*member) error {
+	wanted := map[string]bool{}
+	for _, n := range nodes {
+		wanted[n.id] = true
+	}
+	owned := map[string]int{}
+	for _, v := range views {
+		for _, p := range v.Partitions {
+			if wanted[v.ID] && v.State == "live" {
+				owned[p]++
+			}
+		}
+	}
+	if len(owned) != len(zones) {
+		return fmt.Errorf("owned are %v, views %+v", owned, views)
+	}
+	for p, n := range owned {
+		if n != 1 {
+			return fmt.Errorf("%s has %d owners", p, n)
+		}
+	}
+	return nil
+}
+
+// command runs the binary to its end and returns its exit code and output.
+func (c *cell) command(args ...string) (int, string) {
+	cmd := exec.Command(binary, args...)
+	out, err := cmd.CombinedOutput()
+	if _, exited := err.(*exec.ExitError); err != nil && !exited {
+		c.t.Errorf("%v: %v", args, err)
+	}
+	return cmd.ProcessState.ExitCode(), string(out)
+}
+
+// faults replaces the faults of the platform.
+func (c *cell) faults(f *standinpb.Faults) {
+	c.t.Helper()
+	ctx, cancel := context.WithTimeout(c.t.Context(), patience)
+	defer cancel()
+	_, err := c.control.SetFaults(ctx, f)
+	assert.NilError(c.t, err)
+}
+
+func (c *cell) caller(n *member, secret string) *dev.Caller {
+	return &dev.Caller{Address: n.http, Secret: secret, HTTP: c.client}
+}
+
+// eventually repeats a check until it succeeds.
+func (c *cell) eventually(what string, check func() error) {
+	c.t.Helper()
+	var err error
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		if err = check(); err == nil {
+			return
+		}
+	}
+	c.t.Fatalf("%s: not within %s: %v", what, patience, err)
+}
+
+// batch is a job of the red team with tasks of one slot.
+func batch(tasks int32, duration time.Duration, idempotent bool) job.Spec {
+	return job.Spec{Queue: "batch", Class: job.Batch, Tasks: tasks, DurationMS: duration.Milliseconds(), Idempotent: idempotent,
+		Resources: resource.Vector{Slots: 1, MilliCPU: 500, MemoryMB: 256}}
+}
+
+// gang is a job of the red team whose tasks start together.
+func gang(tasks int32, duration time.Duration) job.Spec {
+	s := batch(tasks, duration, true)
+	s.Queue, s.Class = "gangs", job.Gang
+	return s
+}
+
+// submit submits a job and repeats it until its outcome is known.
+func (c *cell) submit(n *member, key string, spec job.Spec) job.ID {
+	c.t.Helper()
+	ctx, cancel := context.WithTimeout(c.t.Context(), patience)
+	defer cancel()
+	status, err := c.caller(n, redKey).Submit(ctx, key, spec)
+	assert.NilError(c.t, err, key)
+	return status.ID
+}
+
+// awaitJob waits for a job's final record as seen by a node.
+func (c *cell) awaitJob(n *member, id job.ID) job.Status {
+	c.t.Helper()
+	ctx, cancel := context.WithTimeout(c.t.Context(), patience)
+	defer cancel()
+	status, err := c.caller(n, redKey).Wait(ctx, id)
+	assert.NilError(c.t, err)
+	return status
+}
+
+// awaitDone waits until a job is done with all of its tasks.
+func (c *cell) awaitDone(n *member, ids ...job.ID) {
+	c.t.Helper()
+	for _, id := range ids {
+		s := c.awaitJob(n, id)
+		assert.Equal(c.t, s.Phase, job.Done, "%s: %s", id, s.Reason)
+		assert.Equal(c.t, s.Succeeded, s.Spec.Tasks, "%s", id)
+	}
+}
+
+// awaitRunning waits until tasks of a job run.
+func (c *cell) awaitRunning(id job.ID, least int) {
+	c.t.Helper()
+	c.eventually(fmt.Sprintf("%d tasks of job %s run", least, id), func() error {
+		if n := len(c.runs().of(id)); n < least {
+			return fmt.Errorf("%d have started", n)
+		}
+		return nil
+	})
+}
+
+// history is what all workers have run.
+type history struct{ *worker.RunLog }
+
+func (c *cell) runs() history {
+	c.t.Helper()
+	log := worker.NewRunLog()
+	for i, path := range c.runLogs {
+		data, err := os.ReadFile(path)
+		assert.NilError(c.t, err)
+		data = data[:bytes.LastIndexByte(data, '\n')+1] // a line may be on its way
+		assert.NilError(c.t, log.Load(bytes.NewReader(data), c.workers[i].endedAt()))
+	}
+	return history{log}
+}
+
+func (h history) of(id job.ID) []worker.Run {
+	var runs []worker.Run
+	for _, r := range h.Runs() {
+		if r.Task.Job == id {
+			runs = append(runs, r)
+		}
+	}
+	return runs
+}
+
+// successes returns how often each task of a job succeeded.
+func (h history) successes(id job.ID) map[int32]int {
+	n := map[int32]int{}
+	for _, r := range h.of(id) {
+		if r.State == port.TaskSucceeded {
+			n[r.Task.Index]++
+		}
+	}
+	return n
+}
+
+// finish checks the guarantees that hold in each test: each task of a done job succeeded once, no two runs of a task
+// overlap, no worker has more than its capacity, and no process has met a broken invariant or has ended by itself.
+func (c *cell) finish(done ...job.ID) {
+	c.t.Helper()
+	h := c.runs()
+	capacity := map[string]resource.Vector{}
+	for _, z := range zones {
+		for i := range workersPerZone {
+			capacity[fmt.Sprintf("%s-w%d", z, i)] = workerCapacity
+		}
+	}
+	for _, v := range h.Violations(capacity) {
+		c.t.Errorf("guarantee violated: %s", v)
+	}
+	for _, id := range done {
+		c.checkSuccesses(h, id)
+	}
+	all := append([]*process{c.process}, c.workers...)
+	for _, n := range c.nodes {
+		all = append(all, n.process)
+	}
+	for _, p := range all {
+		for _, text := range []string{"invariant violated", "guarantee violated", "panic:", "DATA RACE", "fatal error:"} {
+			for _, line := range p.lines(c.t, text) {
+				c.t.Errorf("%s: %s", p.name, line)
+			}
+		}
+	}
+	c.keepLogs()
+}
+
+func (c *cell) checkSuccesses(h history, id job.ID) {
+	c.t.Helper()
+	record := c.record(id)
+	n := h.successes(id)
+	assert.Equal(c.t, len(n), int(record.Spec.Tasks), "%s", id)
+	for i, times := range n {
+		assert.Equal(c.t, times, 1, "%s/%d succeeded %d times", id, i, times)
+	}
+}
+
+// record reads a job's record from the store.
+func (c *cell) record(id job.ID) job.Record {
+	c.t.Helper()
+	e, err := c.store.Get(c.t.Context(), port.JobPrefix+string(id))
+	assert.NilError(c.t, err)
+	var r job.Record
+	assert.NilError(c.t, json.Unmarshal(e.Value, &r))
+	return r
+}
+
+// keepLogs copies the output of a failed test's processes to the directory that PROOF_LOGS names.
+func (c *cell) keepLogs() {
+	target := os.Getenv("PROOF_LOGS")
+	if !c.t.Failed() || target == "" {
+		return
+	}
+	if err := os.CopyFS(filepath.Join(target, c.t.Name()), os.DirFS(c.dir)); err != nil {
+		c.t.Log("logs not kept:", err)
+	}
+}
--- /dev/null
+++ b/internal/proof/process_test.go
@@ -0,0 +1,107 @@
+package proof
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// endTimeout bounds the end of a process that was told to stop; a drain takes at most 30 s.
+const endTimeout = 45 * time.Second
+
+// process is one run of the binary. Its output goes to a file of the test's directory.
+type process struct {
+	name   string
+	output string // path
+	cmd    *exec.Cmd
+	done   chan struct{}
+	mu     sync.Mutex
+	ended  time.Time // when it was seen to have ended
+}
+
+// launch starts the binary. The process is killed at the end of the test, or when the test's own process dies.
+func launch(t *testing.T, dir, name string, args ...string) *process {
+	t.Helper()
+	p := &process{name: name, output: filepath.Join(dir, name+".log"), done: make(chan struct{})}
+	out, err := os.OpenFile(p.output, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	assert.NilError(t, err)
+	p.cmd = exec.Command(binary, args...)
+	p.cmd.Stdout, p.cmd.Stderr = out, out
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	assert.NilError(t, p.cmd.Start())
+	assert.NilError(t, out.Close())
+	go func() {
+		_ = p.cmd.Wait() // the exit state is in cmd.ProcessState
+		p.mu.Lock()
+		p.ended = time.Now()
+		p.mu.Unlock()
+		close(p.done)
+	}()
+	t.Cleanup(func() { p.kill() })
+	return p
+}
+
+func (p *process) signal(t *testing.T, s syscall.Signal) {
+	t.Helper()
+	assert.NilError(t, p.cmd.Process.Signal(s), p.name)
+}
+
+// kill ends the process at once and waits for its end.
+func (p *process) kill() {
+	_ = p.cmd.Process.Kill() // fails only if the process has ended
+	<-p.done
+}
+
+// stop ends the process as planned and returns its exit code.
+func (p *process) stop(t *testing.T) int {
+	t.Helper()
+	p.signal(t, syscall.SIGTERM)
+	return p.wait(t)
+}
+
+func (p *process) wait(t *testing.T) int {
+	t.Helper()
+	select {
+	case <-p.done:
+	case <-time.After(endTimeout):
+		t.Fatalf("%s hasn't ended within %s", p.name, endTimeout)
+	}
+	return p.cmd.ProcessState.ExitCode()
+}
+
+func (p *process) running() bool {
+	select {
+	case <-p.done:
+		return false
+	default:
+		return true
+	}
+}
+
+// endedAt returns when the process ended.
+func (p *process) endedAt() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.ended
+}
+
+// lines returns the lines of the output that contain a text.
+func (p *process) lines(t *testing.T, text string) []string {
+	t.Helper()
+	data, err := os.ReadFile(p.output)
+	assert.NilError(t, err)
+	var found []string
+	for _, line := range strings.Split(string(data), "\n") {
+		if strings.Contains(line, text) {
+			found = append(found, line)
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/internal/proof/relay_test.go
@@ -0,0 +1,120 @@
+package proof
+
+import (
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// relay passes TCP connections on to a target, until they are cut or go silent.
+type relay struct {
+	listener net.Listener
+	target   string
+	mu       sync.Mutex
+	pairs    map[*pair]struct{}
+	refusing bool
+	wg       sync.WaitGroup
+}
+
+// pair is a relayed connection.
+type pair struct {
+	near, far net.Conn
+	silent    atomic.Bool
+}
+
+func (p *pair) close() {
+	_ = p.near.Close()
+	_ = p.far.Close()
+}
+
+// newRelay listens on a free port of an IP address.
+func newRelay(t *testing.T, ip, target string) *relay {
+	t.Helper()
+	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
+	assert.NilError(t, err)
+	r := &relay{listener: l, target: target, pairs: map[*pair]struct{}{}}
+	r.wg.Add(1)
+	go r.accept()
+	t.Cleanup(func() {
+		_ = l.Close()
+		r.cut(true)
+		r.wg.Wait()
+	})
+	return r
+}
+
+func (r *relay) address() string { return r.listener.Addr().String() }
+
+func (r *relay) accept() {
+	defer r.wg.Done()
+	for {
+		near, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		far, err := net.Dial("tcp", r.target)
+		if err != nil {
+			_ = near.Close()
+			continue
+		}
+		p := &pair{near: near, far: far}
+		r.mu.Lock()
+		if r.refusing {
+			r.mu.Unlock()
+			p.close()
+			continue
+		}
+		r.pairs[p] = struct{}{}
+		r.wg.Add(2)
+		r.mu.Unlock()
+		go r.carry(p, near, far)
+		go r.carry(p, far, near)
+	}
+}
+
+// carry copies one direction. What arrives on a silent connection is dropped.
+func (r *relay) carry(p *pair, from, to net.Conn) {
+	defer r.wg.Done()
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buffer)
+		if n > 0 && !p.silent.Load() {
+			if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
+				err = writeErr
+			}
+		}
+		if err != nil {
+			if err != io.EOF || !p.silent.Load() {
+				p.close()
+			}
+			r.mu.Lock()
+			delete(r.pairs, p)
+			r.mu.Unlock()
+			return
+		}
+	}
+}
+
+// silence makes the open connections carry nothing any more, and returns how many there are. New ones work.
+func (r *relay) silence() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for p := range r.pairs {
+		p.silent.Store(true)
+	}
+	return len(r.pairs)
+}
+
+// cut closes the open connections, and new ones while on is true.
+func (r *relay) cut(on bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.refusing = on
+	for p := range r.pairs {
+		p.close()
+	}
+}
--- a/internal/standin/worker/runlog.go
+++ b/internal/standin/worker/runlog.go
@@ -35,6 +35,7 @@
 	runs     []Run
 	open     map[*task]int // index in runs
 	requests map[string]int
+	record   *json.Encoder // nil if nothing is recorded
 }
 
 // NewRunLog returns an empty log.
@@ -46,7 +47,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.open[t] = len(l.runs)
-	l.runs = append(l.runs, Run{Task: t.id.task, Attempt: t.id.attempt, Worker: worker, Reserved: t.reserved, Start: t.started})
+	r := Run{Task: t.id.task, Attempt: t.id.attempt, Worker: worker, Reserved: t.reserved, Start: t.started}
+	l.runs = append(l.runs, r)
+	l.write(entry{Start: &r})
 }
 
 func (l *RunLog) finish(t *task, state workerpb.TaskState, at time.Time) {
@@ -58,6 +61,7 @@
 	if r.State == port.TaskSucceeded {
 		r.Output = t.payload.Output
 	}
+	l.write(entry{End: r})
 }
 
 // expect sets the end that an open run will have if its worker stays frozen; a zero time takes it back.
@@ -71,6 +75,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.requests[id]++
+	l.write(entry{Request: id})
 }
 
 // Runs returns a copy of all runs in order of their start.
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -16,6 +16,7 @@
 	"sequoiastall/internal/core/job"
 	"sequoiastall/internal/core/resource"
 	"sequoiastall/internal/port"
+	"sequoiastall/internal/rpc/standinpb"
 	"sequoiastall/internal/rpc/workerpb"
 )
 
@@ -104,6 +105,7 @@
 		grpc.UnaryInterceptor(w.holdWhileFrozen),
 	)
 	workerpb.RegisterWorkerServer(w.grpc, w)
+	standinpb.RegisterWorkerControlServer(w.grpc, control{worker: w})
 	return w
 }
 
