--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -90,6 +90,7 @@
 	holder  *configuration.Holder
 	random  *rand.Rand
 	drained bool
+	left    bool
 	// outside is when a member of another zone was last heard.
 	outside time.Time
 
@@ -101,7 +102,9 @@
 	handovers  chan string
 	wants      wants
 	sequence   atomic.Uint64 // of writes, for recognising a lost answer
-	registered atomic.Uint64 // registrations that the store has acknowledged
+	registrar  registrar
+	rewatch    chan struct{} // asks for a new state watch
+	authorized atomic.Pointer[cachedAuthority]
 	started    time.Time
 }
 
@@ -116,8 +119,10 @@
 		table:  membership.NewTable(self, membership.Options{}),
 		holder: configuration.NewHolder(configuration.FreshFor),
 		random: rand.New(rand.NewPCG(uint64(now.UnixNano()), 1)),
-		state:  newStateCache(), handovers: make(chan string, 64), started: now, outside: now,
+		state:  newStateCache(), handovers: make(chan string, 64), rewatch: make(chan struct{}, 1), started: now, outside: now,
 	}
+	// A later life of the node must not take the registrations of an earlier one for its own.
+	n.registrar.written = uint64(now.UnixMicro())
 	n.owners.init()
 	return n
 }
@@ -177,5 +182,13 @@
 	return now.UnixNano()-n.storeSeen.Load() < (2 * n.options.Timing.ConfigPoll).Nanoseconds()
 }
 
+// Revision returns the revision of the configuration in force, 0 if there is none.
+func (n *Node) Revision() int64 {
+	if held := n.current(); held != nil {
+		return held.Document.Revision
+	}
+	return 0
+}
+
 // current returns the configuration in force, nil if there is none.
 func (n *Node) current() *configuration.Held { return n.held.Load() }
