Let publish ask nodes for their revision without a key

Cause: publish asked GET /v1/nodes, which needs a key that the command doesn't have. Change: GET /v1/revision tells the node's name and the revision in force, without a key. Before: TestConcurrentPublish: exit codes 1 and 4, 'not in force' at 3 of 3 nodes after 30 s. After: 0 and 4, in force at 3 of 3 nodes. Conclusion: the fault escaped because tests of publish use a fake of the nodes.

--- a/internal/cli/nodes.go
+++ b/internal/cli/nodes.go
@@ -53,29 +53,31 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, nodeTimeout)
 	defer cancel()
-	views, err := listNodes(ctx, registered.HTTPAddress)
-	if err != nil {
+	view, err := readRevision(ctx, registered.HTTPAddress)
+	switch {
+	case err != nil:
 		r.Error = err.Error()
-		return r
-	}
-	for _, v := range views {
-		if v.ID == r.Node {
-			r.Revision = v.Revision
-		}
+	case view.Node != r.Node:
+		r.Error = "node " + view.Node + " answers at its address"
+	default:
+		r.Revision = view.Revision
 	}
 	return r
 }
 
-func listNodes(ctx context.Context, address string) ([]gateway.NodeView, error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/v1/nodes", nil)
+func readRevision(ctx context.Context, address string) (gateway.RevisionView, error) {
+	var view gateway.RevisionView
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/v1/revision", nil)
 	if err != nil {
-		return nil, errors.Wrap(err, "node")
+		return view, errors.Wrap(err, "node")
 	}
 	answer, err := http.DefaultClient.Do(request)
 	if err != nil {
-		return nil, errors.Wrap(err, "node")
+		return view, errors.Wrap(err, "node")
 	}
 	defer func() { _ = answer.Body.Close() }()
-	var views []gateway.NodeView
-	return views, errors.Wrap(json.NewDecoder(answer.Body).Decode(&views), "node")
+	if answer.StatusCode != http.StatusOK {
+		return view, errors.Errorf("node: %s", answer.Status)
+	}
+	return view, errors.Wrap(json.NewDecoder(answer.Body).Decode(&view), "node")
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -44,6 +44,7 @@
 
 // Gateway is the callers' interface of a node.
 type Gateway struct {
+	id     string
 	node   Node
 	proxy  *proxy
 	claims *claims
@@ -71,7 +72,7 @@
 		o.ReadTimeout = defaultReadTimeout
 	}
 	start := o.Clock.Now().UnixNano()
-	g := &Gateway{node: o.Node, gate: newGate(),
+	g := &Gateway{id: o.NodeID, node: o.Node, gate: newGate(),
 		proxy: &proxy{router: o.Router, node: o.NodeID, start: start, log: o.Log, metrics: newMeters(o.Registry)},
 		claims: &claims{store: o.Store, clock: o.Clock,
 			writer: o.NodeID + "-" + strconv.FormatInt(start, 36)}}
@@ -90,6 +91,7 @@
 	g.app.Get("/v1/queues", g.view(func() any { return g.node.Queues() }))
 	g.app.Get("/v1/teams", g.view(func() any { return g.node.Teams() }))
 	g.app.All("/services/:service/*", g.work(g.request))
+	g.app.Get("/v1/revision", g.revision)
 	g.app.Get("/healthz", g.health)
 	if metricsHandler != nil {
 		g.app.Get("/metrics", adaptor.HTTPHandler(metricsHandler))
@@ -136,6 +138,17 @@
 	return c.SendString("ok\n")
 }
 
+// revision tells which configuration is in force here. It needs no key, since the command that publishes has none.
+func (g *Gateway) revision(c fiber.Ctx) error {
+	view := RevisionView{Node: g.id}
+	for _, n := range g.node.Nodes() {
+		if n.ID == g.id {
+			view.Revision = n.Revision
+		}
+	}
+	return c.JSON(view)
+}
+
 // identify returns whom the presented key speaks for; nil without a key.
 func (g *Gateway) identify(c fiber.Ctx) (*Identity, *Error) {
 	header := c.Get(fiber.HeaderAuthorization)
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -65,6 +65,12 @@
 	Partitions []string `json:"partitions"`
 }
 
+// RevisionView is the answer of GET /v1/revision.
+type RevisionView struct {
+	Node     string `json:"node"`
+	Revision int64  `json:"revision"` // of the configuration in force, 0 without one
+}
+
 // QueueView is one queue in GET /v1/queues.
 type QueueView struct {
 	Name    string `json:"name"`
