Refuse submissions as not run while the store is down

Cause: a write that a failing store rejects may have taken effect, so that each submission during an outage ended as 'unknown' after 5 s. Change: a node whose last store call had no answer reads the job before it writes it; without an answer to the read nothing has been written. A conflict or an absent key counts as an answer of the store. Before: TestStoreDownAndKilledNode: first submission 1 s into the outage: outcome unknown. Conclusion: only a submission in the first second of an outage can still end as unknown, which is then true.

--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -33,7 +33,10 @@
 	if record.Partition == "" {
 		return job.Status{}, errors.Wrap(gateway.ErrNotTaken, "no partition is known")
 	}
-	stored, err := n.createJob(ctx, record)
+	stored, found, err := n.findWhileFailing(ctx, record.ID)
+	if err == nil && !found {
+		stored, err = n.createJob(ctx, record)
+	}
 	if err != nil {
 		return job.Status{}, err
 	}
@@ -45,6 +48,22 @@
 	return job.Status{Record: stored, Phase: stored.Phase, Pending: stored.Spec.Tasks}, nil
 }
 
+// findWhileFailing reads the job before it is written if the last store call had no answer. Without an answer to a write
+// it isn't known whether the job exists; without one to a read the job certainly isn't taken.
+func (n *Node) findWhileFailing(ctx context.Context, id job.ID) (job.Record, bool, error) {
+	if !n.storeFailing.Load() {
+		return job.Record{}, false, nil
+	}
+	entry, err := n.readJob(ctx, id)
+	switch {
+	case err == nil:
+		return entry.record, true, nil
+	case errors.Is(err, gateway.ErrNotFound):
+		return job.Record{}, false, nil
+	}
+	return job.Record{}, false, errors.Wrap(gateway.ErrNotTaken, "the store doesn't answer")
+}
+
 // createJob writes the record if there is none. After an unknown outcome it repeats the write, of which at most one can
 // succeed, until the context ends.
 func (n *Node) createJob(ctx context.Context, r job.Record) (job.Record, error) {
@@ -173,10 +192,10 @@
 	call, cancel := context.WithTimeout(ctx, n.options.Timing.StoreTimeout)
 	defer cancel()
 	e, err := n.ports.Store.Get(call, port.JobPrefix+string(id))
+	n.storeAnswered(err)
 	if errors.Is(err, port.ErrNotFound) {
 		return jobEntry{}, gateway.ErrNotFound
 	}
-	n.storeAnswered(err)
 	if err != nil {
 		return jobEntry{}, err
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc"
 
 	"sequoiastall/internal/core/configuration"
@@ -94,18 +95,20 @@
 	// outside is when a member of another zone was last heard.
 	outside time.Time
 
-	held       atomic.Pointer[configuration.Held]
-	state      *stateCache
-	hosts      hostCache
-	owners     ownerSet
-	storeSeen  atomic.Int64 // Unix nanoseconds of the last successful store call
-	handovers  chan string
-	wants      wants
-	sequence   atomic.Uint64 // of writes, for recognising a lost answer
-	registrar  registrar
-	rewatch    chan struct{} // asks for a new state watch
-	authorized atomic.Pointer[cachedAuthority]
-	started    time.Time
+	held      atomic.Pointer[configuration.Held]
+	state     *stateCache
+	hosts     hostCache
+	owners    ownerSet
+	storeSeen atomic.Int64 // Unix nanoseconds of the last successful store call
+	// storeFailing tells that the last store call had no answer.
+	storeFailing atomic.Bool
+	handovers    chan string
+	wants        wants
+	sequence     atomic.Uint64 // of writes, for recognising a lost answer
+	registrar    registrar
+	rewatch      chan struct{} // asks for a new state watch
+	authorized   atomic.Pointer[cachedAuthority]
+	started      time.Time
 }
 
 // New returns a node that hasn't started its duties.
@@ -170,9 +173,11 @@
 	return fmt.Sprintf("%s/%d/%d", n.options.ID, n.started.UnixMilli(), n.sequence.Add(1))
 }
 
-// storeAnswered notes a successful store call.
+// storeAnswered notes the end of a store call. A conflict or an absent key is an answer too.
 func (n *Node) storeAnswered(err error) {
-	if err == nil {
+	failing := errors.Is(err, port.ErrUnavailable) || errors.Is(err, port.ErrUnknownOutcome)
+	n.storeFailing.Store(failing)
+	if !failing {
 		n.storeSeen.Store(n.ports.Clock.Now().UnixNano())
 	}
 }
