Don't move jobs while the store is failing

Cause: a move whose write had an unknown outcome kept its job from starting until the store was back, and a waiting job is tried after 5 s. So an outage stopped waiting jobs at owners that had nothing to do with any other fault. Change: an owner starts no move while the last store call had no answer, and reads the record before it writes it. Conclusion: a move that is under way when the outage begins still waits for its outcome.

--- a/internal/node/rebalance.go
+++ b/internal/node/rebalance.go
@@ -22,6 +22,9 @@
 // rebalance moves waiting jobs of which nothing runs to partitions that have room for them. So a job also leaves a
 // partition that has lost its workers.
 func (o *owner) rebalance(ctx context.Context, now time.Time) {
+	if o.node.storeFailing.Load() {
+		return // a move whose outcome isn't known would keep its job from starting until the store is back
+	}
 	remote := o.node.remoteSummaries(o.partition)
 	moves := 0
 	for _, r := range o.machine.Stuck(now, stuckAfter) {
@@ -68,6 +71,11 @@
 		r.Partition, r.Completed, r.Undecided = target, record.Completed, record.Undecided
 		return r, true
 	}
+	// A read without an answer shows a failing store before a write could leave the outcome open.
+	if _, err := o.node.readJob(ctx, record.ID); err != nil {
+		o.send(moveFailed{record.ID})
+		return
+	}
 	entry, err := o.node.changeJob(ctx, record.ID, change)
 	// While the outcome isn't known the job must not start here: the other partition may have it.
 	for errors.Is(err, port.ErrUnknownOutcome) && sleep(ctx, acquireRetry) {
