Keep what runs within a limit through a takeover during an outage

Cause: an owner that hadn't compared its cache with the store allowed each limited team what the partition ran at that moment. At the takeover that was computed before all workers were acquired, so that the services adopted later were above the 'limit' and were stopped. Change: the bound is the most that the team has run in the partition since the takeover, and is computed again with each acquired worker. What ran at the takeover was within the allowance. Before: TestStoreDownAndKilledNode without this change: 2 of 6 service instances, those of the killed node's partition, were stopped. After: the same 6 instances run on.

--- a/internal/node/allowance.go
+++ b/internal/node/allowance.go
@@ -55,13 +55,21 @@
 		return quota.Unlimited
 	}
 	entry, found := o.node.state.allowance(team)
+	if !o.verified {
+		// What was running at the takeover is within the allowance, whatever the record says. The most that has run since
+		// bounds it, so that tasks adopted from further workers aren't stopped, and ended ones may be replaced.
+		o.peak[team] = o.peak[team].Max(o.machine.Used(team))
+	}
+	if !found && !o.verified {
+		return o.peak[team]
+	}
 	if !found {
 		o.node.wantAllowance(o.partition, partition.Need{Team: team})
 		return resource.Vector{}
 	}
 	allowance := entry.record.Effective(limit, o.partition).Sub(o.given[team]).Max(resource.Vector{})
 	if !o.verified {
-		return allowance.Min(o.machine.Used(team))
+		return allowance.Min(o.peak[team])
 	}
 	return allowance
 }
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -97,6 +97,9 @@
 
 func (e workerAcquired) apply(o *owner, now time.Time) {
 	o.machine.Acquired(e.worker, e.inventory, e.sent, now)
+	if !o.verified {
+		o.applyAllowances() // the adopted tasks count as allowed
+	}
 	o.log.Info("worker", "action", "acquired", "worker", e.worker, "token", e.inventory.Token, "tasks", len(e.inventory.Tasks))
 }
 
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -42,6 +42,7 @@
 	permits   *permitBook
 	links     map[string]*link
 	verified  bool
+	peak      map[string]resource.Vector // most that each team has run here until verified
 	lastCycle time.Time
 	refreshed time.Time
 	tidied    time.Time
@@ -65,6 +66,7 @@
 		permits: newPermitBook(name, now),
 		links:   map[string]*link{},
 		given:   map[string]resource.Vector{},
+		peak:    map[string]resource.Vector{},
 	}
 }
 
