--- a/internal/proof/cell_test.go
+++ b/internal/proof/cell_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -9,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -23,6 +25,7 @@
 	"sequoiastall/internal/gateway"
 	"sequoiastall/internal/platform"
 	"sequoiastall/internal/port"
+	"sequoiastall/internal/rpc/platformpb"
 	"sequoiastall/internal/rpc/standinpb"
 	"sequoiastall/internal/settings"
 	"sequoiastall/internal/standin/worker"
@@ -38,6 +41,9 @@
 	oldKey  = "secret-old"
 )
 
+// redLimit is the limit of the red team in slots; its service instances hold 24 of them.
+const redLimit = 72
+
 // The cell of testdata: a node, a rack of workers and a partition in each zone.
 var zones = []string{"a", "b", "c"}
 
@@ -61,6 +67,10 @@
 	control standinpb.ControlClient
 	store   *platform.Client
 	client  *http.Client
+
+	platformRelays, agentRelays []*relay
+
+	blue map[job.ID]bool // jobs of the blue team, which has no limit
 }
 
 // member is an ingress node, which may be started again.
@@ -70,13 +80,20 @@
 	settings       string
 }
 
-// newCell starts a cell and publishes testdata/objects. via, if set, returns the platform's address for a node.
-func newCell(t *testing.T, via func(c *cell, node int) string) *cell {
+// options are what tests change of a cell.
+type options struct {
+	relayPlatform bool // nodes reach the platform through relays, one for each node
+	relayAgents   bool // nodes reach the agents through relays, one for each worker
+}
+
+// newCell starts a cell and publishes testdata/objects.
+func newCell(t *testing.T, o options) *cell {
 	t.Helper()
 	c := &cell{t: t, dir: t.TempDir(), client: &http.Client{Timeout: 40 * time.Second, Transport: &http.Transport{}}}
 	c.ip = fmt.Sprintf("127.%d.%d.1", 64+os.Getpid()%128, cells.Add(1))
 	c.address = c.ip + ":7300"
 	t.Cleanup(c.client.CloseIdleConnections)
+	t.Cleanup(c.keepLogs)
 	c.process = launch(t, c.dir, "platform", "platform", "--listen", c.address)
 	conn, err := grpc.NewClient("passthrough:///"+c.address, grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithNoProxy(), grpc.WithDefaultCallOptions(grpc.WaitForReady(true)))
@@ -97,12 +114,17 @@
 		}
 		return err
 	})
+	if o.relayAgents {
+		c.relayAgents()
+	}
 	code, out := c.command("publish", "testdata/objects", "--platform", c.address, "--wait", "0")
 	assert.Equal(t, code, 0, out)
 	for i, z := range zones {
 		platformAddress := c.address
-		if via != nil {
-			platformAddress = via(c, i)
+		if o.relayPlatform {
+			r := newRelay(t, c.ip, c.address)
+			c.platformRelays = append(c.platformRelays, r)
+			platformAddress = r.address()
 		}
 		c.nodes = append(c.nodes, c.addNode(i, z, platformAddress))
 	}
@@ -110,6 +132,20 @@
 	return c
 }
 
+// relayAgents lists the workers at addresses of relays.
+func (c *cell) relayAgents() {
+	hosts, err := c.store.List(c.t.Context())
+	assert.NilError(c.t, err)
+	request := &standinpb.SetHostsRequest{}
+	for _, h := range hosts {
+		r := newRelay(c.t, c.ip, h.Address)
+		c.agentRelays = append(c.agentRelays, r)
+		request.Hosts = append(request.Hosts, &platformpb.Host{Id: h.ID, Zone: h.Zone, Rack: h.Rack, Address: r.address()})
+	}
+	_, err = c.control.SetHosts(c.t.Context(), request)
+	assert.NilError(c.t, err)
+}
+
 func (c *cell) startWorkers(zone string) {
 	c.t.Helper()
 	record := filepath.Join(c.dir, "runs-"+zone+".jsonl")
@@ -228,20 +264,44 @@
 
 // submit submits a job and repeats it until its outcome is known.
 func (c *cell) submit(n *member, key string, spec job.Spec) job.ID {
+	c.t.Helper()
+	return c.submitAs(n, redKey, key, spec)
+}
+
+// submitBlue submits a job of the blue team.
+func (c *cell) submitBlue(n *member, key string, spec job.Spec) job.ID {
+	c.t.Helper()
+	id := c.submitAs(n, blueKey, key, spec)
+	if c.blue == nil {
+		c.blue = map[job.ID]bool{}
+	}
+	c.blue[id] = true
+	return id
+}
+
+func (c *cell) submitAs(n *member, secret, key string, spec job.Spec) job.ID {
 	c.t.Helper()
 	ctx, cancel := context.WithTimeout(c.t.Context(), patience)
 	defer cancel()
-	status, err := c.caller(n, redKey).Submit(ctx, key, spec)
+	status, err := c.caller(n, secret).Submit(ctx, key, spec)
 	assert.NilError(c.t, err, key)
 	return status.ID
 }
 
+// keyOf returns the key of the team that a job belongs to.
+func (c *cell) keyOf(id job.ID) string {
+	if c.blue[id] {
+		return blueKey
+	}
+	return redKey
+}
+
 // awaitJob waits for a job's final record as seen by a node.
 func (c *cell) awaitJob(n *member, id job.ID) job.Status {
 	c.t.Helper()
 	ctx, cancel := context.WithTimeout(c.t.Context(), patience)
 	defer cancel()
-	status, err := c.caller(n, redKey).Wait(ctx, id)
+	status, err := c.caller(n, c.keyOf(id)).Wait(ctx, id)
 	assert.NilError(c.t, err)
 	return status
 }
@@ -317,6 +377,7 @@
 	for _, v := range h.Violations(capacity) {
 		c.t.Errorf("guarantee violated: %s", v)
 	}
+	c.checkLimit(h)
 	for _, id := range done {
 		c.checkSuccesses(h, id)
 	}
@@ -331,7 +392,33 @@
 			}
 		}
 	}
-	c.keepLogs()
+}
+
+// checkLimit checks that the red team, whose work is all but the blue jobs, never had more running than its limit.
+func (c *cell) checkLimit(h history) {
+	c.t.Helper()
+	type step struct {
+		at    time.Time
+		slots int64
+	}
+	var steps []step
+	for _, r := range h.Runs() {
+		if c.blue[r.Task.Job] {
+			continue
+		}
+		steps = append(steps, step{r.Start, r.Reserved.Slots})
+		if !r.End.IsZero() {
+			steps = append(steps, step{r.End, -r.Reserved.Slots})
+		}
+	}
+	slices.SortFunc(steps, func(a, b step) int { return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.slots, b.slots)) })
+	running := int64(0)
+	for _, s := range steps {
+		if running += s.slots; running > redLimit {
+			c.t.Errorf("the team had %d slots running at %s, its limit is %d", running, s.at, redLimit)
+			return
+		}
+	}
 }
 
 func (c *cell) checkSuccesses(h history, id job.ID) {
--- a/internal/proof/relay_test.go
+++ b/internal/proof/relay_test.go
@@ -91,10 +91,7 @@
 			if err != io.EOF || !p.silent.Load() {
 				p.close()
 			}
-			r.mu.Lock()
-			delete(r.pairs, p)
-			r.mu.Unlock()
-			return
+			return // the pair stays known, so that its other direction ends with the relay
 		}
 	}
 }
--- /dev/null
+++ b/internal/proof/silence_test.go
@@ -0,0 +1,122 @@
+package proof
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+	"gotest.tools/v3/assert"
+
+	"sequoiastall/internal/core/job"
+	"sequoiastall/internal/dev"
+	"sequoiastall/internal/rpc/standinpb"
+)
+
+// silenceInstances silences the open connections to the service instances of every worker.
+func (c *cell) silenceInstances() {
+	c.t.Helper()
+	hosts, err := c.store.List(c.t.Context())
+	assert.NilError(c.t, err)
+	for _, h := range hosts {
+		conn, err := grpc.NewClient("passthrough:///"+h.Address, grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithNoProxy())
+		assert.NilError(c.t, err)
+		_, err = standinpb.NewWorkerControlClient(conn).SilenceInstances(c.t.Context(), &standinpb.SilenceInstancesRequest{})
+		assert.NilError(c.t, err)
+		assert.NilError(c.t, conn.Close())
+	}
+}
+
+// TestSilentConnections guards against work that hangs on a connection which carries nothing any more while new ones
+// work: to agents, to the platform and to service instances.
+func TestSilentConnections(t *testing.T) {
+	t.Parallel()
+	c := newCell(t, options{relayPlatform: true, relayAgents: true})
+	for _, n := range c.nodes {
+		c.awaitService(n, "plans")
+		c.awaitService(n, "orders")
+	}
+	ids := []job.ID{
+		c.submit(c.nodes[0], "long", batch(90, 2*time.Second, true)),
+		c.submit(c.nodes[1], "gang", gang(8, 4*time.Second)),
+		c.submit(c.nodes[2], "once", batch(30, 2*time.Second, false)),
+	}
+	for _, id := range ids {
+		c.awaitRunning(id, 1)
+	}
+	silenced := 0
+	for _, r := range c.agentRelays {
+		silenced += r.silence()
+	}
+	assert.Assert(t, silenced >= len(c.agentRelays), "%d connections to %d agents", silenced, len(c.agentRelays))
+	c.silenceInstances()
+	c.requestsAfterSilence()
+	for _, r := range c.platformRelays {
+		assert.Assert(t, r.silence() > 0)
+	}
+	ids = append(ids, c.submit(c.nodes[0], "after", batch(20, 200*time.Millisecond, true)))
+	c.awaitDone(c.nodes[1], ids...)
+	c.finish(ids...)
+}
+
+// request sends a request, and sends it again while the answer is that it didn't run: with the retry budget used up, the
+// node leaves that to the caller.
+func (c *cell) request(ctx context.Context, n *member, method, service, id string) error {
+	for {
+		_, err := c.caller(n, redKey).Call(ctx, method, "/services/"+service+"/x", map[string]string{"X-Request-Id": id}, nil)
+		var refusal *dev.RefusalError
+		if !errors.As(err, &refusal) || refusal.Outcome != "not_run" {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(100 * time.Millisecond):
+		}
+	}
+}
+
+// requestsAfterSilence sends requests at every node. Idempotent ones must be answered; others run at most once, and what
+// their callers are told is true.
+func (c *cell) requestsAfterSilence() {
+	c.t.Helper()
+	ctx, cancel := context.WithTimeout(c.t.Context(), patience)
+	defer cancel()
+	var wg sync.WaitGroup
+	errs := sync.Map{}
+	for i := range 18 {
+		wg.Go(func() {
+			id, method, service := fmt.Sprintf("silent-%d", i), http.MethodGet, "plans"
+			if i%2 == 0 {
+				method, service = http.MethodPost, "orders"
+			}
+			if err := c.request(ctx, c.nodes[i%3], method, service, id); err != nil {
+				errs.Store(i, err)
+			}
+		})
+	}
+	wg.Wait()
+	ran := c.runs().Requests()
+	for i := range 18 {
+		id := fmt.Sprintf("silent-%d", i)
+		v, failed := errs.Load(i)
+		if i%2 == 1 {
+			assert.Assert(c.t, !failed, "idempotent request %s: %v", id, v)
+			continue
+		}
+		assert.Assert(c.t, ran[id] <= 1, "%s ran %d times", id, ran[id])
+		if !failed {
+			assert.Equal(c.t, ran[id], 1, id)
+			continue
+		}
+		var refusal *dev.RefusalError
+		assert.Assert(c.t, errors.As(v.(error), &refusal), "%v", v)
+		assert.Assert(c.t, refusal.Outcome != "not_run" || ran[id] == 0, "%s ran, but: %v", id, refusal)
+		assert.Assert(c.t, refusal.Outcome != "ran" || ran[id] == 1, "%s didn't run, but: %v", id, refusal)
+	}
+}
--- /dev/null
+++ b/internal/proof/store_test.go
@@ -0,0 +1,221 @@
+package proof
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"sequoiastall/internal/core/job"
+	"sequoiastall/internal/core/quota"
+	"sequoiastall/internal/dev"
+	"sequoiastall/internal/port"
+	"sequoiastall/internal/rpc/standinpb"
+)
+
+// submitOnce submits a job without repeating it.
+func (c *cell) submitOnce(n *member, key string, spec job.Spec) (job.ID, error) {
+	body, err := json.Marshal(spec)
+	if err != nil {
+		return "", err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	_, err = c.caller(n, redKey).Call(ctx, http.MethodPost, "/v1/jobs", map[string]string{"Idempotency-Key": key}, body)
+	return job.NewID("red", key), err
+}
+
+// TestStoreDownAndKilledNode guards against work that stops because the store is down when a node dies, and against
+// submissions that are taken although nothing could keep them.
+func TestStoreDownAndKilledNode(t *testing.T) {
+	t.Parallel()
+	c := newCell(t, options{})
+	c.awaitInstances(6)
+	instances := c.services()
+	killed, successors := c.nodes[1], c.nodes[2:]
+	ids := []job.ID{
+		c.submitBlue(c.nodes[0], "long", batch(150, 3*time.Second, true)),
+		c.submitBlue(c.nodes[1], "long-2", batch(100, 2*time.Second, true)),
+		c.submitBlue(c.nodes[2], "long-3", batch(100, 2*time.Second, true)),
+		c.submitBlue(c.nodes[2], "gang", gang(8, 4*time.Second)),
+	}
+	wanted := map[job.ID]int{ids[0]: 150, ids[1]: 100, ids[2]: 100, ids[3]: 8}
+	c.eventually("every node knows the jobs", func() error {
+		for _, n := range c.nodes {
+			for _, id := range ids {
+				if _, err := c.caller(n, c.keyOf(id)).Job(t.Context(), id); err != nil {
+					return err
+				}
+			}
+		}
+		return nil
+	})
+	c.awaitRunning(ids[0], 1)
+	c.faults(&standinpb.Faults{Down: standinpb.Faults_FAIL})
+	time.Sleep(time.Second)
+	killed.kill()
+	at := time.Now()
+
+	refused := 0
+	for i := range 6 {
+		_, err := c.submitOnce(c.nodes[2*(i%2)], fmt.Sprintf("refused-%d", i), batch(1, time.Millisecond, true))
+		var refusal *dev.RefusalError
+		assert.Assert(t, errors.As(err, &refusal), "%v", err)
+		assert.Equal(t, refusal.Outcome, "not_run", "%v", err)
+		refused++
+	}
+	c.awaitOwners(c.nodes[0], successors[0])
+	c.eventually("all tasks have succeeded while the store is down", func() error {
+		h := c.runs()
+		for _, id := range ids {
+			if n := len(h.successes(id)); n != wanted[id] {
+				return fmt.Errorf("%d of %d of %s", n, wanted[id], id)
+			}
+		}
+		return nil
+	})
+	started := 0
+	for _, r := range c.runs().Runs() {
+		if r.Start.After(at) && r.Worker[:1] == "b" {
+			started++
+		}
+	}
+	assert.Assert(t, started > 0, "the successor of the killed node has started nothing")
+	assert.DeepEqual(t, c.services(), instances) // a takeover must not stop what runs within its team's limit
+	c.faults(&standinpb.Faults{})
+	c.awaitDone(c.nodes[0], ids...)
+	c.finish(ids...)
+	for i := range refused {
+		_, err := c.store.Get(t.Context(), port.JobPrefix+string(job.NewID("red", fmt.Sprintf("refused-%d", i))))
+		assert.ErrorIs(t, err, port.ErrNotFound)
+	}
+}
+
+// awaitInstances waits until all instances of the services run.
+func (c *cell) awaitInstances(n int) {
+	c.t.Helper()
+	c.eventually("all instances run", func() error {
+		if running := len(c.services()); running != n {
+			return fmt.Errorf("%d run", running)
+		}
+		return nil
+	})
+}
+
+// services returns the running instances of services.
+func (c *cell) services() []string {
+	var running []string
+	for _, r := range c.runs().Runs() {
+		if r.Reserved.Slots == 4 && r.End.IsZero() {
+			running = append(running, r.String())
+		}
+	}
+	slices.Sort(running)
+	return running
+}
+
+// TestLostAnswers guards against doubled and lost jobs, and against untruthful outcomes, when the store applies writes
+// whose answers are lost, during submissions, the ends of jobs and moves of allowances.
+func TestLostAnswers(t *testing.T) {
+	t.Parallel()
+	c := newCell(t, options{})
+	losing, stop := context.WithCancel(t.Context())
+	lost := make(chan struct{})
+	go func() {
+		defer close(lost)
+		for losing.Err() == nil {
+			time.Sleep(60 * time.Millisecond)
+			_, _ = c.control.SetFaults(losing, &standinpb.Faults{LoseAnswers: 2}) // repeated soon
+		}
+	}()
+	defer func() { stop(); <-lost }()
+	var mu sync.Mutex
+	accepted, refused := map[job.ID]bool{}, map[job.ID]error{}
+	var wg sync.WaitGroup
+	for i := range 24 {
+		for _, n := range []*member{c.nodes[i%3], c.nodes[(i+1)%3]} { // the same key at two nodes
+			wg.Go(func() {
+				id, err := c.submitOnce(n, fmt.Sprintf("twice-%d", i), batch(4, 300*time.Millisecond, i%4 != 0))
+				mu.Lock()
+				defer mu.Unlock()
+				if err == nil {
+					accepted[id] = true
+				} else {
+					refused[id] = err
+				}
+			})
+		}
+	}
+	// It fits the workers of one partition but not a third of the limit, so that it needs moved allowances.
+	large := c.submit(c.nodes[0], "large", gang(22, time.Second))
+	wg.Wait()
+	assert.Assert(t, len(accepted) > 0)
+	ids := []job.ID{large}
+	for id := range accepted {
+		ids = append(ids, id)
+	}
+	c.awaitDone(c.nodes[1], ids...)
+	stop()
+	<-lost
+	c.faults(&standinpb.Faults{})
+	for id, err := range refused {
+		var refusal *dev.RefusalError
+		assert.Assert(t, errors.As(err, &refusal), "%v", err)
+		if refusal.Outcome != "not_run" || accepted[id] {
+			continue
+		}
+		_, err := c.store.Get(t.Context(), port.JobPrefix+string(id))
+		assert.ErrorIs(t, err, port.ErrNotFound, "refused as not_run: %v", refusal)
+	}
+	e, err := c.store.Get(t.Context(), port.AllowancePrefix+"red")
+	assert.NilError(t, err)
+	var allowance quota.Record
+	assert.NilError(t, json.Unmarshal(e.Value, &allowance))
+	assert.NilError(t, allowance.Check())
+	moved := false
+	for _, part := range allowance.Parts {
+		moved = moved || part.Slots != redLimit/int64(len(zones))
+	}
+	assert.Assert(t, moved, "no allowance was moved: %v", allowance.Parts)
+	t.Logf("%d jobs accepted, %d submissions refused", len(accepted), len(refused))
+	c.finish(ids...)
+}
+
+// TestSlowStoreAndKilledWorkers guards against lost, stuck or repeated work when all workers of a zone die while each call
+// of the store takes 300 ms.
+func TestSlowStoreAndKilledWorkers(t *testing.T) {
+	t.Parallel()
+	c := newCell(t, options{})
+	ids := []job.ID{
+		c.submit(c.nodes[0], "long", batch(60, 2*time.Second, true)),
+		c.submit(c.nodes[1], "long-2", batch(60, 2*time.Second, true)),
+		c.submit(c.nodes[2], "long-3", batch(60, 2*time.Second, true)),
+	}
+	once := c.submit(c.nodes[0], "once", batch(30, 2*time.Second, false))
+	c.awaitRunning(once, 1)
+	for _, id := range ids {
+		c.awaitRunning(id, 1)
+	}
+	c.faults(&standinpb.Faults{DelayMs: 300})
+	c.workers[0].kill()
+	for i := range workersPerZone {
+		_, err := c.control.SetHostState(t.Context(), &standinpb.SetHostStateRequest{Id: fmt.Sprintf("a-w%d", i), State: hostDead})
+		assert.NilError(t, err)
+	}
+	ids = append(ids, c.submit(c.nodes[1], "after", batch(20, 200*time.Millisecond, true)))
+	c.awaitDone(c.nodes[1], ids...)
+	s := c.awaitJob(c.nodes[2], once)
+	c.faults(&standinpb.Faults{})
+	h := c.runs()
+	assert.Equal(t, len(h.of(once)), int(s.Succeeded+s.Unknown), "a non-idempotent task ran twice, or one that did not run is called unknown")
+	assert.Equal(t, len(h.successes(once)), int(s.Succeeded), "%+v", s)
+	assert.Equal(t, int(s.Succeeded+s.Unknown), 30, "%+v", s)
+	c.finish(ids...)
+}
