--- a/internal/cli/nodes.go
+++ b/internal/cli/nodes.go
@@ -9,17 +9,18 @@
 
 	"github.com/pkg/errors"
 
-	"sequoiastall/internal/gateway"
+	"sequoiastall/internal/callerclient"
 	"sequoiastall/internal/node"
 	"sequoiastall/internal/platform"
 	"sequoiastall/internal/port"
+	"sequoiastall/internal/rpc/connection"
 )
 
 // nodeTimeout bounds the question to one node.
 const nodeTimeout = time.Second
 
 func openStore(address string) (port.Store, func() error, error) {
-	c, err := platform.New(address)
+	c, err := platform.New(address, connection.Options{})
 	if err != nil {
 		return nil, nil, err
 	}
@@ -53,31 +54,15 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, nodeTimeout)
 	defer cancel()
-	view, err := readRevision(ctx, registered.HTTPAddress)
+	c := callerclient.Client{Address: registered.HTTPAddress, HTTP: http.DefaultClient}
+	view, err := c.Revision(ctx)
 	switch {
 	case err != nil:
 		r.Error = err.Error()
 	case view.Node != r.Node:
-		r.Error = "node " + view.Node + " answers at its address"
+		r.Error = "its address is now that of node " + view.Node
 	default:
 		r.Revision = view.Revision
 	}
 	return r
 }
-
-func readRevision(ctx context.Context, address string) (gateway.RevisionView, error) {
-	var view gateway.RevisionView
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/v1/revision", nil)
-	if err != nil {
-		return view, errors.Wrap(err, "node")
-	}
-	answer, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return view, errors.Wrap(err, "node")
-	}
-	defer func() { _ = answer.Body.Close() }()
-	if answer.StatusCode != http.StatusOK {
-		return view, errors.Errorf("node: %s", answer.Status)
-	}
-	return view, errors.Wrap(json.NewDecoder(answer.Body).Decode(&view), "node")
-}
--- a/internal/core/partition/services.go
+++ b/internal/core/partition/services.go
@@ -5,15 +5,17 @@
 
 	"sequoiastall/internal/core/job"
 	"sequoiastall/internal/core/routing"
+	"sequoiastall/internal/port"
 )
 
 // replaceTimeout bounds how long instances of an old version of a service are kept for the sake of the new version's
 // start.
 const replaceTimeout = 30 * time.Second
 
-// serviceID is the same at every node that computes it, so that a new owner recognises the running instances.
-func (m *Machine) serviceID(g ServiceGoal) job.ID {
-	return job.NewID("service/"+g.Spec.Service, m.options.Partition+"/"+g.Version)
+// ServiceID returns the ID of the job whose tasks are a service's instances in a partition. It is the same at every
+// node that computes it, so that a new owner recognises the running instances.
+func ServiceID(partition string, g ServiceGoal) job.ID {
+	return job.NewID("service/"+g.Spec.Service, partition+"/"+g.Version)
 }
 
 // applyServices brings the service jobs in line with the configuration. Services have no record in the store: the
@@ -21,7 +23,7 @@
 func (m *Machine) applyServices(now time.Time) {
 	wanted := map[job.ID]ServiceGoal{}
 	for _, g := range m.config.Services {
-		id := m.serviceID(g)
+		id := ServiceID(m.options.Partition, g)
 		wanted[id] = g
 		s := m.jobs[id]
 		if s == nil {
@@ -127,6 +129,15 @@
 	return n
 }
 
+// tendLeaving moves work off the workers that are leaving.
+func (m *Machine) tendLeaving() {
+	for _, w := range m.workers {
+		if w.held && w.host.State == port.HostLeaving && len(w.tasks) > 0 {
+			m.vacate(w)
+		}
+	}
+}
+
 // vacate moves work off a worker that is leaving: instances are drained and batch tasks continue elsewhere from a
 // checkpoint.
 func (m *Machine) vacate(w *worker) {
--- a/internal/proof/cell_test.go
+++ b/internal/proof/cell_test.go
@@ -19,12 +19,13 @@
 	"google.golang.org/grpc/credentials/insecure"
 	"gotest.tools/v3/assert"
 
+	"sequoiastall/internal/callerclient"
 	"sequoiastall/internal/core/job"
 	"sequoiastall/internal/core/resource"
-	"sequoiastall/internal/dev"
 	"sequoiastall/internal/gateway"
 	"sequoiastall/internal/platform"
 	"sequoiastall/internal/port"
+	"sequoiastall/internal/rpc/connection"
 	"sequoiastall/internal/rpc/platformpb"
 	"sequoiastall/internal/rpc/standinpb"
 	"sequoiastall/internal/settings"
@@ -101,7 +102,7 @@
 	t.Cleanup(func() { _ = conn.Close() })
 	c.control = standinpb.NewControlClient(conn)
 	c.faults(&standinpb.Faults{})
-	c.store, err = platform.New(c.address)
+	c.store, err = platform.New(c.address, connection.Options{})
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = c.store.Close() })
 	for _, z := range zones {
@@ -151,7 +152,7 @@
 	record := filepath.Join(c.dir, "runs-"+zone+".jsonl")
 	c.runLogs = append(c.runLogs, record)
 	c.workers = append(c.workers, launch(c.t, c.dir, "worker-"+zone, "worker", "--zone", zone, "--listen", c.ip+":0",
-		"--count", fmt.Sprint(workersPerZone), "--platform", c.address, "--run-log", record, "--usage-lag", "1s"))
+		"--count", fmt.Sprint(workersPerZone), "--platform", c.address, "--record", record, "--usage-lag", "1s"))
 }
 
 func (c *cell) addNode(i int, zone, platformAddress string) *member {
@@ -233,8 +234,8 @@
 	assert.NilError(c.t, err)
 }
 
-func (c *cell) caller(n *member, secret string) *dev.Caller {
-	return &dev.Caller{Address: n.http, Secret: secret, HTTP: c.client}
+func (c *cell) caller(n *member, secret string) *callerclient.Client {
+	return &callerclient.Client{Address: n.http, Secret: secret, HTTP: c.client}
 }
 
 // eventually repeats a check until it succeeds.
@@ -345,19 +346,19 @@
 func (h history) of(id job.ID) []worker.Run {
 	var runs []worker.Run
 	for _, r := range h.Runs() {
-		if r.Task.Job == id {
+		if parent, _ := r.Task.Job.Parent(); parent == id {
 			runs = append(runs, r)
 		}
 	}
 	return runs
 }
 
-// successes returns how often each task of a job succeeded.
-func (h history) successes(id job.ID) map[int32]int {
-	n := map[int32]int{}
+// successes returns how often each task of a job succeeded. The tasks of a divided job have the names of its parts.
+func (h history) successes(id job.ID) map[job.TaskID]int {
+	n := map[job.TaskID]int{}
 	for _, r := range h.of(id) {
 		if r.State == port.TaskSucceeded {
-			n[r.Task.Index]++
+			n[r.Task]++
 		}
 	}
 	return n
@@ -403,7 +404,7 @@
 	}
 	var steps []step
 	for _, r := range h.Runs() {
-		if c.blue[r.Task.Job] {
+		if id, _ := r.Task.Job.Parent(); c.blue[id] {
 			continue
 		}
 		steps = append(steps, step{r.Start, r.Reserved.Slots})
@@ -427,7 +428,7 @@
 	n := h.successes(id)
 	assert.Equal(c.t, len(n), int(record.Spec.Tasks), "%s", id)
 	for i, times := range n {
-		assert.Equal(c.t, times, 1, "%s/%d succeeded %d times", id, i, times)
+		assert.Equal(c.t, times, 1, "%s succeeded %d times", i, times)
 	}
 }
 
--- a/internal/proof/node_test.go
+++ b/internal/proof/node_test.go
@@ -12,8 +12,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"sequoiastall/internal/callerclient"
 	"sequoiastall/internal/core/job"
-	"sequoiastall/internal/dev"
 )
 
 // TestKilledNode guards against jobs that are lost, stuck or run twice when an ingress node dies.
@@ -67,7 +67,7 @@
 	paused.signal(t, syscall.SIGCONT)
 	wg.Wait()
 	for i, err := range answers {
-		var refusal *dev.RefusalError
+		var refusal *callerclient.RefusalError
 		assert.Assert(t, errors.As(err, &refusal), "request %d with a revoked key: %v", i, err)
 		assert.Equal(t, refusal.Outcome, "not_run", "request %d: %v", i, err)
 	}
@@ -87,7 +87,7 @@
 func (c *cell) useOldKey(n *member, i int) error {
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
-	caller := &dev.Caller{Address: n.http, Secret: oldKey, HTTP: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+	caller := &callerclient.Client{Address: n.http, Secret: oldKey, HTTP: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
 	var err error
 	switch i % 3 {
 	case 0:
@@ -139,7 +139,7 @@
 		return nil
 	})
 	_, err := c.caller(leaving, "").Call(t.Context(), http.MethodGet, "/healthz", nil, nil)
-	var refusal *dev.RefusalError
+	var refusal *callerclient.RefusalError
 	assert.Assert(t, errors.As(err, &refusal), "the node must still answer: %v", err)
 	assert.Equal(t, refusal.Code, "draining")
 	select {
@@ -215,7 +215,7 @@
 	l.cell.t.Helper()
 	ran := l.cell.runs().Requests()
 	for id, err := range l.ends {
-		var refusal *dev.RefusalError
+		var refusal *callerclient.RefusalError
 		switch {
 		case err == nil:
 			if ran[id] == 0 {
--- a/internal/proof/operator_test.go
+++ b/internal/proof/operator_test.go
@@ -14,8 +14,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"sequoiastall/internal/callerclient"
 	"sequoiastall/internal/core/job"
-	"sequoiastall/internal/dev"
 	"sequoiastall/internal/gateway"
 	"sequoiastall/internal/rpc/platformpb"
 	"sequoiastall/internal/rpc/standinpb"
@@ -92,7 +92,7 @@
 // oldKeyRefused returns nil if a node refuses the key that tests revoke as an unknown one.
 func (c *cell) oldKeyRefused(n *member) error {
 	_, err := c.caller(n, oldKey).Nodes(c.t.Context())
-	var refusal *dev.RefusalError
+	var refusal *callerclient.RefusalError
 	if errors.As(err, &refusal) && refusal.Code == string(gateway.CodeUnknownKey) {
 		return nil
 	}
@@ -154,7 +154,7 @@
 	}
 	ended := time.Now()
 	for _, r := range c.runs().Runs() {
-		if slices.Contains(ids, r.Task.Job) {
+		if id, _ := r.Task.Job.Parent(); slices.Contains(ids, id) {
 			assert.Assert(t, !r.End.IsZero() && r.End.Before(ended), "%s goes on", r)
 		}
 	}
--- a/internal/proof/silence_test.go
+++ b/internal/proof/silence_test.go
@@ -13,8 +13,8 @@
 	"google.golang.org/grpc/credentials/insecure"
 	"gotest.tools/v3/assert"
 
+	"sequoiastall/internal/callerclient"
 	"sequoiastall/internal/core/job"
-	"sequoiastall/internal/dev"
 	"sequoiastall/internal/rpc/standinpb"
 )
 
@@ -69,7 +69,7 @@
 func (c *cell) request(ctx context.Context, n *member, method, service, id string) error {
 	for {
 		_, err := c.caller(n, redKey).Call(ctx, method, "/services/"+service+"/x", map[string]string{"X-Request-Id": id}, nil)
-		var refusal *dev.RefusalError
+		var refusal *callerclient.RefusalError
 		if !errors.As(err, &refusal) || refusal.Outcome != "not_run" {
 			return err
 		}
@@ -114,7 +114,7 @@
 			assert.Equal(c.t, ran[id], 1, id)
 			continue
 		}
-		var refusal *dev.RefusalError
+		var refusal *callerclient.RefusalError
 		assert.Assert(c.t, errors.As(v.(error), &refusal), "%v", v)
 		assert.Assert(c.t, refusal.Outcome != "not_run" || ran[id] == 0, "%s ran, but: %v", id, refusal)
 		assert.Assert(c.t, refusal.Outcome != "ran" || ran[id] == 1, "%s didn't run, but: %v", id, refusal)
--- a/internal/proof/store_test.go
+++ b/internal/proof/store_test.go
@@ -13,9 +13,9 @@
 
 	"gotest.tools/v3/assert"
 
+	"sequoiastall/internal/callerclient"
 	"sequoiastall/internal/core/job"
 	"sequoiastall/internal/core/quota"
-	"sequoiastall/internal/dev"
 	"sequoiastall/internal/port"
 	"sequoiastall/internal/rpc/standinpb"
 )
@@ -66,7 +66,7 @@
 	refused := 0
 	for i := range 6 {
 		_, err := c.submitOnce(c.nodes[2*(i%2)], fmt.Sprintf("refused-%d", i), batch(1, time.Millisecond, true))
-		var refusal *dev.RefusalError
+		var refusal *callerclient.RefusalError
 		assert.Assert(t, errors.As(err, &refusal), "%v", err)
 		assert.Equal(t, refusal.Outcome, "not_run", "%v", err)
 		refused++
@@ -166,7 +166,7 @@
 	<-lost
 	c.faults(&standinpb.Faults{})
 	for id, err := range refused {
-		var refusal *dev.RefusalError
+		var refusal *callerclient.RefusalError
 		assert.Assert(t, errors.As(err, &refusal), "%v", err)
 		if refusal.Outcome != "not_run" || accepted[id] {
 			continue
