Make takeovers safe when workers lose their memory or change owners twice

Change: a document's events are forgotten, and a move goes ahead, once most workers have its mark; an owner settles on the marks of most workers or after it has caught up with the store since it lost its last worker (MustCatchUp); marks go to a worker once a document written since it was acquired without memory is durable; doubtful tasks wait until every worker has reported; other owners' intents win.

Conclusion: without the marks of most workers a takeover now waits for the store, also where it was allowed before.

--- a/internal/core/partition/cell_model_test.go
+++ b/internal/core/partition/cell_model_test.go
@@ -34,6 +34,10 @@
 	m.refreshHosts()
 	m.startOwner("p", 0)
 	m.startOwner("q", 0)
+	for range 6 {
+		m.submitAny(t)
+	}
+	m.run(1)
 	return m
 }
 
@@ -92,13 +96,15 @@
 
 // finish ends some running tasks.
 func (m *model) finish(t *rapid.T) {
-	w := m.pickWorker()
-	for _, a := range w.attempts() {
-		switch rapid.IntRange(0, 4).Draw(t, "end") {
-		case 0:
-			w.end(m.history, a, port.TaskFailed)
-		case 1, 2:
-			w.end(m.history, a, port.TaskSucceeded)
+	draws := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "ends"), 2))
+	for _, w := range m.workers {
+		for _, a := range w.attempts() {
+			switch draws.IntN(8) {
+			case 0:
+				w.end(m.history, a, port.TaskFailed)
+			case 1, 2:
+				w.end(m.history, a, port.TaskSucceeded)
+			}
 		}
 	}
 }
@@ -268,7 +274,15 @@
 			},
 			"cancel": m.cancelAny,
 			"pause":  func(*rapid.T) { o := m.pickOwner(); o.paused = !o.paused },
-			"kill":   func(*rapid.T) { m.kill(m.pickOwner()) },
+			"crash":  func(*rapid.T) { w := m.pickWorker(); w.die(m.history); w.restart() },
+			"take over": func(t *rapid.T) { // from an owner that dies or pauses
+				o := m.pickOwner()
+				if o.paused = true; rapid.Bool().Draw(t, "dies") {
+					m.kill(o)
+				}
+				m.startOwner(o.partition, rapid.IntRange(max(0, len(m.log)-3), len(m.log)).Draw(t, "seen"))
+			},
+			"kill": func(*rapid.T) { m.kill(m.pickOwner()) },
 			"take": func(t *rapid.T) {
 				m.startOwner(rapid.SampledFrom([]string{"p", "q"}).Draw(t, "p"), rapid.IntRange(0, len(m.log)).Draw(t, "seen"))
 			},
--- a/internal/core/partition/cell_test.go
+++ b/internal/core/partition/cell_test.go
@@ -201,7 +201,7 @@
 // step is one round of the owner's loop.
 func (o *fakeOwner) step() {
 	c := o.cell
-	o.verified = o.verified && !o.m.ProgressBehind()
+	o.verified = o.verified && !o.m.MustCatchUp()
 	if !c.storeDown && !c.chance(30) {
 		o.follow(len(c.log))
 		if !o.verified {
--- a/internal/core/partition/cycle.go
+++ b/internal/core/partition/cycle.go
@@ -152,7 +152,7 @@
 func (m *Machine) nextStartable(s *job.State, from int32) int32 {
 	for i := s.NextPending(from); i >= 0; i = s.NextPending(i + 1) {
 		id := job.TaskID{Job: s.Record.ID, Index: i}
-		if _, intended := m.progress.intents[id]; !intended && (m.settled || m.certain(id)) && !m.isStranger(id) {
+		if _, intended := m.progress.intents[id]; !intended && (m.settled || m.certain(id)) && !m.requeued[id].doubtful && !m.isStranger(id) {
 			return i
 		}
 	}
--- a/internal/core/partition/fakes_test.go
+++ b/internal/core/partition/fakes_test.go
@@ -25,6 +25,7 @@
 	reserved resource.Vector
 	address  string
 	team     string
+	ready    time.Time // when a service instance gets its address
 }
 
 // fakeWorker follows the rules of proto/worker.proto on virtual time.
@@ -79,7 +80,7 @@
 	return h.workers[slices.IndexFunc(h.workers, func(w *fakeWorker) bool { return w.host.ID == id })]
 }
 
-// expire ends the tasks whose task lease has lapsed.
+// expire ends the tasks whose task lease has lapsed, and gives started instances their addresses.
 func (h *history) expire(now time.Time) {
 	for _, w := range h.workers {
 		if !w.down && !now.Before(w.tasksUntil) {
@@ -87,6 +88,13 @@
 				w.end(h, a, port.TaskLapsed)
 			}
 		}
+		for a, r := range w.running {
+			if !r.ready.IsZero() && r.address == "" && !now.Before(r.ready) {
+				r.address = fmt.Sprintf("%s:%d", w.host.ID, a.task.Index)
+				w.running[a] = r
+				w.emit(w.record(a, port.TaskRunning))
+			}
+		}
 	}
 }
 
@@ -204,12 +212,9 @@
 	h.checkStart(w, a, g, now)
 	run := fakeRun{reserved: g.Reserved, team: h.specs[g.Job].Team}
 	if g.Service {
-		run.address = fmt.Sprintf("%s:%d", w.host.ID, t.Index)
+		run.ready = now.Add(time.Second)
 	}
 	w.running[a] = run
-	if g.Service {
-		w.emit(w.record(a, port.TaskRunning))
-	}
 	if w.failing {
 		w.end(h, a, port.TaskFailed)
 	}
--- a/internal/core/partition/jobs.go
+++ b/internal/core/partition/jobs.go
@@ -129,7 +129,7 @@
 		case t.Phase == job.TaskIntended:
 			m.unbook(s, int32(i))
 			m.setPhase(s, int32(i), job.TaskPending)
-			m.requeued[job.TaskID{Job: s.Record.ID, Index: int32(i)}] = requeued{now, true}
+			m.requeued[job.TaskID{Job: s.Record.ID, Index: int32(i)}] = requeued{now, !m.doubt, m.doubt}
 		case t.Phase == job.TaskRunning:
 			m.sendCommand(s, int32(i), checkpointCommand)
 		}
--- a/internal/core/partition/machine.go
+++ b/internal/core/partition/machine.go
@@ -39,6 +39,8 @@
 	settled    bool
 	exclusive  time.Time // since when no other node can hold a worker of the partition; zero if one may
 	mayStart   bool
+	doubt      bool // tasks that are requeued now are doubtful
+	doubts     bool // some task is doubtful
 	strange    bool // a worker may run a task of a job that isn't known; updated by each cycle
 	announced  int  // workers that a former owner announced
 	claimed    bool
--- a/internal/core/partition/move.go
+++ b/internal/core/partition/move.go
@@ -12,7 +12,7 @@
 const prepareTime = 10 * time.Second
 
 // move is a job that is about to leave the partition. Before its record may change, a progress document that names the
-// job is durable and every held worker has its mark. A successor whose copy of the record is older than the move so
+// job is durable and most workers have its mark. A successor whose copy of the record is older than the move so
 // learns of it, and doesn't start the job before it has compared its records with the store.
 type move struct {
 	began    time.Time
@@ -36,7 +36,7 @@
 		m.progress.dirty = true
 		return nil
 	}
-	if mv.sequence == 0 || mv.offered || !m.marked(mv.sequence) {
+	if mv.sequence == 0 || mv.offered || !(m.marked(mv.sequence) || m.Unheld() == len(m.workers)) {
 		return nil
 	}
 	mv.offered = true
@@ -68,14 +68,16 @@
 	return false
 }
 
-// marked reports whether every held worker has the mark of a document.
+// marked reports whether most workers have the mark of a document. A successor needs the marks of most workers too, or
+// the store, so that one of them tells it of the document even if others have died or lost their memory.
 func (m *Machine) marked(sequence uint64) bool {
+	n := 0
 	for _, w := range m.workers {
-		if w.held && w.mark < sequence {
-			return false
+		if w.mark >= sequence {
+			n++
 		}
 	}
-	return true
+	return 2*n > len(m.workers)
 }
 
 // Stuck returns the records of jobs of which nothing runs although they have waited for a time, oldest first.
--- a/internal/core/partition/progress.go
+++ b/internal/core/partition/progress.go
@@ -57,6 +57,8 @@
 	dirty    bool // the state has changed since the last document was built
 	urgent   bool // an intent waits for the write
 	building *pendingWrite
+	// covering and next are durable documents whose events are forgotten once most workers have their marks.
+	covering, next *pendingWrite
 	// marking tells that a document of this owner since it settled is durable. Only then do workers get marks: a mark
 	// tells a successor that the worker remembers all that was started since.
 	marking bool
@@ -101,6 +103,8 @@
 	for id, w := range m.workers {
 		if w.held && len(w.orphans) == 0 {
 			pending.seen[id] = coverage{w.token, w.seen}
+		} else if w.held {
+			pending.seen[id] = coverage{w.token, 0}
 		}
 	}
 	p.building, p.dirty, p.urgent = pending, false, false
@@ -167,9 +171,14 @@
 	p.marking = p.marking || (b.settled && m.settled)
 	for id, c := range b.seen {
 		if w := m.workers[id]; w != nil && w.held && w.token == c.token {
-			w.forget = max(w.forget, c.seen)
+			w.marking = true
 		}
 	}
+	if p.covering == nil {
+		p.covering = b
+	} else {
+		p.next = b
+	}
 	for _, id := range b.moves {
 		if mv := m.moving[id]; mv != nil && mv.sequence == 0 {
 			mv.sequence = b.sequence
@@ -182,14 +191,28 @@
 	}
 }
 
-// ProgressBehind reports whether a worker has seen a later document than this machine.
-func (m *Machine) ProgressBehind() bool {
+// releaseEvents lets workers forget the events that a durable document covers, once a successor is sure to learn of it.
+func (m *Machine) releaseEvents() {
+	p := &m.progress
+	for p.covering != nil && m.marked(p.covering.sequence) {
+		for id, c := range p.covering.seen {
+			if w := m.workers[id]; w != nil && w.held && w.token == c.token {
+				w.forget = max(w.forget, c.seen)
+			}
+		}
+		p.covering, p.next = p.next, nil
+	}
+}
+
+// MustCatchUp reports whether the machine needs the document and the records as the store has them now: a worker has
+// seen a later document, or the machine has lost its workers since it was verified.
+func (m *Machine) MustCatchUp() bool {
 	for _, w := range m.workers {
 		if w.mark > m.progress.sequence {
 			return true
 		}
 	}
-	return false
+	return !m.verified
 }
 
 // ProgressFailed tells that the write under way had no effect. The next document repeats its content.
@@ -251,6 +274,11 @@
 	}
 	for worker, indexes := range jp.Intents {
 		indexes.Each(func(i int32) {
+			if int(i) < len(s.Tasks) && s.Tasks[i].Phase == job.TaskIntended {
+				// Another owner has written its intent first, and may have started the task.
+				m.unbook(s, i)
+				m.setPhase(s, i, job.TaskPending)
+			}
 			if int(i) < len(s.Tasks) && s.Tasks[i].Phase == job.TaskPending {
 				m.progress.intents[job.TaskID{Job: s.Record.ID, Index: i}] = worker
 			}
--- a/internal/core/partition/reconcile.go
+++ b/internal/core/partition/reconcile.go
@@ -259,6 +259,9 @@
 	at time.Time
 	// certain tells that no attempt runs anywhere, so that the task may start before the partition is settled.
 	certain bool
+	// doubtful tells that another owner may have seen it end too, and restarted it: it waits until every worker has
+	// reported, even if the partition is settled.
+	doubtful bool
 }
 
 // requeue makes a task pending again whose last attempt has certainly ended.
@@ -272,7 +275,8 @@
 		m.setPhase(s, index, job.TaskBroken)
 		return
 	}
-	m.requeued[id] = requeued{now, true}
+	m.requeued[id] = requeued{now, !m.doubt, m.doubt}
+	m.doubts = m.doubts || m.doubt
 	m.breakGang(s, index, now)
 }
 
@@ -299,6 +303,8 @@
 
 // loseTasks accounts for the tasks of a worker whose leases have certainly lapsed.
 func (m *Machine) loseTasks(w *worker, now time.Time) {
+	m.doubt = true
+	defer func() { m.doubt = false }()
 	for _, id := range sortedTasks(w.tasks) {
 		s, t := m.jobs[id.Job], m.task(id)
 		if w.tasks[id] == nil || t == nil || t.Worker != w.host.ID || t.Phase.Final() {
--- a/internal/core/partition/settle.go
+++ b/internal/core/partition/settle.go
@@ -57,7 +57,8 @@
 
 // unsettle gives up what this owner concluded before a time in which another one may have run the partition.
 func (m *Machine) unsettle(now time.Time) {
-	m.settled, m.progress.marking = false, false
+	m.settled, m.verified, m.progress.marking = false, false, false
+	m.progress.covering, m.progress.next = nil, nil
 	m.since = now
 	for id, r := range m.requeued {
 		r.certain = false
@@ -73,9 +74,13 @@
 // settle decides whether tasks that aren't accounted for may be started.
 func (m *Machine) settle(now time.Time) {
 	m.expire(now)
-	if !m.settled && m.allReported(now) {
-		m.settled = true
-		m.progress.dirty = true // the first document of a settled owner allows marks
+	if (!m.settled || m.doubts) && m.allReported(now) {
+		m.progress.dirty = m.progress.dirty || !m.settled // the first document of a settled owner allows marks
+		m.settled, m.doubts = true, false
+		for id, r := range m.requeued {
+			r.doubtful = false
+			m.requeued[id] = r
+		}
 	}
 	if m.settled {
 		m.resolveIntents()
@@ -96,7 +101,7 @@
 			return false
 		}
 	}
-	return true
+	return m.verified || m.marked(1)
 }
 
 // resolveIntents decides on non-idempotent tasks that a former owner may have started. A worker that has reported
--- a/internal/core/partition/strangers.go
+++ b/internal/core/partition/strangers.go
@@ -55,8 +55,9 @@
 	t, id := &s.Tasks[index], job.TaskID{Job: s.Record.ID, Index: index}
 	w := m.workers[t.Worker]
 	request, attempt, address, team := m.request(s, t), t.Attempt, t.Address, s.Record.Spec.Team
+	runs := w != nil && w.held && w.tasks[id] != nil && w.tasks[id].reserved // otherwise an inventory doesn't have it
 	m.unbook(s, index)
-	if w == nil || !w.held {
+	if !runs {
 		return
 	}
 	if i := slices.Index(w.starts, pendingStart{id, attempt}); i >= 0 && !w.doubtful {
--- a/internal/core/partition/workers.go
+++ b/internal/core/partition/workers.go
@@ -44,6 +44,8 @@
 	strangers   map[job.TaskID]stranger // running tasks of jobs that aren't known
 	orphans     []port.TaskRecord       // ended attempts of jobs that aren't known
 	orphanedAt  time.Time
+	// marking tells that a durable document says what became of the tasks that the worker forgot without being told.
+	marking bool
 	// doubtful tells that a batch with starts may still arrive: records that would show it as a duplicate are kept.
 	doubtful bool
 	starts   []pendingStart
@@ -155,6 +157,7 @@
 	if !m.anchored(now) {
 		m.unsettle(now)
 	}
+	continuous := inv.Token == w.token+1 // no other owner has held it meanwhile
 	w.held, w.owned, w.expired = true, true, false
 	w.token, w.lastSent, w.renewed = inv.Token, sentAt, sentAt
 	w.forget, w.doubtful = 0, false
@@ -162,13 +165,16 @@
 	m.hostSize = m.hostSize.Max(inv.Capacity)
 	m.sizes.SetCapacity(m.hostSize)
 	lost := inv.Sequence < w.seen || inv.DurableMark < w.mark
-	w.seen, w.mark = inv.Sequence, inv.DurableMark
+	w.seen, w.mark, w.marking = inv.Sequence, inv.DurableMark, inv.DurableMark > 0
+	m.progress.dirty = m.progress.dirty || !w.marking
 	w.starts, w.commands = nil, nil
 	if lost {
 		m.died(w, now) // and came back without its memory
 	}
 	m.upsert(w)
+	m.doubt = !continuous
 	m.reconcile(w, inv, now)
+	m.doubt = false
 	w.accounted = true
 }
 
@@ -234,10 +240,11 @@
 	if w == nil {
 		return 0, 0
 	}
-	if !m.progress.marking {
+	if !m.progress.marking || !w.marking {
 		return 0, 0
 	}
-	if !m.progress.dirty && m.progress.building == nil && len(w.orphans) == 0 {
+	m.releaseEvents()
+	if !m.progress.dirty && m.progress.building == nil && len(w.orphans) == 0 && m.marked(m.progress.sequence) {
 		w.forget = w.seen
 	}
 	if w.doubtful {
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -45,6 +45,7 @@
 	lastCycle time.Time
 	refreshed time.Time
 	tidied    time.Time
+	reread    time.Time
 	saving    bool
 	savedAt   time.Time
 	given     map[string]resource.Vector // allowance given away whose record isn't written yet, by team
@@ -167,8 +168,15 @@
 		o.view.Store(&ownerView{summary: o.machine.Summary()})
 	}
 	o.tidy(ctx, now)
+	if o.machine.MustCatchUp() && now.Sub(o.reread) >= rereadInterval {
+		o.reread = now
+		o.spawn(func() { o.readAgain(ctx) })
+	}
 }
 
+// rereadInterval bounds the writes to the store by which an owner catches up with it.
+const rereadInterval = 500 * time.Millisecond
+
 // tidyInterval is how often an owner looks for jobs to move and records to drop.
 const tidyInterval = 2 * time.Second
 
@@ -184,9 +192,6 @@
 		return
 	}
 	o.rebalance(ctx, now)
-	if o.machine.ProgressBehind() {
-		o.spawn(func() { o.reread(ctx) })
-	}
 	o.spawn(func() { o.node.dropOldJobs(ctx, o.partition) })
 }
 
--- a/internal/node/progress.go
+++ b/internal/node/progress.go
@@ -103,9 +103,9 @@
 	o.send(stateVerified{})
 }
 
-// reread brings the progress document up to date when a worker has seen a later one than this owner. The document
+// readAgain brings the progress document up to date when a worker has seen a later one than this owner. The document
 // alone would be more recent than the records of the jobs, of which one may have moved to another partition.
-func (o *owner) reread(ctx context.Context) {
+func (o *owner) readAgain(ctx context.Context) {
 	if o.node.barrier(ctx) == nil {
 		p, _ := o.node.state.progressOf(o.partition)
 		o.send(progressRead(p))
