Let the series of measurements go on after a run that fails

Cause: a cell with 24 partitions for 200 workers never got owners for the six partitions that have no rack, and the series ended there. Change: a cell counts as started when the number of owned partitions has been steady for 3 s; a failed run is reported at the end of the series. Conclusion: the rest of the series runs.

--- a/internal/load/cell.go
+++ b/internal/load/cell.go
@@ -320,9 +320,13 @@
 	return nil
 }
 
-// awaitOwners waits until every partition has an owner that holds workers.
+// ownersSteady is how long the number of owned partitions must not change. Partitions without racks stay without owners.
+const ownersSteady = 3 * time.Second
+
+// awaitOwners waits until every partition that has workers has an owner that holds some.
 func (c *cell) awaitOwners(ctx context.Context) error {
 	wanted := c.shape.Zones * c.shape.PartitionsPerZone
+	most, since := 0, time.Now()
 	for {
 		views, err := c.views(ctx)
 		found := map[string]bool{}
@@ -331,7 +335,10 @@
 				found[p] = true
 			}
 		}
-		if len(found) >= wanted {
+		if len(found) > most {
+			most, since = len(found), time.Now()
+		}
+		if len(found) >= wanted || most > 0 && time.Since(since) >= ownersSteady {
 			return nil
 		}
 		if !pause(ctx, pollInterval) {
--- a/internal/load/slopes.go
+++ b/internal/load/slopes.go
@@ -74,8 +74,9 @@
 }
 
 // RunSeries runs the measurements whose names are given, all if there are none, one after the other, and writes each
-// result to a file in the directory.
+// result to a file in the directory. A run that fails is reported at the end and doesn't keep the others from running.
 func RunSeries(ctx context.Context, directory string, names []string, progress io.Writer) error {
+	var failed []string
 	for _, m := range series() {
 		if len(names) > 0 && !slices.Contains(names, m.name) {
 			continue
@@ -86,7 +87,12 @@
 		fmt.Fprintln(progress, "measuring", m.name)
 		r, err := Run(ctx, o)
 		if err != nil {
-			return errors.Wrap(err, m.name)
+			if ctx.Err() != nil {
+				return ctx.Err()
+			}
+			fmt.Fprintln(progress, m.name, "failed:", err)
+			failed = append(failed, m.name)
+			continue
 		}
 		data, err := json.MarshalIndent(r, "", "  ")
 		if err != nil {
@@ -96,6 +102,9 @@
 			return errors.Wrap(err, m.name)
 		}
 	}
+	if len(failed) > 0 {
+		return errors.Errorf("%d measurements failed: %v", len(failed), failed)
+	}
 	return nil
 }
 
