Give workers their first durable mark at once

Cause: a successor needs the marks of most workers or the store. The first document was written up to 2 s after an owner had settled, and the marks came with the next poll, so that an owner that died a few seconds after its start during a store outage left a partition that stood still (TestStoreDownAndKilledNode, 124 of 150 tasks after 90 s). Change: the first document of a settled owner is written like one with intents, and a worker without a mark gets it in a batch of its own. Conclusion: the window is the write and one message instead of up to 3 s.

--- a/internal/core/partition/settle.go
+++ b/internal/core/partition/settle.go
@@ -75,7 +75,10 @@
 func (m *Machine) settle(now time.Time) {
 	m.expire(now)
 	if (!m.settled || m.doubts) && m.allReported(now) {
-		m.progress.dirty = m.progress.dirty || !m.settled // the first document of a settled owner allows marks
+		if !m.settled {
+			// The first document of a settled owner allows marks, without which no successor can do without the store.
+			m.progress.dirty, m.progress.urgent = true, true
+		}
 		m.settled, m.doubts = true, false
 		for id, r := range m.requeued {
 			r.doubtful = false
--- a/internal/core/partition/workers.go
+++ b/internal/core/partition/workers.go
@@ -45,7 +45,8 @@
 	orphans     []port.TaskRecord       // ended attempts of jobs that aren't known
 	orphanedAt  time.Time
 	// marking tells that a durable document says what became of the tasks that the worker forgot without being told.
-	marking bool
+	marking  bool
+	markSent bool // since it was acquired
 	// doubtful tells that a batch with starts may still arrive: records that would show it as a duplicate are kept.
 	doubtful bool
 	starts   []pendingStart
@@ -167,6 +168,7 @@
 	lost := inv.Sequence < w.seen || inv.DurableMark < w.mark
 	w.seen, w.mark, w.marking = inv.Sequence, inv.DurableMark, inv.DurableMark > 0
 	m.progress.dirty = m.progress.dirty || !w.marking
+	w.markSent = false
 	w.starts, w.commands = nil, nil
 	if lost {
 		m.died(w, now) // and came back without its memory
@@ -223,6 +225,7 @@
 		return port.Sync{}, false
 	}
 	forget, mark := m.Durable(id)
+	w.markSent = w.markSent || mark > 0
 	s := port.Sync{Token: w.token, Node: m.options.Node, SeenThrough: w.seen, ForgetThrough: forget, DurableMark: mark,
 		Commands: w.commands}
 	s.Starts = m.groupStarts(w.starts)
@@ -271,10 +274,15 @@
 	return w.forget, m.progress.sequence
 }
 
-// HasWork reports whether starts or commands wait for the worker.
+// HasWork reports whether starts, commands or the first durable mark wait for the worker.
 func (m *Machine) HasWork(id string) bool {
 	w := m.workers[id]
-	return w != nil && w.held && len(w.starts)+len(w.commands) > 0
+	return w != nil && w.held && (len(w.starts)+len(w.commands) > 0 || m.firstMark(w))
+}
+
+// firstMark reports whether a worker without a mark can get one.
+func (m *Machine) firstMark(w *worker) bool {
+	return w.mark == 0 && !w.markSent && m.progress.marking && w.marking && m.progress.sequence > 0
 }
 
 func (m *Machine) groupStarts(pending []pendingStart) []port.StartGroup {
