--- a/internal/core/partition/jobs.go
+++ b/internal/core/partition/jobs.go
@@ -173,10 +173,13 @@
 	if t.Phase != job.TaskRunning || w == nil || (t.Stopping && action != stopCommand) {
 		return
 	}
-	t.Stopping = true
 	if b := w.tasks[job.TaskID{Job: s.Record.ID, Index: index}]; b != nil {
+		if b.command != nil && *b.command == action {
+			return
+		}
 		b.command = &action
 	}
+	t.Stopping = true
 	w.commands = append(w.commands, port.Command{Task: job.TaskID{Job: s.Record.ID, Index: index}, Attempt: t.Attempt, Action: action})
 }
 
--- a/internal/core/partition/progress.go
+++ b/internal/core/partition/progress.go
@@ -130,6 +130,9 @@
 				continue
 			}
 			jp.intend(t.Worker, index)
+			if worker, open := m.progress.intents[job.TaskID{Job: s.Record.ID, Index: index}]; open {
+				jp.intend(worker, index)
+			}
 		case job.TaskPending:
 			worker, open := m.progress.intents[job.TaskID{Job: s.Record.ID, Index: index}]
 			if !open {
@@ -204,6 +207,14 @@
 	}
 }
 
+// addIntent notes an open intent. A task with intents on two workers gets an unknown one, so that its outcome is unknown.
+func (m *Machine) addIntent(id job.TaskID, worker string) {
+	if other, open := m.progress.intents[id]; open && other != worker {
+		worker = ""
+	}
+	m.progress.intents[id] = worker
+}
+
 // MustCatchUp reports whether the machine needs the document and the records as the store has them now: a worker has
 // seen a later document, or the machine has lost its workers since it was verified.
 func (m *Machine) MustCatchUp() bool {
@@ -272,6 +283,9 @@
 	if jp.Broken.Len() > 0 && s.Record.Spec.Idempotent {
 		m.abandon(s)
 	}
+	for i := range s.Tasks {
+		delete(m.progress.intents, job.TaskID{Job: s.Record.ID, Index: int32(i)})
+	}
 	for worker, indexes := range jp.Intents {
 		indexes.Each(func(i int32) {
 			if int(i) < len(s.Tasks) && s.Tasks[i].Phase == job.TaskIntended {
@@ -279,8 +293,8 @@
 				m.unbook(s, i)
 				m.setPhase(s, i, job.TaskPending)
 			}
-			if int(i) < len(s.Tasks) && s.Tasks[i].Phase == job.TaskPending {
-				m.progress.intents[job.TaskID{Job: s.Record.ID, Index: i}] = worker
+			if int(i) < len(s.Tasks) && !s.Tasks[i].Phase.Final() && s.Tasks[i].Worker != worker {
+				m.addIntent(job.TaskID{Job: s.Record.ID, Index: i}, worker)
 			}
 		})
 	}
--- a/internal/core/partition/reconcile.go
+++ b/internal/core/partition/reconcile.go
@@ -150,7 +150,7 @@
 		return
 	}
 	if !booked {
-		m.applyUnbooked(s, t, r)
+		m.applyUnbooked(w, s, t, r)
 		return
 	}
 	m.ended_(s, r, now)
@@ -158,8 +158,10 @@
 
 // applyUnbooked handles the end of an attempt that this owner hadn't booked, for instance one that a previous owner
 // started. It doesn't tell that no later attempt runs on a worker that hasn't reported yet.
-func (m *Machine) applyUnbooked(s *job.State, t *job.Task, r port.TaskRecord) {
-	delete(m.progress.intents, r.Task)
+func (m *Machine) applyUnbooked(w *worker, s *job.State, t *job.Task, r port.TaskRecord) {
+	if m.progress.intents[r.Task] == w.host.ID {
+		delete(m.progress.intents, r.Task)
+	}
 	if t.Phase.Final() {
 		return
 	}
@@ -334,6 +336,7 @@
 		m.progress.dirty = true
 	}
 	if to.Final() {
+		delete(m.progress.intents, job.TaskID{Job: s.Record.ID, Index: index})
 		delete(m.requeued, job.TaskID{Job: s.Record.ID, Index: index})
 	}
 	m.queue.touch(s)
--- a/internal/core/partition/settle.go
+++ b/internal/core/partition/settle.go
@@ -110,7 +110,7 @@
 func (m *Machine) resolveIntents() {
 	for id, on := range m.progress.intents {
 		s := m.jobs[id.Job]
-		if s == nil {
+		if s == nil || m.task(id) == nil || m.task(id).Phase == job.TaskRunning {
 			continue
 		}
 		w := m.workers[on]
@@ -119,7 +119,7 @@
 		}
 		delete(m.progress.intents, id)
 		m.progress.dirty = true
-		if m.task(id) != nil && m.task(id).Phase == job.TaskPending && (w == nil || !w.held || w.mark == 0) {
+		if m.task(id).Phase == job.TaskPending && (w == nil || !w.held || w.mark == 0) {
 			m.setPhase(s, id.Index, job.TaskUnknown)
 		}
 	}
