--- a/internal/core/partition/workers.go
+++ b/internal/core/partition/workers.go
@@ -187,11 +187,11 @@
 	return w.token, true
 }
 
-// Unheld returns the number of workers that aren't held.
+// Unheld returns the number of workers that aren't held, without those that the host list says are dead.
 func (m *Machine) Unheld() int {
 	n := 0
 	for _, w := range m.workers {
-		if !w.held {
+		if !w.held && w.deadAt.IsZero() {
 			n++
 		}
 	}
@@ -226,7 +226,8 @@
 	s := port.Sync{Token: w.token, Node: m.options.Node, SeenThrough: w.seen, ForgetThrough: forget, DurableMark: mark,
 		Commands: w.commands}
 	s.Starts = m.groupStarts(w.starts)
-	w.starts, w.commands = nil, nil
+	s.Commands, w.commands = splitCommands(w.commands, w.starts)
+	w.starts = nil
 	w.lastSent = now
 	if now.Sub(w.usageAt) >= usageInterval {
 		s.WantUsage, w.usageAt = true, now
@@ -234,6 +235,23 @@
 	return s, true
 }
 
+// splitCommands holds back the commands for tasks whose start is in the same batch, or may have to be repeated after it.
+// A worker carries out the commands of a batch first, and ignores one for a task that it doesn't run.
+func splitCommands(commands []port.Command, starts []pendingStart) (now, later []port.Command) {
+	starting := map[pendingStart]bool{}
+	for _, p := range starts {
+		starting[p] = true
+	}
+	for _, c := range commands {
+		if starting[pendingStart{c.Task, c.Attempt}] {
+			later = append(later, c)
+		} else {
+			now = append(now, c)
+		}
+	}
+	return now, later
+}
+
 // Durable returns the events of a worker that it may forget, and the mark that says so.
 func (m *Machine) Durable(id string) (forget, mark uint64) {
 	w := m.workers[id]
@@ -276,7 +294,7 @@
 		if !known || groups[i].Reserved != t.Reserved {
 			groups = append(groups, port.StartGroup{Job: p.task.Job, Reserved: t.Reserved, Payload: spec.Payload,
 				Duration: time.Duration(spec.DurationMS) * time.Millisecond,
-				Service:  spec.Class == job.Service, Concurrency: spec.Concurrency})
+				Service:  spec.Class == job.Service, Concurrency: spec.Concurrency, FirstIndex: spec.FirstIndex})
 			i = len(groups) - 1
 			at[p.task.Job] = i
 		}
--- a/internal/node/rebalance.go
+++ b/internal/node/rebalance.go
@@ -19,6 +19,9 @@
 // rebalance moves waiting jobs of which nothing runs to partitions that have room for them. So a job also leaves a
 // partition that has lost its workers.
 func (o *owner) rebalance(ctx context.Context, now time.Time) {
+	if o.node.storeFailing.Load() {
+		return // a move whose outcome isn't known would keep its job from starting until the store is back
+	}
 	remote := o.node.remoteSummaries(o.partition)
 	moves := 0
 	for _, r := range o.machine.Stuck(now, stuckAfter) {
