Let the jobs of a partition with dead workers move away

Cause: an owner all of whose workers are dead in the host list found each time it had settled that it held none, and started over, so that no job moved. Change: an owner doesn't start over while every worker is dead.

--- a/internal/core/partition/workers.go
+++ b/internal/core/partition/workers.go
@@ -171,17 +171,27 @@
 	return w.token, true
 }
 
-// Unheld returns the number of workers that aren't held, without those that the host list says are dead.
+// Unheld returns the number of workers that aren't held.
 func (m *Machine) Unheld() int {
 	n := 0
 	for _, w := range m.workers {
-		if !w.held && w.deadAt.IsZero() {
+		if !w.held {
 			n++
 		}
 	}
 	return n
 }
 
+// AllDead reports whether the host list says that every worker is dead.
+func (m *Machine) AllDead() bool {
+	for _, w := range m.workers {
+		if w.deadAt.IsZero() {
+			return false
+		}
+	}
+	return true
+}
+
 // LeaseLost tells that the worker refused this node's token, or couldn't be renewed in time. Its tasks stay booked
 // until the worker is held again or its leases have certainly lapsed.
 func (m *Machine) LeaseLost(id string, now time.Time) {
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -179,8 +179,9 @@
 		return
 	}
 	o.tidied = now
-	if o.machine.Settled() && o.machine.Unheld() > 0 && o.machine.Summary().Workers == 0 {
+	if o.machine.Settled() && o.machine.Unheld() > 0 && o.machine.Summary().Workers == 0 && !o.machine.AllDead() {
 		// While it held no worker, another owner may have run the partition: what this one knows can be out of date.
+		// With dead workers only there is nothing to run, and the jobs have to move.
 		o.log.Warn("partition", "action", "start over", "reason", "all workers were lost")
 		go o.node.startOver(o)
 		return
