--- a/internal/core/partition/settle.go
+++ b/internal/core/partition/settle.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"sequoiastall/internal/core/health"
 	"sequoiastall/internal/core/job"
 )
 
@@ -15,7 +14,9 @@
 			continue
 		}
 		w.accounted, w.expired = true, true
-		m.died(w, now)
+		if !w.deadAt.IsZero() {
+			m.died(w, now)
+		}
 		m.loseTasks(w, now)
 	}
 }
@@ -56,7 +57,8 @@
 
 // unsettle gives up what this owner concluded before a time in which another one may have run the partition.
 func (m *Machine) unsettle(now time.Time) {
-	m.settled, m.progress.marking = false, false
+	m.settled, m.verified, m.progress.marking = false, false, false
+	m.progress.covering, m.progress.next = nil, nil
 	m.since = now
 	for id, r := range m.requeued {
 		r.certain = false
@@ -72,17 +74,26 @@
 // settle decides whether tasks that aren't accounted for may be started.
 func (m *Machine) settle(now time.Time) {
 	m.expire(now)
-	if !m.settled && m.allReported(now) {
-		m.settled = true
-		m.progress.dirty = true // the first document of a settled owner allows marks
+	if (!m.settled || m.doubts) && m.allReported(now) {
+		m.progress.dirty = m.progress.dirty || !m.settled // the first document of a settled owner allows marks
+		m.settled, m.doubts = true, false
+		for id, r := range m.requeued {
+			r.doubtful = false
+			m.requeued[id] = r
+		}
 	}
 	if m.settled {
 		m.resolveIntents()
 	}
 }
 
+func (m *Machine) listLags(now time.Time) bool {
+	lapsed := !m.exclusive.IsZero() && now.Sub(later(m.exclusive, m.since)) >= m.options.Timing.Foreign()
+	return len(m.workers) < m.announced && !lapsed
+}
+
 func (m *Machine) allReported(now time.Time) bool {
-	if !m.jobsLoaded || !m.progress.loaded || len(m.workers) == 0 || len(m.workers) < m.announced {
+	if !m.jobsLoaded || !m.progress.loaded || len(m.workers) == 0 || m.listLags(now) {
 		return false
 	}
 	for _, w := range m.workers {
@@ -90,7 +101,7 @@
 			return false
 		}
 	}
-	return true
+	return m.verified || m.marked(1)
 }
 
 // resolveIntents decides on non-idempotent tasks that a former owner may have started. A worker that has reported
@@ -113,32 +124,3 @@
 		}
 	}
 }
-
-// died passes the loss of a worker that the host list calls dead to the evidence on jobs.
-func (m *Machine) died(w *worker, now time.Time) {
-	if w.deadAt.IsZero() {
-		return
-	}
-	d := health.Death{Worker: w.host.ID, Zone: w.host.Zone, Rack: w.host.Rack, Workers: len(m.workers)}
-	seen := map[job.ID]bool{}
-	for task := range w.tasks {
-		s := m.jobs[task.Job]
-		if s == nil || seen[task.Job] || s.Tasks[task.Index].Phase != job.TaskRunning {
-			continue
-		}
-		seen[task.Job] = true
-		d.Jobs = append(d.Jobs, health.Presence{Job: task.Job, Workers: workersOf(s)})
-	}
-	m.follow(m.health.Died(d, now))
-	delete(m.quarantined, w.host.ID)
-}
-
-func workersOf(s *job.State) int {
-	names := map[string]bool{}
-	for i := range s.Tasks {
-		if s.Tasks[i].Phase == job.TaskRunning {
-			names[s.Tasks[i].Worker] = true
-		}
-	}
-	return len(names)
-}
--- a/internal/core/partition/strangers.go
+++ b/internal/core/partition/strangers.go
@@ -1,6 +1,7 @@
 package partition
 
 import (
+	"slices"
 	"time"
 
 	"sequoiastall/internal/core/job"
@@ -15,6 +16,28 @@
 		reserved: m.cluster.Reserve(w.host.ID, request) == nil}
 }
 
+func (m *Machine) hasStrangers() bool {
+	for _, w := range m.workers {
+		if len(w.strangers) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// isStranger reports whether an attempt of the task still runs that isn't booked.
+func (m *Machine) isStranger(id job.TaskID) bool {
+	if !m.strange {
+		return false
+	}
+	for _, w := range m.workers {
+		if _, runs := w.strangers[id]; runs {
+			return true
+		}
+	}
+	return false
+}
+
 func (m *Machine) releaseStranger(w *worker, id job.TaskID) {
 	x := w.strangers[id]
 	delete(w.strangers, id)
@@ -32,8 +55,13 @@
 	t, id := &s.Tasks[index], job.TaskID{Job: s.Record.ID, Index: index}
 	w := m.workers[t.Worker]
 	request, attempt, address, team := m.request(s, t), t.Attempt, t.Address, s.Record.Spec.Team
+	runs := w != nil && w.held && w.tasks[id] != nil && w.tasks[id].reserved // otherwise an inventory doesn't have it
 	m.unbook(s, index)
-	if w == nil || !w.held {
+	if !runs {
+		return
+	}
+	if i := slices.Index(w.starts, pendingStart{id, attempt}); i >= 0 && !w.doubtful {
+		w.starts = slices.Delete(w.starts, i, i+1) // it was never sent
 		return
 	}
 	m.ledger.Restore(team, request.Resources)
@@ -88,10 +116,11 @@
 }
 
 // stopStrangers stops tasks of jobs that don't exist any more, once the job table is complete.
-func (m *Machine) stopStrangers() {
+func (m *Machine) stopStrangers(now time.Time) {
+	await := m.awaitsReplacement(now)
 	for _, w := range m.workers {
 		for id, x := range w.strangers {
-			if !w.held || x.stopping {
+			if !w.held || x.stopping || (await && x.address != "") {
 				continue
 			}
 			m.stopStranger(w, id)
--- a/internal/core/partition/workers.go
+++ b/internal/core/partition/workers.go
@@ -24,9 +24,10 @@
 	host     port.Host
 	listedAt time.Time
 	// deadAt is when the host list first said that the worker is dead; zero if it doesn't.
-	deadAt time.Time
-	held   bool
-	token  port.Token
+	deadAt    time.Time
+	leavingAt time.Time // when it first said that the worker is leaving; zero if it doesn't
+	held      bool
+	token     port.Token
 	// lastSent is when the last message that could renew the control lease was sent.
 	lastSent    time.Time
 	renewed     time.Time // when the last message that the worker has accepted was sent
@@ -43,6 +44,8 @@
 	strangers   map[job.TaskID]stranger // running tasks of jobs that aren't known
 	orphans     []port.TaskRecord       // ended attempts of jobs that aren't known
 	orphanedAt  time.Time
+	// marking tells that a durable document says what became of the tasks that the worker forgot without being told.
+	marking bool
 	// doubtful tells that a batch with starts may still arrive: records that would show it as a duplicate are kept.
 	doubtful bool
 	starts   []pendingStart
@@ -82,6 +85,12 @@
 			w = &worker{listedAt: now, tasks: map[job.TaskID]*booking{}, strangers: map[job.TaskID]stranger{}}
 			m.workers[h.ID] = w
 		}
+		switch {
+		case h.State != port.HostLeaving:
+			w.leavingAt = time.Time{}
+		case w.leavingAt.IsZero():
+			w.leavingAt = now
+		}
 		w.host = h
 		switch {
 		case h.State != port.HostDead:
@@ -148,17 +157,24 @@
 	if !m.anchored(now) {
 		m.unsettle(now)
 	}
+	continuous := inv.Token == w.token+1 // no other owner has held it meanwhile
 	w.held, w.owned, w.expired = true, true, false
 	w.token, w.lastSent, w.renewed = inv.Token, sentAt, sentAt
 	w.forget, w.doubtful = 0, false
 	w.capacity, w.pool, w.connections = inv.Capacity, inv.Pool, inv.Connections
-	w.seen = inv.Sequence
 	m.hostSize = m.hostSize.Max(inv.Capacity)
 	m.sizes.SetCapacity(m.hostSize)
-	w.mark = inv.DurableMark
+	lost := inv.Sequence < w.seen || inv.DurableMark < w.mark
+	w.seen, w.mark, w.marking = inv.Sequence, inv.DurableMark, inv.DurableMark > 0
+	m.progress.dirty = m.progress.dirty || !w.marking
 	w.starts, w.commands = nil, nil
+	if lost {
+		m.died(w, now) // and came back without its memory
+	}
 	m.upsert(w)
+	m.doubt = !continuous
 	m.reconcile(w, inv, now)
+	m.doubt = false
 	w.accounted = true
 }
 
@@ -252,10 +268,11 @@
 	if w == nil {
 		return 0, 0
 	}
-	if !m.progress.marking {
+	if !m.progress.marking || !w.marking {
 		return 0, 0
 	}
-	if !m.progress.dirty && m.progress.building == nil && len(w.orphans) == 0 {
+	m.releaseEvents()
+	if !m.progress.dirty && m.progress.building == nil && len(w.orphans) == 0 && m.marked(m.progress.sequence) {
 		w.forget = w.seen
 	}
 	if w.doubtful {
@@ -287,7 +304,7 @@
 		if !known || groups[i].Reserved != t.Reserved {
 			groups = append(groups, port.StartGroup{Job: p.task.Job, Reserved: t.Reserved, Payload: spec.Payload,
 				Duration: time.Duration(spec.DurationMS) * time.Millisecond,
-				Service:  spec.Class == job.Service, Concurrency: spec.Concurrency})
+				Service:  spec.Class == job.Service, Concurrency: spec.Concurrency, FirstIndex: spec.FirstIndex})
 			i = len(groups) - 1
 			at[p.task.Job] = i
 		}
@@ -345,10 +362,15 @@
 	}
 }
 
-// refused applies a worker's refusal to start. A duplicate is either a repeated message for the same attempt, whose
-// events will tell the rest, or an earlier attempt that this owner doesn't know of, which the inventory will show.
+// refused applies a worker's refusal to start. A duplicate of a batch that was in doubt is left to the inventory that
+// follows. Otherwise the worker keeps the record of an attempt with the same number, from before this owner forgot and
+// learned of the job again; the task takes the next number.
 func (m *Machine) refused(w *worker, r port.Refusal, now time.Time) {
-	if r.Code == port.RefusedDuplicate {
+	if r.Code == port.RefusedDuplicate && w.doubtful {
+		return
+	}
+	if x, displaced := w.strangers[r.Task]; displaced && x.attempt == r.Attempt {
+		m.releaseStranger(w, r.Task)
 		return
 	}
 	s := m.jobs[r.Task.Job]
@@ -360,8 +382,11 @@
 		return
 	}
 	reason := "worker refused: no capacity"
-	if r.Code == port.RefusedLeaving {
+	switch r.Code {
+	case port.RefusedLeaving:
 		reason = "worker refused: leaving"
+	case port.RefusedDuplicate:
+		reason = "worker refused: it knows the attempt"
 	}
 	m.requeue(s, r.Task.Index, reason, now)
 }
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -46,6 +46,7 @@
 	lastCycle time.Time
 	refreshed time.Time
 	tidied    time.Time
+	reread    time.Time
 	saving    bool
 	savedAt   time.Time
 	given     map[string]resource.Vector // allowance given away whose record isn't written yet, by team
@@ -169,8 +170,15 @@
 		o.view.Store(&ownerView{summary: o.machine.Summary()})
 	}
 	o.tidy(ctx, now)
+	if o.machine.MustCatchUp() && now.Sub(o.reread) >= rereadInterval {
+		o.reread = now
+		o.spawn(func() { o.readAgain(ctx) })
+	}
 }
 
+// rereadInterval bounds the writes to the store by which an owner catches up with it.
+const rereadInterval = 500 * time.Millisecond
+
 // tidyInterval is how often an owner looks for jobs to move and records to drop.
 const tidyInterval = 2 * time.Second
 
@@ -187,9 +195,6 @@
 		return
 	}
 	o.rebalance(ctx, now)
-	if o.machine.ProgressBehind() {
-		o.spawn(func() { o.reread(ctx) })
-	}
 	o.spawn(func() { o.node.dropOldJobs(ctx, o.partition) })
 }
 
@@ -197,6 +202,7 @@
 func (o *owner) applySurroundings(now time.Time) {
 	o.machine.SetAuthority(o.node.isolatedFor(now) < o.node.options.Timing.IsolationStart)
 	claimed, complete := o.node.claimed(o.partition)
+	o.machine.SetAnnounced(o.node.announced(o.partition))
 	o.machine.SetExclusive(complete && !claimed, now)
 	o.machine.SetClaimed(claimed)
 	o.applyRemote()
