Ask only for the allowance that a partition lacks

Cause: a partition whose team was at its limit of slots asked for whole tasks, and partitions moved processors and memory, of which none lacked any, back and forth. Change: a need is reduced by the partition's slack; only partitions with some of the lacking resources are asked.

--- a/internal/node/allowance.go
+++ b/internal/node/allowance.go
@@ -66,6 +66,19 @@
 	return allowance
 }
 
+// want notes what the partition lacks of a need. Without that, partitions at a limit of slots would move processors and
+// memory that none of them can use back and forth: 80 writes a second for one team.
+func (o *owner) want(need partition.Need) {
+	if need.Amount = lacking(need.Amount, o.machine.Slack(need.Team)); !need.Amount.IsZero() {
+		o.node.wantAllowance(o.partition, need)
+	}
+}
+
+// lacking returns the part of an amount that the slack doesn't cover.
+func lacking(amount, slack resource.Vector) resource.Vector {
+	return amount.Sub(slack).Max(resource.Vector{})
+}
+
 // giveAllowance takes what a partition doesn't need out of its own use. With a backlog of its own it gives at most half.
 func (o *owner) giveAllowance(r quota.AllowanceRequest) allowanceGrant {
 	slack := o.machine.Slack(r.Team)
@@ -235,7 +248,7 @@
 		})
 		return err
 	}
-	for _, donor := range n.donors(key, entry.record, limit) {
+	for _, donor := range n.donors(key, amount, entry.record, limit) {
 		if amount.IsZero() {
 			return nil
 		}
@@ -253,8 +266,8 @@
 	slack     resource.Vector
 }
 
-// donors lists the partitions whose allowance isn't in use, largest slack first, as gossip tells.
-func (n *Node) donors(key wantKey, r quota.Record, limit resource.Vector) []donor {
+// donors lists the partitions that have some of the amount not in use, largest slack first, as gossip tells.
+func (n *Node) donors(key wantKey, amount resource.Vector, r quota.Record, limit resource.Vector) []donor {
 	running := map[string]resource.Vector{}
 	for _, s := range n.remoteSummaries(key.partition) {
 		for _, t := range s.Teams {
@@ -266,7 +279,7 @@
 	var donors []donor
 	for p := range r.Parts {
 		slack := r.Effective(limit, p).Sub(running[p]).Max(resource.Vector{})
-		if p != key.partition && !slack.IsZero() {
+		if p != key.partition && !slack.Min(amount).IsZero() {
 			donors = append(donors, donor{p, slack})
 		}
 	}
--- a/internal/node/cost_test.go
+++ b/internal/node/cost_test.go
@@ -15,6 +15,8 @@
 
 	"sequoiastall/internal/core/configuration"
 	"sequoiastall/internal/core/object"
+	"sequoiastall/internal/core/quota"
+	"sequoiastall/internal/core/resource"
 	"sequoiastall/internal/core/routing"
 	"sequoiastall/internal/port"
 	"sequoiastall/internal/telemetry"
@@ -301,3 +303,19 @@
 		assert.Equal(t, due["z/1"], owner)
 	}
 }
+
+// Guards against moves of allowance that help nobody: a partition asks only for the resources that it is short of.
+func TestOnlyLackingResourcesAreWanted(t *testing.T) {
+	unlimited := object.Unlimited
+	need := resource.Vector{Slots: 59, MilliCPU: 29_500, MemoryMB: 15_104}
+	atLimit := resource.Vector{MilliCPU: unlimited / 4, MemoryMB: unlimited / 4}
+	assert.Equal(t, lacking(need, atLimit), resource.Vector{Slots: 59})
+	assert.Equal(t, lacking(need, need), resource.Vector{})
+	record := quota.Record{Team: "a", Limit: resource.Vector{Slots: 8, MilliCPU: unlimited, MemoryMB: unlimited},
+		Parts: map[string]resource.Vector{"z/0": {Slots: 8, MilliCPU: unlimited / 2}, "z/1": {MilliCPU: unlimited / 2, MemoryMB: unlimited}}}
+	synctest.Test(t, func(t *testing.T) {
+		n := runCostNode(t, newCostStore())
+		assert.Equal(t, len(n.donors(wantKey{"z/0", "a"}, resource.Vector{Slots: 59}, record, record.Limit)), 0)
+		assert.Equal(t, len(n.donors(wantKey{"z/2", "a"}, resource.Vector{Slots: 59}, record, record.Limit)), 1)
+	})
+}
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -157,7 +157,7 @@
 		o.spawn(func() { o.node.finishJob(ctx, r) })
 	}
 	for _, need := range report.Needs {
-		o.node.wantAllowance(o.partition, need)
+		o.want(need)
 	}
 	o.syncLinks(ctx)
 	o.dispatch(now)
