--- a/internal/core/partition/workers.go
+++ b/internal/core/partition/workers.go
@@ -44,6 +44,8 @@
 	strangers   map[job.TaskID]stranger // running tasks of jobs that aren't known
 	orphans     []port.TaskRecord       // ended attempts of jobs that aren't known
 	orphanedAt  time.Time
+	// marking tells that a durable document says what became of the tasks that the worker forgot without being told.
+	marking bool
 	// doubtful tells that a batch with starts may still arrive: records that would show it as a duplicate are kept.
 	doubtful bool
 	starts   []pendingStart
@@ -155,6 +157,7 @@
 	if !m.anchored(now) {
 		m.unsettle(now)
 	}
+	continuous := inv.Token == w.token+1 // no other owner has held it meanwhile
 	w.held, w.owned, w.expired = true, true, false
 	w.token, w.lastSent, w.renewed = inv.Token, sentAt, sentAt
 	w.forget, w.doubtful = 0, false
@@ -162,13 +165,16 @@
 	m.hostSize = m.hostSize.Max(inv.Capacity)
 	m.sizes.SetCapacity(m.hostSize)
 	lost := inv.Sequence < w.seen || inv.DurableMark < w.mark
-	w.seen, w.mark = inv.Sequence, inv.DurableMark
+	w.seen, w.mark, w.marking = inv.Sequence, inv.DurableMark, inv.DurableMark > 0
+	m.progress.dirty = m.progress.dirty || !w.marking
 	w.starts, w.commands = nil, nil
 	if lost {
 		m.died(w, now) // and came back without its memory
 	}
 	m.upsert(w)
+	m.doubt = !continuous
 	m.reconcile(w, inv, now)
+	m.doubt = false
 	w.accounted = true
 }
 
@@ -181,11 +187,11 @@
 	return w.token, true
 }
 
-// Unheld returns the number of workers that aren't held.
+// Unheld returns the number of workers that aren't held, without those that the host list says are dead.
 func (m *Machine) Unheld() int {
 	n := 0
 	for _, w := range m.workers {
-		if !w.held {
+		if !w.held && w.deadAt.IsZero() {
 			n++
 		}
 	}
@@ -220,7 +226,8 @@
 	s := port.Sync{Token: w.token, Node: m.options.Node, SeenThrough: w.seen, ForgetThrough: forget, DurableMark: mark,
 		Commands: w.commands}
 	s.Starts = m.groupStarts(w.starts)
-	w.starts, w.commands = nil, nil
+	s.Commands, w.commands = splitCommands(w.commands, w.starts)
+	w.starts = nil
 	w.lastSent = now
 	if now.Sub(w.usageAt) >= usageInterval {
 		s.WantUsage, w.usageAt = true, now
@@ -228,16 +235,34 @@
 	return s, true
 }
 
+// splitCommands holds back the commands for tasks whose start is in the same batch, or may have to be repeated after it.
+// A worker carries out the commands of a batch first, and ignores one for a task that it doesn't run.
+func splitCommands(commands []port.Command, starts []pendingStart) (now, later []port.Command) {
+	starting := map[pendingStart]bool{}
+	for _, p := range starts {
+		starting[p] = true
+	}
+	for _, c := range commands {
+		if starting[pendingStart{c.Task, c.Attempt}] {
+			later = append(later, c)
+		} else {
+			now = append(now, c)
+		}
+	}
+	return now, later
+}
+
 // Durable returns the events of a worker that it may forget, and the mark that says so.
 func (m *Machine) Durable(id string) (forget, mark uint64) {
 	w := m.workers[id]
 	if w == nil {
 		return 0, 0
 	}
-	if !m.progress.marking {
+	if !m.progress.marking || !w.marking {
 		return 0, 0
 	}
-	if !m.progress.dirty && m.progress.building == nil && len(w.orphans) == 0 {
+	m.releaseEvents()
+	if !m.progress.dirty && m.progress.building == nil && len(w.orphans) == 0 && m.marked(m.progress.sequence) {
 		w.forget = w.seen
 	}
 	if w.doubtful {
@@ -269,7 +294,7 @@
 		if !known || groups[i].Reserved != t.Reserved {
 			groups = append(groups, port.StartGroup{Job: p.task.Job, Reserved: t.Reserved, Payload: spec.Payload,
 				Duration: time.Duration(spec.DurationMS) * time.Millisecond,
-				Service:  spec.Class == job.Service, Concurrency: spec.Concurrency})
+				Service:  spec.Class == job.Service, Concurrency: spec.Concurrency, FirstIndex: spec.FirstIndex})
 			i = len(groups) - 1
 			at[p.task.Job] = i
 		}
--- a/internal/node/parts.go
+++ b/internal/node/parts.go
@@ -79,6 +79,12 @@
 // move writes the new partition of a run into the job's record, together with the progress so far.
 func (o *owner) move(ctx context.Context, run job.Record, target string) {
 	run.Partition = target
+	// A read without an answer shows a failing store before a write could leave the outcome open.
+	id, _ := run.ID.Parent()
+	if _, err := o.node.readJob(ctx, id); err != nil {
+		o.send(moveFailed{run.ID})
+		return
+	}
 	record, err := o.node.replaceRun(ctx, run, o.partition)
 	// While the outcome isn't known the run must not start here: the other partition may have it.
 	for errors.Is(err, port.ErrUnknownOutcome) && sleep(ctx, acquireRetry) {
