--- a/internal/load/slopes.go
+++ b/internal/load/slopes.go
@@ -254,6 +254,9 @@
 	if len(x) < 2 {
 		return
 	}
-	l := fit(x, y)
-	fmt.Fprintf(w, "| %s | %s | %.4g | %.4g | %.0f%% | %d |\n", s.figure, s.unit, l.Base, l.Slope, l.Error*100, len(x))
+	l, deviation := fit(x, y), "two runs only"
+	if len(x) > 2 {
+		deviation = fmt.Sprintf("%.0f%%", l.Error*100)
+	}
+	fmt.Fprintf(w, "| %s | %s | %.4g | %.4g | %s | %d |\n", s.figure, s.unit, l.Base, l.Slope, deviation, len(x))
 }
