--- /dev/null
+++ b/internal/core/partition/balance_shares.go
@@ -0,0 +1,131 @@
+package partition
+
+import (
+	"maps"
+	"slices"
+
+	"sequoiastall/internal/core/job"
+	"sequoiastall/internal/core/preemption"
+	"sequoiastall/internal/core/resource"
+)
+
+// shareTolerance is the distance from a share, as a part of the cell, that is left to tasks which end by themselves.
+const shareTolerance = 0.01
+
+// balance projects what teams will use after the preemptions that were chosen. Every partition sees the same distance from the
+// shares, so that each assumes that the others act as it does, and closes only its part.
+type balance struct {
+	ratios  map[string]float64
+	units   map[string]func(resource.Vector) float64 // what an amount in this partition means for a team's ratio
+	weights map[string]float64                       // part of all weights
+	running []preemption.Running
+	gangs   map[job.ID]resource.Vector // what each running gang holds
+}
+
+func (m *Machine) newBalance() *balance {
+	b := &balance{ratios: map[string]float64{}, units: map[string]func(resource.Vector) float64{}, weights: map[string]float64{},
+		running: m.preemptible(), gangs: map[job.ID]resource.Vector{}}
+	part := m.cluster.Capacity().DominantShare(m.shares.Capacity())
+	for team := range m.config.Teams {
+		b.ratios[team] = m.shares.Ratio(team)
+		b.weights[team] = m.shares.Weight(team)
+		b.units[team] = func(v resource.Vector) float64 {
+			if part <= 0 || b.weights[team] <= 0 {
+				return 0
+			}
+			return v.DominantShare(m.shares.Capacity()) / b.weights[team] / min(part, 1)
+		}
+	}
+	for _, r := range b.running {
+		if r.Class == job.Gang {
+			b.gangs[r.Task.Job] = b.gangs[r.Task.Job].Add(r.Reserved)
+		}
+	}
+	var stopping []job.TaskID
+	for victim := range m.roomFor {
+		stopping = append(stopping, victim)
+	}
+	slices.SortFunc(stopping, compareTaskIDs)
+	for _, victim := range stopping {
+		s, t := m.jobs[m.roomFor[victim]], m.task(victim)
+		if s == nil || t == nil {
+			continue
+		}
+		b.lose(m.jobs[victim.Job].Record.Spec.Team, t.Reserved)
+		b.gain(s.Record.Spec.Team, t.Reserved)
+	}
+	return b
+}
+
+func (b *balance) lose(team string, v resource.Vector) {
+	if unit := b.units[team]; unit != nil {
+		b.ratios[team] -= unit(v)
+	}
+}
+
+func (b *balance) gain(team string, v resource.Vector) {
+	if unit := b.units[team]; unit != nil {
+		b.ratios[team] += unit(v)
+	}
+}
+
+// allow notes in the options which teams may lose an amount to the beneficiary: those that stay above it even when it has gained
+// the amount, so that two teams never preempt each other in turns. It returns false if there is none.
+func (b *balance) allow(o *preemption.Options, amount resource.Vector) bool {
+	unit := b.units[o.Team]
+	if unit == nil {
+		return false
+	}
+	clear(o.OverShare)
+	after := b.ratios[o.Team] + unit(amount)
+	for _, team := range slices.Sorted(maps.Keys(b.ratios)) {
+		far := (b.ratios[team]-b.ratios[o.Team])*b.weights[o.Team] >= shareTolerance
+		if team != o.Team && far && b.ratios[team]-b.units[team](amount) >= after {
+			o.OverShare[team] = true
+		}
+	}
+	return len(o.OverShare) > 0
+}
+
+// candidates returns the tasks that may be preempted. For the sake of shares a gang is spared if its team would lose
+// more with it than what it has above the lowest team.
+func (b *balance) candidates(urgent bool) []preemption.Running {
+	if urgent || len(b.gangs) == 0 {
+		return b.running
+	}
+	lowest := slices.Min(slices.Collect(maps.Values(b.ratios)))
+	return slices.DeleteFunc(slices.Clone(b.running), func(r preemption.Running) bool {
+		unit := b.units[r.Team]
+		return r.Class == job.Gang && (unit == nil || b.ratios[r.Team]-unit(b.gangs[r.Task.Job]) < lowest)
+	})
+}
+
+// take applies a choice to the free resources and the remaining candidates, so that the next choice builds on it. It
+// returns the worker on which there is room then.
+func (b *balance) take(need resource.Vector, victims []preemption.Victim, free map[string]resource.Vector) string {
+	taken := map[job.TaskID]bool{}
+	for _, v := range victims {
+		taken[v.Task] = true
+	}
+	b.running = slices.DeleteFunc(b.running, func(r preemption.Running) bool {
+		if taken[r.Task] {
+			free[r.Worker] = free[r.Worker].Add(r.Reserved)
+			b.lose(r.Team, r.Reserved)
+		}
+		return taken[r.Task]
+	})
+	workers := slices.Sorted(maps.Keys(free))
+	if len(victims) > 0 {
+		workers = workers[:0]
+		for _, v := range victims {
+			workers = append(workers, v.Worker)
+		}
+	}
+	for _, w := range workers {
+		if f, listed := free[w]; listed && need.Fits(f) {
+			free[w] = f.Sub(need)
+			return w
+		}
+	}
+	return ""
+}
--- a/internal/core/partition/cycle.go
+++ b/internal/core/partition/cycle.go
@@ -3,6 +3,8 @@
 import (
 	"container/heap"
 	"errors"
+	"maps"
+	"slices"
 	"time"
 
 	"sequoiastall/internal/core/job"
@@ -23,6 +25,8 @@
 	blocked map[job.ID]bool
 	cursor  map[job.ID]int32
 	needs   map[string]resource.Vector
+	limited []*job.State // urgent jobs whose team is at its limit
+	victims int          // tasks told to make room
 	starved []*job.State // jobs that found no room, in the order in which they were tried
 }
 
@@ -48,6 +52,7 @@
 	c := &cycle{now: now, misfits: map[shape]placementFailure{}, blocked: map[job.ID]bool{},
 		cursor: map[job.ID]int32{}, needs: map[string]resource.Vector{}}
 	if m.mayStart {
+		clear(m.short)
 		m.refreshReservation(c)
 		m.startUrgent(c)
 		m.startByShare(c)
@@ -55,8 +60,8 @@
 		m.makeRoom(c)
 	}
 	report := Report{Decisions: m.decisions, Ended: m.collectEnded(now)}
-	for team, amount := range c.needs {
-		report.Needs = append(report.Needs, Need{Team: team, Amount: amount})
+	for _, team := range slices.Sorted(maps.Keys(c.needs)) {
+		report.Needs = append(report.Needs, Need{Team: team, Amount: c.needs[team]})
 	}
 	m.decisions = nil
 	return report
@@ -157,7 +162,11 @@
 	spec := &s.Record.Spec
 	t.Reserved = m.sizes.Reservation(sizeKey(s), spec.Resources)
 	if slack := m.ledger.Slack(spec.Team); !t.Reserved.Fits(slack) {
-		c.needs[spec.Team] = c.needs[spec.Team].Add(t.Reserved.Scale(int64(s.Count(job.TaskPending))))
+		c.needs[spec.Team] = c.needs[spec.Team].Add(t.Reserved.Scale(int64(s.Count(job.TaskPending))).Sub(slack).Max(resource.Vector{}))
+		if spec.Urgent {
+			c.limited = append(c.limited, s)
+			m.short[spec.Team] = true
+		}
 		return "team " + spec.Team + " is at its limit", false
 	}
 	r := m.request(s, t)
--- a/internal/core/partition/gang.go
+++ b/internal/core/partition/gang.go
@@ -1,12 +1,12 @@
 package partition
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
 	"sequoiastall/internal/core/job"
 	"sequoiastall/internal/core/placement"
+	"sequoiastall/internal/core/resource"
 )
 
 // reservation keeps workers for the gang that waits at the head, until the time by which it should fit. Other work
@@ -69,8 +69,9 @@
 	}
 	team := s.Record.Spec.Team
 	all := reserved.Scale(int64(len(indexes)))
-	if !all.Fits(m.ledger.Slack(team)) {
-		c.needs[team] = c.needs[team].Add(all)
+	if slack := m.ledger.Slack(team); !all.Fits(slack) {
+		c.needs[team] = c.needs[team].Add(all.Sub(slack).Max(resource.Vector{}))
+		m.short[team] = true
 		m.waiting[s.Record.ID] = "team " + team + " is at its limit"
 		return false
 	}
@@ -148,18 +149,29 @@
 	if !ok {
 		return nil
 	}
-	r := &reservation{job: s.Record.ID, at: c.now, workers: map[string]bool{}, made: c.now}
+	var places []string
+	for _, d := range decisions {
+		places = append(places, d.Worker)
+	}
+	r := newReservation(s.Record.ID, c.now, places)
 	if low > 0 {
 		r.at = ends[low-1].at
 	}
-	for _, d := range decisions {
-		r.workers[d.Worker] = true
+	return r
+}
+
+// newReservation returns a reservation for a gang that should start now.
+func newReservation(id job.ID, now time.Time, places []string) *reservation {
+	r := &reservation{job: id, at: now, workers: map[string]bool{}, made: now}
+	for _, w := range places {
+		r.workers[w] = true
 	}
 	return r
 }
 
 type expectedEnd struct {
 	at      time.Time
+	task    job.TaskID
 	worker  string
 	request placement.Request
 }
@@ -179,17 +191,20 @@
 				continue
 			}
 			at := t.StartedAt.Add(expected)
+			if t.Stopping {
+				at = now
+			}
 			if late := now.Sub(at); late > 0 {
 				at = now.Add(late)
 			}
-			ends = append(ends, expectedEnd{at, t.Worker, m.request(s, t)})
+			ends = append(ends, expectedEnd{at, job.TaskID{Job: s.Record.ID, Index: int32(i)}, t.Worker, m.request(s, t)})
 		}
 	}
 	slices.SortFunc(ends, func(a, b expectedEnd) int {
 		if d := a.at.Compare(b.at); d != 0 {
 			return d
 		}
-		return cmp.Compare(a.worker, b.worker)
+		return compareTaskIDs(a.task, b.task)
 	})
 	return ends
 }
--- a/internal/core/partition/machine.go
+++ b/internal/core/partition/machine.go
@@ -50,6 +50,7 @@
 	quarantined map[string]bool
 	roomFor     map[job.TaskID]job.ID // victims that are stopping, and for which job
 	makingRoom  map[job.ID]int        // the same by job
+	short       map[string]bool       // teams that lack allowance for a gang or for urgent work
 	sharedAt    time.Time             // last preemption for the sake of shares
 	ended       map[job.ID]time.Time
 	decisions   []Decision
@@ -76,6 +77,7 @@
 		started:  map[job.ID]time.Time{},
 		ended:    map[job.ID]time.Time{},
 		mayStart: true,
+		short:    map[string]bool{},
 		moving:   map[job.ID]bool{}, quarantined: map[string]bool{}, roomFor: map[job.TaskID]job.ID{}, makingRoom: map[job.ID]int{},
 	}
 }
--- a/internal/core/partition/preempt.go
+++ b/internal/core/partition/preempt.go
@@ -1,6 +1,7 @@
 package partition
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -13,106 +14,97 @@
 const (
 	// maxVictimsPerCycle bounds how many tasks are told to make room at once.
 	maxVictimsPerCycle = 64
-	// shareInterval is the shortest time between two rounds of preemption for the sake of shares. Tasks that end by
-	// themselves often restore the shares sooner.
-	shareInterval = 500 * time.Millisecond
+	// shareInterval is the shortest time between two rounds of preemption for the sake of shares. It covers a checkpoint
+	// and the delay of gossip, so that a round sees the effect of the last one in all partitions.
+	shareInterval = 2 * time.Second
 	// shareGrace is how long work waits before others make room for the sake of shares.
 	shareGrace = 2 * time.Second
-	// shareMargin keeps two teams that are near their shares from preempting each other in turns.
-	shareMargin = 0.05
+	// limitGrace is how long urgent work waits for allowance from other partitions before tasks of its own team make room.
+	limitGrace = 500 * time.Millisecond
 )
 
 // makeRoom stops tasks of teams above a lowered limit, and for work that is owed a place but found none.
 func (m *Machine) makeRoom(c *cycle) {
 	m.reduceExcess(c)
-	victims := 0
+	for _, s := range c.limited {
+		if c.now.Sub(s.Record.Submitted()) >= limitGrace && m.makingRoom[s.Record.ID] == 0 {
+			m.displaceOwn(c, s)
+		}
+	}
 	forShares := c.now.Sub(m.sharedAt) >= shareInterval
+	var b *balance
 	for _, s := range c.starved {
-		if victims >= maxVictimsPerCycle {
+		if c.victims >= maxVictimsPerCycle {
 			return
 		}
 		if m.makingRoom[s.Record.ID] > 0 || !m.owed(c, s, forShares) {
 			continue
 		}
-		victims += m.preemptFor(c, s)
-	}
-	if forShares && victims > 0 {
-		m.sharedAt = c.now
+		if b == nil {
+			b = m.newBalance()
+		}
+		chosen := m.preemptFor(c, s, b)
+		c.victims += chosen
+		if chosen > 0 && !s.Record.Spec.Urgent {
+			m.sharedAt = c.now
+		}
 	}
 }
 
-// owed reports whether others have to make room for a job: it is urgent, or its team is below its share.
+// owed reports whether others have to make room for a job: it is urgent, or it has waited for a time and shares may be
+// restored now. Room for a gang is made only while no other gang holds a reservation, because it has to be kept.
 func (m *Machine) owed(c *cycle, s *job.State, forShares bool) bool {
-	if s.Record.Spec.Urgent {
+	switch {
+	case s.Record.Spec.Urgent:
 		return true
+	case s.Record.Spec.Class == job.Gang && m.reservation != nil && m.reservation.job != s.Record.ID:
+		return false
 	}
-	return forShares && c.now.Sub(s.Record.Submitted()) >= shareGrace && m.shares.Ratio(s.Record.Spec.Team) < 1-shareMargin
+	return forShares && c.now.Sub(s.Record.Submitted()) >= shareGrace
 }
 
 // preemptFor chooses victims for the pending tasks of a job: for all tasks of a gang or none, otherwise for as many as
 // possible. It returns their number.
-func (m *Machine) preemptFor(c *cycle, s *job.State) int {
+func (m *Machine) preemptFor(c *cycle, s *job.State, b *balance) int {
 	indexes := m.startableTasks(s)
 	if len(indexes) == 0 {
 		return 0
 	}
-	need := s.Tasks[indexes[0]].Reserved
-	if need.IsZero() {
-		need = m.sizes.Reservation(sizeKey(s), s.Record.Spec.Resources)
+	need := m.sizes.Reservation(sizeKey(s), s.Record.Spec.Resources)
+	gang := s.Record.Spec.Class == job.Gang
+	step := need
+	if gang {
+		step = need.Scale(int64(len(indexes)))
 	}
 	options := m.preemptionOptions(s)
-	candidates := m.preemptible()
-	gang := s.Record.Spec.Class == job.Gang
 	var chosen []preemption.Victim
-	for range min(len(indexes), maxVictimsPerCycle) {
-		victims, err := preemption.Victims(need, candidates, options)
+	var places []string
+	for range min(len(indexes), maxVictimsPerCycle-c.victims) {
+		if !s.Record.Spec.Urgent && !b.allow(&options, step) {
+			break
+		}
+		victims, err := preemption.Victims(need, b.candidates(s.Record.Spec.Urgent), options)
 		if err != nil {
-			if gang {
-				return 0
-			}
 			break
 		}
-		candidates = takeRoom(need, victims, candidates, options.Free)
+		places = append(places, b.take(need, victims, options.Free))
+		if !gang {
+			b.gain(s.Record.Spec.Team, need)
+		}
 		chosen = append(chosen, victims...)
 	}
+	if gang {
+		if len(places) < len(indexes) {
+			return 0
+		}
+		m.reservation = newReservation(s.Record.ID, c.now, places)
+	}
 	for _, v := range chosen {
 		m.evict(c, s, v)
 	}
 	return len(chosen)
 }
 
-// takeRoom applies a choice to the free resources and the remaining candidates, so that the next choice builds on it.
-func takeRoom(need resource.Vector, victims []preemption.Victim, candidates []preemption.Running, free map[string]resource.Vector) []preemption.Running {
-	if len(victims) == 0 {
-		for w, f := range free {
-			if need.Fits(f) {
-				free[w] = f.Sub(need)
-				break
-			}
-		}
-		return candidates
-	}
-	taken := map[job.TaskID]bool{}
-	for _, v := range victims {
-		taken[v.Task] = true
-	}
-	kept := candidates[:0]
-	for _, r := range candidates {
-		if taken[r.Task] {
-			free[r.Worker] = free[r.Worker].Add(r.Reserved)
-			continue
-		}
-		kept = append(kept, r)
-	}
-	for _, v := range victims {
-		if need.Fits(free[v.Worker]) {
-			free[v.Worker] = free[v.Worker].Sub(need)
-			break
-		}
-	}
-	return kept
-}
-
 func (m *Machine) preemptionOptions(s *job.State) preemption.Options {
 	spec := &s.Record.Spec
 	o := preemption.Options{Free: map[string]resource.Vector{}, OverShare: map[string]bool{}, Team: spec.Team, Urgent: spec.Urgent,
@@ -123,7 +115,7 @@
 		}
 	}
 	for team := range m.config.Teams {
-		o.OverShare[team] = m.shares.Ratio(team) > 1+shareMargin
+		o.OverShare[team] = m.shares.Ratio(team) > 1
 	}
 	for id, other := range m.jobs {
 		if other.Record.Spec.Class == job.Gang {
@@ -172,6 +164,44 @@
 		Reason: "makes room for " + string(beneficiary.Record.ID) + ": " + v.Reason})
 }
 
+// displaceOwn checkpoints tasks of a team that is at its limit for urgent work of the same team: the latest of its batch
+// tasks, and gangs as a whole if those aren't enough.
+func (m *Machine) displaceOwn(c *cycle, urgent *job.State) {
+	team := urgent.Record.Spec.Team
+	need := m.sizes.Reservation(sizeKey(urgent), urgent.Record.Spec.Resources)
+	lacking := need.Scale(int64(urgent.Count(job.TaskPending))).Sub(m.ledger.Slack(team)).Sub(m.stoppingOf(team))
+	latest := m.latest(team)
+	for _, class := range []job.Class{job.Batch, job.Gang} {
+		for _, id := range latest {
+			s, t := m.jobs[id.Job], m.task(id)
+			if s.Record.Spec.Urgent || s.Record.Spec.Class != class || !t.Confirmed || t.Stopping {
+				continue
+			}
+			if lacking.Max(resource.Vector{}).IsZero() || c.victims >= maxVictimsPerCycle {
+				return
+			}
+			for _, v := range m.displaced(s, id) {
+				lacking = lacking.Sub(m.task(v.Task).Reserved)
+				c.victims++
+				m.evict(c, urgent, v)
+			}
+		}
+	}
+}
+
+// displaced returns the task, or every task of its gang.
+func (m *Machine) displaced(s *job.State, id job.TaskID) []preemption.Victim {
+	var victims []preemption.Victim
+	for i := range s.Tasks {
+		t := &s.Tasks[i]
+		if t.Phase == job.TaskRunning && !t.Stopping && (int32(i) == id.Index || s.Record.Spec.Class == job.Gang) {
+			victims = append(victims, preemption.Victim{Task: job.TaskID{Job: id.Job, Index: int32(i)}, Attempt: t.Attempt, Worker: t.Worker,
+				Action: preemption.Checkpoint, Reason: "team " + s.Record.Spec.Team + " is at its limit, and its urgent work comes first"})
+		}
+	}
+	return victims
+}
+
 // roomMade notes that a victim has ended.
 func (m *Machine) roomMade(id job.TaskID) {
 	beneficiary, was := m.roomFor[id]
@@ -186,8 +216,9 @@
 
 // reduceExcess checkpoints the latest tasks of teams that are above a lowered limit.
 func (m *Machine) reduceExcess(c *cycle) {
-	for team, excess := range m.ledger.Excess() {
-		excess = excess.Sub(m.stoppingOf(team))
+	over := m.ledger.Excess()
+	for _, team := range slices.Sorted(maps.Keys(over)) {
+		excess := over[team].Sub(m.stoppingOf(team))
 		for _, t := range m.latest(team) {
 			if excess.Max(resource.Vector{}).IsZero() {
 				break
--- a/internal/core/quota/shares.go
+++ b/internal/core/quota/shares.go
@@ -81,6 +81,17 @@
 	return t.local.Add(t.remote).DominantShare(s.capacity) * s.weights / t.weight
 }
 
+// Capacity returns the capacity of the cell.
+func (s *Shares) Capacity() resource.Vector { return s.capacity }
+
+// Weight returns a team's part of all weights, 0 for an unknown team.
+func (s *Shares) Weight(team string) float64 {
+	if t := s.teams[team]; t != nil && s.weights > 0 {
+		return t.weight / s.weights
+	}
+	return 0
+}
+
 // Order returns the teams with the lowest ratio first and ties by name, in a slice of its own.
 func (s *Shares) Order(teams []string) []string {
 	s.keys = s.keys[:0]
--- a/internal/node/allowance.go
+++ b/internal/node/allowance.go
@@ -66,13 +66,9 @@
 	return allowance
 }
 
-// giveAllowance takes what a partition doesn't need out of its own use. With a backlog of its own it gives at most half.
+// giveAllowance takes what a partition can spare out of its own use.
 func (o *owner) giveAllowance(r quota.AllowanceRequest) allowanceGrant {
-	slack := o.machine.Slack(r.Team)
-	if !o.machine.Backlog(r.Team).IsZero() {
-		slack = slack.MulDiv(1, 2)
-	}
-	g := allowanceGrant{team: r.Team, amount: r.Amount.Min(slack).Max(resource.Vector{})}
+	g := allowanceGrant{team: r.Team, amount: o.machine.Spare(r.Team, r.Amount, r.To)}
 	if g.amount.IsZero() || !o.verified {
 		return allowanceGrant{team: r.Team}
 	}
--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -10,9 +10,8 @@
 
 	"sequoiastall/internal/core/configuration"
 	"sequoiastall/internal/core/job"
-	"sequoiastall/internal/core/membership"
 	"sequoiastall/internal/core/object"
-	"sequoiastall/internal/core/resource"
+	"sequoiastall/internal/core/partition"
 	"sequoiastall/internal/gateway"
 	"sequoiastall/internal/port"
 )
@@ -105,40 +104,15 @@
 	return spec, nil
 }
 
-// choosePartition prefers a settled partition whose free capacity holds the job, then the one with the least backlog in
-// relation to its capacity.
+// choosePartition returns the partition for a new job.
 func (n *Node) choosePartition(held *configuration.Held, spec job.Spec) string {
-	need := spec.Resources.Scale(int64(spec.Tasks))
-	best, bestScore := "", 0.0
-	for _, s := range n.remoteSummaries("") {
-		if s.Workers == 0 {
-			continue
-		}
-		if score := partitionScore(s, need, spec); best == "" || score > bestScore {
-			best, bestScore = s.Partition, score
-		}
-	}
-	if best == "" {
-		if partitions := n.partitionsOf(held); len(partitions) > 0 {
-			best = string(partitions[0])
-		}
-	}
-	return best
-}
-
-func partitionScore(s membership.Summary, need resource.Vector, spec job.Spec) float64 {
-	var backlog resource.Vector
-	for _, t := range s.Teams {
-		backlog = backlog.Add(t.Backlog)
-	}
-	score := -backlog.DominantShare(s.Capacity) - need.DominantShare(s.Free)
-	if s.Settled {
-		score += 1000
+	if best := partition.Choose(n.remoteSummaries(""), spec); best != "" {
+		return best
 	}
-	if spec.Class == job.Gang && !need.Fits(s.Capacity) {
-		score -= 100000
+	if partitions := n.partitionsOf(held); len(partitions) > 0 {
+		return string(partitions[0])
 	}
-	return score
+	return ""
 }
 
 // Status returns a job's status: the final record, the word of its partition's owner, or else the cached record.
--- a/internal/node/policy.go
+++ b/internal/node/policy.go
@@ -2,15 +2,9 @@
 
 import (
 	"slices"
-	"strconv"
-
-	"github.com/cespare/xxhash/v2"
 
 	"sequoiastall/internal/core/configuration"
-	"sequoiastall/internal/core/job"
-	"sequoiastall/internal/core/object"
 	"sequoiastall/internal/core/partition"
-	"sequoiastall/internal/core/placement"
 	"sequoiastall/internal/core/quota"
 	"sequoiastall/internal/core/resource"
 	"sequoiastall/internal/port"
@@ -35,64 +29,7 @@
 
 // partitionConfig extracts what a partition needs of a configuration.
 func (n *Node) partitionConfig(held *configuration.Held, name string) partition.Config {
-	policy := held.Index.Cell().Policy
-	c := partition.Config{
-		Policy: placement.Policy{Packing: policy.Packing, Share: policy.Share, Waiting: policy.Waiting},
-		Teams:  map[string]partition.Team{},
-	}
-	for _, team := range held.Index.Teams() {
-		t, _ := held.Index.Team(team)
-		c.Teams[team] = partition.Team{Weight: t.Weight}
-	}
-	populated := n.populated()
-	for _, s := range held.Set.Services {
-		c.Services = append(c.Services, serviceGoal(s, instancesIn(s, name, populated)))
-	}
-	return c
-}
-
-// instancesIn returns how many instances of a service a partition runs: they are dealt out one by one over the
-// partitions that have workers, in an order that differs by service.
-func instancesIn(s object.Service, name string, populated []string) int32 {
-	order := slices.Clone(populated)
-	slices.SortFunc(order, func(a, b string) int {
-		x, y := xxhash.Sum64String(s.Name+"\x00"+a), xxhash.Sum64String(s.Name+"\x00"+b)
-		switch {
-		case x < y:
-			return -1
-		case x > y:
-			return 1
-		}
-		return 0
-	})
-	position := int32(slices.Index(order, name))
-	if position < 0 {
-		return 0
-	}
-	share := s.Replicas / int32(len(order))
-	if position < s.Replicas%int32(len(order)) {
-		share++
-	}
-	return share
-}
-
-func serviceGoal(s object.Service, instances int32) partition.ServiceGoal {
-	resources := s.Resources.Vector()
-	if resources.Slots == 0 {
-		resources.Slots = int64(s.Concurrency)
-	}
-	spec := job.Spec{Team: s.Team, Queue: s.Queue, Name: s.Name, Class: job.Service, Tasks: instances, Resources: resources,
-		Idempotent: true, Pool: s.Pool, Service: s.Name, Concurrency: s.Concurrency}
-	return partition.ServiceGoal{Spec: spec, Version: serviceVersion(s, resources)}
-}
-
-// serviceVersion changes when running instances have to be replaced.
-func serviceVersion(s object.Service, r resource.Vector) string {
-	text := s.Team + "\x00" + s.Pool + "\x00" + strconv.Itoa(int(s.Concurrency))
-	for _, v := range []int64{r.Slots, r.MilliCPU, r.MemoryMB, r.Accelerators} {
-		text += "\x00" + strconv.FormatInt(v, 10)
-	}
-	return strconv.FormatUint(xxhash.Sum64String(text), 36)
+	return partition.NewConfig(held.Index, held.Set, name, n.populated())
 }
 
 // limitOf returns a team's published upper limit.
