Bound the cost of a cycle in a full cell

Cause: in a full cell with a backlog a cycle looked for victims again for every waiting job, tried all blocked jobs of a team again after each placement, asked placement about each size that couldn't fit, and planned a reservation for every waiting gang.

Change: shares are balanced at most once per interval whatever the result; kinds of work for which no victim was found aren't tried again in the cycle; a team's queue is passed through once per cycle; what needs at least as much as work that found no room isn't placed; at most nine gangs are planned every 500 ms.

--- a/internal/core/partition/balance_shares.go
+++ b/internal/core/partition/balance_shares.go
@@ -16,6 +16,7 @@
 // shares, so that each assumes that the others act as it does, and closes only its part.
 type balance struct {
 	ratios  map[string]float64
+	highest float64                                  // ratio at the beginning
 	units   map[string]func(resource.Vector) float64 // what an amount in this partition means for a team's ratio
 	weights map[string]float64                       // part of all weights
 	running []preemption.Running
@@ -28,6 +29,7 @@
 	part := m.cluster.Capacity().DominantShare(m.shares.Capacity())
 	for team := range m.config.Teams {
 		b.ratios[team] = m.shares.Ratio(team)
+		b.highest = max(b.highest, b.ratios[team])
 		b.weights[team] = m.shares.Weight(team)
 		b.units[team] = func(v resource.Vector) float64 {
 			if part <= 0 || b.weights[team] <= 0 {
@@ -87,6 +89,11 @@
 	return len(o.OverShare) > 0
 }
 
+// below reports whether a team is far enough below the highest one for that to make room.
+func (b *balance) below(team string) bool {
+	return (b.highest-b.ratios[team])*b.weights[team] >= shareTolerance
+}
+
 // candidates returns the tasks that may be preempted. For the sake of shares a gang is spared if its team would lose
 // more with it than what it has above the lowest team.
 func (b *balance) candidates(urgent bool) []preemption.Running {
--- a/internal/core/partition/cycle.go
+++ b/internal/core/partition/cycle.go
@@ -21,20 +21,47 @@
 	now     time.Time
 	started int
 	// misfits are shapes for which no worker had room in this cycle. Space isn't freed within a cycle.
-	misfits map[shape]placementFailure
+	misfits []misfit
 	blocked map[job.ID]bool
 	cursor  map[job.ID]int32
+	passed  map[string]int // jobs at the head of each team's queue that can't start any more in this cycle
 	needs   map[string]resource.Vector
 	limited []*job.State // urgent jobs whose team is at its limit
 	victims int          // tasks told to make room
 	starved []*job.State // jobs that found no room, in the order in which they were tried
 }
 
-// shape is what decides whether a task fits, for tasks without workers to avoid.
-type shape struct {
+// misfit is work without workers to avoid for which there is no room. What needs at least as much of everything has none
+// either.
+type misfit struct {
 	resources resource.Vector
 	pool      string
 	backfill  bool
+	failure   placementFailure
+}
+
+// maxMisfits bounds the search among them. In a full cell a few small ones cover nearly all work.
+const maxMisfits = 16
+
+func (c *cycle) covered(need resource.Vector, pool string, backfill bool) (placementFailure, bool) {
+	for i := range c.misfits {
+		k := &c.misfits[i]
+		if k.resources.Fits(need) && (k.pool == "" || k.pool == pool) && (backfill || !k.backfill) {
+			return k.failure, true
+		}
+	}
+	return placementFailure{}, false
+}
+
+// note remembers a misfit in place of those that it covers, or of the last one if there are too many.
+func (c *cycle) note(f misfit) {
+	c.misfits = slices.DeleteFunc(c.misfits, func(k misfit) bool {
+		return f.resources.Fits(k.resources) && f.pool == k.pool && f.backfill == k.backfill
+	})
+	if len(c.misfits) == maxMisfits {
+		c.misfits = c.misfits[:maxMisfits-1]
+	}
+	c.misfits = append(c.misfits, f)
 }
 
 type placementFailure struct {
@@ -49,8 +76,8 @@
 	if m.verified {
 		m.stopStrangers()
 	}
-	c := &cycle{now: now, misfits: map[shape]placementFailure{}, blocked: map[job.ID]bool{},
-		cursor: map[job.ID]int32{}, needs: map[string]resource.Vector{}}
+	c := &cycle{now: now, blocked: map[job.ID]bool{},
+		cursor: map[job.ID]int32{}, passed: map[string]int{}, needs: map[string]resource.Vector{}}
 	if m.mayStart {
 		clear(m.short)
 		m.refreshReservation(c)
@@ -105,13 +132,16 @@
 	}
 }
 
-// startOfTeam starts the first task of the team that can start.
+// startOfTeam starts the first task of the team that can start. A job that can't start stays so for the rest of the cycle.
 func (m *Machine) startOfTeam(c *cycle, team string) bool {
-	for _, s := range m.queue.jobs(team) {
-		if !c.blocked[s.Record.ID] && m.runnable(s) && m.startNext(c, s) {
+	jobs := m.queue.jobs(team)
+	for i := c.passed[team]; i < len(jobs); i++ {
+		if s := jobs[i]; !c.blocked[s.Record.ID] && m.runnable(s) && m.startNext(c, s) {
+			c.passed[team] = i
 			return true
 		}
 	}
+	c.passed[team] = len(jobs)
 	return false
 }
 
@@ -170,29 +200,31 @@
 		return "team " + spec.Team + " is at its limit", false
 	}
 	r := m.request(s, t)
-	r.Avoid = m.avoid(c, s, t)
-	key := shape{t.Reserved, spec.Pool, m.backfills(c, s)}
+	backfill := m.backfills(c, s)
 	if len(t.FailedOn) == 0 {
-		if failure, known := c.misfits[key]; known {
-			c.starved = append(c.starved, s)
+		if failure, known := c.covered(t.Reserved, spec.Pool, backfill); known {
+			if failure.never = failure.never || m.cluster.LargestFit(r) == 0; !failure.never {
+				c.starved = append(c.starved, s)
+			}
 			return failure.reason, false
 		}
 	}
+	r.Avoid = m.avoid(s, t, backfill)
 	d, err := m.cluster.Place(r)
 	if err != nil {
-		return m.misfit(c, s, t, key, err), false
+		return m.misfit(c, s, t, backfill, err), false
 	}
 	return m.assign(c, s, index, d, r)
 }
 
-func (m *Machine) misfit(c *cycle, s *job.State, t *job.Task, key shape, err error) string {
+func (m *Machine) misfit(c *cycle, s *job.State, t *job.Task, backfill bool, err error) string {
 	failure := placementFailure{reason: err.Error()}
 	var unplaceable *placement.UnplaceableError
 	if errors.As(err, &unplaceable) {
 		failure.never = unplaceable.Never
 	}
 	if len(t.FailedOn) == 0 {
-		c.misfits[key] = failure
+		c.note(misfit{t.Reserved, s.Record.Spec.Pool, backfill, failure})
 	}
 	if !failure.never {
 		c.starved = append(c.starved, s)
@@ -202,8 +234,7 @@
 
 // avoid returns the workers that a task must not use: where it failed, and where a gang's reservation would be
 // delayed by it.
-func (m *Machine) avoid(c *cycle, s *job.State, t *job.Task) map[string]bool {
-	held := m.backfills(c, s)
+func (m *Machine) avoid(s *job.State, t *job.Task, held bool) map[string]bool {
 	if len(t.FailedOn) == 0 {
 		if held {
 			return m.reservation.workers
--- a/internal/core/partition/gang.go
+++ b/internal/core/partition/gang.go
@@ -21,6 +21,12 @@
 // reservationLife is how long a reservation is kept before it is computed anew.
 const reservationLife = time.Second
 
+// planInterval and maxPlans bound the search for a gang that will fit, which copies the state of all workers.
+const (
+	planInterval = 500 * time.Millisecond
+	maxPlans     = 8
+)
+
 // refreshReservation drops a reservation whose gang no longer waits, and recomputes one that is old.
 func (m *Machine) refreshReservation(c *cycle) {
 	r := m.reservation
@@ -40,15 +46,19 @@
 // startReserved gives the reservation to the first gang that found no room, if none holds it. Teams are tried in the
 // order of their deficit, so that this is the gang of the team that is furthest below its share.
 func (m *Machine) startReserved(c *cycle) {
-	if m.reservation != nil {
+	if m.reservation != nil || c.now.Sub(m.plannedAt) < planInterval {
 		return
 	}
+	plans := 0
 	for _, s := range c.starved {
-		if s.Record.Spec.Class == job.Gang {
-			if m.reservation = m.plan(c, s); m.reservation != nil {
-				return
-			}
+		if s.Record.Spec.Class != job.Gang {
+			continue
+		}
+		m.plannedAt = c.now
+		if m.reservation = m.plan(c, s); m.reservation != nil || plans == maxPlans {
+			return
 		}
+		plans++
 	}
 }
 
--- a/internal/core/partition/machine.go
+++ b/internal/core/partition/machine.go
@@ -43,6 +43,7 @@
 
 	queue       queue
 	reservation *reservation
+	plannedAt   time.Time // when a reservation was last looked for
 	waiting     map[job.ID]string
 	requeued    map[job.TaskID]time.Time
 	started     map[job.ID]time.Time
--- a/internal/core/partition/preempt.go
+++ b/internal/core/partition/preempt.go
@@ -33,24 +33,38 @@
 	}
 	forShares := c.now.Sub(m.sharedAt) >= shareInterval
 	var b *balance
+	refused := map[refusal]bool{}
 	for _, s := range c.starved {
 		if c.victims >= maxVictimsPerCycle {
 			return
 		}
-		if m.makingRoom[s.Record.ID] > 0 || !m.owed(c, s, forShares) {
+		key := refusal{s.Record.Spec.Team, s.Record.Spec.Resources, s.Record.Spec.Pool, s.Record.Spec.Urgent}
+		if m.makingRoom[s.Record.ID] > 0 || refused[key] || !m.owed(c, s, forShares) {
 			continue
 		}
 		if b == nil {
 			b = m.newBalance()
 		}
-		chosen := m.preemptFor(c, s, b)
-		c.victims += chosen
-		if chosen > 0 && !s.Record.Spec.Urgent {
+		if !s.Record.Spec.Urgent {
 			m.sharedAt = c.now
+			if !b.below(s.Record.Spec.Team) {
+				continue
+			}
 		}
+		chosen := m.preemptFor(c, s, b)
+		c.victims += chosen
+		refused[key] = chosen == 0
 	}
 }
 
+// refusal names work for which nothing can make room in this cycle.
+type refusal struct {
+	team      string
+	resources resource.Vector
+	pool      string
+	urgent    bool
+}
+
 // owed reports whether others have to make room for a job: it is urgent, or it has waited for a time and shares may be
 // restored now. Room for a gang is made only while no other gang holds a reservation, because it has to be kept.
 func (m *Machine) owed(c *cycle, s *job.State, forShares bool) bool {
