--- a/internal/core/partition/balance.go
+++ b/internal/core/partition/balance.go
@@ -35,6 +35,7 @@
 func (m *Machine) Moves(remote []membership.Summary, now time.Time) []Move {
 	var moves []Move
 	remote = slices.Clone(remote)
+	tries := 0 // moves are prepared first
 	stuck := m.Stuck(now, urgentStuckAfter)
 	slices.SortStableFunc(stuck, func(a, b job.Record) int {
 		return cmp.Compare(m.shares.Ratio(a.Spec.Team), m.shares.Ratio(b.Spec.Team))
@@ -50,11 +51,11 @@
 		if target == "" {
 			continue
 		}
-		if record := m.Movable(r.ID); record != nil {
+		if record := m.Movable(r.ID, now); record != nil {
 			moves = append(moves, Move{*record, target})
-			occupy(remote, target, r.Spec)
 		}
-		if len(moves) >= maxMoves {
+		occupy(remote, target, r.Spec)
+		if tries++; tries >= maxMoves {
 			break
 		}
 	}
--- a/internal/core/partition/config.go
+++ b/internal/core/partition/config.go
@@ -24,7 +24,7 @@
 		c.Teams[team] = Team{Weight: t.Weight}
 	}
 	for _, s := range set.Services {
-		c.Services = append(c.Services, serviceGoal(s, instancesIn(s, name, populated)))
+		c.Services = append(c.Services, NewGoal(x, s, instancesIn(s, name, populated)))
 	}
 	return c
 }
@@ -54,19 +54,28 @@
 	return share
 }
 
-func serviceGoal(s object.Service, instances int32) ServiceGoal {
+// NewGoal returns what the configuration wants of a service in a partition that runs some of its instances.
+func NewGoal(x *object.Index, s object.Service, instances int32) ServiceGoal {
 	resources := s.Resources.Vector()
 	if resources.Slots == 0 {
 		resources.Slots = int64(s.Concurrency)
 	}
 	spec := job.Spec{Team: s.Team, Queue: s.Queue, Name: s.Name, Class: job.Service, Tasks: instances, Resources: resources,
-		Idempotent: true, Pool: s.Pool, Service: s.Name, Concurrency: s.Concurrency}
-	return ServiceGoal{Spec: spec, Version: serviceVersion(s, resources)}
+		Idempotent: true, Pool: PoolLabel(x, s.Pool), Service: s.Name, Concurrency: s.Concurrency}
+	return ServiceGoal{Spec: spec, Version: serviceVersion(s, spec.Pool, resources)}
+}
+
+// PoolLabel returns the label that the workers of a pool carry, empty for no pool.
+func PoolLabel(x *object.Index, name string) string {
+	if p, found := x.Pool(name); found && p.Label != "" {
+		return p.Label
+	}
+	return name
 }
 
 // serviceVersion changes when running instances have to be replaced.
-func serviceVersion(s object.Service, r resource.Vector) string {
-	text := s.Team + "\x00" + s.Pool + "\x00" + strconv.Itoa(int(s.Concurrency))
+func serviceVersion(s object.Service, pool string, r resource.Vector) string {
+	text := s.Team + "\x00" + pool + "\x00" + strconv.Itoa(int(s.Concurrency))
 	for _, v := range []int64{r.Slots, r.MilliCPU, r.MemoryMB, r.Accelerators} {
 		text += "\x00" + strconv.FormatInt(v, 10)
 	}
--- a/internal/experiment/bench_test.go
+++ b/internal/experiment/bench_test.go
@@ -89,7 +89,7 @@
 // fullPartition returns a partition whose workers are full and whose teams all have a backlog.
 func fullPartition(b *testing.B, s size) (*owner, *fleet, time.Time) {
 	b.Helper()
-	f := &fleet{byID: map[string]*fakeWorker{}, jobs: map[job.ID]*Job{}, runningOf: map[job.ID]int{}, watch: ignore{}}
+	f := &fleet{byID: map[string]*fakeWorker{}, jobs: map[job.ID]*Job{}, runningOf: map[*Job]int{}, watch: ignore{}}
 	capacity := resource.Vector{Slots: s.slots, MilliCPU: s.slots * 2000, MemoryMB: s.slots * 4096}
 	var hosts []port.Host
 	for i := range s.workers / s.partitions {
--- a/internal/experiment/cell.go
+++ b/internal/experiment/cell.go
@@ -25,6 +25,8 @@
 	tidyInterval = 2 * time.Second
 	// writeDelay is how long a write to the store takes with its retries, until all nodes have seen it.
 	writeDelay = 200 * time.Millisecond
+	// renewInterval is how often the lease of a worker is renewed.
+	renewInterval = time.Second
 	// progressInterval is how often a partition writes its progress if nothing waits for the write.
 	progressInterval = 2 * time.Second
 )
@@ -58,7 +60,6 @@
 	writtenAt time.Time
 	events    bool
 	answers   []answer
-	usageDue  int
 	summary   membership.Summary
 }
 
@@ -66,6 +67,7 @@
 type answer struct {
 	worker string
 	sent   port.Sync
+	at     time.Time
 	result port.SyncResult
 }
 
@@ -142,7 +144,15 @@
 		summaries = append(summaries, o.summary)
 	}
 	r.Partition = partition.Choose(summaries, r.Spec)
-	c.owner(r.Partition).set(r, now)
+	if r.Spec.Class == job.Batch {
+		if parts := partition.Divide(summaries, r.Partition, r.Spec); len(parts) > 1 {
+			r.Partition, r.Parts = "", parts
+		}
+	}
+	for _, run := range r.Runs() {
+		c.fleet.runs[run.ID] = task{j, run.Spec.FirstIndex}
+		c.owner(run.Partition).set(run, now)
+	}
 }
 
 func (o *owner) set(r job.Record, now time.Time) {
@@ -184,28 +194,25 @@
 // receive applies the answers of the last step.
 func (o *owner) receive(now time.Time) {
 	for _, a := range o.answers {
-		o.machine.Synced(a.worker, a.sent, a.result, now)
-		o.events = true
+		r := &a.result
+		o.events = o.events || len(a.sent.Starts)+len(r.Events)+len(r.Usage)+len(r.Refusals) > 0
+		o.machine.Synced(a.worker, a.sent, a.result, a.at, now)
 	}
 	o.answers = o.answers[:0]
 }
 
-// exchange hands batches to the workers that have something to say or to do, and to one more in turn for its usage.
+// exchange hands batches to the workers that have something to say or to do, and renews the leases of the others.
 func (o *owner) exchange(f *fleet, now time.Time) {
-	o.usageDue++
-	for i, w := range o.workers {
-		inTurn := o.usageDue%len(o.workers) == i
-		if !o.machine.HasWork(w.host.ID) && w.reported == w.sequence && !inTurn {
+	for _, w := range o.workers {
+		if !o.machine.HasWork(w.host.ID) && w.reported == w.sequence && now.Sub(w.syncedAt) < renewInterval {
 			continue
 		}
 		sent, ok := o.machine.TakeBatch(w.host.ID, now)
 		if !ok {
 			continue
 		}
-		result := f.sync(w, sent, now)
-		if len(sent.Starts)+len(result.Events)+len(result.Usage)+len(result.Refusals) > 0 {
-			o.answers = append(o.answers, answer{w.host.ID, sent, result})
-		}
+		w.syncedAt = now
+		o.answers = append(o.answers, answer{w.host.ID, sent, now, f.sync(w, sent, now)})
 	}
 }
 
--- a/internal/experiment/measure.go
+++ b/internal/experiment/measure.go
@@ -34,7 +34,7 @@
 	fleet    *fleet
 	capacity resource.Vector
 	teamOf   func(job.ID) string
-	jobs     map[job.ID]*progress
+	jobs     map[*Job]*progress
 	order    []*progress
 	waits    map[string][]time.Duration // by class, of the tasks that started
 	used     map[string]resource.Vector // by team
@@ -56,14 +56,14 @@
 }
 
 func newRecorder(index *object.Index, workers int) *recorder {
-	return &recorder{index: index, capacity: workerCapacity.Scale(int64(workers)), jobs: map[job.ID]*progress{},
+	return &recorder{index: index, capacity: workerCapacity.Scale(int64(workers)), jobs: map[*Job]*progress{},
 		waits: map[string][]time.Duration{}, used: map[string]resource.Vector{}, floor: map[string]resource.Vector{},
 		pending: map[string]resource.Vector{}}
 }
 
 func (r *recorder) submitted(j *Job) {
 	p := &progress{job: j, started: make([]bool, len(j.Durations))}
-	r.jobs[j.Record.ID] = p
+	r.jobs[j] = p
 	r.order = append(r.order, p)
 	if !j.Never {
 		team := j.Record.Spec.Team
@@ -79,7 +79,7 @@
 }
 
 func (r *recorder) started(a *attempt, now time.Time) {
-	p := r.jobs[a.task.Job]
+	p := r.jobs[a.job]
 	r.book(a, 1)
 	if p == nil {
 		return
@@ -87,15 +87,15 @@
 	team := p.job.Record.Spec.Team
 	r.pending[team] = r.pending[team].Sub(p.job.Record.Spec.Resources)
 	r.attempts++
-	if !p.started[a.task.Index] {
-		p.started[a.task.Index] = true
+	if !p.started[a.index] {
+		p.started[a.index] = true
 		class := classOf(p.job)
 		r.waits[class] = append(r.waits[class], now.Sub(p.job.Submitted()))
 	}
 }
 
 func (r *recorder) ended(a *attempt, now time.Time) {
-	p := r.jobs[a.task.Job]
+	p := r.jobs[a.job]
 	r.book(a, -1)
 	if p == nil {
 		return
@@ -111,7 +111,7 @@
 }
 
 func (r *recorder) book(a *attempt, sign int64) {
-	p, team := r.jobs[a.task.Job], ""
+	p, team := r.jobs[a.job], ""
 	if p != nil {
 		team = p.job.Record.Spec.Team
 	} else {
@@ -209,20 +209,20 @@
 		}
 	}
 	var running, reserved resource.Vector
-	var actual, declared []piece
+	var sizes, declared []piece
 	for _, w := range r.fleet.workers {
 		var memory int64
 		for _, a := range w.running {
-			size := r.fleet.actual(a)
+			size := actual(a)
 			running, reserved = running.Add(size), reserved.Add(a.reserved)
 			memory += size.MemoryMB
 			team := ""
-			if p := r.jobs[a.task.Job]; p != nil {
+			if p := r.jobs[a.job]; p != nil {
 				team = p.job.Record.Spec.Team
 			} else {
 				team = r.teamOf(a.task.Job)
 			}
-			actual, declared = append(actual, piece{team, size}), append(declared, piece{team, a.reserved})
+			sizes, declared = append(sizes, piece{team, size}), append(declared, piece{team, a.reserved})
 		}
 		r.samples++
 		if memory > w.capacity.MemoryMB {
@@ -235,11 +235,11 @@
 		}
 		spec := &p.job.Record.Spec
 		for range p.waiting(r.fleet) {
-			actual = append(actual, piece{spec.Team, p.job.Actual})
+			sizes = append(sizes, piece{spec.Team, p.job.Actual})
 			declared = append(declared, piece{spec.Team, spec.Resources.Max(p.job.Actual)})
 		}
 	}
-	bound := packable(actual, len(r.fleet.workers), limits).DominantShare(r.capacity)
+	bound := packable(sizes, len(r.fleet.workers), limits).DominantShare(r.capacity)
 	r.packing = append(r.packing, running.DominantShare(r.capacity)/bound)
 	bound = packable(declared, len(r.fleet.workers), limits).DominantShare(r.capacity)
 	r.reserved = append(r.reserved, reserved.DominantShare(r.capacity)/bound)
@@ -247,7 +247,7 @@
 
 // waiting returns the number of a job's tasks that neither run nor have finished.
 func (p *progress) waiting(f *fleet) int {
-	return len(p.started) - p.finished - f.runningOf[p.job.Record.ID]
+	return len(p.started) - p.finished - f.runningOf[p.job]
 }
 
 func abs(v float64) float64 { return max(v, -v) }
--- a/internal/experiment/worker.go
+++ b/internal/experiment/worker.go
@@ -22,6 +22,8 @@
 // attempt is a run of a task on a worker.
 type attempt struct {
 	task     job.TaskID
+	job      *Job  // of the trace; nil for an instance of a service
+	index    int32 // of the task within the job
 	number   int32
 	reserved resource.Vector
 	started  time.Time
@@ -36,6 +38,7 @@
 	host     port.Host
 	capacity resource.Vector
 	sequence uint64 // of the last event
+	syncedAt time.Time
 	reported uint64 // last event that an answer held
 	running  map[job.TaskID]*attempt
 	events   []port.TaskEvent
@@ -47,13 +50,21 @@
 	byID    map[string]*fakeWorker
 	jobs    map[job.ID]*Job
 	watch   observer
+	// runs maps the runs of divided jobs, which have IDs of their own, to their jobs.
+	runs map[job.ID]task
 	// runningOf is the number of running tasks by job.
-	runningOf map[job.ID]int
+	runningOf map[*Job]int
 	// overfull counts starts that a worker refused because it had no capacity left. A scheduler that keeps its books
 	// right never causes one.
 	overfull int
 }
 
+// task is the place of a run's first task in its job.
+type task struct {
+	job   *Job
+	first int32
+}
+
 // observer is told what happens on the workers.
 type observer interface {
 	started(a *attempt, now time.Time)
@@ -61,7 +72,7 @@
 }
 
 func newFleet(zones []string, count int, watch observer) *fleet {
-	f := &fleet{byID: map[string]*fakeWorker{}, jobs: map[job.ID]*Job{}, runningOf: map[job.ID]int{}, watch: watch}
+	f := &fleet{byID: map[string]*fakeWorker{}, jobs: map[job.ID]*Job{}, runs: map[job.ID]task{}, runningOf: map[*Job]int{}, watch: watch}
 	for i := range count {
 		zone := zones[i%len(zones)]
 		w := &fakeWorker{host: hostNamed(zone, i/len(zones)), capacity: workerCapacity, running: map[job.TaskID]*attempt{}}
@@ -90,7 +101,7 @@
 
 func (f *fleet) end(w *fakeWorker, a *attempt) {
 	delete(w.running, a.task)
-	f.runningOf[a.task.Job]--
+	f.runningOf[a.job]--
 	record := port.TaskRecord{Task: a.task, Attempt: a.number, State: a.state, Reserved: a.reserved}
 	if a.state == port.TaskCheckpointed {
 		left := max(a.left-a.endsAt.Sub(a.started), 0)
@@ -143,7 +154,11 @@
 		return false
 	}
 	a := &attempt{task: id, number: number, reserved: reserved, started: now, state: port.TaskSucceeded}
-	switch j := f.jobs[id.Job]; {
+	a.job, a.index = f.jobs[id.Job], id.Index
+	if run, divided := f.runs[id.Job]; divided {
+		a.job, a.index = run.job, run.first+id.Index
+	}
+	switch {
 	case service:
 		w.sequence++
 		w.events = append(w.events, port.TaskEvent{Sequence: w.sequence, Record: port.TaskRecord{Task: id, Attempt: number,
@@ -152,11 +167,11 @@
 		a.left = time.Duration(binary.BigEndian.Uint64(checkpoint))
 		a.endsAt = now.Add(a.left)
 	default:
-		a.left = j.Durations[id.Index]
+		a.left = a.job.Durations[a.index]
 		a.endsAt = now.Add(a.left)
 	}
 	w.running[id] = a
-	f.runningOf[id.Job]++
+	f.runningOf[a.job]++
 	f.watch.started(a, now)
 	return true
 }
@@ -189,7 +204,7 @@
 		if now.Sub(a.started) < usageLag {
 			continue
 		}
-		used := f.actual(a)
+		used := actual(a)
 		usage = append(usage, port.TaskUsage{Task: a.task, MilliCPU: used.MilliCPU, MemoryMB: used.MemoryMB})
 	}
 	slices.SortFunc(usage, func(a, b port.TaskUsage) int { return compareTasks(a.Task, b.Task) })
@@ -197,9 +212,9 @@
 }
 
 // actual is what an attempt really uses. Instances of services use what they declare.
-func (f *fleet) actual(a *attempt) resource.Vector {
-	if j := f.jobs[a.task.Job]; j != nil {
-		return j.Actual
+func actual(a *attempt) resource.Vector {
+	if a.job != nil {
+		return a.job.Actual
 	}
 	return a.reserved
 }
--- a/internal/node/policy.go
+++ b/internal/node/policy.go
@@ -4,6 +4,8 @@
 	"slices"
 
 	"sequoiastall/internal/core/configuration"
+	"sequoiastall/internal/core/job"
+	"sequoiastall/internal/core/object"
 	"sequoiastall/internal/core/partition"
 	"sequoiastall/internal/core/quota"
 	"sequoiastall/internal/core/resource"
@@ -32,6 +34,11 @@
 	return partition.NewConfig(held.Index, held.Set, name, n.populated())
 }
 
+// ServiceID returns the ID of the job whose tasks are a service's instances in a partition.
+func ServiceID(index *object.Index, name string, s object.Service) job.ID {
+	return partition.ServiceID(name, partition.NewGoal(index, s, 0))
+}
+
 // limitOf returns a team's published upper limit.
 func limitOf(held *configuration.Held, team string) (limit resource.Vector, limited bool) {
 	t, found := held.Index.Team(team)
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/rcrowley/go-metrics"
 	"github.com/sourcegraph/conc"
 
 	"sequoiastall/internal/core/partition"
@@ -20,6 +19,7 @@
 	"sequoiastall/internal/peer"
 	"sequoiastall/internal/platform"
 	"sequoiastall/internal/port"
+	"sequoiastall/internal/rpc/connection"
 	"sequoiastall/internal/settings"
 	"sequoiastall/internal/telemetry"
 	"sequoiastall/internal/workerclient"
@@ -52,26 +52,33 @@
 		_ = peerAt.Close()
 		return nil, errors.Wrap(err, "http address")
 	}
-	store, err := platform.New(s.PlatformAddress)
+	registry.ExposeProcess()
+	store, err := platform.New(s.PlatformAddress, observe(registry, telemetry.PeerStore))
 	if err != nil {
 		_ = peerAt.Close()
 		_ = httpAt.Close()
 		return nil, errors.Wrap(err, "platform address")
 	}
 	clock := port.SystemClock{}
-	v := &Server{settings: s, log: log, registry: registry, platform: store, workers: workerclient.New(clock),
-		peers:  peer.NewClient(peer.Options{Stats: registry.StatsHandler(telemetry.PeerNode)}),
+	peers := peer.Options{Stats: registry.StatsHandler(telemetry.PeerNode), Wire: registry.Wire(telemetry.PeerNode)}
+	v := &Server{settings: s, log: log, registry: registry, platform: store, workers: workerclient.New(clock, observe(registry, telemetry.PeerWorker)),
+		peers:  peer.NewClient(peers),
 		peerAt: peerAt, httpAt: httpAt}
 	router := gateway.NewRouter(s.Zone, rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), 2)), clock)
 	v.node = node.New(node.Options{ID: s.NodeID, Zone: s.Zone, PeerAddress: peerAt.Addr().String(),
 		HTTPAddress: httpAt.Addr().String(), Seeds: s.Seeds, Timing: timing(s.Timing)},
 		node.Ports{Store: store, Hosts: store, Workers: v.workers, Peers: v.peers, Clock: clock}, router, log, registry)
 	v.gateway = gateway.New(gateway.Options{NodeID: s.NodeID, Node: v.node, Router: router, Store: store, Clock: clock, Log: log,
-		Registry: metrics.NewRegistry(), Metrics: registryHandler(registry)})
-	v.peerGRPC = peer.NewServer(v.node, peer.Options{Stats: registry.StatsHandler(telemetry.PeerNode)})
+		Registry: registry, Metrics: registryHandler(registry, router)})
+	v.peerGRPC = peer.NewServer(v.node, peers)
 	return v, nil
 }
 
+// observe counts the messages and bytes of connections to a kind of peer.
+func observe(r *telemetry.Registry, k telemetry.PeerKind) connection.Options {
+	return connection.Options{Stats: r.StatsHandler(k), Wrap: r.Wire(k).Conn}
+}
+
 // timing converts the settings' units.
 func timing(t settings.Timing) node.Timing {
 	ms := settings.Milliseconds
@@ -85,9 +92,11 @@
 	return d
 }
 
-func registryHandler(r *telemetry.Registry) http.Handler {
+func registryHandler(r *telemetry.Registry, router *gateway.Router) http.Handler {
+	permits := r.Gauge("permit_violations")
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+		permits.Update(int64(router.Violations()))
+		w.Header().Set("Content-Type", telemetry.ContentType)
 		_ = r.WriteText(w)
 	})
 }
@@ -98,6 +107,9 @@
 // PeerAddress returns the address for other nodes.
 func (s *Server) PeerAddress() string { return s.peerAt.Addr().String() }
 
+// Revision returns the revision of the configuration in force at the node, 0 if there is none.
+func (s *Server) Revision() int64 { return s.node.Revision().Revision }
+
 // Registry returns the node's metrics.
 func (s *Server) Registry() *telemetry.Registry { return s.registry }
 
@@ -131,6 +143,7 @@
 	if err := s.gateway.Close(bound); err != nil {
 		s.log.Warn("callers' interface closed with an error", "error", err)
 	}
+	s.node.Leave(bound)
 	end()
 	s.peerGRPC.Stop()
 	s.peers.Close()
