Make room for gangs at their real cost; let all donors give in the experiment

Cause: a team whose waiting work is gangs stayed up to a gang's size below its share with four partitions: the gain of a gang was counted as if every partition started one. The experiment's exchange of allowance compared slots only and asked one donor, so that an idle team with all its processor allowance in another partition counted as being at its limit, and its urgent work waited.

Change: a gang's gain counts once, and a team loses a task for it, not a whole gang's amount. The experiment asks all donors for each resource.

--- a/internal/core/partition/balance_shares.go
+++ b/internal/core/partition/balance_shares.go
@@ -17,6 +17,7 @@
 type balance struct {
 	ratios  map[string]float64
 	highest float64                                  // ratio at the beginning
+	part    float64                                  // of the cell that the partition is
 	units   map[string]func(resource.Vector) float64 // what an amount in this partition means for a team's ratio
 	weights map[string]float64                       // part of all weights
 	running []preemption.Running
@@ -27,6 +28,7 @@
 	b := &balance{ratios: map[string]float64{}, units: map[string]func(resource.Vector) float64{}, weights: map[string]float64{},
 		running: m.preemptible(), gangs: map[job.ID]resource.Vector{}}
 	part := m.cluster.Capacity().DominantShare(m.shares.Capacity())
+	b.part = min(part, 1)
 	for team := range m.config.Teams {
 		b.ratios[team] = m.shares.Ratio(team)
 		b.highest = max(b.highest, b.ratios[team])
@@ -71,18 +73,23 @@
 	}
 }
 
-// allow notes in the options which teams may lose an amount to the beneficiary: those that stay above it even when it has gained
-// the amount, so that two teams never preempt each other in turns. It returns false if there is none.
-func (b *balance) allow(o *preemption.Options, amount resource.Vector) bool {
+// allow notes in the options which teams may lose a task for the beneficiary to gain an amount: those that stay above it
+// afterwards, so that two teams never preempt each other in turns. It returns false if there is none. A gang starts in one
+// partition only; then the others aren't assumed to act too.
+func (b *balance) allow(o *preemption.Options, task, amount resource.Vector, gang bool) bool {
 	unit := b.units[o.Team]
 	if unit == nil {
 		return false
 	}
 	clear(o.OverShare)
-	after := b.ratios[o.Team] + unit(amount)
+	gain := unit(amount)
+	if gang {
+		gain *= b.part
+	}
+	after := b.ratios[o.Team] + gain
 	for _, team := range slices.Sorted(maps.Keys(b.ratios)) {
 		far := (b.ratios[team]-b.ratios[o.Team])*b.weights[o.Team] >= shareTolerance
-		if team != o.Team && far && b.ratios[team]-b.units[team](amount) >= after {
+		if team != o.Team && far && b.ratios[team]-b.units[team](task) >= after {
 			o.OverShare[team] = true
 		}
 	}
--- a/internal/core/partition/preempt.go
+++ b/internal/core/partition/preempt.go
@@ -94,7 +94,7 @@
 	var chosen []preemption.Victim
 	var places []string
 	for range min(len(indexes), maxVictimsPerCycle-c.victims) {
-		if !s.Record.Spec.Urgent && !b.allow(&options, step) {
+		if !s.Record.Spec.Urgent && !b.allow(&options, need, step, gang) {
 			break
 		}
 		victims, err := preemption.Victims(need, b.candidates(s.Record.Spec.Urgent), options)
--- a/internal/experiment/cell.go
+++ b/internal/experiment/cell.go
@@ -295,30 +295,34 @@
 	}
 }
 
-// obtain moves allowance to a partition from the one that can spare most. The donor gives it up at once.
+// obtain moves allowance to a partition from the others, one after the other until it has enough. The donors give it up at
+// once.
 func (c *cell) obtain(o *owner, need partition.Need, now time.Time) {
 	r, limited := c.allowances[need.Team]
 	if !limited {
 		return
 	}
-	var donor *owner
-	var amount resource.Vector
-	for _, other := range c.partitions {
-		if spare := other.machine.Spare(need.Team, need.Amount, o.name); other != o && spare.Slots > amount.Slots {
-			donor, amount = other, spare
+	wanted := need.Amount
+	for _, donor := range c.partitions {
+		if donor == o || wanted.IsZero() {
+			continue
 		}
+		amount := donor.machine.Spare(need.Team, wanted, o.name)
+		if amount.IsZero() {
+			continue
+		}
+		moved, err := r.Move(donor.name, o.name, amount)
+		if err != nil {
+			c.faults = append(c.faults, err.Error())
+			return
+		}
+		r, wanted = moved, wanted.Sub(amount)
+		c.allowances[need.Team] = r
+		c.applyAllowances(donor)
 	}
-	if donor == nil {
-		return
-	}
-	moved, err := r.Move(donor.name, o.name, amount)
-	if err != nil {
-		c.faults = append(c.faults, err.Error())
-		return
+	if wanted != need.Amount {
+		c.after(now, writeDelay, func(time.Time) { c.applyAllowances(o); o.events = true })
 	}
-	c.allowances[need.Team] = moved
-	c.applyAllowances(donor)
-	c.after(now, writeDelay, func(time.Time) { c.applyAllowances(o); o.events = true })
 }
 
 func (c *cell) applyAllowances(o *owner) {
