--- a/internal/core/partition/cycle.go
+++ b/internal/core/partition/cycle.go
@@ -75,10 +75,12 @@
 	m.giveUpMoves(now)
 	m.dropOrphans(now)
 	m.tendGangs(now)
+	m.strange = m.hasStrangers()
+	m.endProbes(now)
 	m.tendLeaving()
 	m.tendServices(now)
 	if m.verified {
-		m.stopStrangers()
+		m.stopStrangers(now)
 	}
 	c := &cycle{now: now, blocked: map[job.ID]bool{},
 		cursor: map[job.ID]int32{}, passed: map[string]int{}, needs: map[string]resource.Vector{}}
@@ -86,6 +88,7 @@
 		clear(m.short)
 		m.refreshReservation(c)
 		m.startUrgent(c)
+		m.startProbes(c)
 		m.startByShare(c)
 		m.startReserved(c)
 		m.makeRoom(c)
@@ -184,7 +187,7 @@
 func (m *Machine) nextStartable(s *job.State, from int32) int32 {
 	for i := s.NextPending(from); i >= 0; i = s.NextPending(i + 1) {
 		id := job.TaskID{Job: s.Record.ID, Index: i}
-		if _, intended := m.progress.intents[id]; !intended && (m.settled || m.certain(id)) {
+		if _, intended := m.progress.intents[id]; !intended && (m.settled || m.certain(id)) && !m.isStranger(id) {
 			return i
 		}
 	}
