End a cycle when no worker has room for any waiting job

Cause: between two cycles of a full cell a few tasks end; once their places are taken, a cycle still looked at every waiting job.

Change: a cycle asks placement whether there is room for the least that any job needs, after 1, 2, 4, ... teams that could start nothing, and ends if there is none. Every 500 ms, and when shares may be restored by preemption, all jobs are looked at, so that reasons for waiting and preemption stay current.

--- a/internal/core/partition/cycle.go
+++ b/internal/core/partition/cycle.go
@@ -125,17 +125,32 @@
 	return urgent
 }
 
-// startByShare starts one task at a time of the team that is furthest below its share.
+// scanInterval is the longest time between two cycles that look at every waiting job, also if no worker has room for any.
+const scanInterval = 500 * time.Millisecond
+
+// startByShare starts one task at a time of the team that is furthest below its share. Unless all jobs are due, also to
+// see for which of them others have to make room, it ends as soon as no worker has room for the least that any job needs.
 func (m *Machine) startByShare(c *cycle) {
+	scan := c.now.Sub(m.scannedAt) >= scanInterval || c.now.Sub(m.sharedAt) >= shareInterval
+	if scan {
+		m.scannedAt = c.now
+		m.queue.findLeast()
+	}
 	teams := newTeamHeap(&m.queue, m.shares)
-	for teams.Len() > 0 && c.started < maxStartsPerCycle {
+	for failures, probe := 0, 1; teams.Len() > 0 && c.started < maxStartsPerCycle; {
 		team := teams.names[0]
-		if !m.startOfTeam(c, team) {
-			heap.Pop(teams)
+		if m.startOfTeam(c, team) {
+			teams.ratios[0] = m.shares.Ratio(team)
+			heap.Fix(teams, 0)
 			continue
 		}
-		teams.ratios[0] = m.shares.Ratio(team)
-		heap.Fix(teams, 0)
+		heap.Pop(teams)
+		if failures++; !scan && failures == probe {
+			if _, err := m.cluster.Place(placement.Request{Resources: m.queue.least}); err != nil {
+				return
+			}
+			probe *= 2
+		}
 	}
 }
 
--- a/internal/core/partition/machine.go
+++ b/internal/core/partition/machine.go
@@ -45,6 +45,7 @@
 
 	queue       queue
 	reservation *reservation
+	scannedAt   time.Time // when every waiting job was last looked at
 	plannedAt   time.Time // when a reservation was last looked for
 	waiting     map[job.ID]string
 	requeued    map[job.TaskID]requeued
--- a/internal/core/partition/queue.go
+++ b/internal/core/partition/queue.go
@@ -8,6 +8,7 @@
 
 	"sequoiastall/internal/core/job"
 	"sequoiastall/internal/core/quota"
+	"sequoiastall/internal/core/resource"
 )
 
 // queue keeps the jobs with pending tasks by team, in the order in which they are served.
@@ -15,6 +16,20 @@
 	teams map[string][]*job.State
 	dirty map[string]bool
 	known map[job.ID]string
+	least resource.Vector // at most what a task of any job needs
+}
+
+// findLeast computes least anew, which touch only lowers.
+func (q *queue) findLeast() {
+	first := true
+	for _, jobs := range q.teams {
+		for _, s := range jobs {
+			if first {
+				q.least, first = s.Record.Spec.Resources, false
+			}
+			q.least = q.least.Min(s.Record.Spec.Resources)
+		}
+	}
 }
 
 // touch adds a job, or notes that its place may have changed.
@@ -27,6 +42,7 @@
 		return
 	}
 	q.known[s.Record.ID] = team
+	q.least = q.least.Min(s.Record.Spec.Resources)
 	q.teams[team] = append(q.teams[team], s)
 	q.dirty[team] = true
 }
