--- a/internal/core/partition/machine.go
+++ b/internal/core/partition/machine.go
@@ -47,6 +47,8 @@
 
 	queue       queue
 	reservation *reservation
+	scannedAt   time.Time // when every waiting job was last looked at
+	plannedAt   time.Time // when a reservation was last looked for
 	waiting     map[job.ID]string
 	requeued    map[job.TaskID]requeued
 	started     map[job.ID]time.Time
@@ -55,6 +57,7 @@
 	probes      map[string]job.TaskID // by worker
 	roomFor     map[job.TaskID]job.ID // victims that are stopping, and for which job
 	makingRoom  map[job.ID]int        // the same by job
+	short       map[string]bool       // teams that lack allowance for a gang or for urgent work
 	sharedAt    time.Time             // last preemption for the sake of shares
 	ended       map[job.ID]time.Time
 	decisions   []Decision
@@ -81,6 +84,7 @@
 		started:  map[job.ID]time.Time{},
 		ended:    map[job.ID]time.Time{},
 		mayStart: true, progress: progressState{intents: map[job.TaskID]string{}},
+		short:  map[string]bool{},
 		moving: map[job.ID]*move{}, quarantined: map[string]bool{}, probes: map[string]job.TaskID{}, roomFor: map[job.TaskID]job.ID{}, makingRoom: map[job.ID]int{},
 	}
 }
--- a/internal/node/admit_test.go
+++ b/internal/node/admit_test.go
@@ -8,6 +8,7 @@
 	"sequoiastall/internal/core/configuration"
 	"sequoiastall/internal/core/job"
 	"sequoiastall/internal/core/object"
+	"sequoiastall/internal/core/partition"
 	"sequoiastall/internal/core/resource"
 	"sequoiastall/internal/gateway"
 )
@@ -74,9 +75,9 @@
 	assert.Equal(t, got.Pool, "16c-32g")
 	_, err = admit(held, job.Spec{Team: "a", Queue: "batch", Class: job.Batch, Tasks: 1, Pool: "16c-32g"})
 	assert.ErrorIs(t, err, gateway.ErrInvalid)
-	goal := serviceGoal(held.Index, object.Service{Team: "a", Pool: "standard", Concurrency: 2}, 1)
+	goal := partition.NewGoal(held.Index, object.Service{Team: "a", Pool: "standard", Concurrency: 2}, 1)
 	assert.Equal(t, goal.Spec.Pool, "16c-32g")
-	assert.Equal(t, serviceGoal(held.Index, object.Service{Team: "a", Concurrency: 2}, 1).Spec.Pool, "")
+	assert.Equal(t, partition.NewGoal(held.Index, object.Service{Team: "a", Concurrency: 2}, 1).Spec.Pool, "")
 }
 
 // Guards against a key list that the node doesn't pass on to the gateway.
