Keep limits and single starts when workers restart or haven't reported

Tasks that may run on workers that haven't reported count against the team's allowance. TestPlatformAndWorkers now expects the refusal first; the setup of the policy tests settles its machine.

--- a/internal/cli/standin_test.go
+++ b/internal/cli/standin_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
 	"gotest.tools/v3/assert"
 
@@ -96,7 +97,14 @@
 	assert.Equal(t, list[2].ID+" "+list[2].Rack+" "+list[3].State.String(), "a-w2 a-r1 leaving")
 	workers := workerclient.New(port.SystemClock{}, connection.Options{})
 	defer workers.Close()
+	// A worker that has just started may have granted a lease in an earlier life, and waits for it to lapse.
 	_, err = workers.Acquire(t.Context(), list[0], "n1", time.Minute, time.Minute)
+	var held *port.HeldError
+	assert.Assert(t, errors.As(err, &held), "%v", err)
+	for errors.As(err, &held) {
+		time.Sleep(10 * time.Millisecond)
+		_, err = workers.Acquire(t.Context(), list[0], "n1", 200*time.Millisecond, time.Minute)
+	}
 	assert.NilError(t, err)
 
 	_, err = runCommand(NewPlatformCommand(), "faults", "--address", address, "--down", "fail")
--- a/internal/cli/worker.go
+++ b/internal/cli/worker.go
@@ -66,6 +66,7 @@
 	defer stop()
 	logger := jsonLogger(c.ErrOrStderr())
 	o.Worker.Logger = logger
+	o.Worker.Restarted = true
 	o.Worker.InstanceIP = address.Addr().String()
 	if record != "" {
 		file, err := os.OpenFile(record, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
--- a/internal/core/partition/fakes_test.go
+++ b/internal/core/partition/fakes_test.go
@@ -118,7 +118,7 @@
 }
 
 func (w *fakeWorker) acquire(node string, now time.Time) (port.Inventory, bool) {
-	if w.holder != "" && w.holder != node && now.Before(w.controlUntil) {
+	if w.holder != node && now.Before(w.controlUntil) {
 		return port.Inventory{}, false
 	}
 	w.token++
@@ -276,7 +276,8 @@
 	w.events = append(w.events, port.TaskEvent{Sequence: w.sequence, Record: r})
 }
 
-// restart brings a worker that died back without its memory, apart from the token, which fences old owners.
+// restart brings a worker that died back without its memory, apart from the token, which fences old owners. It grants no
+// control lease until the one that it has forgotten would have lapsed.
 func (w *fakeWorker) restart() {
 	w.down = false
 	w.holder, w.sequence, w.mark, w.events = "", 0, 0, nil
--- a/internal/core/partition/machine.go
+++ b/internal/core/partition/machine.go
@@ -108,8 +108,29 @@
 // SetAllowance sets the part of a team's upper limit that the partition may use.
 func (m *Machine) SetAllowance(team string, v resource.Vector) { m.ledger.SetAllowance(team, v) }
 
-// Slack returns what could be taken away from a team's allowance now.
-func (m *Machine) Slack(team string) resource.Vector { return m.ledger.Slack(team) }
+// Slack returns what a team may still use, or give away, of its allowance.
+func (m *Machine) Slack(team string) resource.Vector {
+	return m.ledger.Slack(team).Sub(m.unreported(team)).Max(resource.Vector{})
+}
+
+// unreported returns what a team's tasks may hold on workers that haven't reported. Until they have, these tasks count as
+// if they ran: a former owner may have started them.
+func (m *Machine) unreported(team string) resource.Vector {
+	var sum resource.Vector
+	if m.settled && !m.doubts {
+		return sum
+	}
+	for _, s := range m.queue.teams[team] {
+		size := m.sizes.Reservation(sizeKey(s), s.Record.Spec.Resources)
+		for i := range s.Tasks {
+			r := m.requeued[job.TaskID{Job: s.Record.ID, Index: int32(i)}]
+			if s.Tasks[i].Phase == job.TaskPending && (r.doubtful || !m.settled && !r.certain) {
+				sum = sum.Add(size)
+			}
+		}
+	}
+	return sum
+}
 
 // Used returns what a team's work holds in the partition.
 func (m *Machine) Used(team string) resource.Vector { return m.ledger.Used(team) }
--- a/internal/core/partition/policy_test.go
+++ b/internal/core/partition/policy_test.go
@@ -44,6 +44,7 @@
 		b.Acquired(h.ID, port.Inventory{Token: 1, Capacity: slots(4)}, epoch, epoch)
 	}
 	b.StateVerified()
+	b.settle(epoch)
 	b.SetCellCapacity(slots(int64(4 * workers)))
 	return b
 }
--- a/internal/core/partition/preempt.go
+++ b/internal/core/partition/preempt.go
@@ -183,7 +183,7 @@
 func (m *Machine) displaceOwn(c *cycle, urgent *job.State) {
 	team := urgent.Record.Spec.Team
 	need := m.sizes.Reservation(sizeKey(urgent), urgent.Record.Spec.Resources)
-	lacking := need.Scale(int64(urgent.Count(job.TaskPending))).Sub(m.ledger.Slack(team)).Sub(m.stoppingOf(team))
+	lacking := need.Scale(int64(urgent.Count(job.TaskPending))).Sub(m.Slack(team)).Sub(m.stoppingOf(team))
 	latest := m.latest(team)
 	for _, class := range []job.Class{job.Batch, job.Gang} {
 		for _, id := range latest {
--- a/internal/standin/worker/lease.go
+++ b/internal/standin/worker/lease.go
@@ -33,6 +33,9 @@
 	return l.held(now) && l.token == token && l.node == node
 }
 
+// forgottenHolder is named as the holder of a lease that an earlier life of the worker may have granted.
+const forgottenHolder = "unknown since the worker's restart"
+
 // Acquire implements workerpb.WorkerServer.
 func (w *Worker) Acquire(_ context.Context, r *workerpb.AcquireRequest) (*workerpb.AcquireResponse, error) {
 	if r.Node == "" || r.ControlTtlMs <= 0 || r.TaskTtlMs <= 0 {
@@ -48,6 +51,9 @@
 	if w.lease.held(now) && w.lease.node != r.Node {
 		return &workerpb.AcquireResponse{Holder: w.lease.node, HeldForMs: ceilMS(w.lease.controlUntil.Sub(now))}, nil
 	}
+	if wait := w.started.Add(time.Duration(r.ControlTtlMs) * time.Millisecond).Sub(now); w.options.Restarted && wait > 0 {
+		return &workerpb.AcquireResponse{Holder: forgottenHolder, HeldForMs: ceilMS(wait)}, nil
+	}
 	w.lease.token++
 	w.lease.node = r.Node
 	w.lease.controlTTL = time.Duration(r.ControlTtlMs) * time.Millisecond
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -39,6 +39,9 @@
 	UsageLag time.Duration
 	// InstanceIP is where service instances listen; 127.0.0.1 if empty.
 	InstanceIP string
+	// Restarted tells that an earlier life of the worker may have granted a control lease that hasn't lapsed yet. Without
+	// the wait for it, two owners could each take a different restarted worker for their own.
+	Restarted bool
 	// Log receives every run; workers may share it. New makes one if it is nil.
 	Log *RunLog
 	// Logger receives warnings; slog.Default() if it is nil.
@@ -61,6 +64,7 @@
 	failing  bool
 	frozen   bool
 	frozenAt time.Time
+	started  time.Time
 	lease    lease
 	lapse    *time.Timer
 	sequence uint64
@@ -91,6 +95,7 @@
 	}
 	w := &Worker{
 		options: o,
+		started: time.Now(),
 		agents:  newConnections(0),
 		callers: newConnections(o.Connections),
 		changed: make(chan struct{}),
