--- a/internal/node/link.go
+++ b/internal/node/link.go
@@ -46,11 +46,7 @@
 			continue
 		}
 		host := *l.host.Load()
-		call, cancel := context.WithTimeout(ctx, acquireTimeout)
-		sent := n.ports.Clock.Now()
-		t := n.options.Timing.Partition
-		inventory, err := n.ports.Workers.Acquire(call, host, n.options.ID, t.ControlLease, t.TaskLease)
-		cancel()
+		inventory, sent, err := n.acquire(ctx, host)
 		if err != nil {
 			sleep(ctx, retryAfter(err))
 			continue
@@ -61,6 +57,22 @@
 	}
 }
 
+// acquire asks for a worker's control lease, when few enough other acquisitions are under way.
+func (n *Node) acquire(ctx context.Context, host port.Host) (port.Inventory, time.Time, error) {
+	select {
+	case n.acquiring <- struct{}{}:
+		defer func() { <-n.acquiring }()
+	case <-ctx.Done():
+		return port.Inventory{}, time.Time{}, ctx.Err()
+	}
+	call, cancel := context.WithTimeout(ctx, acquireTimeout)
+	defer cancel()
+	sent := n.ports.Clock.Now()
+	t := n.options.Timing.Partition
+	inventory, err := n.ports.Workers.Acquire(call, host, n.options.ID, t.ControlLease, t.TaskLease)
+	return inventory, sent, err
+}
+
 func retryAfter(err error) time.Duration {
 	var held *port.HeldError
 	if errors.As(err, &held) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -3,6 +3,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"log/slog"
@@ -30,6 +31,9 @@
 	HTTPAddress string   // IP:port of the callers' interface
 	Seeds       []string // peer addresses to ask before the store has named any
 	Timing      Timing
+	Membership  membership.Options
+	// Acquisitions is how many control leases the node asks for at the same time.
+	Acquisitions int
 }
 
 // Timing holds the intervals of the node's duties.
@@ -45,6 +49,8 @@
 	Cycle            time.Duration // longest time between two scheduling cycles
 	WorkerPoll       time.Duration // a waiting poll of a worker, which renews the control lease
 	ProgressInterval time.Duration
+	IntentInterval   time.Duration // the same while intents wait
+	ConfigFresh      time.Duration // a confirmation of the configuration counts for so long
 	IsolationStart   time.Duration // an isolated owner starts nothing after so long
 	Drain            time.Duration
 	JobRetention     time.Duration // final job records are kept for so long
@@ -56,7 +62,7 @@
 		Partition: partition.DefaultTiming(), Gossip: 500 * time.Millisecond, ConfigPoll: time.Second, HostPoll: time.Second,
 		Register: 5 * time.Second, RegisterTTL: 15 * time.Second, StoreTimeout: 500 * time.Millisecond,
 		PeerTimeout: time.Second, Cycle: 50 * time.Millisecond, WorkerPoll: time.Second,
-		ProgressInterval: 2 * time.Second, IsolationStart: 5 * time.Second, Drain: 30 * time.Second,
+		ProgressInterval: 2 * time.Second, IntentInterval: 50 * time.Millisecond, ConfigFresh: configuration.FreshFor, IsolationStart: 5 * time.Second, Drain: 30 * time.Second,
 		JobRetention: 24 * time.Hour,
 	}
 }
@@ -104,6 +110,7 @@
 	// storeFailing tells that the last store call had no answer.
 	storeFailing atomic.Bool
 	handovers    chan string
+	acquiring    chan struct{} // one item for each acquisition under way
 	wants        wants
 	sequence     atomic.Uint64 // of writes, for recognising a lost answer
 	registrar    registrar
@@ -112,6 +119,9 @@
 	started      time.Time
 }
 
+// defaultAcquisitions keeps the takeover of a zone's partitions from opening hundreds of connections at once.
+const defaultAcquisitions = 16
+
 // New returns a node that hasn't started its duties.
 func New(o Options, p Ports, routes Routes, log *slog.Logger, metrics *telemetry.Registry) *Node {
 	now := p.Clock.Now()
@@ -120,13 +130,14 @@
 	self := membership.Member{ID: o.ID, Zone: o.Zone, Address: o.PeerAddress, HTTPAddress: o.HTTPAddress, Incarnation: now.UnixMilli()}
 	n := &Node{
 		options: o, ports: p, log: log, metrics: meters, routes: routes,
-		table:  membership.NewTable(self, membership.Options{}),
-		holder: configuration.NewHolder(configuration.FreshFor),
+		table:  membership.NewTable(self, o.Membership),
+		holder: configuration.NewHolder(o.Timing.ConfigFresh),
 		random: rand.New(rand.NewPCG(uint64(now.UnixNano()), 1)),
 		state:  newStateCache(), handovers: make(chan string, 64), rewatch: make(chan struct{}, 1), started: now, outside: now,
 	}
 	// A later life of the node must not take the registrations of an earlier one for its own.
 	n.registrar.written = uint64(now.UnixMicro())
+	n.acquiring = make(chan struct{}, cmp.Or(o.Acquisitions, defaultAcquisitions))
 	n.owners.init()
 	return n
 }
--- a/internal/node/progress.go
+++ b/internal/node/progress.go
@@ -10,14 +10,11 @@
 	"sequoiastall/internal/port"
 )
 
-// intentInterval bounds the writes of a partition that has intents to write: many share one write.
-const intentInterval = 50 * time.Millisecond
-
 // saveProgress writes the partition's progress document when it is due.
 func (o *owner) saveProgress(ctx context.Context, now time.Time) {
 	interval := o.node.options.Timing.ProgressInterval
 	if o.machine.ProgressUrgent() {
-		interval = intentInterval
+		interval = o.node.options.Timing.IntentInterval // many intents share one write
 	}
 	if o.saving || now.Sub(o.savedAt) < interval {
 		return
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc"
 
+	"sequoiastall/internal/core/membership"
 	"sequoiastall/internal/core/partition"
 	"sequoiastall/internal/gateway"
 	"sequoiastall/internal/node"
@@ -66,7 +67,8 @@
 		peerAt: peerAt, httpAt: httpAt}
 	router := gateway.NewRouter(s.Zone, rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), 2)), clock)
 	v.node = node.New(node.Options{ID: s.NodeID, Zone: s.Zone, PeerAddress: peerAt.Addr().String(),
-		HTTPAddress: httpAt.Addr().String(), Seeds: s.Seeds, Timing: timing(s.Timing)},
+		HTTPAddress: httpAt.Addr().String(), Seeds: s.Seeds, Timing: timing(s.Timing),
+		Membership: members(s.Timing), Acquisitions: int(s.Timing.TakeoverParallel)},
 		node.Ports{Store: store, Hosts: store, Workers: v.workers, Peers: v.peers, Clock: clock}, router, log, registry)
 	v.gateway = gateway.New(gateway.Options{NodeID: s.NodeID, Node: v.node, Router: router, Store: store, Clock: clock, Log: log,
 		Registry: registry, Metrics: registryHandler(registry, router)})
@@ -88,6 +90,7 @@
 	d.Gossip, d.ConfigPoll, d.HostPoll = ms(t.GossipIntervalMS), ms(t.ConfigPollMS), ms(t.HostListPollMS)
 	d.Register, d.RegisterTTL = ms(t.NodeRenewMS), ms(t.NodeLeaseMS)
 	d.StoreTimeout, d.WorkerPoll = ms(t.StoreTimeoutMS), ms(t.SyncIntervalMS)
+	d.IntentInterval, d.ConfigFresh = time.Second/time.Duration(t.IntentsPerSecond), ms(t.ConfigFreshMS)
 	d.ProgressInterval, d.IsolationStart, d.Drain = ms(t.ProgressIntervalMS), ms(t.IsolationStopStartsMS), ms(t.DrainMS)
 	return d
 }
@@ -101,6 +104,13 @@
 	})
 }
 
+// members converts the settings of the failure detector.
+func members(t settings.Timing) membership.Options {
+	ms := settings.Milliseconds
+	return membership.Options{SuspectAfter: ms(t.SuspectAfterMS), DeadAfter: ms(t.DeadAfterMS), GroupWithin: ms(t.OneEventWithinMS),
+		Fanout: int(t.GossipFanout), SmallTable: int(t.GossipAllBelow)}
+}
+
 // HTTPAddress returns the address of the callers' interface.
 func (s *Server) HTTPAddress() string { return s.httpAt.Addr().String() }
 
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -67,16 +67,13 @@
 		name, value := v.Type().Field(i).Tag.Get("json"), v.Field(i).Int()
 		values[name] = value
 		least := int64(1)
-		if name == "drift_margin_percent" || name == "takeover_stagger_ms" || name == "host_announce_ms" {
+		if name == "host_announce_ms" {
 			least = 0
 		}
 		if value < least || value > maxTiming {
 			report("timing."+name, "%d is out of range, must be from %d to %d", value, least, maxTiming)
 		}
 	}
-	if t.DriftMarginPercent > 100 {
-		report("timing.drift_margin_percent", "%d is out of range, must be at most 100", t.DriftMarginPercent)
-	}
 	for _, order := range []struct{ lower, higher string }{
 		{"sync_interval_ms", "control_lease_ms"},
 		{"suspect_after_ms", "dead_after_ms"},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -22,37 +22,33 @@
 	Timing          Timing   `json:"timing" doc:"timing constants; the nodes of a cell should have the same ones"`
 }
 
-// Timing holds the constants of the design page. Its methods return them as durations.
+// Timing holds the constants of the design page.
 type Timing struct {
 	ControlLeaseMS         int64 `json:"control_lease_ms" doc:"how long a worker obeys an owner without hearing from it"`
 	SyncIntervalMS         int64 `json:"sync_interval_ms" doc:"between an owner's calls to a worker, which renew the control lease"`
 	TaskLeaseMS            int64 `json:"task_lease_ms" doc:"how long a worker keeps its tasks once the control lease has lapsed"`
-	DriftMarginPercent     int64 `json:"drift_margin_percent" doc:"added to leases before they are taken for lapsed, for clocks that run at different speeds"`
 	HostAnnounceMS         int64 `json:"host_announce_ms" doc:"how long an owner announces a newly listed worker before it uses it"`
 	IsolationStopStartsMS  int64 `json:"isolation_stop_starts_ms" doc:"without the store and members outside its zone, an owner stops starting tasks after this"`
 	IsolationStopRenewalMS int64 `json:"isolation_stop_renewals_ms" doc:"and stops renewing leases after this"`
 	ProgressIntervalMS     int64 `json:"progress_interval_ms" doc:"between writes of a partition's progress when only completions wait"`
 	IntentsPerSecond       int64 `json:"intent_writes_per_second" doc:"most writes of a partition's progress when intents wait"`
 
-	StoreTimeoutMS   int64 `json:"store_timeout_ms" doc:"of one call to the store"`
-	HostListPollMS   int64 `json:"host_list_poll_ms" doc:"between reads of the host list"`
-	NodeLeaseMS      int64 `json:"node_lease_ms" doc:"store lease of this node's address"`
-	NodeRenewMS      int64 `json:"node_renew_interval_ms" doc:"between its renewals"`
-	ConfigPollMS     int64 `json:"config_poll_interval_ms" doc:"between reads of the configuration"`
-	ConfigFreshMS    int64 `json:"config_fresh_ms" doc:"how long a confirmation of the configuration counts; at most 3000, or a revoked key works for longer than 4 s"`
-	RequestClaimTTLS int64 `json:"request_claim_ttl_s" doc:"how long the claim of a non-idempotent request is kept"`
-
-	GossipIntervalMS  int64 `json:"gossip_interval_ms" doc:"between rounds of gossip"`
-	GossipFanout      int64 `json:"gossip_fanout" doc:"members called in each round"`
-	GossipAllBelow    int64 `json:"gossip_all_below" doc:"with fewer members than this, all are called"`
-	SuspectAfterMS    int64 `json:"suspect_after_ms" doc:"without a newer heartbeat, a member is suspected after this"`
-	DeadAfterMS       int64 `json:"dead_after_ms" doc:"and declared dead after this"`
-	OneEventWithinMS  int64 `json:"one_event_within_ms" doc:"deaths in one rack or zone within this are one event"`
-	TakeoverStaggerMS int64 `json:"takeover_stagger_ms" doc:"over which a successor spreads its acquisitions"`
-	TakeoverParallel  int64 `json:"takeover_parallel" doc:"acquisitions at the same time"`
-
-	PermitLeaseMS int64 `json:"permit_lease_ms" doc:"how long a node may use permits without renewing them"`
-	DrainMS       int64 `json:"drain_ms" doc:"most time that a planned stop takes"`
+	StoreTimeoutMS int64 `json:"store_timeout_ms" doc:"of one call to the store"`
+	HostListPollMS int64 `json:"host_list_poll_ms" doc:"between reads of the host list"`
+	NodeLeaseMS    int64 `json:"node_lease_ms" doc:"store lease of this node's address"`
+	NodeRenewMS    int64 `json:"node_renew_interval_ms" doc:"between its renewals"`
+	ConfigPollMS   int64 `json:"config_poll_interval_ms" doc:"between reads of the configuration"`
+	ConfigFreshMS  int64 `json:"config_fresh_ms" doc:"how long a confirmation of the configuration counts; at most 3000, or a revoked key works for longer than 4 s"`
+
+	GossipIntervalMS int64 `json:"gossip_interval_ms" doc:"between rounds of gossip"`
+	GossipFanout     int64 `json:"gossip_fanout" doc:"members called in each round"`
+	GossipAllBelow   int64 `json:"gossip_all_below" doc:"with fewer members than this, all are called"`
+	SuspectAfterMS   int64 `json:"suspect_after_ms" doc:"without a newer heartbeat, a member is suspected after this"`
+	DeadAfterMS      int64 `json:"dead_after_ms" doc:"and declared dead after this"`
+	OneEventWithinMS int64 `json:"one_event_within_ms" doc:"deaths in one rack or zone within this are one event"`
+	TakeoverParallel int64 `json:"takeover_parallel" doc:"acquisitions at the same time"`
+
+	DrainMS int64 `json:"drain_ms" doc:"most time that a planned stop takes"`
 }
 
 // Default returns the settings without those that each node must have for itself.
@@ -61,13 +57,13 @@
 		PeerAddress: "127.0.0.1:7400", HTTPAddress: "127.0.0.1:7480", PlatformAddress: "127.0.0.1:7300",
 		Seeds: []string{}, LogLevel: "info",
 		Timing: Timing{
-			ControlLeaseMS: 3_000, SyncIntervalMS: 1_000, TaskLeaseMS: 12_000, DriftMarginPercent: 5, HostAnnounceMS: 2_000,
+			ControlLeaseMS: 3_000, SyncIntervalMS: 1_000, TaskLeaseMS: 12_000, HostAnnounceMS: 2_000,
 			IsolationStopStartsMS: 5_000, IsolationStopRenewalMS: 10_000, ProgressIntervalMS: 2_000, IntentsPerSecond: 20,
 			StoreTimeoutMS: 500, HostListPollMS: 1_000, NodeLeaseMS: 15_000, NodeRenewMS: 5_000, ConfigPollMS: 1_000,
-			ConfigFreshMS: 3_000, RequestClaimTTLS: 86_400,
+			ConfigFreshMS:    3_000,
 			GossipIntervalMS: 500, GossipFanout: 3, GossipAllBelow: 6, SuspectAfterMS: 2_000, DeadAfterMS: 3_000,
-			OneEventWithinMS: 2_000, TakeoverStaggerMS: 500, TakeoverParallel: 16,
-			PermitLeaseMS: 3_000, DrainMS: 30_000,
+			OneEventWithinMS: 2_000, TakeoverParallel: 16,
+			DrainMS: 30_000,
 		},
 	}
 }
@@ -130,17 +126,3 @@
 
 // Milliseconds turns a setting into a duration.
 func Milliseconds(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
-
-// ControlLease returns how long a worker obeys an owner without hearing from it.
-func (t Timing) ControlLease() time.Duration { return Milliseconds(t.ControlLeaseMS) }
-
-// TaskLease returns how long a worker keeps its tasks once the control lease has lapsed.
-func (t Timing) TaskLease() time.Duration { return Milliseconds(t.TaskLeaseMS) }
-
-// LeasesLapsed returns the time after which both leases of a silent worker have lapsed for certain: their sum and the
-// drift margin, rounded up to a second.
-func (t Timing) LeasesLapsed() time.Duration {
-	sum := (t.ControlLeaseMS + t.TaskLeaseMS) * (100 + t.DriftMarginPercent)
-	const unit = 100 * 1000
-	return time.Duration((sum+unit-1)/unit) * time.Second
-}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -7,7 +7,6 @@
 	"reflect"
 	"strings"
 	"testing"
-	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -68,8 +67,3 @@
 	_, problems := Load(filepath.Join(t.TempDir(), "none"))
 	assert.Equal(t, len(problems), 1)
 }
-
-// Guards against a takeover before the leases have lapsed; the design page states 16 s.
-func TestLeasesLapsed(t *testing.T) {
-	assert.Equal(t, Default().Timing.LeasesLapsed(), 16*time.Second)
-}
