Write records of the store in one place

Cause: jobs, allowances and new jobs each encoded, timed, counted and decoded their compare-and-swap by themselves. Change: a generic put does it; the callers keep what differs.

--- a/internal/node/allowance.go
+++ b/internal/node/allowance.go
@@ -168,23 +168,7 @@
 
 // putAllowance writes a record; current is set if the condition failed.
 func (n *Node) putAllowance(ctx context.Context, r quota.Record, c port.Condition, revision int64) (int64, *allowanceEntry, error) {
-	value, err := json.Marshal(r)
-	if err != nil {
-		return 0, nil, errors.Wrap(err, "allowance record")
-	}
-	call, cancel := context.WithTimeout(ctx, n.options.Timing.StoreTimeout)
-	defer cancel()
-	written, err := n.ports.Store.Put(call, port.Write{Key: port.AllowancePrefix + r.Team, Value: value, Condition: c, Revision: revision})
-	n.storeAnswered(err)
-	var conflict *port.ConflictError
-	if !errors.As(err, &conflict) || conflict.Current == nil {
-		return written, nil, err
-	}
-	var current quota.Record
-	if err := json.Unmarshal(conflict.Current.Value, &current); err != nil {
-		return 0, nil, errors.Wrap(err, "allowance record")
-	}
-	return 0, &allowanceEntry{current, conflict.Current.Revision}, conflict
+	return put(ctx, n, port.Write{Key: port.AllowancePrefix + r.Team, Condition: c, Revision: revision}, r)
 }
 
 func (n *Node) rememberAllowance(r quota.Record, revision int64) {
--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -67,26 +67,16 @@
 // createJob writes the record if there is none. After an unknown outcome it repeats the write, of which at most one can
 // succeed, until the context ends.
 func (n *Node) createJob(ctx context.Context, r job.Record) (job.Record, error) {
-	value, err := json.Marshal(r)
-	if err != nil {
-		return job.Record{}, errors.Wrap(gateway.ErrInvalid, err.Error())
-	}
 	uncertain := false
 	for {
-		call, cancel := context.WithTimeout(ctx, n.options.Timing.StoreTimeout)
-		revision, err := n.ports.Store.Put(call, port.Write{Key: port.JobPrefix + string(r.ID), Value: value, Condition: port.IfAbsent})
-		cancel()
-		n.storeAnswered(err)
-		var conflict *port.ConflictError
+		revision, stored, err := put(ctx, n, port.Write{Key: port.JobPrefix + string(r.ID), Condition: port.IfAbsent}, r)
 		switch {
 		case err == nil:
 			n.state.putJob(r, revision)
 			n.notifyOwners(port.JobPrefix + string(r.ID))
 			return r, nil
-		case errors.As(err, &conflict) && conflict.Current != nil:
-			var stored job.Record
-			err := json.Unmarshal(conflict.Current.Value, &stored)
-			return stored, errors.Wrap(err, "job record")
+		case stored != nil:
+			return stored.record, nil
 		case errors.Is(err, port.ErrUnavailable) && !uncertain:
 			return job.Record{}, errors.Wrap(gateway.ErrNotTaken, "the store doesn't answer")
 		}
@@ -250,27 +240,12 @@
 }
 
 func (n *Node) putJob(ctx context.Context, r job.Record, revision int64) (int64, *jobEntry, error) {
-	value, err := json.Marshal(r)
-	if err != nil {
-		return 0, nil, errors.Wrap(err, "job record")
-	}
-	call, cancel := context.WithTimeout(ctx, n.options.Timing.StoreTimeout)
-	defer cancel()
-	written, err := n.ports.Store.Put(call, port.Write{Key: port.JobPrefix + string(r.ID), Value: value,
-		Condition: port.IfRevision, Revision: revision})
-	n.storeAnswered(err)
+	written, current, err := put(ctx, n, port.Write{Key: port.JobPrefix + string(r.ID), Condition: port.IfRevision, Revision: revision}, r)
 	var conflict *port.ConflictError
-	if !errors.As(err, &conflict) {
-		return written, nil, err
-	}
-	if conflict.Current == nil {
+	if errors.As(err, &conflict) && current == nil {
 		return 0, nil, gateway.ErrNotFound
 	}
-	var current job.Record
-	if err := json.Unmarshal(conflict.Current.Value, &current); err != nil {
-		return 0, nil, errors.Wrap(err, "job record")
-	}
-	return 0, &jobEntry{current, conflict.Current.Revision}, conflict
+	return written, current, err
 }
 
 // dropOldJobs deletes final records that are older than their retention, a few at a time, for the partitions of this node.
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -16,17 +16,16 @@
 	"sequoiastall/internal/port"
 )
 
-// jobEntry is a cached job record with its store revision.
-type jobEntry struct {
-	record   job.Record
+// entry is a record of the store with the revision of its last write.
+type entry[T any] struct {
+	record   T
 	revision int64
 }
 
-// allowanceEntry is a cached allowance record with its store revision.
-type allowanceEntry struct {
-	record   quota.Record
-	revision int64
-}
+type (
+	jobEntry       = entry[job.Record]
+	allowanceEntry = entry[quota.Record]
+)
 
 // progressEntry is a cached progress document with its store revision.
 type progressEntry struct {
