Share the pause, the route table's interface and a capacity look-up

Cause: a wait that ends with its context was written four times; node and gateway each declared the interface of the route table, the gateway's with two methods that no other package called; an owner built its whole summary, with the backlog of every team, ten times a second to read one capacity. Change: internal/wait holds the pause; node uses gateway.Routes, without those two methods; the machine tells its capacity. Conclusion: no change of behaviour.

--- a/internal/callerclient/client.go
+++ b/internal/callerclient/client.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"sequoiastall/internal/wait"
 )
 
 // retryPause is the time between two tries of a call that may be repeated.
@@ -70,12 +72,5 @@
 	if c.Sleep != nil {
 		return c.Sleep(ctx, retryPause) == nil
 	}
-	timer := time.NewTimer(retryPause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
+	return wait.For(ctx, retryPause)
 }
--- a/internal/core/partition/machine.go
+++ b/internal/core/partition/machine.go
@@ -132,6 +132,9 @@
 	return sum
 }
 
+// Capacity returns the capacity of the workers that are held.
+func (m *Machine) Capacity() resource.Vector { return m.cluster.Capacity() }
+
 // Used returns what a team's work holds in the partition.
 func (m *Machine) Used(team string) resource.Vector { return m.ledger.Used(team) }
 
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -16,6 +16,7 @@
 	"sequoiastall/internal/core/object"
 	"sequoiastall/internal/dev"
 	"sequoiastall/internal/standin/worker"
+	"sequoiastall/internal/wait"
 )
 
 const (
@@ -112,7 +113,7 @@
 		if err == nil && settled && held == workers {
 			break
 		}
-		if !sleep(ctx, pollInterval) {
+		if !wait.For(ctx, pollInterval) {
 			return errors.Errorf("%d of %d workers are held, all settled: %t, last error: %v", held, workers, settled, err)
 		}
 	}
@@ -132,7 +133,7 @@
 		if err == nil {
 			return nil
 		}
-		if !sleep(ctx, pollInterval) {
+		if !wait.For(ctx, pollInterval) {
 			return errors.Wrapf(err, "service %s", s.Name)
 		}
 	}
@@ -174,14 +175,3 @@
 	defer d.mu.Unlock()
 	d.broken = append(d.broken, text)
 }
-
-func sleep(ctx context.Context, t time.Duration) bool {
-	timer := time.NewTimer(t)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/demo/jobs.go
+++ b/internal/demo/jobs.go
@@ -5,6 +5,7 @@
 	"sync"
 
 	"sequoiastall/internal/core/resource"
+	"sequoiastall/internal/wait"
 )
 
 // nearlyFull is the part of the cell's slots, in percent, from which on it counts as full.
@@ -59,7 +60,7 @@
 				used = used.Add(r.Reserved)
 			}
 		}
-		if used.Slots*100 >= total*nearlyFull || !sleep(ctx, pollInterval) {
+		if used.Slots*100 >= total*nearlyFull || !wait.For(ctx, pollInterval) {
 			return
 		}
 	}
--- a/internal/demo/requests.go
+++ b/internal/demo/requests.go
@@ -15,6 +15,7 @@
 	"sequoiastall/internal/callerclient"
 	"sequoiastall/internal/core/object"
 	"sequoiastall/internal/standin/worker"
+	"sequoiastall/internal/wait"
 )
 
 const (
@@ -92,7 +93,7 @@
 	for try := range triesOnRefuse {
 		x := d.try(ctx, p, try)
 		tries = append(tries, x)
-		if x.outcome != callerclient.NotRun || !sleep(ctx, pollInterval) {
+		if x.outcome != callerclient.NotRun || !wait.For(ctx, pollInterval) {
 			break
 		}
 	}
--- a/internal/gateway/router.go
+++ b/internal/gateway/router.go
@@ -100,7 +100,7 @@
 	return demand
 }
 
-// Version implements Routes.
+// Version returns the version applied for a partition, 0 for none.
 func (r *Router) Version(partition string) uint64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -108,7 +108,7 @@
 	return applied
 }
 
-// Settled implements Routes.
+// Settled returns the latest version whose grants the open requests keep to.
 func (r *Router) Settled(partition string) uint64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/gateway/routes.go
+++ b/internal/gateway/routes.go
@@ -16,10 +16,6 @@
 	// Demand returns the open and waiting requests by service, for the node's next EndpointsRequest.
 	// Call it at least once a second: it also closes idle connections whose permits have lapsed.
 	Demand() []routing.ServiceDemand
-	// Version returns the version applied for a partition, 0 for none.
-	Version(partition string) uint64
-	// Settled returns the value for EndpointsRequest.Settled.
-	Settled(partition string) uint64
 	// Remove forgets a partition that no longer exists; open requests end normally.
 	Remove(partition string)
 }
--- a/internal/load/cell.go
+++ b/internal/load/cell.go
@@ -24,6 +24,7 @@
 	"sequoiastall/internal/port"
 	"sequoiastall/internal/rpc/connection"
 	"sequoiastall/internal/settings"
+	"sequoiastall/internal/wait"
 )
 
 // Bounds of the start and stop of a cell.
@@ -162,7 +163,7 @@
 	}
 	for c.platform == "" {
 		_ = c.server.lines("listening", func(l logLine) bool { c.platform = l.Address; return false })
-		if c.platform == "" && !pause(ctx, pollInterval) {
+		if c.platform == "" && !wait.For(ctx, pollInterval) {
 			return errors.Wrap(ctx.Err(), "platform stand-in didn't start")
 		}
 	}
@@ -292,7 +293,7 @@
 		if err := c.ended(); err != nil {
 			return err
 		}
-		if !pause(ctx, pollInterval) {
+		if !wait.For(ctx, pollInterval) {
 			return errors.Errorf("%d of %d nodes have registered: %v", len(entries), count, err)
 		}
 	}
@@ -341,7 +342,7 @@
 		if len(found) >= wanted || most > 0 && time.Since(since) >= ownersSteady {
 			return nil
 		}
-		if !pause(ctx, pollInterval) {
+		if !wait.For(ctx, pollInterval) {
 			return errors.Errorf("%d of %d partitions have owners: %v", len(found), wanted, err)
 		}
 	}
@@ -423,15 +424,3 @@
 	}
 	c.workers = nil
 }
-
-// pause waits for d, and reports false if ctx ended.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/load/experiment.go
+++ b/internal/load/experiment.go
@@ -12,6 +12,7 @@
 	"sequoiastall/internal/core/job"
 	"sequoiastall/internal/core/resource"
 	"sequoiastall/internal/gateway"
+	"sequoiastall/internal/wait"
 )
 
 // experimentTimeout bounds the wait for what an experiment observes.
@@ -84,10 +85,10 @@
 			return nil, err
 		}
 		if e.LastStart > 0 || time.Now().After(deadline) {
-			pause(ctx, 2*time.Second) // the last workers may follow
+			wait.For(ctx, 2*time.Second) // the last workers may follow
 			return e, c.readTakeover(e, owned, at)
 		}
-		if !pause(ctx, pollInterval) {
+		if !wait.For(ctx, pollInterval) {
 			return nil, ctx.Err()
 		}
 	}
@@ -167,7 +168,7 @@
 		if inForce == len(c.nodes) {
 			return e, nil
 		}
-		if time.Since(at) > experimentTimeout || !pause(ctx, pollInterval) {
+		if time.Since(at) > experimentTimeout || !wait.For(ctx, pollInterval) {
 			return nil, errors.Errorf("the revision is in force at %d of %d nodes", inForce, len(c.nodes))
 		}
 	}
@@ -207,7 +208,7 @@
 			e.Reached = after
 			break
 		}
-		if !pause(ctx, pollInterval) {
+		if !wait.For(ctx, pollInterval) {
 			return nil, ctx.Err()
 		}
 	}
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -18,6 +18,7 @@
 	"sequoiastall/internal/port"
 	"sequoiastall/internal/rpc/connection"
 	"sequoiastall/internal/standin/worker"
+	"sequoiastall/internal/wait"
 )
 
 // Options describe a load run.
@@ -106,7 +107,7 @@
 	if len(c.nodes) == 0 {
 		return Result{}, errNoNodes
 	}
-	if !pause(ctx, o.Warmup) {
+	if !wait.For(ctx, o.Warmup) {
 		return Result{}, ctx.Err()
 	}
 	return c.measure(ctx, o)
@@ -122,7 +123,7 @@
 	wg.Go(func() { jobs.run(loading) })
 	wg.Go(func() { calls.run(loading) })
 	if o.Rate > 0 {
-		pause(ctx, min(o.Warmup, 3*time.Second)) // the rate of starts is steady only after a while
+		wait.For(ctx, min(o.Warmup, 3*time.Second)) // the rate of starts is steady only after a while
 	}
 	before, err := c.sample(ctx)
 	if err != nil {
@@ -134,7 +135,7 @@
 	if result.Experiment, err = c.experiment(ctx, o); err != nil {
 		return Result{}, err
 	}
-	if !pause(ctx, o.Duration-time.Since(begun)) && ctx.Err() != nil {
+	if !wait.For(ctx, o.Duration-time.Since(begun)) && ctx.Err() != nil {
 		return Result{}, ctx.Err()
 	}
 	after, err := c.sample(ctx)
@@ -263,7 +264,7 @@
 			}
 			break
 		}
-		if time.Now().After(deadline) || !pause(ctx, pollInterval) {
+		if time.Now().After(deadline) || !wait.For(ctx, pollInterval) {
 			return job.Running
 		}
 	}
--- a/internal/node/allowance.go
+++ b/internal/node/allowance.go
@@ -14,6 +14,7 @@
 	"sequoiastall/internal/core/quota"
 	"sequoiastall/internal/core/resource"
 	"sequoiastall/internal/port"
+	"sequoiastall/internal/wait"
 )
 
 // allowanceInterval is how often wanted allowances are collected; a partition waits at least so long for one.
@@ -145,7 +146,7 @@
 		}
 		next.Writer = n.nextWriter()
 		revision, current, err := n.putAllowance(ctx, next, condition, entry.revision)
-		for errors.Is(err, port.ErrUnknownOutcome) && sleep(ctx, syncRetry) {
+		for errors.Is(err, port.ErrUnknownOutcome) && wait.For(ctx, syncRetry) {
 			revision, current, err = n.putAllowance(ctx, next, condition, entry.revision)
 		}
 		switch {
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"sequoiastall/internal/core/membership"
+	"sequoiastall/internal/wait"
 )
 
 // announceDrain is how long a draining node waits until the other members know that it takes over nothing any more.
@@ -18,7 +19,7 @@
 	n.drained = true
 	n.mu.Unlock()
 	n.log.Info("drain", "action", "begin")
-	if !sleep(ctx, announceDrain) {
+	if !wait.For(ctx, announceDrain) {
 		return
 	}
 	var wg sync.WaitGroup
--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -14,6 +14,7 @@
 	"sequoiastall/internal/core/partition"
 	"sequoiastall/internal/gateway"
 	"sequoiastall/internal/port"
+	"sequoiastall/internal/wait"
 )
 
 // Submit makes a job durable before it is acknowledged. The key in the store follows from the team and the caller's
@@ -81,7 +82,7 @@
 			return job.Record{}, errors.Wrap(gateway.ErrNotTaken, "the store doesn't answer")
 		}
 		uncertain = true
-		if !sleep(ctx, syncRetry) {
+		if !wait.For(ctx, syncRetry) {
 			return job.Record{}, errors.Wrap(port.ErrUnknownOutcome, "the store hasn't confirmed the job")
 		}
 	}
@@ -231,7 +232,7 @@
 			return jobEntry{}, errors.Wrap(gateway.ErrNotTaken, "the store doesn't answer")
 		default:
 			uncertain = uncertain || errors.Is(err, port.ErrUnknownOutcome)
-			if !uncertain || !sleep(ctx, syncRetry) {
+			if !uncertain || !wait.For(ctx, syncRetry) {
 				return jobEntry{}, err
 			}
 		}
--- a/internal/node/link.go
+++ b/internal/node/link.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"sequoiastall/internal/port"
+	"sequoiastall/internal/wait"
 )
 
 // Delays between tries of a link.
@@ -42,13 +43,13 @@
 	n := l.owner.node
 	for ctx.Err() == nil {
 		if !l.owner.mayRenew() {
-			sleep(ctx, acquireRetry)
+			wait.For(ctx, acquireRetry)
 			continue
 		}
 		host := *l.host.Load()
 		inventory, sent, err := n.acquire(ctx, host)
 		if err != nil {
-			sleep(ctx, retryAfter(err))
+			wait.For(ctx, retryAfter(err))
 			continue
 		}
 		l.forget.Store(0)
@@ -112,7 +113,7 @@
 		case errors.Is(err, port.ErrFenced), now.Sub(renewed) > lease:
 			return
 		default:
-			sleep(ctx, syncRetry)
+			wait.For(ctx, syncRetry)
 		}
 	}
 }
@@ -143,7 +144,7 @@
 				return
 			default:
 				n.log.Warn("batch to worker failed", "worker", host.ID, "error", err)
-				sleep(ctx, syncRetry)
+				wait.For(ctx, syncRetry)
 				l.owner.send(batchFailed{host.ID, s})
 				if !errors.Is(err, port.ErrUnavailable) {
 					end() // the token of a new lease fences the batch if it is still on its way
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,7 +18,7 @@
 	"sequoiastall/internal/core/configuration"
 	"sequoiastall/internal/core/membership"
 	"sequoiastall/internal/core/partition"
-	"sequoiastall/internal/core/routing"
+	"sequoiastall/internal/gateway"
 	"sequoiastall/internal/port"
 	"sequoiastall/internal/telemetry"
 )
@@ -76,21 +76,13 @@
 	Clock   port.Clock
 }
 
-// Routes is the route table of the gateway.
-type Routes interface {
-	Apply(set routing.EndpointSet, sentAt time.Time)
-	Request(node, partition string) routing.EndpointsRequest
-	Demand() []routing.ServiceDemand
-	Remove(partition string)
-}
-
 // Node is one ingress node.
 type Node struct {
 	options Options
 	ports   Ports
 	log     *slog.Logger
 	metrics *meters
-	routes  Routes
+	routes  gateway.Routes
 
 	mu      sync.Mutex // guards table, holder, random and draining
 	table   *membership.Table
@@ -123,7 +115,7 @@
 const defaultAcquisitions = 16
 
 // New returns a node that hasn't started its duties.
-func New(o Options, p Ports, routes Routes, log *slog.Logger, metrics *telemetry.Registry) *Node {
+func New(o Options, p Ports, routes gateway.Routes, log *slog.Logger, metrics *telemetry.Registry) *Node {
 	now := p.Clock.Now()
 	meters := newMeters(metrics)
 	p.Store, p.Hosts = meteredStore{p.Store, meters}, meteredHosts{p.Hosts, meters}
@@ -168,18 +160,6 @@
 	}
 }
 
-// sleep waits for d or the end of ctx, and reports whether ctx goes on.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // nextWriter returns a mark for a write, by which this node recognises it after a lost answer.
 func (n *Node) nextWriter() string {
 	return fmt.Sprintf("%s/%d/%d", n.options.ID, n.started.UnixMilli(), n.sequence.Add(1))
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -12,6 +12,7 @@
 	"sequoiastall/internal/core/partition"
 	"sequoiastall/internal/core/resource"
 	"sequoiastall/internal/ring"
+	"sequoiastall/internal/wait"
 )
 
 // ringCapacity bounds the messages that wait for an owner's loop. Senders wait while it is full.
@@ -123,7 +124,7 @@
 
 func (o *owner) timer(ctx context.Context) {
 	defer o.tasks.Done()
-	for sleep(ctx, o.node.options.Timing.Cycle) {
+	for wait.For(ctx, o.node.options.Timing.Cycle) {
 		o.inbox.TryPush(tick{})
 	}
 }
@@ -293,7 +294,7 @@
 
 // applyRemote passes on what gossip tells of the other partitions.
 func (o *owner) applyRemote() {
-	total := o.machine.Summary().Capacity
+	total := o.machine.Capacity()
 	usage := map[string]resource.Vector{}
 	for _, s := range o.node.remoteSummaries(o.partition) {
 		total = total.Add(s.Capacity)
--- a/internal/node/parts.go
+++ b/internal/node/parts.go
@@ -9,6 +9,7 @@
 	"sequoiastall/internal/core/job"
 	"sequoiastall/internal/core/partition"
 	"sequoiastall/internal/port"
+	"sequoiastall/internal/wait"
 )
 
 // divide spreads the tasks of a batch job over several partitions if its own one has no room for all of them.
@@ -87,7 +88,7 @@
 	}
 	record, err := o.node.replaceRun(ctx, run, o.partition)
 	// While the outcome isn't known the run must not start here: the other partition may have it.
-	for errors.Is(err, port.ErrUnknownOutcome) && sleep(ctx, acquireRetry) {
+	for errors.Is(err, port.ErrUnknownOutcome) && wait.For(ctx, acquireRetry) {
 		record, err = o.node.replaceRun(ctx, run, o.partition)
 	}
 	moved := err == nil && slices.ContainsFunc(record.Runs(), func(r job.Record) bool { return r.ID == run.ID && r.Partition == target })
--- a/internal/node/progress.go
+++ b/internal/node/progress.go
@@ -8,6 +8,7 @@
 
 	"sequoiastall/internal/core/partition"
 	"sequoiastall/internal/port"
+	"sequoiastall/internal/wait"
 )
 
 // saveProgress writes the partition's progress document when it is due.
@@ -51,7 +52,7 @@
 			o.send(progressFailed{})
 			return
 		}
-		if !sleep(ctx, syncRetry) {
+		if !wait.For(ctx, syncRetry) {
 			o.send(progressFailed{})
 			return
 		}
@@ -91,7 +92,7 @@
 // come from the cache, whose order of changes is the store's.
 func (o *owner) catchUp(ctx context.Context) {
 	for o.node.barrier(ctx) != nil {
-		if !sleep(ctx, acquireRetry) {
+		if !wait.For(ctx, acquireRetry) {
 			return
 		}
 	}
--- a/internal/node/register.go
+++ b/internal/node/register.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"sequoiastall/internal/port"
+	"sequoiastall/internal/wait"
 )
 
 // registrar writes this node's registration. Each write has a higher count, which the state watch shows in its turn.
@@ -94,7 +95,7 @@
 			n.restartWatch()
 			return errors.Wrap(port.ErrUnavailable, "the state watch is silent")
 		}
-		if !sleep(ctx, barrierStep) {
+		if !wait.For(ctx, barrierStep) {
 			return ctx.Err()
 		}
 	}
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -14,6 +14,7 @@
 	"sequoiastall/internal/core/partition"
 	"sequoiastall/internal/core/quota"
 	"sequoiastall/internal/port"
+	"sequoiastall/internal/wait"
 )
 
 // entry is a record of the store with the revision of its last write.
@@ -213,7 +214,7 @@
 		if err := n.followState(ctx); err != nil && ctx.Err() == nil {
 			n.log.Warn("state watch ended", "error", err)
 		}
-		if !sleep(ctx, rewatchDelay+rand.N(rewatchDelay)) {
+		if !wait.For(ctx, rewatchDelay+rand.N(rewatchDelay)) {
 			return
 		}
 	}
