--- /dev/null
+++ b/cmd/sequoiastall/cgo.go
@@ -0,0 +1,5 @@
+package main
+
+// The import links the program against the system's C library, which the users' platform requires.
+
+import "C"
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -42,7 +42,7 @@
 
 // processCommands lists the commands that run processes: serve, dev, platform, worker. They are added here.
 func processCommands() []*cobra.Command {
-	return []*cobra.Command{NewServeCommand(), NewDevCommand(), NewPlatformCommand(), NewWorkerCommand(), NewLoadCommand()}
+	return []*cobra.Command{NewServeCommand(), NewDevCommand(), NewPlatformCommand(), NewWorkerCommand(), NewLoadCommand(), newNode()}
 }
 
 // NewRoot returns the root command.
--- /dev/null
+++ b/internal/control/committer.go
@@ -0,0 +1,121 @@
+package control
+
+import (
+	"bytes"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"sequoiastall/internal/core/cell"
+	"sequoiastall/internal/port"
+)
+
+const (
+	// writesPerTxn records of progress fit into a transaction together with the scheduler key: a final record takes five
+	// entries of 32.
+	writesPerTxn = 6
+	// commitRetry is the pause before a transaction without an answer is sent again.
+	commitRetry = 50 * time.Millisecond
+)
+
+// committer makes the scheduler's records durable, one transaction at a time. Each transaction requires that the term
+// lasts and that each record still has the revision that this node gave it, so that a late one changes nothing.
+type committer struct {
+	s         *scheduling
+	busy      bool
+	revisions map[cell.JobID]int64 // of the records of progress, owned by the scheduler's goroutine
+}
+
+func newCommitter(s *scheduling) *committer {
+	return &committer{s: s, revisions: map[cell.JobID]int64{}}
+}
+
+// flush begins a transaction if there is something to write and none is under way.
+func (c *committer) flush() {
+	if c.busy || !c.s.core.HasWrites() {
+		return
+	}
+	writes := c.s.core.TakeWrites(writesPerTxn)
+	if len(writes) == 0 {
+		return
+	}
+	c.busy = true
+	txn := c.txn(writes)
+	c.s.tasks.Go(func() { c.commit(writes, txn) })
+}
+
+func (c *committer) txn(writes []cell.Write) port.Txn {
+	t := port.Txn{Expect: []port.Expect{{Key: schedulerKey, Revision: c.s.term.revision}}}
+	for _, w := range writes {
+		t.Expect = append(t.Expect, port.Expect{Key: progressKey(w.Job), Revision: c.revisions[w.Job]})
+		if !w.Final {
+			t.Puts = append(t.Puts, port.Put{Key: progressKey(w.Job), Value: w.Value})
+			continue
+		}
+		t.Puts = append(t.Puts, port.Put{Key: doneKey(w.Job), Value: w.Value})
+		t.Deletes = append(t.Deletes, jobKey(w.Job), cancelKey(w.Job), progressKey(w.Job))
+	}
+	return t
+}
+
+// commit repeats the transaction until its outcome is known.
+func (c *committer) commit(writes []cell.Write, t port.Txn) {
+	for attempt := 0; ; attempt++ {
+		revision, err := c.s.node.options.Store.Commit(c.s.ctx, t)
+		var conflict *port.TxnConflictError
+		switch {
+		case err == nil:
+			c.done(writes, func(cell.Write) int64 { return revision })
+			return
+		case errors.As(err, &conflict):
+			c.resolve(writes, conflict, attempt > 0)
+			return
+		case c.s.ctx.Err() != nil:
+			return
+		}
+		if attempt%10 == 0 {
+			c.s.node.options.Log.Warn("records not written", "records", len(writes), "attempt", attempt, "error", err.Error())
+		}
+		if !c.s.pause(commitRetry) {
+			return
+		}
+	}
+}
+
+// resolve finds out whether a conflict is due to this node's own earlier attempt. Otherwise the term is lost.
+func (c *committer) resolve(writes []cell.Write, conflict *port.TxnConflictError, retried bool) {
+	holder, ok := conflict.Entry(schedulerKey)
+	if !ok || holder.Revision != c.s.term.revision {
+		c.s.end(errLost)
+		return
+	}
+	revisions := map[cell.JobID]int64{}
+	for _, w := range writes {
+		current, exists := conflict.Entry(progressKey(w.Job))
+		switch {
+		case !retried, !w.Final && (!exists || !bytes.Equal(current.Value, w.Value)), w.Final && exists:
+			c.s.end(errors.Errorf("record of %s was changed by another node", w.Job))
+			return
+		case exists:
+			revisions[w.Job] = current.Revision
+		}
+	}
+	c.done(writes, func(w cell.Write) int64 { return revisions[w.Job] })
+}
+
+// done tells the scheduler what is durable.
+func (c *committer) done(writes []cell.Write, revision func(cell.Write) int64) {
+	c.s.node.storeHeard()
+	c.s.post(c.s.ctx, func() {
+		c.busy = false
+		for _, w := range writes {
+			if w.Final {
+				delete(c.revisions, w.Job)
+			} else {
+				c.revisions[w.Job] = revision(w)
+			}
+			c.s.core.Recorded(w)
+		}
+		c.s.updateAcks()
+	})
+}
--- /dev/null
+++ b/internal/control/front.go
@@ -0,0 +1,256 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"sequoiastall/internal/core/cell"
+	"sequoiastall/internal/port"
+	"sequoiastall/internal/rpc/cellpb"
+	"sequoiastall/internal/wait"
+)
+
+const (
+	// submitPatience is how long a node tries to make a job durable before it refuses it.
+	submitPatience = 1200 * time.Millisecond
+	// submitRetry is the pause between two tries.
+	submitRetry = 60 * time.Millisecond
+	// waitingAge is how old the numbers of waiting jobs may be.
+	waitingAge = 1500 * time.Millisecond
+)
+
+// Config implements port.Front.
+func (n *Node) Config() *cell.Config {
+	if c := n.config.Load(); c != nil {
+		return c.Config
+	}
+	return nil
+}
+
+// Ready implements port.Front.
+func (n *Node) Ready() bool {
+	if n.stopping.Load() || n.config.Load() == nil {
+		return false
+	}
+	m := n.membership.Load()
+	return n.storeAge() < readyAge || m != nil && time.Since(m.heard) < readyAge
+}
+
+// Stopping implements port.Front.
+func (n *Node) Stopping() bool { return n.stopping.Load() }
+
+// Submit implements port.Front. The job is accepted when its record is durable.
+func (n *Node) Submit(ctx context.Context, j cell.Job) error {
+	record, err := cell.EncodeJob(j)
+	if err != nil {
+		return errors.Wrap(port.ErrNotAccepted, err.Error())
+	}
+	ctx, cancel := context.WithTimeout(ctx, submitPatience)
+	defer cancel()
+	began := time.Now()
+	err = n.record(ctx, j.ID, record)
+	outcome := "accepted"
+	if err != nil {
+		outcome = "refused"
+	}
+	attrs := []any{"subject", string(j.ID), "decision", outcome, "queue", j.Queue, "team", j.Team, "config", n.Config().Version,
+		"took_ms", time.Since(began).Milliseconds()}
+	if err != nil {
+		attrs = append(attrs, "reason", err.Error(), "store_age_ms", n.storeAge().Milliseconds())
+	}
+	n.options.Log.Info("decision", attrs...)
+	if err == nil {
+		n.tell(ctx, &cellpb.MemberMessage{AcceptedJob: record})
+	}
+	return err
+}
+
+// record writes an accepted job. A job that is there already was accepted before.
+func (n *Node) record(ctx context.Context, id cell.JobID, record []byte) error {
+	t := port.Txn{Expect: []port.Expect{{Key: jobKey(id)}, {Key: doneKey(id)}}, Puts: []port.Put{{Key: jobKey(id), Value: record}}}
+	undecided := false
+	for {
+		_, err := n.store.Commit(ctx, t)
+		var conflict *port.TxnConflictError
+		switch {
+		case err == nil || errors.As(err, &conflict):
+			return nil
+		case errors.Is(err, port.ErrUnknownOutcome):
+			undecided = true
+		}
+		if !wait.For(ctx, submitRetry) {
+			if undecided {
+				return errors.Wrap(port.ErrUndecided, err.Error())
+			}
+			return errors.Wrap(port.ErrNotAccepted, err.Error())
+		}
+	}
+}
+
+// tell takes news to the scheduling node. What doesn't get there is found in the store.
+func (n *Node) tell(ctx context.Context, m *cellpb.MemberMessage) {
+	if s := n.scheduling.Load(); s != nil {
+		if len(m.AcceptedJob) > 0 {
+			s.accepted(m.AcceptedJob)
+		} else {
+			s.post(ctx, func() { s.core.CancelJob(cell.JobID(m.CanceledJob)) })
+		}
+		return
+	}
+	select {
+	case n.outbox <- m:
+	default:
+		n.options.Log.Warn("news dropped", "reason", "the buffer to the scheduling node is full")
+	}
+}
+
+// Cancel implements port.Front. The cancelling is acknowledged when its record is durable.
+func (n *Node) Cancel(ctx context.Context, id cell.JobID, team string) (known bool, err error) {
+	for {
+		known, err = n.tryCancel(ctx, id, team)
+		if err == nil || !wait.For(ctx, submitRetry) {
+			break
+		}
+	}
+	outcome := "canceled"
+	if err != nil {
+		n.options.Log.Info("decision", "subject", string(id), "decision", "cancel refused", "reason", err.Error())
+		return false, err
+	}
+	if !known {
+		outcome = "cancel of an unknown job"
+	}
+	n.options.Log.Info("decision", "subject", string(id), "decision", outcome, "team", team)
+	return known, nil
+}
+
+func (n *Node) tryCancel(ctx context.Context, id cell.JobID, team string) (known bool, err error) {
+	e, err := n.store.Get(ctx, jobKey(id))
+	if errors.Is(err, port.ErrNotFound) {
+		_, known, err := n.ended(ctx, id, team)
+		return known, err
+	}
+	if err != nil {
+		return false, err
+	}
+	j, err := cell.DecodeJob(e.Value)
+	if err != nil || !mayAsk(team, j.Team) {
+		return false, err
+	}
+	_, err = n.store.Commit(ctx, port.Txn{Expect: []port.Expect{{Key: jobKey(id), Revision: e.Revision}},
+		Puts: []port.Put{{Key: cancelKey(id), Value: []byte("{}")}}})
+	var conflict *port.TxnConflictError
+	if errors.As(err, &conflict) {
+		return true, nil // the job has ended meanwhile
+	}
+	if err != nil {
+		return false, err
+	}
+	n.tell(ctx, &cellpb.MemberMessage{CanceledJob: string(id)})
+	return true, nil
+}
+
+// mayAsk reports whether a team's key gives access to a job. Jobs of open queues belong to nobody.
+func mayAsk(team, owner string) bool { return team == "" || owner == "" || team == owner }
+
+// ended returns the phase of a job that has ended.
+func (n *Node) ended(ctx context.Context, id cell.JobID, team string) (cell.Phase, bool, error) {
+	e, err := n.store.Get(ctx, doneKey(id))
+	if errors.Is(err, port.ErrNotFound) {
+		return "", false, nil
+	}
+	if err != nil {
+		return "", false, err
+	}
+	r, err := cell.DecodeFinal(e.Value)
+	if err != nil || !mayAsk(team, r.Team) {
+		return "", false, err
+	}
+	return r.Phase, true, nil
+}
+
+// State implements port.Front: from the scheduling node, or from the store if that doesn't know the job.
+func (n *Node) State(ctx context.Context, id cell.JobID, team string) (cell.Phase, bool, error) {
+	if phase, owner, known := n.liveState(ctx, id); known {
+		return phase, mayAsk(team, owner), nil
+	}
+	var err error
+	for {
+		var phase cell.Phase
+		var known bool
+		if phase, known, err = n.storedState(ctx, id, team); err == nil {
+			if !known {
+				n.options.Log.Info("decision", "subject", string(id), "decision", "unknown job", "team", team)
+			}
+			return phase, known, nil
+		}
+		if !wait.For(ctx, submitRetry) {
+			return "", false, err
+		}
+	}
+}
+
+func (n *Node) liveState(ctx context.Context, id cell.JobID) (phase cell.Phase, team string, known bool) {
+	if s := n.scheduling.Load(); s != nil {
+		s.ask(ctx, func() { phase, team, known = s.core.State(id) })
+		return phase, team, known
+	}
+	m := n.membership.Load()
+	if m == nil || time.Since(m.heard) > beatSilence {
+		return "", "", false
+	}
+	call, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	reply, err := n.peers.client(m.address).State(call, &cellpb.StateRequest{Job: string(id)})
+	if err != nil || !reply.Known {
+		return "", "", false
+	}
+	return cell.Phase(reply.Phase), reply.Team, true
+}
+
+// storedState returns a job's phase from its records. The job may end between two reads, so its end is looked up last.
+func (n *Node) storedState(ctx context.Context, id cell.JobID, team string) (cell.Phase, bool, error) {
+	e, err := n.store.Get(ctx, jobKey(id))
+	if errors.Is(err, port.ErrNotFound) {
+		return n.ended(ctx, id, team)
+	}
+	if err != nil {
+		return "", false, err
+	}
+	j, err := cell.DecodeJob(e.Value)
+	if err != nil || !mayAsk(team, j.Team) {
+		return "", false, err
+	}
+	p, err := n.store.Get(ctx, progressKey(id))
+	switch {
+	case err == nil:
+		var r struct {
+			Phase cell.Phase `json:"phase"`
+		}
+		if err := json.Unmarshal(p.Value, &r); err != nil {
+			return "", false, errors.Wrap(err, "progress")
+		}
+		return r.Phase, true, nil
+	case errors.Is(err, port.ErrNotFound):
+		if phase, known, err := n.ended(ctx, id, team); err != nil || known {
+			return phase, known, err
+		}
+		return cell.Pending, true, nil
+	}
+	return "", false, err
+}
+
+// Waiting implements port.Front.
+func (n *Node) Waiting(ctx context.Context, queue string) (int64, error) {
+	for {
+		if m := n.membership.Load(); m != nil && time.Since(m.heard) < waitingAge && m.waiting != nil {
+			return m.waiting[queue], nil
+		}
+		if !wait.For(ctx, submitRetry) {
+			return 0, errors.Wrap(port.ErrUnavailable, "no node schedules")
+		}
+	}
+}
--- /dev/null
+++ b/internal/control/links.go
@@ -0,0 +1,288 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"sequoiastall/internal/core/cell"
+	"sequoiastall/internal/port"
+)
+
+const (
+	// renewWait is how long a worker may let a renewal wait for an end.
+	renewWait = time.Second
+	// renewRetry is the pause after a renewal that failed.
+	renewRetry = 100 * time.Millisecond
+	// ackWait is how long a link waits for ends to become durable before it asks again.
+	ackWait = 250 * time.Millisecond
+)
+
+// workerLink keeps the lease of one worker and carries its inventory to the scheduler.
+type workerLink struct {
+	s      *scheduling
+	ref    port.WorkerRef
+	cancel context.CancelFunc
+	acked  chan struct{} // signals that ack has moved
+
+	mu       sync.Mutex
+	ack      int64
+	draining bool
+	born     int64
+	clock    clockSample
+	// lapseAt is when everything on the worker has certainly ended, unless it is renewed.
+	lapseAt time.Time
+	lapsed  bool
+}
+
+// clockSample is a reading of a worker's steady clock.
+type clockSample struct {
+	ms int64
+	at time.Time
+}
+
+// updateLinks gives each worker in use a link, and ends the others.
+func (s *scheduling) updateLinks() {
+	inUse := map[cell.WorkerID]bool{}
+	for _, w := range s.core.WorkersInUse() {
+		inUse[w.ID] = true
+		if l := s.links[w.ID]; l != nil {
+			if l.ref.Address == w.Address || w.Address == "" {
+				continue
+			}
+			l.cancel()
+		}
+		ctx, cancel := context.WithCancel(s.ctx)
+		l := &workerLink{s: s, ref: port.WorkerRef{ID: w.ID, Address: w.Address}, cancel: cancel, acked: make(chan struct{}, 1), born: w.BornMS,
+			lapseAt: s.began.Add(s.node.options.orphanWait())}
+		s.links[w.ID] = l
+		s.tasks.Go(func() { l.run(ctx) })
+	}
+	for id, l := range s.links {
+		if !inUse[id] {
+			l.cancel()
+			delete(s.links, id)
+		}
+	}
+}
+
+// updateAcks tells the links which ends are durable.
+func (s *scheduling) updateAcks() {
+	for id, l := range s.links {
+		cursor, _ := s.core.AckCursor(id)
+		l.setAck(cursor)
+	}
+}
+
+func (l *workerLink) setAck(cursor int64) {
+	l.mu.Lock()
+	moved := cursor != l.ack
+	l.ack = cursor
+	l.mu.Unlock()
+	if moved {
+		select {
+		case l.acked <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// run renews the lease until the link ends.
+func (l *workerLink) run(ctx context.Context) {
+	first := true
+	for ctx.Err() == nil {
+		if l.ref.Address == "" {
+			if !l.pause(ctx, renewRetry) {
+				return
+			}
+			l.checkLapse()
+			continue
+		}
+		asked := l.s.core.OrderSequence()
+		wait := renewWait
+		if first {
+			wait = 0
+		}
+		reply, err := l.s.node.options.Workers.Renew(ctx, l.ref, l.renewal(wait))
+		if err != nil {
+			l.failed(ctx, err)
+			if !l.pause(ctx, renewRetry) {
+				return
+			}
+			continue
+		}
+		first = false
+		reply.Inventory.Asked = asked
+		l.renewed(ctx, reply)
+	}
+}
+
+func (l *workerLink) pause(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+// renewal returns the next renewal, which extends the lease if the worker's clock is known.
+func (l *workerLink) renewal(wait time.Duration) port.Renewal {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return port.Renewal{Token: l.s.term.number, DueMS: l.due(time.Now()), Ack: l.ack, Wait: wait}
+}
+
+// due returns the end of a lease that begins now on the worker's clock, 0 if that isn't known, and notes when the lease has
+// lapsed for certain. The caller holds mu.
+func (l *workerLink) due(now time.Time) int64 {
+	if l.clock.at.IsZero() {
+		return 0
+	}
+	lease := l.s.node.options.lease()
+	since := now.Sub(l.clock.at)
+	due := l.clock.ms + (since + lease).Milliseconds()
+	lapse := l.clock.at.Add(time.Duration(float64(since+lease)*(1+2*clockDrift)) + time.Millisecond)
+	if lapse.After(l.lapseAt) {
+		l.lapseAt = lapse
+	}
+	return due
+}
+
+// renewed takes a worker's answer to the scheduler, and waits until its ends are durable.
+func (l *workerLink) renewed(ctx context.Context, r port.RenewalReply) {
+	now := time.Now()
+	l.mu.Lock()
+	if r.Inventory.BornMS != l.born {
+		l.ack = 0
+	}
+	if l.clock.at.IsZero() {
+		// An earlier holder's renewals are refused from now on.
+		l.lapseAt = now.Add(time.Duration(float64(l.s.node.options.lease()) * (1 + 2*clockDrift)))
+	}
+	l.born, l.clock, l.lapsed = r.Inventory.BornMS, clockSample{r.ClockMS, now}, false
+	l.mu.Unlock()
+	l.s.post(ctx, func() {
+		for _, o := range l.s.core.Renewed(r.Inventory, time.Now()) {
+			l.s.orderStray(o)
+		}
+		cursor, _ := l.s.core.AckCursor(l.ref.ID)
+		l.setAck(cursor)
+	})
+	if len(r.Inventory.Ended) == 0 {
+		return
+	}
+	last := r.Inventory.Ended[len(r.Inventory.Ended)-1].Number
+	deadline := time.After(ackWait)
+	for {
+		l.mu.Lock()
+		durable := l.ack >= last
+		l.mu.Unlock()
+		if durable {
+			return
+		}
+		select {
+		case <-l.acked:
+		case <-deadline:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// failed handles a renewal without an inventory.
+func (l *workerLink) failed(ctx context.Context, err error) {
+	switch {
+	case errors.Is(err, port.ErrFenced):
+		l.s.end(errors.Wrapf(errLost, "worker %s has a later token", l.ref.ID))
+	case errors.Is(err, port.ErrOtherLife):
+		l.mu.Lock()
+		born := l.born
+		l.mu.Unlock()
+		l.s.post(ctx, func() { l.s.core.WorkerGone(l.ref.ID, born, time.Now()) })
+	case errors.Is(err, port.ErrNotListening):
+		l.s.post(ctx, func() { l.s.core.WorkerRefuses(l.ref.ID, time.Now()) })
+		l.checkLapse()
+	default:
+		l.checkLapse()
+	}
+}
+
+// checkLapse tells the scheduler once when everything on the worker has ended.
+func (l *workerLink) checkLapse() {
+	l.mu.Lock()
+	lapsed := !l.lapsed && time.Now().After(l.lapseAt)
+	l.lapsed = l.lapsed || lapsed
+	l.mu.Unlock()
+	if lapsed {
+		l.s.post(l.s.ctx, func() { l.s.core.WorkerLapsed(l.ref.ID, time.Now()) })
+	}
+}
+
+// order sends an order and takes the answer to the scheduler.
+func (s *scheduling) order(o cell.Order) {
+	l := s.links[o.Worker]
+	if l == nil || l.ref.Address == "" {
+		s.core.Ordered(o, cell.OrderUnanswered, time.Now())
+		return
+	}
+	s.tasks.Go(func() {
+		outcome := l.send(o)
+		s.post(s.ctx, func() {
+			if !s.core.Ordered(o, outcome, time.Now()) {
+				s.end(errors.Wrapf(errLost, "worker %s has a later token", o.Worker))
+			}
+		})
+	})
+}
+
+// orderStray stops a run that nobody wants. Its worker lists it again if the order was lost.
+func (s *scheduling) orderStray(o cell.Order) {
+	s.node.options.Log.Info("decision", "subject", o.Run.Task.String(), "decision", "stray run stopped", "run", o.Run.Run, "worker", o.Worker)
+	if l := s.links[o.Worker]; l != nil && l.ref.Address != "" {
+		s.tasks.Go(func() { l.send(o) })
+	}
+}
+
+// send performs an order.
+func (l *workerLink) send(o cell.Order) cell.OrderOutcome {
+	l.mu.Lock()
+	due := l.due(time.Now())
+	l.mu.Unlock()
+	var err error
+	if o.Kind == cell.OrderStart {
+		if due == 0 {
+			return cell.OrderRefused
+		}
+		_, err = l.s.node.options.Workers.Start(l.s.ctx, l.ref, port.Start{Order: o, Token: l.s.term.number, DueMS: due})
+	} else {
+		_, err = l.s.node.options.Workers.Stop(l.s.ctx, l.ref, o.Run, l.s.term.number)
+	}
+	outcome := orderOutcome(err)
+	if outcome != cell.OrderDone {
+		l.s.node.options.Log.Info("order", "kind", o.Kind, "subject", o.Run.Task.String(), "run", o.Run.Run, "worker", o.Worker, "outcome", outcome,
+			"error", err.Error())
+	}
+	return outcome
+}
+
+func orderOutcome(err error) cell.OrderOutcome {
+	switch {
+	case err == nil:
+		return cell.OrderDone
+	case errors.Is(err, port.ErrFenced):
+		return cell.OrderFenced
+	case errors.Is(err, port.ErrOldRun):
+		return cell.OrderOld
+	case errors.Is(err, port.ErrNoTicket):
+		return cell.OrderNoTicket
+	case errors.Is(err, port.ErrOtherLife):
+		return cell.OrderGone
+	case errors.Is(err, port.ErrUnknownOutcome):
+		return cell.OrderUnanswered
+	}
+	return cell.OrderRefused // ErrRefused, ErrUnavailable, ErrNotListening, ErrBadOrder: certainly not carried out
+}
--- /dev/null
+++ b/internal/control/member.go
@@ -0,0 +1,237 @@
+package control
+
+import (
+	"context"
+	"hash/fnv"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"sequoiastall/internal/core/cell"
+	"sequoiastall/internal/rpc/cellpb"
+	"sequoiastall/internal/wait"
+)
+
+// follow attaches to the scheduling node until it is lost. If the other nodes don't hear it either, this node tries to
+// take over.
+func (n *Node) follow(ctx context.Context, h *holder) {
+	resign, err := n.attach(ctx, h)
+	if ctx.Err() != nil {
+		return
+	}
+	n.peers.reset(h.Address)
+	if resign {
+		n.campaign(ctx, h.revision, "the scheduling node asked")
+		return
+	}
+	if errors.Is(err, errOtherTerm) {
+		return
+	}
+	n.options.Log.Warn("dependency lost", "dependency", "scheduling node", "node", h.Node, "term", h.Term, "error", err.Error())
+	alive, heard := n.askOthers(ctx, h)
+	if alive || !heard {
+		// Only this node's way to the scheduling node is broken, or nobody can tell. The store lease decides.
+		return
+	}
+	if !wait.For(ctx, n.rankDelay()) {
+		return
+	}
+	n.campaign(ctx, h.revision, "no node hears the scheduling node")
+}
+
+// followKnown follows the scheduling node that other nodes know while the store doesn't answer.
+func (n *Node) followKnown(ctx context.Context) {
+	m := n.membership.Load()
+	if m == nil {
+		wait.For(ctx, beatInterval)
+		return
+	}
+	if _, err := n.attach(ctx, &holder{Address: m.address, Term: m.term}); err != nil && ctx.Err() == nil {
+		n.peers.reset(m.address)
+		wait.For(ctx, beatInterval)
+	}
+}
+
+const (
+	// rankStep is the delay between the attempts of two nodes to take over.
+	rankStep = 60 * time.Millisecond
+	// maxRank bounds the delay of nodes that don't know their rank.
+	maxRank = 8
+)
+
+// rankDelay spreads the attempts to take over, so that usually one node tries.
+func (n *Node) rankDelay() time.Duration {
+	if m := n.membership.Load(); m != nil {
+		if i := slices.Index(m.members, n.options.Address); i >= 0 {
+			return time.Duration(min(i, maxRank)) * rankStep
+		}
+	}
+	f := fnv.New32a()
+	f.Write([]byte(n.options.Name))
+	return time.Duration(f.Sum32()%maxRank) * rankStep
+}
+
+// askOthers asks the other members whether they hear the scheduling node. heard tells that at least one answered.
+func (n *Node) askOthers(ctx context.Context, h *holder) (alive, heard bool) {
+	m := n.membership.Load()
+	if m == nil {
+		return false, false
+	}
+	type answer struct {
+		reply *cellpb.HearsReply
+		err   error
+	}
+	answers := make(chan answer, len(m.members))
+	asked := 0
+	call, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	for _, address := range m.members {
+		if address == n.options.Address || address == h.Address {
+			continue
+		}
+		asked++
+		client := n.peers.client(address)
+		go func() {
+			reply, err := client.Hears(call, &cellpb.HearsRequest{Term: h.Term})
+			answers <- answer{reply, err}
+		}()
+	}
+	silent := 0
+	for range asked {
+		a := <-answers
+		if a.err != nil {
+			continue
+		}
+		if a.reply.Term > h.Term || a.reply.Term == h.Term && a.reply.SilenceMs < beatSilence.Milliseconds()/2 {
+			return true, true
+		}
+		silent++
+	}
+	return false, silent > 0 || asked == 0
+}
+
+// errOtherTerm tells that the node at the address doesn't hold the term.
+var errOtherTerm = errors.New("the node doesn't schedule in that term")
+
+// attach exchanges messages with the scheduling node until one side ends. resign tells that this node shall take over.
+func (n *Node) attach(ctx context.Context, h *holder) (resign bool, err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	watchdog := time.AfterFunc(beatSilence, cancel)
+	defer watchdog.Stop()
+	stream, err := n.peers.client(h.Address).Attach(ctx)
+	if err != nil {
+		return false, err
+	}
+	sent := make(chan error, 1)
+	advice := make(chan *cellpb.AdviceReply, outboxSize)
+	go func() { sent <- n.sendBeats(ctx, stream, advice) }()
+	defer func() { cancel(); <-sent }()
+	first := true
+	for {
+		m, err := stream.Recv()
+		if err != nil {
+			return false, err
+		}
+		if m.Term < h.Term {
+			return false, errOtherTerm
+		}
+		watchdog.Reset(beatSilence)
+		if first {
+			first = false
+			n.options.Log.Info("dependency regained", "dependency", "scheduling node", "node", m.Node, "term", m.Term)
+		}
+		n.heard(ctx, h, m)
+		if m.Advice != nil {
+			go n.advise(ctx, m.Advice, advice)
+		}
+		if m.Resign {
+			return true, nil
+		}
+	}
+}
+
+// heard notes what the scheduling node tells.
+func (n *Node) heard(ctx context.Context, h *holder, m *cellpb.SchedulerMessage) {
+	old := n.membership.Load()
+	next := &membership{term: m.Term, address: h.Address, heard: time.Now(), version: m.ConfigVersion}
+	if len(m.Members) > 0 || old == nil {
+		next.members, next.waiting = m.Members, map[string]int64{}
+		for _, q := range m.Waiting {
+			next.waiting[q.Queue] = q.Jobs
+		}
+	} else {
+		next.members, next.waiting = old.members, old.waiting
+	}
+	n.membership.Store(next)
+	if c := n.config.Load(); c == nil || c.Version < m.ConfigVersion {
+		n.fetchConfig(ctx)
+	}
+}
+
+// fetchConfig asks for the configuration without holding up the stream.
+func (n *Node) fetchConfig(ctx context.Context) {
+	if n.fetching.CompareAndSwap(false, true) {
+		go func() {
+			defer n.fetching.Store(false)
+			n.configFromPeer(ctx)
+		}()
+	}
+}
+
+// sendBeats sends beats, news and advice.
+func (n *Node) sendBeats(ctx context.Context, stream cellpb.Cell_AttachClient, advice <-chan *cellpb.AdviceReply) error {
+	ticker := time.NewTicker(beatInterval)
+	defer ticker.Stop()
+	m := n.beat()
+	for {
+		if err := stream.Send(m); err != nil {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+			m = n.beat()
+		case m = <-n.outbox:
+		case a := <-advice:
+			m = &cellpb.MemberMessage{Advice: a}
+		}
+		if m.Node == "" {
+			b := n.beat()
+			b.AcceptedJob, b.CanceledJob, b.Advice = m.AcceptedJob, m.CanceledJob, m.Advice
+			m = b
+		}
+	}
+}
+
+func (n *Node) beat() *cellpb.MemberMessage {
+	return &cellpb.MemberMessage{Node: n.options.Name, Address: n.options.Address, StoreAgeMs: n.storeAge().Milliseconds(), Leaving: n.stopping.Load()}
+}
+
+// adviceSlack is added to the time that a call for advice takes by its configuration.
+const adviceSlack = 600 * time.Millisecond
+
+// advise asks the advice service for the scheduling node.
+func (n *Node) advise(ctx context.Context, r *cellpb.AdviceRequest, out chan<- *cellpb.AdviceReply) {
+	workers := make([]cell.WorkerID, len(r.Workers))
+	for i, id := range r.Workers {
+		workers[i] = cell.WorkerID(id)
+	}
+	asked := time.Now()
+	timeout := time.Duration(r.DurationMs)*time.Millisecond + adviceSlack
+	tickets, validity, err := n.options.Advisor.Advise(ctx, cell.StepID{Job: cell.JobID(r.Job), Step: int(r.Step)}, workers, timeout)
+	reply := &cellpb.AdviceReply{Id: r.Id, ValidityMs: validity.Milliseconds(), AskedBeforeMs: time.Since(asked).Milliseconds(), Failed: err != nil}
+	if err != nil {
+		n.options.Log.Warn("advice failed", "subject", r.Job, "step", r.Step, "workers", len(r.Workers), "error", err.Error())
+	}
+	for _, t := range tickets {
+		reply.Tickets = append(reply.Tickets, &cellpb.Ticket{Worker: string(t.Worker), Value: t.Value})
+	}
+	select {
+	case out <- reply:
+	default:
+		n.options.Log.Warn("advice dropped", "subject", r.Job, "step", r.Step, "reason", "the buffer to the scheduling node is full")
+	}
+}
--- /dev/null
+++ b/internal/control/members.go
@@ -0,0 +1,190 @@
+package control
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"sequoiastall/internal/core/cell"
+	"sequoiastall/internal/rpc/cellpb"
+)
+
+// members are the nodes that are attached to the scheduling node.
+type members struct {
+	s *scheduling
+
+	mu   sync.Mutex
+	list []*member
+}
+
+// member is an attached node.
+type member struct {
+	name, address string
+	out           chan *cellpb.SchedulerMessage
+	storeAge      time.Duration
+	leaving       bool
+	asked         bool // to take over
+}
+
+// memberBuffer bounds the messages that wait for a node's stream. A node that falls behind misses beats.
+const memberBuffer = 64
+
+func newMembers(s *scheduling) *members { return &members{s: s} }
+
+// run sends beats, and gives up the term if this node is about to stop or can't reach the store while others can.
+func (m *members) run() {
+	ticker := time.NewTicker(beatInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-m.s.ctx.Done():
+			return
+		case <-ticker.C:
+		case <-m.s.node.leave:
+		}
+		m.beat()
+		m.resignIfNeeded()
+		if m.s.node.stopping.Load() && !m.s.pause(beatInterval/2) {
+			return
+		}
+	}
+}
+
+func (m *members) beat() {
+	var lengths []*cellpb.QueueLength
+	if !m.s.ask(m.s.ctx, func() {
+		for queue, jobs := range m.s.core.Waiting() {
+			lengths = append(lengths, &cellpb.QueueLength{Queue: queue, Jobs: jobs})
+		}
+	}) {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	message := m.message()
+	message.Waiting, message.Members = lengths, m.addresses()
+	for _, x := range m.list {
+		x.send(message)
+	}
+	waiting := map[string]int64{}
+	for _, l := range lengths {
+		waiting[l.Queue] = l.Jobs
+	}
+	node := m.s.node
+	node.membership.Store(&membership{term: m.s.term.number, address: node.options.Address, heard: time.Now(), waiting: waiting, members: message.Members})
+}
+
+func (m *members) message() *cellpb.SchedulerMessage {
+	message := &cellpb.SchedulerMessage{Term: m.s.term.number, Node: m.s.node.options.Name}
+	if c := m.s.node.config.Load(); c != nil {
+		message.ConfigVersion = c.Version
+	}
+	return message
+}
+
+// addresses returns the members in the order of succession: those that reach the store first.
+func (m *members) addresses() []string {
+	slices.SortStableFunc(m.list, func(a, b *member) int {
+		return cmp.Or(cmp.Compare(bool2int(a.unfit()), bool2int(b.unfit())), cmp.Compare(a.name, b.name))
+	})
+	list := make([]string, len(m.list))
+	for i, x := range m.list {
+		list[i] = x.address
+	}
+	return list
+}
+
+func bool2int(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// unfit reports whether a node shouldn't schedule.
+func (x *member) unfit() bool { return x.leaving || x.storeAge > resignAge }
+
+// resignAge is the age of the store's last answer from which a node that schedules looks for another one.
+const resignAge = 800 * time.Millisecond
+
+func (m *members) resignIfNeeded() {
+	node := m.s.node
+	silent := node.storeAge() > resignAge
+	if !node.stopping.Load() && !silent {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, x := range m.list {
+		if x.unfit() || x.asked || silent && x.storeAge > resignAge/2 {
+			continue
+		}
+		x.asked = true
+		message := m.message()
+		message.Resign = true
+		node.options.Log.Info("decision", "subject", node.options.Name, "decision", "successor asked", "node", x.name, "term", m.s.term.number,
+			"stopping", node.stopping.Load(), "store_age_ms", node.storeAge().Milliseconds())
+		x.send(message)
+		return
+	}
+}
+
+func (x *member) send(m *cellpb.SchedulerMessage) bool {
+	select {
+	case x.out <- m:
+		return true
+	default:
+		return false
+	}
+}
+
+// join adds a node; the returned function removes it.
+func (m *members) join(name, address string) (*member, func()) {
+	x := &member{name: name, address: address, out: make(chan *cellpb.SchedulerMessage, memberBuffer)}
+	a := &adviser{name: name, send: func(id int64, r cell.AdviceRequest) bool {
+		message := m.message()
+		message.Advice = adviceMessage(id, r)
+		return x.send(message)
+	}}
+	m.mu.Lock()
+	m.list = append(m.list, x)
+	m.mu.Unlock()
+	m.s.post(m.s.ctx, func() { m.s.advisors.add(a) })
+	return x, func() {
+		m.mu.Lock()
+		m.list = slices.DeleteFunc(m.list, func(y *member) bool { return x == y })
+		m.mu.Unlock()
+		m.s.post(m.s.ctx, func() { m.s.advisors.remove(a) })
+	}
+}
+
+// note applies a node's message.
+func (m *members) note(x *member, r *cellpb.MemberMessage) {
+	m.mu.Lock()
+	x.storeAge, x.leaving = time.Duration(r.StoreAgeMs)*time.Millisecond, r.Leaving
+	m.mu.Unlock()
+	received := time.Now()
+	switch {
+	case r.Advice != nil:
+		m.s.post(m.s.ctx, func() { m.s.advisors.answered(r.Advice, received) })
+	case len(r.AcceptedJob) > 0:
+		m.s.accepted(r.AcceptedJob)
+	case r.CanceledJob != "":
+		m.s.post(m.s.ctx, func() { m.s.core.CancelJob(cell.JobID(r.CanceledJob)) })
+	}
+}
+
+// accepted adds a job that was just made durable.
+func (s *scheduling) accepted(record []byte) {
+	j, err := cell.DecodeJob(record)
+	if err != nil {
+		s.node.options.Log.Error("job of another node can't be read", "error", err.Error())
+		return
+	}
+	s.post(s.ctx, func() {
+		if err := s.core.AddJob(j, nil, time.Now()); err != nil {
+			s.node.options.Log.Error("job not added", "subject", string(j.ID), "error", err.Error())
+		}
+	})
+}
--- /dev/null
+++ b/internal/control/node.go
@@ -0,0 +1,218 @@
+package control
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
+	"google.golang.org/grpc"
+
+	"sequoiastall/internal/core/cell"
+	"sequoiastall/internal/port"
+	"sequoiastall/internal/rpc/cellpb"
+	"sequoiastall/internal/wait"
+)
+
+// Node is one process of a cell. It implements port.Front.
+type Node struct {
+	options Options
+	store   *relayedStore
+
+	config     atomic.Pointer[configInForce]
+	lastStore  atomic.Int64                  // Unix nanoseconds of the last answer of the store
+	membership atomic.Pointer[membership]    // what the scheduling node last told
+	scheduling atomic.Pointer[scheduling]    // non-nil while this node schedules
+	stopping   atomic.Bool
+	leave      chan struct{} // closed when the node begins to stop
+	leaveOnce  sync.Once
+	peers      peerConns
+	outbox     chan *cellpb.MemberMessage // news for the scheduling node
+	fetching   atomic.Bool // a configuration is being fetched from another node
+}
+
+type configInForce struct {
+	*cell.Config
+	raw []byte
+}
+
+// membership is what a node knows of the scheduling node and the others.
+type membership struct {
+	term    int64
+	address string // of the scheduling node
+	heard   time.Time
+	version int64 // of the scheduling node's configuration
+	waiting map[string]int64
+	members []string
+}
+
+// outboxSize bounds the news that wait for the connection to the scheduling node. It finds the rest in the store.
+const outboxSize = 512
+
+// New returns a node.
+func New(o Options) *Node {
+	n := &Node{options: o, leave: make(chan struct{}), outbox: make(chan *cellpb.MemberMessage, outboxSize)}
+	n.store = &relayedStore{TxnStore: o.Store, node: n}
+	return n
+}
+
+// Run serves the other nodes at the listener and takes its part in the cell until ctx ends.
+func (n *Node) Run(ctx context.Context, listener net.Listener) error {
+	server := grpc.NewServer(serverOptions()...)
+	cellpb.RegisterCellServer(server, &peerServer{node: n})
+	var tasks conc.WaitGroup
+	tasks.Go(func() {
+		if err := server.Serve(listener); err != nil && !errors.Is(err, grpc.ErrServerStopped) {
+			n.options.Log.Error("serving other nodes ended", "error", err.Error())
+		}
+	})
+	tasks.Go(func() { n.pollConfig(ctx) })
+	tasks.Go(func() { n.supervise(ctx) })
+	<-ctx.Done()
+	server.Stop()
+	n.peers.close()
+	tasks.Wait()
+	return nil
+}
+
+// Leave begins a graceful stop: the node gives up scheduling and tells the platform that it isn't ready.
+func (n *Node) Leave() {
+	n.stopping.Store(true)
+	n.leaveOnce.Do(func() { close(n.leave) })
+}
+
+// Leaving reports whether the node may end: another node schedules.
+func (n *Node) Scheduling() bool { return n.scheduling.Load() != nil }
+
+// supervise follows the scheduling node, and becomes it when there is none.
+func (n *Node) supervise(ctx context.Context) {
+	for ctx.Err() == nil {
+		h, err := readHolder(ctx, n.store)
+		switch {
+		case err != nil:
+			n.followKnown(ctx)
+		case h == nil:
+			n.campaign(ctx, 0, "no node schedules")
+		case h.Address == n.options.Address:
+			n.campaign(ctx, h.revision, "an earlier life of this node scheduled")
+		default:
+			n.follow(ctx, h)
+		}
+		if !wait.For(ctx, superviseInterval) {
+			return
+		}
+	}
+}
+
+// superviseInterval is the pause between two looks for the scheduling node.
+const superviseInterval = 20 * time.Millisecond
+
+// campaign tries to become the scheduling node, and schedules until the term ends.
+func (n *Node) campaign(ctx context.Context, revision int64, reason string) {
+	if n.stopping.Load() {
+		wait.For(ctx, beatInterval)
+		return
+	}
+	began := time.Now()
+	t, err := n.acquire(ctx, revision)
+	if err != nil {
+		n.options.Log.Info("decision", "subject", n.options.Name, "decision", "term not won", "reason", reason, "error", err.Error())
+		if !errors.Is(err, errLost) {
+			wait.For(ctx, beatInterval)
+		}
+		return
+	}
+	n.options.Log.Info("decision", "subject", n.options.Name, "decision", "term won", "term", t.number, "reason", reason)
+	err = n.schedule(ctx, t, began)
+	n.options.Log.Info("decision", "subject", n.options.Name, "decision", "term ended", "term", t.number, "reason", err.Error(),
+		"lasted_ms", time.Since(began).Milliseconds())
+}
+
+// storeHeard notes an answer of the store.
+func (n *Node) storeHeard() { n.lastStore.Store(time.Now().UnixNano()) }
+
+// neverHeard is the age of an answer that never came.
+const neverHeard = time.Hour
+
+// storeAge returns the time since the store's last answer.
+func (n *Node) storeAge() time.Duration {
+	last := n.lastStore.Load()
+	if last == 0 {
+		return neverHeard
+	}
+	return time.Duration(time.Now().UnixNano() - last)
+}
+
+// pollConfig keeps the newest configuration: from the store, or from the scheduling node if that has a newer one.
+func (n *Node) pollConfig(ctx context.Context) {
+	for {
+		c, raw, err := n.options.Operators.Configuration(ctx)
+		switch {
+		case err == nil:
+			n.storeHeard()
+			n.offerConfig(c, raw, "store")
+		case errors.Is(err, port.ErrNotFound):
+			n.storeHeard()
+		default:
+			n.options.Log.Warn("configuration not read", "error", err.Error(), "store_age_ms", n.storeAge().Milliseconds())
+			n.configFromPeer(ctx)
+		}
+		pause := configPoll
+		if n.config.Load() == nil {
+			pause = configPoll / 6
+		}
+		if !wait.For(ctx, pause) {
+			return
+		}
+	}
+}
+
+// offerConfig puts a configuration in force unless a newer one is.
+func (n *Node) offerConfig(c *cell.Config, raw []byte, source string) {
+	for {
+		old := n.config.Load()
+		if old != nil && old.Version >= c.Version {
+			return
+		}
+		if n.config.CompareAndSwap(old, &configInForce{c, raw}) {
+			n.options.Log.Info("decision", "subject", "configuration", "decision", "in force", "version", c.Version, "source", source,
+				"queues", len(c.Queues), "teams", len(c.Teams))
+			if s := n.scheduling.Load(); s != nil {
+				s.post(ctxNone, func() { s.core.SetConfig(c) })
+			}
+			return
+		}
+	}
+}
+
+// ctxNone is for calls that end with the term that they belong to.
+var ctxNone = context.Background()
+
+// configFromPeer asks the scheduling node, or any member, for a newer configuration.
+func (n *Node) configFromPeer(ctx context.Context) {
+	m := n.membership.Load()
+	if m == nil {
+		return
+	}
+	for _, address := range append([]string{m.address}, m.members...) {
+		if address == n.options.Address {
+			continue
+		}
+		call, cancel := context.WithTimeout(ctx, peerTimeout)
+		reply, err := n.peers.client(address).Configuration(call, &cellpb.ConfigurationRequest{})
+		cancel()
+		if err != nil || len(reply.Raw) == 0 {
+			continue
+		}
+		c, err := n.options.Operators.DecodeConfiguration(reply.Raw)
+		if err != nil {
+			n.options.Log.Warn("configuration of another node can't be read", "node", address, "error", err.Error())
+			continue
+		}
+		n.offerConfig(c, reply.Raw, address)
+		return
+	}
+}
--- /dev/null
+++ b/internal/control/options.go
@@ -0,0 +1,63 @@
+package control
+
+import (
+	"log/slog"
+	"time"
+
+	"sequoiastall/internal/port"
+	"sequoiastall/internal/telemetry"
+)
+
+// Options describe a node.
+type Options struct {
+	Name    string
+	Address string // of the service for other nodes, IP:port
+	// LeaseMax is the longest time that a worker keeps its runs without a renewal.
+	LeaseMax time.Duration
+	// StopTime is the longest time that a worker takes to stop a run.
+	StopTime time.Duration
+	// KeepEnded is how long an ended job stays known.
+	KeepEnded time.Duration
+	// StoreLeaseMin is the shortest lease that the store grants.
+	StoreLeaseMin time.Duration
+	// Grace is the time from SIGTERM to SIGKILL.
+	Grace time.Duration
+
+	Store     port.TxnStore
+	Operators port.Operators
+	Workers   port.LeasedWorkers
+	Advisor   port.Advisor
+	Log       *slog.Logger
+	Metrics   *telemetry.Registry
+}
+
+const (
+	// workerLease is how long runs outlive the loss of their scheduler. It bounds how long the tasks of a silent worker
+	// wait until they may start elsewhere.
+	workerLease = 4500 * time.Millisecond
+	// clockDrift is how much slower than this node's clock a worker's may run.
+	clockDrift = 0.02
+	// storeSilence without an answer of the store ends a term: another node may schedule by then.
+	storeSilence = 6 * time.Second
+	// schedulerLease is the store lease of the scheduling node, if the store grants one that short.
+	schedulerLease = 2 * time.Second
+
+	beatInterval = 100 * time.Millisecond
+	// beatSilence without a beat means that the other side is lost.
+	beatSilence = 600 * time.Millisecond
+
+	configPoll   = 600 * time.Millisecond
+	registryPoll = 400 * time.Millisecond
+	changesPoll  = 500 * time.Millisecond
+	// readyAge is how old the last sign of the store or the scheduling node may be for a node that reports itself ready.
+	readyAge = 2 * time.Second
+)
+
+// lease is how long a worker keeps its runs.
+func (o Options) lease() time.Duration { return min(workerLease, o.LeaseMax) }
+
+// orphanWait is when the runs of an earlier term's unreachable worker have ended for certain: its holder may have
+// renewed them until it noticed that the store is silent.
+func (o Options) orphanWait() time.Duration {
+	return storeSilence + time.Duration(float64(o.lease())*(1+2*clockDrift)) + time.Second
+}
--- /dev/null
+++ b/internal/control/peers.go
@@ -0,0 +1,101 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+
+	"sequoiastall/internal/rpc/cellpb"
+)
+
+const (
+	// peerTimeout bounds a call of another node.
+	peerTimeout = 350 * time.Millisecond
+	// maxMessage bounds a message between nodes: a configuration or a job.
+	maxMessage = 4 << 20
+	// peerWindow keeps grpc from probing the bandwidth with each answer.
+	peerWindow = 1 << 20
+)
+
+func serverOptions() []grpc.ServerOption {
+	return []grpc.ServerOption{grpc.MaxRecvMsgSize(maxMessage), grpc.InitialWindowSize(peerWindow), grpc.InitialConnWindowSize(peerWindow),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: time.Second, PermitWithoutStream: true}),
+		grpc.WriteBufferSize(8 << 10), grpc.ReadBufferSize(8 << 10)}
+}
+
+// peerConns holds one connection to each other node.
+type peerConns struct {
+	mu    sync.Mutex
+	conns map[string]*grpc.ClientConn
+}
+
+// client returns the client of another node. The connection is made with the first call.
+func (p *peerConns) client(address string) cellpb.CellClient {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c := p.conns[address]; c != nil {
+		return cellpb.NewCellClient(c)
+	}
+	c, err := grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithConnectParams(grpc.ConnectParams{Backoff: backoff.Config{BaseDelay: 50 * time.Millisecond, Multiplier: 1.5, MaxDelay: 300 * time.Millisecond},
+			MinConnectTimeout: 500 * time.Millisecond}),
+		grpc.WithInitialWindowSize(peerWindow), grpc.WithInitialConnWindowSize(peerWindow),
+		grpc.WithWriteBufferSize(8<<10), grpc.WithReadBufferSize(8<<10),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage)))
+	if err != nil {
+		return failingClient{err}
+	}
+	if p.conns == nil {
+		p.conns = map[string]*grpc.ClientConn{}
+	}
+	p.conns[address] = c
+	return cellpb.NewCellClient(c)
+}
+
+// reset drops the connection to a node that has gone silent; the next call makes a new one.
+func (p *peerConns) reset(address string) {
+	p.mu.Lock()
+	c := p.conns[address]
+	delete(p.conns, address)
+	p.mu.Unlock()
+	if c != nil {
+		c.Close()
+	}
+}
+
+func (p *peerConns) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.conns {
+		c.Close()
+	}
+	p.conns = nil
+}
+
+// failingClient answers calls to an address that can't be used.
+type failingClient struct{ err error }
+
+func (f failingClient) Attach(context.Context, ...grpc.CallOption) (grpc.BidiStreamingClient[cellpb.MemberMessage, cellpb.SchedulerMessage], error) {
+	return nil, f.err
+}
+
+func (f failingClient) State(context.Context, *cellpb.StateRequest, ...grpc.CallOption) (*cellpb.StateReply, error) {
+	return nil, f.err
+}
+
+func (f failingClient) Hears(context.Context, *cellpb.HearsRequest, ...grpc.CallOption) (*cellpb.HearsReply, error) {
+	return nil, f.err
+}
+
+func (f failingClient) Configuration(context.Context, *cellpb.ConfigurationRequest, ...grpc.CallOption) (*cellpb.ConfigurationReply, error) {
+	return nil, f.err
+}
+
+func (f failingClient) Relay(context.Context, *cellpb.RelayRequest, ...grpc.CallOption) (*cellpb.RelayReply, error) {
+	return nil, f.err
+}
--- /dev/null
+++ b/internal/control/relay.go
@@ -0,0 +1,108 @@
+package control
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+
+	"sequoiastall/internal/port"
+	"sequoiastall/internal/rpc/cellpb"
+)
+
+// relayedStore is the store as a caller's request uses it: calls that this node can't make go through other nodes. The
+// store may turn away single nodes. Records with a lease are never relayed.
+type relayedStore struct {
+	port.TxnStore
+	node *Node
+}
+
+// Get implements port.TxnStore.
+func (r *relayedStore) Get(ctx context.Context, key string) (port.Entry, error) {
+	e, err := r.TxnStore.Get(ctx, key)
+	if err == nil || errors.Is(err, port.ErrNotFound) {
+		r.node.storeHeard()
+		return e, err
+	}
+	reply, relayed := r.relay(ctx, &cellpb.RelayRequest{Call: &cellpb.RelayRequest_Get{Get: key}})
+	switch {
+	case relayed && reply.Outcome == cellpb.RelayReply_OK && len(reply.Entries) == 1:
+		return entryFrom(reply.Entries[0]), nil
+	case relayed && reply.Outcome == cellpb.RelayReply_NOT_FOUND:
+		return port.Entry{}, port.ErrNotFound
+	}
+	return e, err
+}
+
+// Commit implements port.TxnStore. If any attempt has an unknown outcome, so has the call unless a later one decides.
+func (r *relayedStore) Commit(ctx context.Context, t port.Txn) (int64, error) {
+	revision, err := r.TxnStore.Commit(ctx, t)
+	if !errors.Is(err, port.ErrUnavailable) && !errors.Is(err, port.ErrUnknownOutcome) {
+		r.node.storeHeard()
+		return revision, err
+	}
+	reply, relayed := r.relay(ctx, &cellpb.RelayRequest{Call: &cellpb.RelayRequest_Txn{Txn: txnMessage(t)}})
+	if !relayed {
+		return 0, err
+	}
+	switch reply.Outcome {
+	case cellpb.RelayReply_OK:
+		return reply.Revision, nil
+	case cellpb.RelayReply_CONFLICT:
+		conflict := &port.TxnConflictError{}
+		for _, e := range reply.Entries {
+			conflict.Current = append(conflict.Current, entryFrom(e))
+		}
+		return 0, conflict
+	case cellpb.RelayReply_UNAVAILABLE:
+		return 0, err
+	}
+	return 0, errors.Wrap(port.ErrUnknownOutcome, "relayed")
+}
+
+// relay asks other nodes, the scheduling node first, until one has an answer of the store.
+func (r *relayedStore) relay(ctx context.Context, call *cellpb.RelayRequest) (*cellpb.RelayReply, bool) {
+	m := r.node.membership.Load()
+	if m == nil {
+		return nil, false
+	}
+	var last *cellpb.RelayReply
+	tried := 0
+	for _, address := range append([]string{m.address}, m.members...) {
+		if address == r.node.options.Address || tried == relayAttempts || ctx.Err() != nil {
+			continue
+		}
+		tried++
+		attempt, cancel := context.WithTimeout(ctx, peerTimeout)
+		reply, err := r.node.peers.client(address).Relay(attempt, call)
+		cancel()
+		if err != nil {
+			reply = &cellpb.RelayReply{Outcome: cellpb.RelayReply_UNKNOWN}
+		}
+		switch reply.Outcome {
+		case cellpb.RelayReply_OK, cellpb.RelayReply_CONFLICT, cellpb.RelayReply_NOT_FOUND:
+			return reply, true
+		}
+		if last == nil || reply.Outcome == cellpb.RelayReply_UNKNOWN {
+			last = reply
+		}
+	}
+	return last, last != nil
+}
+
+// relayAttempts is how many nodes are asked to make a call.
+const relayAttempts = 2
+
+func entryFrom(e *cellpb.Entry) port.Entry {
+	return port.Entry{Key: e.Key, Value: e.Value, Revision: e.Revision}
+}
+
+func txnMessage(t port.Txn) *cellpb.Txn {
+	m := &cellpb.Txn{Deletes: t.Deletes}
+	for _, e := range t.Expect {
+		m.Expect = append(m.Expect, &cellpb.Expect{Key: e.Key, Revision: e.Revision})
+	}
+	for _, p := range t.Puts {
+		m.Puts = append(m.Puts, &cellpb.Put{Key: p.Key, Value: p.Value})
+	}
+	return m
+}
--- /dev/null
+++ b/internal/control/scheduling.go
@@ -0,0 +1,278 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
+
+	"sequoiastall/internal/core/cell"
+	"sequoiastall/internal/port"
+)
+
+// scheduling is one term of the scheduling node. The core belongs to the goroutine of loop; others send it events.
+type scheduling struct {
+	node   *Node
+	term   *term
+	core   *cell.Scheduler
+	events chan func()
+	ctx    context.Context
+	end    context.CancelCauseFunc
+	tasks  conc.WaitGroup
+
+	links     map[cell.WorkerID]*workerLink
+	advisors  *advisorPool
+	committer *committer
+	members   *members
+	began     time.Time
+}
+
+const (
+	// eventBuffer bounds the events that wait for the scheduler; senders wait when it is full.
+	eventBuffer = 4096
+	// tick is the longest time between two looks at what is due.
+	tick = 10 * time.Millisecond
+)
+
+// errResigned tells that the node gave up its term.
+var errResigned = errors.New("resigned")
+
+// schedule runs the scheduler for a term and returns why the term ended.
+func (n *Node) schedule(ctx context.Context, t *term, began time.Time) error {
+	termCtx, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	s := &scheduling{node: n, term: t, events: make(chan func(), eventBuffer), ctx: termCtx, end: end, links: map[cell.WorkerID]*workerLink{}, began: began}
+	s.core = cell.New(cell.Options{Lease: n.options.lease(), Stop: n.options.StopTime, Keep: n.options.KeepEnded}, decisionLog{n.options.Log})
+	s.advisors = newAdvisorPool(s)
+	s.committer = newCommitter(s)
+	s.members = newMembers(s)
+	s.tasks.Go(func() {
+		if err := n.keepTerm(termCtx, t); err != nil {
+			end(err)
+		}
+	})
+	s.tasks.Go(s.run)
+	<-termCtx.Done()
+	s.tasks.Wait()
+	n.scheduling.CompareAndSwap(s, nil)
+	return context.Cause(termCtx)
+}
+
+// run loads the cell's state and schedules until the term ends.
+func (s *scheduling) run() {
+	changes, err := s.load()
+	if err != nil {
+		s.end(errors.Wrap(err, "load"))
+		return
+	}
+	s.tasks.Go(func() { s.pollChanges(changes) })
+	s.tasks.Go(s.pollRegistry)
+	s.tasks.Go(s.members.run)
+	s.node.scheduling.Store(s)
+	s.loop()
+}
+
+// loop is the scheduler's goroutine.
+func (s *scheduling) loop() {
+	timer := time.NewTicker(tick)
+	defer timer.Stop()
+	for {
+		select {
+		case <-s.ctx.Done():
+			return
+		case event := <-s.events:
+			event()
+			s.drain()
+		case <-timer.C:
+		}
+		s.advance()
+	}
+}
+
+// drain applies the events that are waiting, so that one pass serves all of them.
+func (s *scheduling) drain() {
+	for range len(s.events) {
+		(<-s.events)()
+	}
+}
+
+// advance lets the core decide and carries out what it asks for.
+func (s *scheduling) advance() {
+	actions := s.core.Advance(time.Now())
+	for _, r := range actions.Advice {
+		s.advisors.ask(r)
+	}
+	for _, o := range actions.Orders {
+		s.order(o)
+	}
+	s.advisors.dispatch()
+	s.committer.flush()
+}
+
+// post sends an event to the scheduler's goroutine. It reports false if the term ended first.
+func (s *scheduling) post(ctx context.Context, event func()) bool {
+	select {
+	case s.events <- event:
+		return true
+	case <-s.ctx.Done():
+	case <-ctx.Done():
+	}
+	return false
+}
+
+// ask runs a question on the scheduler's goroutine and waits for it.
+func (s *scheduling) ask(ctx context.Context, question func()) bool {
+	done := make(chan struct{})
+	if !s.post(ctx, func() { question(); close(done) }) {
+		return false
+	}
+	select {
+	case <-done:
+		return true
+	case <-s.ctx.Done():
+	case <-ctx.Done():
+	}
+	return false
+}
+
+// load reads the cell's state from the store, and returns the revision after which changes have to be read.
+func (s *scheduling) load() (changes int64, err error) {
+	now := time.Now()
+	if c := s.node.config.Load(); c != nil {
+		s.core.SetConfig(c.Config)
+	}
+	in, changes, err := s.readAll(inPrefix)
+	if err != nil {
+		return 0, err
+	}
+	progress, _, err := s.readAll(progressPrefix)
+	if err != nil {
+		return 0, err
+	}
+	byJob := make(map[cell.JobID][]byte, len(progress))
+	for _, e := range progress {
+		if id, ok := idIn(e.Key, progressPrefix); ok {
+			byJob[id] = e.Value
+			s.committer.revisions[id] = e.Revision
+		}
+	}
+	var canceled []cell.JobID
+	for _, e := range in {
+		if id, ok := idIn(e.Key, cancelPrefix); ok {
+			canceled = append(canceled, id)
+			continue
+		}
+		s.addJob(e, byJob)
+	}
+	for _, id := range canceled {
+		s.core.CancelJob(id)
+	}
+	s.node.options.Log.Info("decision", "subject", s.node.options.Name, "decision", "state loaded", "term", s.term.number, "jobs", len(in),
+		"progress", len(progress), "took_ms", time.Since(now).Milliseconds())
+	return changes, nil
+}
+
+// addJob adds a job from its record. A record that can't be read is left alone and harms no other.
+func (s *scheduling) addJob(e port.Entry, progress map[cell.JobID][]byte) {
+	id, ok := idIn(e.Key, jobPrefix)
+	if !ok {
+		return
+	}
+	j, err := cell.DecodeJob(e.Value)
+	if err == nil {
+		err = s.core.AddJob(j, progress[id], time.Now())
+	}
+	if err != nil {
+		s.node.options.Log.Error("record set aside", "key", e.Key, "revision", e.Revision, "error", err.Error())
+	}
+}
+
+// readAll reads all entries below a prefix and the store's revision before the first page.
+func (s *scheduling) readAll(prefix string) ([]port.Entry, int64, error) {
+	var entries []port.Entry
+	after, revision := "", int64(0)
+	for {
+		page, err := s.node.options.Store.Page(s.ctx, prefix, after)
+		if err != nil {
+			return nil, 0, err
+		}
+		if revision == 0 {
+			revision = page.Revision
+		}
+		entries = append(entries, page.Entries...)
+		if !page.More || len(page.Entries) == 0 {
+			return entries, revision, nil
+		}
+		after = page.Entries[len(page.Entries)-1].Key
+	}
+}
+
+// pollChanges finds accepted and canceled jobs that the accepting nodes couldn't tell.
+func (s *scheduling) pollChanges(after int64) {
+	for {
+		events, at, err := s.node.options.Store.Changes(s.ctx, inPrefix, after, 0)
+		switch {
+		case errors.Is(err, port.ErrCompacted):
+			s.node.options.Log.Warn("changes of the store are gone, reading all jobs", "after", after)
+			var entries []port.Entry
+			if entries, at, err = s.readAll(inPrefix); err == nil {
+				after = at
+				s.post(s.ctx, func() { s.apply(entries) })
+			}
+		case err == nil:
+			after = at
+			entries := make([]port.Entry, 0, len(events))
+			for _, e := range events {
+				if !e.Deleted {
+					entries = append(entries, e.Entry)
+				}
+			}
+			if len(entries) > 0 {
+				s.post(s.ctx, func() { s.apply(entries) })
+			}
+		}
+		if !s.pause(changesPoll) {
+			return
+		}
+	}
+}
+
+// apply adds the jobs and cancellations in entries. Jobs that have ended here are known and stay as they are.
+func (s *scheduling) apply(entries []port.Entry) {
+	for _, e := range entries {
+		if id, ok := idIn(e.Key, cancelPrefix); ok {
+			s.core.CancelJob(id)
+			continue
+		}
+		s.addJob(e, nil)
+	}
+}
+
+// pollRegistry follows the workers' registry.
+func (s *scheduling) pollRegistry() {
+	for {
+		reports, err := s.node.options.Operators.Workers(s.ctx)
+		if err == nil {
+			s.node.storeHeard()
+			s.post(s.ctx, func() {
+				s.core.SetWorkers(reports, time.Now())
+				s.updateLinks()
+			})
+		} else if s.ctx.Err() == nil {
+			s.node.options.Log.Warn("registry not read", "error", err.Error())
+		}
+		if !s.pause(registryPoll) {
+			return
+		}
+	}
+}
+
+func (s *scheduling) pause(d time.Duration) bool {
+	select {
+	case <-s.ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
--- /dev/null
+++ b/internal/control/server.go
@@ -0,0 +1,152 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"sequoiastall/internal/core/cell"
+	"sequoiastall/internal/port"
+	"sequoiastall/internal/rpc/cellpb"
+)
+
+// peerServer answers the other nodes.
+type peerServer struct {
+	cellpb.UnimplementedCellServer
+	node *Node
+}
+
+var errNotScheduling = status.Error(codes.FailedPrecondition, "this node doesn't schedule")
+
+// Attach implements cellpb.CellServer.
+func (p *peerServer) Attach(stream cellpb.Cell_AttachServer) error {
+	s := p.node.scheduling.Load()
+	if s == nil {
+		return errNotScheduling
+	}
+	hello, err := stream.Recv()
+	if err != nil {
+		return err
+	}
+	x, leave := s.members.join(hello.Node, hello.Address)
+	defer leave()
+	s.members.note(x, hello)
+	received := make(chan error, 1)
+	heard := make(chan struct{}, 1)
+	go func() { received <- p.receive(stream, s, x, heard) }()
+	silence := time.NewTimer(beatSilence)
+	defer silence.Stop()
+	for {
+		select {
+		case m := <-x.out:
+			if err := stream.Send(m); err != nil {
+				return err
+			}
+		case err := <-received:
+			return err
+		case <-heard:
+			silence.Reset(beatSilence)
+		case <-silence.C:
+			p.node.options.Log.Warn("dependency lost", "dependency", "member", "node", x.name, "reason", "silent")
+			return status.Error(codes.DeadlineExceeded, "silent")
+		case <-s.ctx.Done():
+			return errNotScheduling
+		}
+	}
+}
+
+func (p *peerServer) receive(stream cellpb.Cell_AttachServer, s *scheduling, x *member, heard chan<- struct{}) error {
+	for {
+		m, err := stream.Recv()
+		if err != nil {
+			return err
+		}
+		s.members.note(x, m)
+		select {
+		case heard <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// State implements cellpb.CellServer.
+func (p *peerServer) State(ctx context.Context, r *cellpb.StateRequest) (*cellpb.StateReply, error) {
+	s := p.node.scheduling.Load()
+	if s == nil {
+		return &cellpb.StateReply{}, nil
+	}
+	reply := &cellpb.StateReply{Scheduling: true}
+	if !s.ask(ctx, func() {
+		phase, team, known := s.core.State(cell.JobID(r.Job))
+		reply.Phase, reply.Team, reply.Known = string(phase), team, known
+	}) {
+		return &cellpb.StateReply{}, nil
+	}
+	return reply, nil
+}
+
+// Hears implements cellpb.CellServer.
+func (p *peerServer) Hears(context.Context, *cellpb.HearsRequest) (*cellpb.HearsReply, error) {
+	m := p.node.membership.Load()
+	if m == nil {
+		return &cellpb.HearsReply{SilenceMs: neverHeard.Milliseconds()}, nil
+	}
+	return &cellpb.HearsReply{Term: m.term, SilenceMs: time.Since(m.heard).Milliseconds(), Address: m.address}, nil
+}
+
+// Configuration implements cellpb.CellServer.
+func (p *peerServer) Configuration(context.Context, *cellpb.ConfigurationRequest) (*cellpb.ConfigurationReply, error) {
+	if c := p.node.config.Load(); c != nil {
+		return &cellpb.ConfigurationReply{Raw: c.raw}, nil
+	}
+	return &cellpb.ConfigurationReply{}, nil
+}
+
+// Relay implements cellpb.CellServer.
+func (p *peerServer) Relay(ctx context.Context, r *cellpb.RelayRequest) (*cellpb.RelayReply, error) {
+	switch call := r.Call.(type) {
+	case *cellpb.RelayRequest_Get:
+		e, err := p.node.options.Store.Get(ctx, call.Get)
+		return relayReply(0, err, e), nil
+	case *cellpb.RelayRequest_Txn:
+		revision, err := p.node.options.Store.Commit(ctx, txnFrom(call.Txn))
+		return relayReply(revision, err), nil
+	}
+	return nil, status.Error(codes.InvalidArgument, "no call")
+}
+
+func relayReply(revision int64, err error, entries ...port.Entry) *cellpb.RelayReply {
+	reply := &cellpb.RelayReply{Revision: revision}
+	var conflict *port.TxnConflictError
+	switch {
+	case err == nil:
+		reply.Outcome = cellpb.RelayReply_OK
+	case errors.As(err, &conflict):
+		reply.Outcome, entries = cellpb.RelayReply_CONFLICT, conflict.Current
+	case errors.Is(err, port.ErrNotFound):
+		reply.Outcome, entries = cellpb.RelayReply_NOT_FOUND, nil
+	case errors.Is(err, port.ErrUnavailable):
+		reply.Outcome, entries = cellpb.RelayReply_UNAVAILABLE, nil
+	default:
+		entries = nil
+	}
+	for _, e := range entries {
+		reply.Entries = append(reply.Entries, &cellpb.Entry{Key: e.Key, Value: e.Value, Revision: e.Revision})
+	}
+	return reply
+}
+
+func txnFrom(m *cellpb.Txn) port.Txn {
+	t := port.Txn{Deletes: m.Deletes}
+	for _, e := range m.Expect {
+		t.Expect = append(t.Expect, port.Expect{Key: e.Key, Revision: e.Revision})
+	}
+	for _, p := range m.Puts {
+		t.Puts = append(t.Puts, port.Put{Key: p.Key, Value: p.Value})
+	}
+	return t
+}
+
--- /dev/null
+++ b/internal/core/cell/advice.go
@@ -0,0 +1,156 @@
+package cell
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// ticketMargin is how long a ticket must still hold when a start is decided: the record is written and the order
+	// crosses the cell in that time.
+	ticketMargin = 200 * time.Millisecond
+	// maxNamed is the largest number of workers that one call for advice may name.
+	maxNamed = 100
+	// minNamed workers are named at least, if there are so many.
+	minNamed = 12
+	// namedPerTask workers are named for each task of a step.
+	namedPerTask = 5
+	// adviceRetry is the pause after a call for advice that failed.
+	adviceRetry = 100 * time.Millisecond
+)
+
+// AdviceRequest asks which workers may run a step.
+type AdviceRequest struct {
+	Step     StepID
+	Workers  []WorkerID
+	Duration time.Duration // that the service takes
+	Urgency  time.Time     // requests with an earlier time go first
+}
+
+// Ticket lets a worker start the tasks of a step.
+type Ticket struct {
+	Worker WorkerID
+	Value  string
+}
+
+// stepAdvice is what is known of the workers that may run a step.
+type stepAdvice struct {
+	judged   map[WorkerID]bool // whether the worker may run the step; the answer never changes
+	good     map[WorkerID]ticket
+	inFlight bool
+	retryAt  time.Time
+}
+
+type ticket struct {
+	value   string
+	expires time.Time
+}
+
+func (a *stepAdvice) valid(id WorkerID, now time.Time) (string, bool) {
+	t := a.good[id]
+	return t.value, t.value != "" && now.Add(ticketMargin).Before(t.expires)
+}
+
+// ask requests advice on the workers.
+func (s *Scheduler) ask(st *step, q *Queue, named []WorkerID) {
+	if len(named) == 0 || st.advice.inFlight {
+		return
+	}
+	st.advice.inFlight = true
+	s.advice = append(s.advice, AdviceRequest{Step: st.id, Workers: named, Duration: q.Advice.Duration(len(named)), Urgency: st.job.deadline})
+}
+
+// unjudged returns workers that may be named next: those with most room first.
+func (s *Scheduler) unjudged(st *step) []WorkerID {
+	type candidate struct {
+		id   WorkerID
+		free int64
+	}
+	var found []candidate
+	for _, w := range s.pass.usable {
+		if _, known := st.advice.judged[w.ID]; known || !s.suits(st, w) {
+			continue
+		}
+		if !st.spec.Gang && !st.spec.Each.Fits(w.free) || !st.spec.Each.Fits(w.Capacity) {
+			continue
+		}
+		found = append(found, candidate{w.ID, w.free.MilliCPU})
+	}
+	slices.SortFunc(found, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(b.free, a.free), cmp.Compare(a.id, b.id))
+	})
+	n := min(len(found), maxNamed, max(minNamed, namedPerTask*st.spec.Count))
+	named := make([]WorkerID, n)
+	for i := range named {
+		named[i] = found[i].id
+	}
+	return named
+}
+
+// Advised applies an answer of the advice service to a request that was sent at asked. failed tells that there was no
+// answer.
+func (s *Scheduler) Advised(r AdviceRequest, good []Ticket, asked time.Time, validity time.Duration, failed bool, now time.Time) {
+	s.now = now
+	j := s.jobs[r.Step.Job]
+	if j == nil || r.Step.Step >= len(j.steps) {
+		return
+	}
+	st := j.steps[r.Step.Step]
+	st.advice.inFlight = false
+	s.changed = true
+	if failed {
+		st.advice.retryAt = now.Add(adviceRetry)
+		s.events.Decided(st.id.String(), "advice failed", "named", len(r.Workers))
+		s.unreserve(st)
+		return
+	}
+	if st.advice.judged == nil {
+		st.advice.judged, st.advice.good = map[WorkerID]bool{}, map[WorkerID]ticket{}
+	}
+	for _, id := range r.Workers {
+		st.advice.judged[id] = st.advice.judged[id] || false
+	}
+	for _, g := range good {
+		st.advice.judged[g.Worker] = true
+		st.advice.good[g.Worker] = ticket{g.Value, asked.Add(validity)}
+	}
+	s.events.Decided(st.id.String(), "advised", "named", len(r.Workers), "good", len(good), "age_ms", now.Sub(asked).Milliseconds())
+	s.redeem(st)
+}
+
+// redeem places the reserved tasks whose tickets have come, and releases the others. A gang is placed whole or not at
+// all.
+func (s *Scheduler) redeem(st *step) {
+	if st.spec.Gang {
+		for _, t := range st.tasks {
+			if t.phase != taskReserved {
+				return
+			}
+			if _, ok := st.advice.valid(t.worker.ID, s.now); !ok {
+				s.unreserve(st)
+				return
+			}
+		}
+		s.startGang(st)
+		return
+	}
+	for _, t := range st.tasks {
+		if t.phase != taskReserved {
+			continue
+		}
+		if _, ok := st.advice.valid(t.worker.ID, s.now); ok {
+			s.startTask(t)
+		} else {
+			s.wait(t)
+		}
+	}
+}
+
+func (s *Scheduler) unreserve(st *step) {
+	for _, t := range st.tasks {
+		if t.phase == taskReserved {
+			s.wait(t)
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/cell/inventory.go
@@ -0,0 +1,276 @@
+package cell
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// stallTime without progress means that a run stands still.
+	stallTime = 2200 * time.Millisecond
+	// faultStreak failed or stalled runs in a row keep new work from a worker for a while.
+	faultStreak = 2
+	// The pause of a faulty worker doubles from first to last.
+	firstFaultPause = 2 * time.Second
+	lastFaultPause  = 16 * time.Second
+)
+
+// Renewed applies a worker's inventory, which it returns with each renewal of its lease. It returns the runs that
+// the worker must stop because nobody wants them.
+func (s *Scheduler) Renewed(inv Inventory, now time.Time) []Order {
+	s.now = now
+	w := s.workers[inv.Worker]
+	if w == nil {
+		return nil
+	}
+	if w.BornMS != 0 && inv.BornMS != 0 && inv.BornMS != w.BornMS {
+		s.rebirth(w, inv.BornMS)
+	}
+	if !w.reached {
+		w.reached = true
+		s.changed = true
+		s.events.Decided(string(w.ID), "worker reached", "running", len(inv.Running), "ended", len(inv.Ended), "born_ms", inv.BornMS)
+	}
+	seen := map[*task]bool{}
+	var stray []Order
+	for _, row := range inv.Running {
+		if t := s.listed(w, row); t != nil {
+			seen[t] = true
+		} else {
+			stray = append(stray, Order{Kind: OrderStop, Worker: w.ID, Run: row.Run})
+		}
+	}
+	for _, row := range inv.Ended {
+		s.endListed(w, row)
+	}
+	if !inv.More {
+		s.absent(w, inv.Asked, seen)
+	}
+	s.advanceAck(w)
+	return stray
+}
+
+// rebirth starts a new life of a worker: what ran is lost, and orders to the earlier life must not be carried out.
+func (s *Scheduler) rebirth(w *worker, born int64) {
+	s.events.Decided(string(w.ID), "worker restarted", "runs", len(w.tasks), "born_ms", born, "before_ms", w.BornMS)
+	w.BornMS, w.noted, w.ackable, w.pendingAck, w.gone = born, 0, 0, nil, false
+	w.faults = faults{}
+	for t := range w.tasks {
+		delete(t.step.advice.good, w.ID) // tickets end with the life of the worker
+		switch t.phase {
+		case taskUnresolved, taskDone:
+			// The inventory tells.
+		case taskReserved:
+			s.wait(t)
+		default:
+			s.giveUp(t, "the worker restarted")
+		}
+	}
+}
+
+// listed applies a row of a running task and reports nil if the run isn't wanted.
+func (s *Scheduler) listed(w *worker, row RunningRow) *task {
+	t := s.task(row.Run.Task)
+	if t == nil || t.worker != w || t.run != row.Run.Run {
+		return nil
+	}
+	if row.Checkpoint != "" {
+		t.checkpoint = row.Checkpoint
+	}
+	switch t.phase {
+	case taskUnresolved, taskStarting:
+		s.confirm(t)
+		if t.step.job.phase.Final() || t.step.job.cancel {
+			s.abandon(t)
+		}
+	case taskDone:
+		return t // a member of a gang whose end isn't listed yet
+	}
+	if row.Percent > t.percent || t.progressAt.IsZero() {
+		t.percent, t.progressAt = row.Percent, s.now
+	}
+	return t
+}
+
+// endListed applies the end of a run.
+func (s *Scheduler) endListed(w *worker, row EndedRow) {
+	if row.Number <= w.noted {
+		return
+	}
+	w.noted = row.Number
+	t := s.task(row.Run.Task)
+	if t == nil {
+		w.pendingAck = append(w.pendingAck, endVersion{number: row.Number})
+		return
+	}
+	current := t.worker == w && t.run == row.Run.Run
+	s.events.Decided(t.id.String(), "run ended", "run", row.Run.Run, "worker", w.ID, "how", row.Kind, "current", current)
+	switch {
+	case row.Kind == EndDone:
+		s.done(t, w)
+	case current && t.phase == taskDone:
+		s.vacate(t)
+	case current:
+		s.runEnded(t, row)
+	case row.Kind == EndFailed:
+		s.countFailure(t, row.Run.Run)
+	}
+	w.pendingAck = append(w.pendingAck, endVersion{row.Number, t.step.job, s.touch(t.step.job)})
+	s.archiveIfIdle(t.step.job)
+}
+
+// done marks a task, or all members of a gang, as done.
+func (s *Scheduler) done(t *task, w *worker) {
+	if t.worker != nil {
+		t.worker.succeeded(s.now)
+	}
+	members := []*task{t}
+	if t.step.spec.Gang {
+		members = t.step.tasks
+	}
+	for _, m := range members {
+		s.markDone(m)
+	}
+	if t.worker == w {
+		s.vacate(t)
+	}
+	s.finishIfDone(t.step.job)
+}
+
+// markDone ends a task. A run that may still be listed keeps its room until its worker lists its end.
+func (s *Scheduler) markDone(t *task) {
+	if t.phase == taskDone {
+		return
+	}
+	switch t.phase {
+	case taskWaiting:
+		t.step.waiting--
+	case taskReserved, taskPlaced:
+		s.vacate(t)
+	}
+	t.phase = taskDone
+	t.checkAfter = s.seq.Add(1)
+	t.step.open--
+	s.changed = true
+}
+
+// runEnded frees a task whose run ended without result.
+func (s *Scheduler) runEnded(t *task, row EndedRow) {
+	w, st := t.worker, t.step
+	if row.Checkpoint != "" {
+		t.checkpoint = row.Checkpoint
+	}
+	failedJob := false
+	if row.Kind == EndFailed {
+		t.avoid = append(t.avoid, w.ID)
+		s.blame(w, "a run failed")
+		failedJob = s.countFailure(t, row.Run.Run)
+	}
+	s.wait(t)
+	if st.spec.Gang && !failedJob {
+		s.breakGang(st, string(row.Kind))
+	}
+}
+
+// countFailure counts a failed run, of a gang once for all members, and reports whether the job has failed by it.
+func (s *Scheduler) countFailure(t *task, run int) bool {
+	st, fails := t.step, 0
+	if st.spec.Gang {
+		if run == st.gangRun && st.failedRun != run {
+			st.failedRun = run
+			st.gangFails++
+		}
+		fails = st.gangFails
+	} else {
+		t.failed++
+		fails = t.failed
+	}
+	if fails < st.job.maxAttempts || st.job.phase.Final() || t.phase == taskDone {
+		return false
+	}
+	s.end(st.job, Failed, "task "+t.id.String()+" failed as often as its queue allows")
+	return true
+}
+
+// absent frees runs that the worker doesn't list although it would if they existed.
+func (s *Scheduler) absent(w *worker, asked uint64, seen map[*task]bool) {
+	for t := range w.tasks {
+		if seen[t] || asked < t.checkAfter {
+			continue
+		}
+		switch t.phase {
+		case taskUnresolved:
+			s.lost(t, "not on its worker")
+		case taskRunning, taskStarting, taskStopping:
+			if t.unlisted && !t.orderOut {
+				s.lost(t, "not on its worker")
+			}
+		case taskDone:
+			s.vacate(t)
+			s.archiveIfIdle(t.step.job)
+		}
+	}
+}
+
+// lost frees a task whose run certainly doesn't exist any more.
+func (s *Scheduler) lost(t *task, reason string) {
+	s.events.Decided(t.id.String(), "run lost", "run", t.run, "worker", t.worker.ID, "reason", reason)
+	st := t.step
+	s.wait(t)
+	t.unlisted = false
+	s.touch(st.job)
+	if st.spec.Gang {
+		s.breakGang(st, reason)
+	}
+}
+
+// advanceAck moves the number up to which the worker may forget its ends.
+func (s *Scheduler) advanceAck(w *worker) {
+	n := 0
+	for n < len(w.pendingAck) {
+		p := w.pendingAck[n]
+		if p.job != nil && p.job.recorded < p.version {
+			break
+		}
+		w.ackable = p.number
+		n++
+	}
+	w.pendingAck = slices.Delete(w.pendingAck, 0, n)
+}
+
+// AckCursor returns the number up to which the ends of a worker are durable, and whether more are pending.
+func (s *Scheduler) AckCursor(id WorkerID) (cursor int64, pending bool) {
+	w := s.workers[id]
+	if w == nil {
+		return 0, false
+	}
+	s.advanceAck(w)
+	return w.ackable, len(w.pendingAck) > 0
+}
+
+// blame counts a failed or stalled run against its worker, and keeps new work from a worker that has several in a row.
+func (s *Scheduler) blame(w *worker, reason string) {
+	f := &w.faults
+	f.streak++
+	if f.streak < faultStreak {
+		return
+	}
+	f.backoff = min(max(firstFaultPause, 2*f.backoff), lastFaultPause)
+	f.until = s.now.Add(f.backoff)
+	s.events.Decided(string(w.ID), "worker set aside", "reason", reason, "streak", f.streak, "pause_ms", f.backoff.Milliseconds())
+}
+
+func (w *worker) succeeded(now time.Time) {
+	w.faults.streak, w.faults.backoff, w.faults.success = 0, 0, now
+}
+
+// stalled stops runs that make no progress.
+func (s *Scheduler) stalled(t *task) bool {
+	if t.phase != taskRunning || s.now.Sub(t.progressAt) < stallTime {
+		return false
+	}
+	t.avoid = append(t.avoid, t.worker.ID)
+	s.blame(t.worker, "a run stands still")
+	s.giveUp(t, "no progress")
+	return true
+}
--- /dev/null
+++ b/internal/core/cell/orders.go
@@ -0,0 +1,213 @@
+package cell
+
+import "time"
+
+const (
+	// orderTimeoutRetry is the pause before an order that got no answer is sent again.
+	orderTimeoutRetry = 60 * time.Millisecond
+	// startPatience is how long a start is repeated before the run is given up and stopped.
+	startPatience = 1500 * time.Millisecond
+	// stopRepeat is when a stop is sent again although its worker had answered.
+	stopRepeat = 2 * time.Second
+)
+
+// OrderKind tells what a worker is told.
+type OrderKind string
+
+// Kinds of orders.
+const (
+	OrderStart OrderKind = "start"
+	OrderStop  OrderKind = "stop"
+)
+
+// Order tells a worker to start or stop a run.
+type Order struct {
+	Kind       OrderKind
+	Worker     WorkerID
+	Run        RunID
+	Spec       string
+	Ticket     string
+	Checkpoint string
+}
+
+// OrderOutcome is a worker's answer to an order.
+type OrderOutcome string
+
+// Outcomes of orders.
+const (
+	OrderDone       OrderOutcome = "done"
+	OrderUnanswered OrderOutcome = "unanswered" // may still be carried out
+	OrderFenced     OrderOutcome = "fenced"     // another node gives the orders now
+	OrderOld        OrderOutcome = "old"        // the run, or a later one, has ended or was stopped there
+	OrderRefused    OrderOutcome = "refused"    // not carried out, the worker may take it later
+	OrderNoTicket   OrderOutcome = "no ticket"  // not carried out, the ticket has lapsed
+	OrderGone       OrderOutcome = "gone"       // that life of the worker has ended
+)
+
+// dueOrders returns the orders whose time has come.
+func (s *Scheduler) dueOrders() []Order {
+	var orders []Order
+	for _, j := range s.active {
+		if j.openRuns == 0 {
+			continue
+		}
+		for _, st := range j.steps {
+			for _, t := range st.tasks {
+				if o, due := s.dueOrder(t); due {
+					orders = append(orders, o)
+				}
+			}
+		}
+	}
+	return orders
+}
+
+func (s *Scheduler) dueOrder(t *task) (Order, bool) {
+	if t.orderOut || t.worker == nil || s.now.Before(t.retryAt) {
+		return Order{}, false
+	}
+	o := Order{Worker: t.worker.ID, Run: RunID{t.id, t.run}}
+	switch t.phase {
+	case taskStarting:
+		o.Kind, o.Spec, o.Ticket, o.Checkpoint = OrderStart, t.step.job.Spec, t.ticket, t.checkpoint
+	case taskStopping:
+		if t.worker.gone {
+			return Order{}, false
+		}
+		o.Kind = OrderStop
+	default:
+		return Order{}, false
+	}
+	t.orderOut = true
+	t.orders++
+	return o, true
+}
+
+// Ordered applies a worker's answer to an order. It reports false if another node gives the orders now.
+func (s *Scheduler) Ordered(o Order, outcome OrderOutcome, now time.Time) bool {
+	s.now = now
+	t := s.task(o.Run.Task)
+	if outcome == OrderFenced {
+		return false
+	}
+	if t == nil || t.run != o.Run.Run || t.worker == nil || t.worker.ID != o.Worker {
+		return true
+	}
+	t.orderOut = false
+	if outcome == OrderGone {
+		s.workerEnded(t.worker, "another life answers at its address")
+		return true
+	}
+	if o.Kind == OrderStop {
+		s.stopAnswered(t, outcome)
+		return true
+	}
+	s.startAnswered(t, outcome)
+	return true
+}
+
+func (s *Scheduler) stopAnswered(t *task, outcome OrderOutcome) {
+	if t.phase != taskStopping {
+		return
+	}
+	if outcome == OrderUnanswered || outcome == OrderRefused {
+		t.retryAt = s.now.Add(orderTimeoutRetry)
+		return
+	}
+	t.checkAfter = s.seq.Add(1)
+	t.unlisted = true
+	t.retryAt = s.now.Add(stopRepeat)
+}
+
+func (s *Scheduler) startAnswered(t *task, outcome OrderOutcome) {
+	if t.phase != taskStarting {
+		if t.phase == taskStopping {
+			t.retryAt = s.now
+		}
+		return
+	}
+	switch outcome {
+	case OrderDone:
+		s.confirm(t)
+		t.checkAfter = s.seq.Add(1)
+		t.unlisted = true
+	case OrderUnanswered:
+		t.retryAt = s.now.Add(orderTimeoutRetry)
+		if s.now.Sub(t.startedAt) > startPatience {
+			s.giveUp(t, "the worker doesn't answer")
+		}
+	case OrderOld:
+		t.checkAfter = s.seq.Add(1)
+		t.unlisted = true
+		t.retryAt = s.now.Add(stopRepeat)
+	case OrderNoTicket:
+		delete(t.step.advice.good, t.worker.ID)
+		delete(t.step.advice.judged, t.worker.ID)
+		s.startRejected(t, "ticket")
+	case OrderRefused:
+		t.worker.faults.until = s.now.Add(refusedPause)
+		s.startRejected(t, "refused")
+	}
+}
+
+// refusedPause keeps work from a worker that has refused a start.
+const refusedPause = 300 * time.Millisecond
+
+// startRejected handles a start that certainly wasn't carried out. An earlier, unanswered order for the same run may
+// still be, so only the first order's rejection frees the task at once.
+func (s *Scheduler) startRejected(t *task, reason string) {
+	s.events.Decided(t.id.String(), "start rejected", "run", t.run, "worker", t.worker.ID, "reason", reason)
+	if t.orders > 1 {
+		s.giveUp(t, reason)
+		return
+	}
+	st := t.step
+	s.wait(t)
+	s.touch(st.job)
+	if st.spec.Gang {
+		s.breakGang(st, "a member's start was rejected")
+	}
+}
+
+// giveUp stops a run, or makes sure that it never starts.
+func (s *Scheduler) giveUp(t *task, reason string) {
+	s.events.Decided(t.id.String(), "stopped", "run", t.run, "worker", t.worker.ID, "reason", reason)
+	t.phase, t.retryAt, t.orders = taskStopping, s.now, 0
+	if t.step.spec.Gang {
+		s.breakGang(t.step, reason)
+	}
+}
+
+// breakGang stops the members of a gang that can't complete its run.
+func (s *Scheduler) breakGang(st *step, reason string) {
+	for _, t := range st.tasks {
+		if t.phase == taskStarting || t.phase == taskRunning || t.phase == taskPlaced || t.phase == taskReserved {
+			s.abandon(t)
+		}
+	}
+}
+
+// confirm notes that a run exists.
+func (s *Scheduler) confirm(t *task) {
+	if t.phase == taskRunning {
+		return
+	}
+	t.phase, t.percent, t.progressAt = taskRunning, 0, s.now
+	t.step.began = true
+	j := t.step.job
+	if !j.began {
+		j.began = true
+		if !j.phase.Final() {
+			j.phase = Running
+		}
+	}
+	s.events.Decided(t.id.String(), "started", "run", t.run, "worker", t.worker.ID, "orders", t.orders)
+}
+
+func (s *Scheduler) task(id TaskID) *task {
+	j := s.jobs[id.Job]
+	if j == nil || id.Step < 0 || id.Step >= len(j.steps) || id.Task < 0 || id.Task >= len(j.steps[id.Step].tasks) {
+		return nil
+	}
+	return j.steps[id.Step].tasks[id.Task]
+}
--- /dev/null
+++ b/internal/core/cell/place.go
@@ -0,0 +1,328 @@
+package cell
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"sequoiastall/internal/core/resource"
+)
+
+const (
+	// maxBlockers is how many gangs that wait for room keep later steps from the workers that they need.
+	maxBlockers = 2
+	// placementInterval is the shortest time between two passes.
+	placementInterval = 8 * time.Millisecond
+	// idlePassInterval is the longest time between two passes: tickets lapse and pauses end without an event.
+	idlePassInterval = 50 * time.Millisecond
+)
+
+// placementPass is the state of one pass over the waiting steps.
+type placementPass struct {
+	at       time.Time
+	usable   []*worker
+	blocked  map[*worker]resource.Vector // room kept for gangs that go first
+	blockers int
+	steps    []candidateStep
+}
+
+type candidateStep struct {
+	step  *step
+	queue *Queue
+	class int // 0: can meet its objective, 1: late, 2: without worth
+	prio  int
+	share float64
+}
+
+// place decides which waiting tasks start where.
+func (s *Scheduler) place() {
+	since := s.now.Sub(s.pass.at)
+	if since < placementInterval || !s.changed && since < idlePassInterval {
+		return
+	}
+	s.changed = false
+	s.pass.at = s.now
+	s.pass.blocked, s.pass.blockers = map[*worker]resource.Vector{}, 0
+	s.collectUsable()
+	s.collectSteps()
+	for _, c := range s.pass.steps {
+		s.placeStep(c.step, c.queue)
+	}
+}
+
+func (s *Scheduler) collectUsable() {
+	s.pass.usable = s.pass.usable[:0]
+	for _, w := range s.workers {
+		if w.usable(s.now) {
+			s.pass.usable = append(s.pass.usable, w)
+		}
+	}
+	slices.SortFunc(s.pass.usable, func(a, b *worker) int { return cmp.Compare(a.ID, b.ID) })
+}
+
+// collectSteps lists the steps with waiting tasks in the order in which they are served: work that can still meet its
+// objective first, then by priority and objective.
+func (s *Scheduler) collectSteps() {
+	s.pass.steps = s.pass.steps[:0]
+	for _, j := range s.active {
+		if j.phase.Final() || j.cancel {
+			continue
+		}
+		q := s.config.Queue(j.Queue)
+		for _, st := range j.steps {
+			for _, t := range st.tasks {
+				s.stalled(t)
+			}
+			if st.waiting == 0 || s.now.Before(st.blocked) || !st.ready() {
+				continue
+			}
+			s.pass.steps = append(s.pass.steps, candidateStep{step: st, queue: q, class: s.lateness(j), prio: j.queuePrio})
+		}
+	}
+	slices.SortStableFunc(s.pass.steps, func(a, b candidateStep) int {
+		return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(a.prio, b.prio),
+			a.step.job.deadline.Compare(b.step.job.deadline), cmp.Compare(a.step.job.ID, b.step.job.ID))
+	})
+}
+
+func (s *Scheduler) lateness(j *job) int {
+	end := s.now.Add(j.estimate / 2)
+	switch {
+	case end.Before(j.deadline):
+		return 0
+	case end.Before(j.lateDeadline):
+		return 1
+	}
+	return 2
+}
+
+// placeStep places what it can of a step, and asks for advice that is missing.
+func (s *Scheduler) placeStep(st *step, q *Queue) {
+	if q != nil && q.Advice != nil && (st.advice.inFlight || s.now.Before(st.advice.retryAt)) {
+		return
+	}
+	if st.spec.Gang {
+		s.placeGang(st, q)
+		return
+	}
+	s.placeTasks(st, q)
+}
+
+func (s *Scheduler) placeTasks(st *step, q *Queue) {
+	var refresh []WorkerID
+	for _, t := range st.tasks {
+		if t.phase != taskWaiting {
+			continue
+		}
+		w := s.choose(t, q)
+		if w == nil {
+			break
+		}
+		if s.occupyFor(t, w, q) {
+			s.startTask(t)
+		} else if !slices.Contains(refresh, w.ID) {
+			refresh = append(refresh, w.ID)
+		}
+	}
+	if q == nil || q.Advice == nil {
+		return
+	}
+	if len(refresh) == 0 && st.waiting > 0 {
+		refresh = s.unjudged(st)
+	}
+	s.ask(st, q, refresh)
+}
+
+// placeGang places all members or none. Members that end outside a run of the gang wait for the others.
+func (s *Scheduler) placeGang(st *step, q *Queue) {
+	if st.waiting < len(st.tasks) {
+		return
+	}
+	var chosen []WorkerID
+	placed, tickets := 0, true
+	for _, t := range st.tasks {
+		w := s.choose(t, q)
+		if w == nil {
+			break
+		}
+		tickets = s.occupyFor(t, w, q) && tickets
+		if !slices.Contains(chosen, w.ID) {
+			chosen = append(chosen, w.ID)
+		}
+		placed++
+	}
+	switch {
+	case placed < len(st.tasks):
+		s.unreserve(st)
+		s.blockFor(st, q)
+		if q != nil && q.Advice != nil {
+			s.ask(st, q, s.unjudged(st))
+		}
+	case tickets:
+		s.startGang(st)
+	default:
+		s.ask(st, q, chosen)
+	}
+}
+
+// occupyFor reserves room for a task, and reports whether the task can start without a new ticket.
+func (s *Scheduler) occupyFor(t *task, w *worker, q *Queue) bool {
+	s.occupy(t, w)
+	t.phase = taskReserved
+	t.step.waiting--
+	if q == nil || q.Advice == nil {
+		return true
+	}
+	_, ok := t.step.advice.valid(w.ID, s.now)
+	return ok
+}
+
+// startTask numbers the run of a reserved task, whose record is written next.
+func (s *Scheduler) startTask(t *task) {
+	t.run++
+	s.intend(t)
+}
+
+func (s *Scheduler) startGang(st *step) {
+	checkpoint := ""
+	for _, t := range st.tasks {
+		st.gangRun = max(st.gangRun, t.run)
+		if t.checkpoint != "" {
+			checkpoint = t.checkpoint
+		}
+	}
+	st.gangRun++
+	for _, t := range st.tasks {
+		t.run, t.checkpoint = st.gangRun, checkpoint
+		s.intend(t)
+	}
+}
+
+func (s *Scheduler) intend(t *task) {
+	t.ticket, _ = t.step.advice.valid(t.worker.ID, s.now)
+	t.phase, t.unlisted = taskPlaced, false
+	t.intentVersion = s.touch(t.step.job)
+	s.events.Decided(t.id.String(), "placed", "run", t.run, "worker", t.worker.ID, "free_mcpu", t.worker.free.MilliCPU,
+		"waited_ms", s.now.UnixMilli()-t.step.job.AcceptedMS)
+}
+
+// suits reports whether the step may ever run on the worker.
+func (s *Scheduler) suits(st *step, w *worker) bool {
+	if w.Service != st.job.Service {
+		return false
+	}
+	return st.spec.RequiredLabel == "" || slices.Contains(w.Labels, st.spec.RequiredLabel)
+}
+
+// choose returns the worker with the best fit for a task, nil if there is none.
+func (s *Scheduler) choose(t *task, q *Queue) *worker {
+	if !s.withinLimit(t) {
+		return nil
+	}
+	var best *worker
+	bestScore := 0.0
+	for _, w := range s.pass.usable {
+		if !s.fits(t, w, q) {
+			continue
+		}
+		if score := s.score(t, w, q); best == nil || score > bestScore {
+			best, bestScore = w, score
+		}
+	}
+	return best
+}
+
+func (s *Scheduler) fits(t *task, w *worker, q *Queue) bool {
+	st := t.step
+	if !s.suits(st, w) || slices.Contains(t.avoid, w.ID) && len(t.avoid) < len(s.pass.usable)/2 {
+		return false
+	}
+	if q != nil && q.Advice != nil && !st.advice.judged[w.ID] {
+		return false
+	}
+	if st.spec.MaxPerWorker > 0 && st.perWorker[w.ID] >= st.spec.MaxPerWorker {
+		return false
+	}
+	return st.spec.Each.Fits(w.free.Sub(s.pass.blocked[w]))
+}
+
+// score prefers tight fits, so that large tasks find room, and workers whose tickets and data are at hand.
+func (s *Scheduler) score(t *task, w *worker, q *Queue) float64 {
+	left := w.free.Sub(t.step.spec.Each)
+	score := -left.DominantShare(w.Capacity)
+	if q != nil && q.Advice != nil {
+		if _, ok := t.step.advice.valid(w.ID, s.now); ok {
+			score++
+		}
+	}
+	if t.step.spec.DataRack != "" && t.step.spec.DataRack == w.Rack {
+		score += 2
+	}
+	if w.faults.streak > 0 {
+		score -= 3
+	}
+	if t.step.spec.SameRack && t.step.rackOf() == w.Rack {
+		score += 2
+	}
+	return score
+}
+
+// rackOf returns the rack of the first placed task, empty if there is none.
+func (st *step) rackOf() string {
+	for _, t := range st.tasks {
+		if t.worker != nil {
+			return t.worker.Rack
+		}
+	}
+	return ""
+}
+
+// withinLimit reports whether the team may run one more task like t.
+func (s *Scheduler) withinLimit(t *task) bool {
+	team := s.config.Team(t.step.job.Team)
+	if team == nil {
+		return true
+	}
+	limit, each := team.Limit, t.step.spec.Each
+	use := s.usage[team.Name].Add(each)
+	return (limit.MilliCPU == 0 || each.MilliCPU == 0 || use.MilliCPU <= limit.MilliCPU) &&
+		(limit.MemoryMB == 0 || each.MemoryMB == 0 || use.MemoryMB <= limit.MemoryMB) &&
+		(limit.Accelerators == 0 || each.Accelerators == 0 || use.Accelerators <= limit.Accelerators)
+}
+
+// blockFor keeps room for a gang that doesn't fit yet on the workers where it will fit soonest.
+func (s *Scheduler) blockFor(st *step, q *Queue) {
+	if s.pass.blockers >= maxBlockers {
+		return
+	}
+	type candidate struct {
+		w     *worker
+		share float64
+	}
+	var found []candidate
+	for _, w := range s.pass.usable {
+		if !s.suits(st, w) || q != nil && q.Advice != nil && !st.advice.judged[w.ID] || !st.spec.Each.Fits(w.Capacity) {
+			continue
+		}
+		found = append(found, candidate{w, w.free.Sub(s.pass.blocked[w]).DominantShare(w.Capacity)})
+	}
+	if len(found) == 0 {
+		return
+	}
+	s.pass.blockers++
+	slices.SortFunc(found, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(b.share, a.share), cmp.Compare(a.w.ID, b.w.ID))
+	})
+	left := len(st.tasks)
+	for _, c := range found {
+		room := c.w.Capacity
+		for left > 0 && st.spec.Each.Fits(room) {
+			room = room.Sub(st.spec.Each)
+			s.pass.blocked[c.w] = s.pass.blocked[c.w].Add(st.spec.Each)
+			left--
+		}
+		if left == 0 {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/cell/record.go
@@ -0,0 +1,165 @@
+package cell
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// recordVersion is the format of the records in the store. A build reads its own and all earlier formats.
+const recordVersion = 1
+
+// ErrRecordVersion tells that a record was written by a later build.
+var ErrRecordVersion = errors.New("record has an unknown version")
+
+// jobRecord is the durable form of an accepted job.
+type jobRecord struct {
+	Version int `json:"v"`
+	Job
+}
+
+// progressRecord is the durable form of a job's progress.
+type progressRecord struct {
+	Version int            `json:"v"`
+	Phase   Phase          `json:"phase"`
+	Reason  string         `json:"reason,omitempty"`
+	Steps   []stepProgress `json:"steps,omitempty"`
+}
+
+// stepProgress lists the tasks of a step that have ever been placed.
+type stepProgress struct {
+	Done      []int          `json:"done,omitempty"`
+	Tasks     []taskProgress `json:"tasks,omitempty"`
+	GangRun   int            `json:"gang_run,omitempty"`
+	GangFails int            `json:"gang_failed,omitempty"`
+}
+
+// taskProgress is a task that was placed and isn't done.
+type taskProgress struct {
+	Task       int      `json:"i"`
+	Run        int      `json:"r"`
+	Failed     int      `json:"f,omitempty"`
+	Worker     WorkerID `json:"w,omitempty"` // empty unless the run may exist
+	Checkpoint string   `json:"c,omitempty"`
+}
+
+// FinalRecord is what is kept of a job that has ended.
+type FinalRecord struct {
+	Version int    `json:"v"`
+	Queue   string `json:"queue"`
+	Team    string `json:"team"`
+	Phase   Phase  `json:"phase"`
+	Reason  string `json:"reason,omitempty"`
+	EndedMS int64  `json:"ended_ms"` // Unix milliseconds
+}
+
+// EncodeJob returns the record of an accepted job.
+func EncodeJob(j Job) ([]byte, error) {
+	b, err := json.Marshal(jobRecord{Version: recordVersion, Job: j})
+	return b, errors.Wrap(err, "encode job")
+}
+
+// DecodeJob reads the record of an accepted job. It fails with ErrRecordVersion or an error of the codec.
+func DecodeJob(b []byte) (Job, error) {
+	var r jobRecord
+	if err := json.Unmarshal(b, &r); err != nil {
+		return Job{}, errors.Wrap(err, "decode job")
+	}
+	if r.Version < 1 || r.Version > recordVersion {
+		return Job{}, errors.Wrapf(ErrRecordVersion, "job %s: %d", r.ID, r.Version)
+	}
+	return r.Job, nil
+}
+
+// DecodeFinal reads the record of a job that has ended.
+func DecodeFinal(b []byte) (FinalRecord, error) {
+	var r FinalRecord
+	if err := json.Unmarshal(b, &r); err != nil {
+		return r, errors.Wrap(err, "decode final record")
+	}
+	if r.Version < 1 || r.Version > recordVersion {
+		return r, errors.Wrapf(ErrRecordVersion, "final record: %d", r.Version)
+	}
+	return r, nil
+}
+
+// encodeProgress returns the record of the job's progress.
+func encodeProgress(j *job) ([]byte, error) {
+	r := progressRecord{Version: recordVersion, Phase: j.phase, Reason: j.reason}
+	for _, st := range j.steps {
+		r.Steps = append(r.Steps, st.progress())
+	}
+	b, err := json.Marshal(r)
+	return b, errors.Wrapf(err, "encode progress of %s", j.ID)
+}
+
+func (st *step) progress() stepProgress {
+	p := stepProgress{GangRun: st.gangRun, GangFails: st.gangFails}
+	for n, t := range st.tasks {
+		if t.phase == taskDone {
+			p.Done = append(p.Done, n)
+			continue
+		}
+		if t.run == 0 {
+			continue
+		}
+		row := taskProgress{Task: n, Run: t.run, Failed: t.failed, Checkpoint: t.checkpoint}
+		if t.worker != nil && t.phase != taskReserved {
+			row.Worker = t.worker.ID
+		}
+		p.Tasks = append(p.Tasks, row)
+	}
+	return p
+}
+
+// restoreProgress applies a record of progress to a job that was just built.
+func (s *Scheduler) restoreProgress(j *job, b []byte) error {
+	var r progressRecord
+	if err := json.Unmarshal(b, &r); err != nil {
+		return errors.Wrapf(err, "decode progress of %s", j.ID)
+	}
+	if r.Version < 1 || r.Version > recordVersion {
+		return errors.Wrapf(ErrRecordVersion, "progress of %s: %d", j.ID, r.Version)
+	}
+	if len(r.Steps) > len(j.steps) {
+		return errors.Errorf("progress of %s has %d steps of %d", j.ID, len(r.Steps), len(j.steps))
+	}
+	j.phase, j.reason = r.Phase, r.Reason
+	for i, p := range r.Steps {
+		s.restoreStep(j.steps[i], p)
+	}
+	return nil
+}
+
+func (s *Scheduler) restoreStep(st *step, p stepProgress) {
+	st.gangRun, st.gangFails = p.GangRun, p.GangFails
+	for _, n := range p.Done {
+		if n >= 0 && n < len(st.tasks) && st.tasks[n].phase != taskDone {
+			st.tasks[n].phase = taskDone
+			st.open--
+			st.waiting--
+			st.job.began, st.began = true, true
+		}
+	}
+	for _, row := range p.Tasks {
+		if row.Task < 0 || row.Task >= len(st.tasks) {
+			continue
+		}
+		t := st.tasks[row.Task]
+		t.run, t.failed, t.checkpoint = row.Run, row.Failed, row.Checkpoint
+		st.job.began, st.began = true, true
+		if row.Worker != "" && t.phase == taskWaiting {
+			s.occupy(t, s.workerOf(row.Worker))
+			t.phase = taskUnresolved
+			st.waiting--
+		}
+	}
+}
+
+// finalRecord returns what is kept of a job that has ended.
+func finalRecord(j *job, now time.Time) ([]byte, error) {
+	b, err := json.Marshal(FinalRecord{Version: recordVersion, Queue: j.Queue, Team: j.Team, Phase: j.phase, Reason: j.reason,
+		EndedMS: now.UnixMilli()})
+	return b, errors.Wrapf(err, "encode final record of %s", j.ID)
+}
--- /dev/null
+++ b/internal/core/cell/scheduler.go
@@ -0,0 +1,228 @@
+package cell
+
+import (
+	"sync/atomic"
+	"time"
+
+	"sequoiastall/internal/core/resource"
+)
+
+// Options are the platform's bounds that scheduling depends on.
+type Options struct {
+	// Lease is how long a worker keeps its runs after the last renewal.
+	Lease time.Duration
+	// Stop is how long a worker may take to stop a run.
+	Stop time.Duration
+	// Keep is how long the state of an ended job stays in memory.
+	Keep time.Duration
+}
+
+// Scheduler is the state of the cell as the holder of the scheduling lease knows it.
+type Scheduler struct {
+	options Options
+	events  Events
+	config  *Config
+	jobs    map[JobID]*job
+	workers map[WorkerID]*worker
+	usage   map[string]resource.Vector // by team
+	dirty   []*job
+	active  []*job // jobs that may have waiting tasks or open orders
+	changed bool   // something happened that may let a task be placed
+	seq     atomic.Uint64
+	now     time.Time
+	advice  []AdviceRequest
+	pass    placementPass
+	lastRun time.Time
+}
+
+// Events receives decisions for the log. Its methods must not block.
+type Events interface {
+	// Decided tells what was decided about a job, step or task, on which inputs.
+	Decided(subject, decision string, attrs ...any)
+}
+
+// New returns a scheduler without jobs, workers or configuration.
+func New(o Options, e Events) *Scheduler {
+	return &Scheduler{options: o, events: e, jobs: map[JobID]*job{}, workers: map[WorkerID]*worker{}, usage: map[string]resource.Vector{},
+		config: NewConfig(Config{})}
+}
+
+// SetConfig puts a configuration in force.
+func (s *Scheduler) SetConfig(c *Config) {
+	s.config = c
+	s.changed = true
+}
+
+// AddJob adds an accepted job with its record of progress, which is nil for a new job. A job that is known is left as it
+// is.
+func (s *Scheduler) AddJob(j Job, progress []byte, now time.Time) error {
+	if s.jobs[j.ID] != nil {
+		return nil
+	}
+	st := newJob(j, now)
+	if progress != nil {
+		if err := s.restoreProgress(st, progress); err != nil {
+			for _, x := range st.steps {
+				for _, t := range x.tasks {
+					s.vacate(t)
+				}
+			}
+			return err
+		}
+	}
+	s.setObjective(st, now)
+	s.jobs[j.ID] = st
+	s.active = append(s.active, st)
+	s.changed = true
+	s.finishIfDone(st)
+	if st.phase.Final() {
+		s.touch(st)
+	}
+	return nil
+}
+
+// setObjective derives the job's objective and attempts from its queue. A queue that was removed leaves the defaults.
+func (s *Scheduler) setObjective(j *job, now time.Time) {
+	j.maxAttempts, j.queuePrio = 1, 0
+	stretch, slack := 2.0, time.Second
+	if q := s.config.Queue(j.Queue); q != nil {
+		j.maxAttempts, j.queuePrio = max(1, q.MaxAttempts), q.Priority
+		stretch, slack = q.Stretch, q.Slack
+		if q.Advice != nil {
+			j.estimate += q.Advice.Duration(adviceReference)
+		}
+	}
+	accepted := now
+	if age := now.UnixMilli() - j.AcceptedMS; age > 0 && age < int64(time.Hour/time.Millisecond) {
+		accepted = now.Add(-time.Duration(age) * time.Millisecond)
+	}
+	objective := time.Duration(float64(j.estimate)*stretch) + slack
+	j.deadline = accepted.Add(objective)
+	j.lateDeadline = accepted.Add(lateFactor * objective)
+}
+
+const (
+	// adviceReference is the number of workers named in the call for advice that a job's objective allows for.
+	adviceReference = 30
+	// lateFactor times the objective is when a job's result loses its worth.
+	lateFactor = 3
+)
+
+// CancelJob cancels a job. It reports whether the job is known; an ended job stays as it is.
+func (s *Scheduler) CancelJob(id JobID) bool {
+	j := s.jobs[id]
+	if j == nil {
+		return false
+	}
+	j.cancel = true
+	if !j.phase.Final() {
+		s.end(j, Canceled, "canceled by the caller")
+	}
+	return true
+}
+
+// end gives a job its final phase and stops what runs.
+func (s *Scheduler) end(j *job, p Phase, reason string) {
+	j.phase, j.reason, j.finished = p, reason, s.now
+	s.touch(j)
+	s.events.Decided(string(j.ID), "ended", "phase", p, "reason", reason, "queue", j.Queue, "team", j.Team)
+	for _, st := range j.steps {
+		for _, t := range st.tasks {
+			s.abandon(t)
+		}
+	}
+}
+
+// abandon gives up a run that isn't wanted any more.
+func (s *Scheduler) abandon(t *task) {
+	switch t.phase {
+	case taskReserved, taskPlaced:
+		s.wait(t)
+	case taskStarting, taskRunning:
+		t.phase, t.retryAt, t.orders = taskStopping, s.now, 0
+	}
+}
+
+// finishIfDone completes a job whose tasks are all done.
+func (s *Scheduler) finishIfDone(j *job) {
+	if j.phase.Final() {
+		return
+	}
+	for _, st := range j.steps {
+		if st.open > 0 {
+			return
+		}
+	}
+	s.end(j, Completed, "")
+}
+
+// State returns a job's phase as callers may see it; false if the job isn't known. A final phase shows once it is
+// durable.
+func (s *Scheduler) State(id JobID) (phase Phase, team string, known bool) {
+	j := s.jobs[id]
+	if j == nil {
+		return "", "", false
+	}
+	switch {
+	case j.phase.Final() && j.recorded >= j.version:
+		return j.phase, j.Team, true
+	case j.cancel:
+		return Canceled, j.Team, true
+	case j.began:
+		return Running, j.Team, true
+	}
+	return Pending, j.Team, true
+}
+
+// Waiting returns by queue how many jobs wait for the start of their first task.
+func (s *Scheduler) Waiting() map[string]int64 {
+	counts := map[string]int64{}
+	for _, j := range s.active {
+		if !j.began && !j.phase.Final() {
+			counts[j.Queue]++
+		}
+	}
+	return counts
+}
+
+// OrderSequence returns the number of answers to orders so far. An inventory that is asked for afterwards shows their
+// effect. It may be called from any goroutine.
+func (s *Scheduler) OrderSequence() uint64 { return s.seq.Load() }
+
+// Advance applies the passing of time: orders that are due, lapsed leases, placement. It returns what has to be done.
+func (s *Scheduler) Advance(now time.Time) Actions {
+	s.now = now
+	var a Actions
+	s.place()
+	a.Advice, s.advice = s.advice, nil
+	a.Orders = s.dueOrders()
+	s.sweep()
+	return a
+}
+
+// Actions are what the node has to do for the scheduler. Each is answered by a call of the scheduler.
+type Actions struct {
+	Orders []Order
+	Advice []AdviceRequest
+}
+
+// sweep forgets jobs that ended a while ago.
+func (s *Scheduler) sweep() {
+	kept := s.active[:0]
+	for _, j := range s.active {
+		if !j.archived || j.openRuns > 0 {
+			kept = append(kept, j)
+		}
+	}
+	clear(s.active[len(kept):])
+	s.active = kept
+	if s.now.Sub(s.lastRun) < time.Second {
+		return
+	}
+	s.lastRun = s.now
+	for id, j := range s.jobs {
+		if j.archived && j.openRuns == 0 && s.now.Sub(j.finished) > s.options.Keep {
+			delete(s.jobs, id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/cell/state.go
@@ -0,0 +1,210 @@
+package cell
+
+import (
+	"time"
+
+	"sequoiastall/internal/core/resource"
+)
+
+// taskPhase is the state of one task.
+type taskPhase uint8
+
+const (
+	taskWaiting    taskPhase = iota
+	taskReserved             // has room on a worker and waits for a ticket
+	taskPlaced               // the intent to run it is being recorded
+	taskStarting             // the order is on its way
+	taskRunning              // its worker has confirmed it
+	taskStopping             // its worker has been told to stop it
+	taskUnresolved           // recorded by an earlier holder of the lease; its worker hasn't been asked yet
+	taskDone
+)
+
+// task is a task of a step, with its last run.
+type task struct {
+	id         TaskID
+	step       *step
+	phase      taskPhase
+	worker     *worker
+	run        int
+	failed     int // runs that ended as failed
+	checkpoint string
+	avoid      []WorkerID // workers on which a run failed or stood still
+
+	intentVersion uint64    // version of the job's record that holds the intent
+	ticket        string    // of the current run
+	startedAt     time.Time // first order of the run
+	orders        int       // orders sent for the run in its current phase
+	orderOut      bool      // an order is on its way
+	retryAt       time.Time // when the next order is due
+	checkAfter    uint64    // an inventory asked for later than this order shows whether the run exists
+	unlisted      bool      // the worker's answer to the last order may have been passed by an inventory
+
+	percent    float64
+	progressAt time.Time // when the percentage last rose
+}
+
+// holds reports whether the task takes room on its worker.
+func (t *task) holds() bool { return t.worker != nil }
+
+// step is a step of a job.
+type step struct {
+	id        StepID
+	job       *job
+	spec      *Step
+	tasks     []*task
+	open      int // tasks that aren't done
+	waiting   int // tasks in taskWaiting
+	gangRun   int // last run of a gang
+	gangFails int
+	failedRun int // last gang run that was counted as failed
+	perWorker map[WorkerID]int
+	advice    stepAdvice
+	blocked   time.Time // no placement before this time
+	began     bool
+}
+
+// job is an accepted job.
+type job struct {
+	Job
+	steps        []*step
+	phase        Phase
+	began        bool // a task has started
+	cancel       bool
+	openRuns     int    // tasks that hold room
+	version      uint64 // rises with each change that the record shows
+	recorded     uint64 // version of the durable record
+	dirty        bool
+	deadline     time.Time // the objective
+	finished     time.Time
+	archived     bool // the final record is durable
+	estimate     time.Duration
+	reason       string
+	maxAttempts  int
+	queuePrio    int
+	lateDeadline time.Time
+}
+
+// worker is a worker that runs or ran tasks of this cell.
+type worker struct {
+	WorkerReport
+	listed     bool // in the registry
+	reached    bool // has answered this holder of the lease in its current life
+	gone       bool // certainly ended
+	free       resource.Vector
+	tasks      map[*task]bool
+	noted      int64 // number of the last end that was processed
+	pendingAck []endVersion
+	ackable    int64 // ends up to this number are durable
+	faults     faults
+}
+
+// endVersion joins an end with the record that makes it durable.
+type endVersion struct {
+	number  int64
+	job     *job
+	version uint64
+}
+
+// faults is what a worker did wrong lately.
+type faults struct {
+	streak  int       // failed or stalled runs since the last success
+	until   time.Time // no new work before this time
+	backoff time.Duration
+	success time.Time
+}
+
+func (w *worker) usable(now time.Time) bool {
+	return w.listed && w.reached && !w.gone && !w.Draining && !now.Before(w.faults.until)
+}
+
+// newJob builds the state of an accepted job.
+func newJob(j Job, now time.Time) *job {
+	s := &job{Job: j, phase: Pending, version: 1, recorded: 1}
+	for i := range j.Steps {
+		spec := &s.Steps[i]
+		st := &step{id: StepID{j.ID, i}, job: s, spec: spec, open: spec.Count, waiting: spec.Count, perWorker: map[WorkerID]int{}}
+		for n := range spec.Count {
+			st.tasks = append(st.tasks, &task{id: TaskID{j.ID, i, n}, step: st})
+		}
+		s.steps = append(s.steps, st)
+	}
+	s.estimate = chain(s.Steps)
+	return s
+}
+
+// chain returns the longest chain of estimated work.
+func chain(steps []Step) time.Duration {
+	longest := time.Duration(0)
+	ends := make([]time.Duration, len(steps))
+	for i, s := range steps {
+		start := time.Duration(0)
+		for _, a := range s.After {
+			if a >= 0 && a < i {
+				start = max(start, ends[a])
+			}
+		}
+		ends[i] = start + time.Duration(s.EstimateMS)*time.Millisecond
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+// ready reports whether all earlier steps that the step needs are done.
+func (st *step) ready() bool {
+	for _, a := range st.spec.After {
+		if st.job.steps[a].open > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// touch notes that the job's record has to be written.
+func (s *Scheduler) touch(j *job) uint64 {
+	j.version++
+	if !j.dirty {
+		j.dirty = true
+		s.dirty = append(s.dirty, j)
+	}
+	return j.version
+}
+
+// occupy takes room for a task.
+func (s *Scheduler) occupy(t *task, w *worker) {
+	each := t.step.spec.Each
+	t.worker = w
+	w.tasks[t] = true
+	w.free = w.free.Sub(each)
+	t.step.perWorker[w.ID]++
+	t.step.job.openRuns++
+	s.usage[t.step.job.Team] = s.usage[t.step.job.Team].Add(each)
+}
+
+// vacate gives back the room of a task, and forgets a worker that has left and holds nothing any more.
+func (s *Scheduler) vacate(t *task) {
+	w, each := t.worker, t.step.spec.Each
+	if w == nil {
+		return
+	}
+	t.worker = nil
+	delete(w.tasks, t)
+	w.free = w.free.Add(each)
+	if t.step.perWorker[w.ID]--; t.step.perWorker[w.ID] <= 0 {
+		delete(t.step.perWorker, w.ID)
+	}
+	t.step.job.openRuns--
+	s.usage[t.step.job.Team] = s.usage[t.step.job.Team].Sub(each)
+	s.changed = true
+}
+
+// wait puts a task back among those that wait for a worker.
+func (s *Scheduler) wait(t *task) {
+	s.vacate(t)
+	if t.phase != taskWaiting {
+		t.phase = taskWaiting
+		t.step.waiting++
+	}
+	t.ticket, t.orders, t.retryAt = "", 0, time.Time{}
+	s.changed = true
+}
--- /dev/null
+++ b/internal/core/cell/types.go
@@ -0,0 +1,168 @@
+// Package cell schedules the jobs of one cell on its workers. A Scheduler is the state machine of the node that holds
+// the scheduling lease; it has no I/O, takes the time as a parameter and belongs to one goroutine.
+//
+// Every run of a task is recorded before its worker is told to start it. A record is therefore a superset of what runs,
+// and a successor only has to ask the recorded workers to learn the rest.
+package cell
+
+import (
+	"strconv"
+	"time"
+
+	"sequoiastall/internal/core/resource"
+)
+
+// JobID identifies a job; the caller chooses it.
+type JobID string
+
+// WorkerID identifies one worker.
+type WorkerID string
+
+// StepID identifies a step of a job.
+type StepID struct {
+	Job  JobID
+	Step int
+}
+
+// String returns the form that log lines use.
+func (s StepID) String() string { return string(s.Job) + "." + strconv.Itoa(s.Step) }
+
+// TaskID identifies a task of a step.
+type TaskID struct {
+	Job  JobID
+	Step int
+	Task int
+}
+
+// String returns the form that log lines use.
+func (t TaskID) String() string {
+	return string(t.Job) + "." + strconv.Itoa(t.Step) + "." + strconv.Itoa(t.Task)
+}
+
+// Step is a set of equal tasks of a job.
+type Step struct {
+	Count         int             `json:"n"`
+	Each          resource.Vector `json:"each"` // what one task reserves
+	EstimateMS    int64           `json:"est,omitempty"`
+	After         []int           `json:"after,omitempty"` // earlier steps that must be done first
+	Checkpointing bool            `json:"ckpt,omitempty"`
+	Gang          bool            `json:"gang,omitempty"` // the tasks run only together
+	SameRack      bool            `json:"rack,omitempty"` // a gang that is slower across racks
+	Speculative   bool            `json:"spec,omitempty"` // copies may run in parallel
+	RequiredLabel string          `json:"label,omitempty"`
+	DataRack      string          `json:"data,omitempty"`
+	MaxPerWorker  int             `json:"apart,omitempty"` // 0: no limit
+}
+
+// Job is an accepted job as its record shows it.
+type Job struct {
+	ID         JobID  `json:"id"`
+	Queue      string `json:"queue"`
+	Team       string `json:"team"`
+	Service    string `json:"service"` // pool of workers at the time of acceptance
+	Spec       string `json:"spec"`
+	Steps      []Step `json:"steps"`
+	AcceptedMS int64  `json:"accepted_ms"` // Unix milliseconds
+}
+
+// Phase is the state of a job as callers see it.
+type Phase string
+
+// Phases of a job.
+const (
+	Pending   Phase = "pending"
+	Running   Phase = "running"
+	Completed Phase = "completed"
+	Failed    Phase = "failed"
+	Canceled  Phase = "canceled"
+)
+
+// Final reports whether the phase never changes again.
+func (p Phase) Final() bool { return p == Completed || p == Failed || p == Canceled }
+
+// Queue is a route by which jobs come in.
+type Queue struct {
+	Name, Host, Prefix, Service string
+	Priority                    int // 0 comes first
+	MaxAttempts                 int
+	Stretch                     float64       // the objective is this many times the chain of work ...
+	Slack                       time.Duration // ... and this much more
+	Advice                      *AdviceTiming // nil if every worker may run the queue's steps
+	Open                        bool          // takes jobs without a key
+}
+
+// AdviceTiming tells how long the advice service takes and how long its tickets hold.
+type AdviceTiming struct {
+	Decision  time.Duration
+	PerWorker time.Duration
+	Validity  time.Duration
+}
+
+// Duration returns how long a call that names n workers takes.
+func (a AdviceTiming) Duration(n int) time.Duration { return a.Decision + time.Duration(n)*a.PerWorker }
+
+// Team is a customer with its keys, share and limit.
+type Team struct {
+	Name   string
+	Keys   []string
+	Weight float64
+	Limit  resource.Vector // a component of 0 is unlimited
+}
+
+// WorkerReport is what a worker says of itself in the registry.
+type WorkerReport struct {
+	ID       WorkerID
+	Address  string
+	Service  string
+	Zone     string
+	Rack     string
+	Labels   []string
+	Capacity resource.Vector
+	Draining bool
+	BornMS   int64 // Unix milliseconds of the worker's start
+}
+
+// RunID identifies a run of a task; runs of a task are numbered from 1.
+type RunID struct {
+	Task TaskID
+	Run  int
+}
+
+// EndKind is how a run ended.
+type EndKind string
+
+// Kinds of ends.
+const (
+	EndDone    EndKind = "done"
+	EndFailed  EndKind = "failed"
+	EndStopped EndKind = "stopped"
+	EndLapsed  EndKind = "lapsed"
+	EndBroken  EndKind = "broken" // another member of the gang ended
+	EndAlone   EndKind = "alone"  // the other members of the gang didn't come in time
+)
+
+// RunningRow is a run in a worker's inventory.
+type RunningRow struct {
+	Run        RunID
+	Checkpoint string
+	Percent    float64 // progress
+}
+
+// EndedRow is an end in a worker's inventory.
+type EndedRow struct {
+	Number     int64 // rises within one life of the worker
+	Run        RunID
+	Kind       EndKind
+	Checkpoint string
+}
+
+// Inventory is a worker's answer to a renewal of its lease.
+type Inventory struct {
+	Worker  WorkerID
+	BornMS  int64
+	Asked   uint64 // Scheduler.OrderSequence at the time of the call
+	Running []RunningRow
+	Ended   []EndedRow
+	// More tells that the worker lists only a part of its ends.
+	More bool
+}
--- /dev/null
+++ b/internal/core/cell/workers.go
@@ -0,0 +1,129 @@
+package cell
+
+import (
+	"slices"
+	"time"
+)
+
+// workerOf returns the state of a worker, which is created if it is unknown.
+func (s *Scheduler) workerOf(id WorkerID) *worker {
+	w := s.workers[id]
+	if w == nil {
+		w = &worker{WorkerReport: WorkerReport{ID: id}, tasks: map[*task]bool{}}
+		s.workers[id] = w
+	}
+	return w
+}
+
+// SetWorkers applies the registry.
+func (s *Scheduler) SetWorkers(reports []WorkerReport, now time.Time) {
+	s.now = now
+	listed := make(map[WorkerID]bool, len(reports))
+	for _, r := range reports {
+		listed[r.ID] = true
+		s.setWorker(r)
+	}
+	for id, w := range s.workers {
+		if listed[id] {
+			continue
+		}
+		if w.listed {
+			w.listed = false
+			s.events.Decided(string(id), "worker unlisted", "runs", len(w.tasks), "draining", w.Draining)
+		}
+		if len(w.tasks) == 0 {
+			delete(s.workers, id)
+		}
+	}
+}
+
+func (s *Scheduler) setWorker(r WorkerReport) {
+	w := s.workerOf(r.ID)
+	if !w.listed || w.Draining != r.Draining {
+		s.events.Decided(string(r.ID), "worker listed", "draining", r.Draining, "zone", r.Zone, "rack", r.Rack, "born_ms", r.BornMS)
+		s.changed = true
+	}
+	if w.Capacity != r.Capacity {
+		w.free = w.free.Add(r.Capacity).Sub(w.Capacity)
+	}
+	if w.Address != "" && r.BornMS > w.BornMS && w.BornMS != 0 {
+		s.rebirth(w, r.BornMS)
+		w.reached = false
+	}
+	born := max(w.BornMS, r.BornMS)
+	w.WorkerReport, w.listed = r, true
+	w.BornMS = born
+}
+
+// WorkerLapsed tells that everything on a worker has certainly ended because its lease ran out.
+func (s *Scheduler) WorkerLapsed(id WorkerID, now time.Time) {
+	s.now = now
+	if w := s.workers[id]; w != nil && len(w.tasks) > 0 {
+		s.release(w, "the worker's lease lapsed")
+	}
+}
+
+// WorkerGone tells that a life of a worker has certainly ended, because another instance answers at its address.
+func (s *Scheduler) WorkerGone(id WorkerID, born int64, now time.Time) {
+	s.now = now
+	if w := s.workers[id]; w != nil && (born == 0 || w.BornMS == born) {
+		s.workerEnded(w, "another instance answers at its address")
+	}
+}
+
+// WorkerRefuses tells that a worker's address refuses connections. A cut link may look the same, so that this counts only
+// for a worker that has announced its end and left the registry.
+func (s *Scheduler) WorkerRefuses(id WorkerID, now time.Time) {
+	s.now = now
+	if w := s.workers[id]; w != nil && w.Draining && !w.listed {
+		s.workerEnded(w, "it has left")
+	}
+}
+
+// workerEnded frees what ran on a worker whose life has ended. Its process can't carry out late orders.
+func (s *Scheduler) workerEnded(w *worker, reason string) {
+	if w.gone {
+		return
+	}
+	w.gone = true
+	s.release(w, reason)
+}
+
+func (s *Scheduler) release(w *worker, reason string) {
+	s.events.Decided(string(w.ID), "worker lost", "reason", reason, "runs", len(w.tasks))
+	w.reached = false
+	for t := range w.tasks {
+		if t.phase == taskDone {
+			s.vacate(t)
+			s.archiveIfIdle(t.step.job)
+			continue
+		}
+		s.lost(t, reason)
+	}
+}
+
+// WorkerInUse is a worker that must be kept under a lease.
+type WorkerInUse struct {
+	ID      WorkerID
+	Address string
+	BornMS  int64
+	Runs    int
+}
+
+// WorkersInUse returns the workers that are listed or may hold runs, by ID.
+func (s *Scheduler) WorkersInUse() []WorkerInUse {
+	used := make([]WorkerInUse, 0, len(s.workers))
+	for _, w := range s.workers {
+		used = append(used, WorkerInUse{w.ID, w.Address, w.BornMS, len(w.tasks)})
+	}
+	slices.SortFunc(used, func(a, b WorkerInUse) int {
+		switch {
+		case a.ID < b.ID:
+			return -1
+		case a.ID > b.ID:
+			return 1
+		}
+		return 0
+	})
+	return used
+}
--- /dev/null
+++ b/internal/core/cell/writes.go
@@ -0,0 +1,79 @@
+package cell
+
+// Write is a record that has to be made durable.
+type Write struct {
+	Job     JobID
+	Version uint64
+	Value   []byte
+	Final   bool // replaces the job's other records
+}
+
+// TakeWrites returns at most n records that changed since they were last taken.
+func (s *Scheduler) TakeWrites(n int) []Write {
+	var writes []Write
+	taken := 0
+	for _, j := range s.dirty {
+		if len(writes) == n {
+			break
+		}
+		taken++
+		j.dirty = false
+		w, err := s.write(j)
+		if err != nil {
+			s.events.Decided(string(j.ID), "record not written", "error", err.Error())
+			continue
+		}
+		writes = append(writes, w)
+	}
+	rest := copy(s.dirty, s.dirty[taken:])
+	clear(s.dirty[rest:])
+	s.dirty = s.dirty[:rest]
+	return writes
+}
+
+func (s *Scheduler) write(j *job) (Write, error) {
+	w := Write{Job: j.ID, Version: j.version, Final: j.phase.Final() && j.openRuns == 0}
+	var err error
+	if w.Final {
+		w.Value, err = finalRecord(j, s.now)
+	} else {
+		w.Value, err = encodeProgress(j)
+	}
+	return w, err
+}
+
+// HasWrites reports whether records have to be written.
+func (s *Scheduler) HasWrites() bool { return len(s.dirty) > 0 }
+
+// Recorded tells that a record is durable.
+func (s *Scheduler) Recorded(w Write) {
+	j := s.jobs[w.Job]
+	if j == nil {
+		return
+	}
+	j.recorded = max(j.recorded, w.Version)
+	j.archived = j.archived || w.Final
+	for _, st := range j.steps {
+		for _, t := range st.tasks {
+			if t.phase == taskPlaced && t.intentVersion <= j.recorded {
+				t.phase, t.retryAt, t.startedAt, t.orders = taskStarting, s.now, s.now, 0
+			}
+		}
+	}
+	s.archiveIfIdle(j)
+}
+
+// NotRecorded returns a record that couldn't be written, so that it is taken again.
+func (s *Scheduler) NotRecorded(w Write) {
+	if j := s.jobs[w.Job]; j != nil && !j.dirty && !j.archived {
+		j.dirty = true
+		s.dirty = append(s.dirty, j)
+	}
+}
+
+// archiveIfIdle asks for the final record once an ended job holds no room any more.
+func (s *Scheduler) archiveIfIdle(j *job) {
+	if j.phase.Final() && !j.archived && j.openRuns == 0 && !j.dirty && j.recorded >= j.version {
+		s.touch(j)
+	}
+}
--- /dev/null
+++ b/internal/port/front.go
@@ -0,0 +1,35 @@
+package port
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+
+	"sequoiastall/internal/core/cell"
+)
+
+// Errors of Front.Submit.
+var (
+	// ErrNotAccepted: the job was not accepted and never runs.
+	ErrNotAccepted = errors.New("not accepted")
+	// ErrUndecided: the job may have been accepted.
+	ErrUndecided = errors.New("not known yet whether the job is accepted")
+)
+
+// Front is what the callers' interface needs from the node.
+type Front interface {
+	// Config returns the configuration in force, nil if there is none yet.
+	Config() *cell.Config
+	// Submit makes a job durable. It fails with ErrNotAccepted or ErrUndecided.
+	Submit(ctx context.Context, j cell.Job) error
+	// Cancel cancels a job of a team; known is false if there is no such job. It fails with ErrUnavailable.
+	Cancel(ctx context.Context, id cell.JobID, team string) (known bool, err error)
+	// State returns a job's phase; known is false if there is no such job. It fails with ErrUnavailable.
+	State(ctx context.Context, id cell.JobID, team string) (p cell.Phase, known bool, err error)
+	// Waiting returns how many jobs of a queue wait for the start of a task. It fails with ErrUnavailable.
+	Waiting(ctx context.Context, queue string) (int64, error)
+	// Ready reports whether the node should get new connections.
+	Ready() bool
+	// Stopping reports whether the node is about to end, so that connections are closed after their answer.
+	Stopping() bool
+}
