Require a job's own record for its first record of progress

Change: the transaction of the first record expects the revision of the job's own record; a job whose record is gone is forgotten. Work done isn't standing still.

--- a/internal/control/advisors.go
+++ b/internal/control/advisors.go
@@ -161,4 +161,3 @@
 	asked := received.Add(-time.Duration(a.AskedBeforeMs) * time.Millisecond)
 	p.finish(a.Id, tickets, asked, time.Duration(a.ValidityMs)*time.Millisecond, a.Failed)
 }
-
--- a/internal/control/committer.go
+++ b/internal/control/committer.go
@@ -11,9 +11,9 @@
 )
 
 const (
-	// writesPerTxn records of progress fit into a transaction together with the scheduler key: a final record takes five
-	// entries of 32.
-	writesPerTxn = 6
+	// writesPerTxn records of progress fit into a transaction together with the scheduler key: a final record takes up to
+	// six entries of 32.
+	writesPerTxn = 5
 	// commitRetry is the pause before a transaction without an answer is sent again.
 	commitRetry = 50 * time.Millisecond
 )
@@ -24,10 +24,13 @@
 	s         *scheduling
 	busy      bool
 	revisions map[cell.JobID]int64 // of the records of progress, owned by the scheduler's goroutine
+	// accepted holds the revisions of the jobs' own records. News of a job may come long after the job has ended; its first
+	// record of progress requires that the job's own record is still there.
+	accepted map[cell.JobID]int64
 }
 
 func newCommitter(s *scheduling) *committer {
-	return &committer{s: s, revisions: map[cell.JobID]int64{}}
+	return &committer{s: s, revisions: map[cell.JobID]int64{}, accepted: map[cell.JobID]int64{}}
 }
 
 // flush begins a transaction if there is something to write and none is under way.
@@ -48,6 +51,9 @@
 	t := port.Txn{Expect: []port.Expect{{Key: schedulerKey, Revision: c.s.term.revision}}}
 	for _, w := range writes {
 		t.Expect = append(t.Expect, port.Expect{Key: progressKey(w.Job), Revision: c.revisions[w.Job]})
+		if c.revisions[w.Job] == 0 {
+			t.Expect = append(t.Expect, port.Expect{Key: jobKey(w.Job), Revision: c.accepted[w.Job]})
+		}
 		if !w.Final {
 			t.Puts = append(t.Puts, port.Put{Key: progressKey(w.Job), Value: w.Value})
 			continue
@@ -68,7 +74,7 @@
 			c.done(writes, func(cell.Write) int64 { return revision })
 			return
 		case errors.As(err, &conflict):
-			c.resolve(writes, conflict, attempt > 0)
+			c.resolve(writes, t, conflict, attempt > 0)
 			return
 		case c.s.ctx.Err() != nil:
 			return
@@ -82,25 +88,72 @@
 	}
 }
 
-// resolve finds out whether a conflict is due to this node's own earlier attempt. Otherwise the term is lost.
-func (c *committer) resolve(writes []cell.Write, conflict *port.TxnConflictError, retried bool) {
+// resolve finds out what a conflict means: this node's own earlier attempt, a job that has ended before, or the loss of
+// the term.
+func (c *committer) resolve(writes []cell.Write, t port.Txn, conflict *port.TxnConflictError, retried bool) {
 	holder, ok := conflict.Entry(schedulerKey)
 	if !ok || holder.Revision != c.s.term.revision {
 		c.s.end(errLost)
 		return
 	}
-	revisions := map[cell.JobID]int64{}
+	if retried && c.written(writes, conflict) {
+		c.done(writes, func(w cell.Write) int64 {
+			current, _ := conflict.Entry(progressKey(w.Job))
+			return current.Revision
+		})
+		return
+	}
+	ended := map[cell.JobID]bool{}
+	for _, e := range t.Expect {
+		if id, isJob := idIn(e.Key, jobPrefix); isJob {
+			current, _ := conflict.Entry(e.Key)
+			ended[id] = current.Revision != e.Revision
+		}
+	}
 	for _, w := range writes {
-		current, exists := conflict.Entry(progressKey(w.Job))
-		switch {
-		case !retried, !w.Final && (!exists || !bytes.Equal(current.Value, w.Value)), w.Final && exists:
-			c.s.end(errors.Errorf("record of %s was changed by another node", w.Job))
+		current, _ := conflict.Entry(progressKey(w.Job))
+		if !ended[w.Job] && current.Revision != c.expected(t, w.Job) {
+			c.s.end(errors.Errorf("progress of %s was changed by another node", w.Job))
 			return
-		case exists:
-			revisions[w.Job] = current.Revision
 		}
 	}
-	c.done(writes, func(w cell.Write) int64 { return revisions[w.Job] })
+	c.notDone(writes, ended)
+}
+
+// written reports whether the records have the content of an earlier attempt.
+func (c *committer) written(writes []cell.Write, conflict *port.TxnConflictError) bool {
+	for _, w := range writes {
+		current, exists := conflict.Entry(progressKey(w.Job))
+		if w.Final && exists || !w.Final && !bytes.Equal(current.Value, w.Value) {
+			return false
+		}
+	}
+	return true
+}
+
+// expected returns the revision of a job's progress that the transaction required.
+func (c *committer) expected(t port.Txn, id cell.JobID) int64 {
+	for _, e := range t.Expect {
+		if e.Key == progressKey(id) {
+			return e.Revision
+		}
+	}
+	return 0
+}
+
+// notDone forgets the jobs that have ended before and returns the other records to the scheduler.
+func (c *committer) notDone(writes []cell.Write, ended map[cell.JobID]bool) {
+	c.s.post(c.s.ctx, func() {
+		c.busy = false
+		for _, w := range writes {
+			if !ended[w.Job] {
+				c.s.core.NotRecorded(w)
+				continue
+			}
+			delete(c.accepted, w.Job)
+			c.s.core.Forget(w.Job, "its record is gone: the job has ended before")
+		}
+	})
 }
 
 // done tells the scheduler what is durable.
@@ -111,6 +164,7 @@
 		for _, w := range writes {
 			if w.Final {
 				delete(c.revisions, w.Job)
+				delete(c.accepted, w.Job)
 			} else {
 				c.revisions[w.Job] = revision(w)
 			}
--- a/internal/control/front.go
+++ b/internal/control/front.go
@@ -51,7 +51,7 @@
 	ctx, cancel := context.WithTimeout(ctx, submitPatience)
 	defer cancel()
 	began := time.Now()
-	err = n.record(ctx, j.ID, record)
+	revision, err := n.record(ctx, j.ID, record)
 	outcome := "accepted"
 	if err != nil {
 		outcome = "refused"
@@ -62,30 +62,33 @@
 		attrs = append(attrs, "reason", err.Error(), "store_age_ms", n.storeAge().Milliseconds())
 	}
 	n.options.Log.Info("decision", attrs...)
-	if err == nil {
-		n.tell(ctx, &cellpb.MemberMessage{AcceptedJob: record})
+	if err == nil && revision != 0 {
+		n.tell(ctx, &cellpb.MemberMessage{AcceptedJob: record, Revision: revision})
 	}
 	return err
 }
 
-// record writes an accepted job. A job that is there already was accepted before.
-func (n *Node) record(ctx context.Context, id cell.JobID, record []byte) error {
+// record writes an accepted job and returns the record's revision. A job that is there already was accepted before; its
+// revision is 0.
+func (n *Node) record(ctx context.Context, id cell.JobID, record []byte) (revision int64, err error) {
 	t := port.Txn{Expect: []port.Expect{{Key: jobKey(id)}, {Key: doneKey(id)}}, Puts: []port.Put{{Key: jobKey(id), Value: record}}}
 	undecided := false
 	for {
-		_, err := n.store.Commit(ctx, t)
+		revision, err = n.store.Commit(ctx, t)
 		var conflict *port.TxnConflictError
 		switch {
-		case err == nil || errors.As(err, &conflict):
-			return nil
+		case err == nil:
+			return revision, nil
+		case errors.As(err, &conflict):
+			return 0, nil
 		case errors.Is(err, port.ErrUnknownOutcome):
 			undecided = true
 		}
 		if !wait.For(ctx, submitRetry) {
 			if undecided {
-				return errors.Wrap(port.ErrUndecided, err.Error())
+				return 0, errors.Wrap(port.ErrUndecided, err.Error())
 			}
-			return errors.Wrap(port.ErrNotAccepted, err.Error())
+			return 0, errors.Wrap(port.ErrNotAccepted, err.Error())
 		}
 	}
 }
@@ -94,7 +97,7 @@
 func (n *Node) tell(ctx context.Context, m *cellpb.MemberMessage) {
 	if s := n.scheduling.Load(); s != nil {
 		if len(m.AcceptedJob) > 0 {
-			s.accepted(m.AcceptedJob)
+			s.accepted(m.AcceptedJob, m.Revision)
 		} else {
 			s.post(ctx, func() { s.core.CancelJob(cell.JobID(m.CanceledJob)) })
 		}
--- a/internal/control/member.go
+++ b/internal/control/member.go
@@ -200,7 +200,7 @@
 		}
 		if m.Node == "" {
 			b := n.beat()
-			b.AcceptedJob, b.CanceledJob, b.Advice = m.AcceptedJob, m.CanceledJob, m.Advice
+			b.AcceptedJob, b.Revision, b.CanceledJob, b.Advice = m.AcceptedJob, m.Revision, m.CanceledJob, m.Advice
 			m = b
 		}
 	}
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"sequoiastall/internal/core/cell"
+	"sequoiastall/internal/port"
 	"sequoiastall/internal/rpc/cellpb"
 )
 
@@ -169,22 +170,20 @@
 	case r.Advice != nil:
 		m.s.post(m.s.ctx, func() { m.s.advisors.answered(r.Advice, received) })
 	case len(r.AcceptedJob) > 0:
-		m.s.accepted(r.AcceptedJob)
+		m.s.accepted(r.AcceptedJob, r.Revision)
 	case r.CanceledJob != "":
 		m.s.post(m.s.ctx, func() { m.s.core.CancelJob(cell.JobID(r.CanceledJob)) })
 	}
 }
 
 // accepted adds a job that was just made durable.
-func (s *scheduling) accepted(record []byte) {
+func (s *scheduling) accepted(record []byte, revision int64) {
 	j, err := cell.DecodeJob(record)
 	if err != nil {
 		s.node.options.Log.Error("job of another node can't be read", "error", err.Error())
 		return
 	}
 	s.post(s.ctx, func() {
-		if err := s.core.AddJob(j, nil, time.Now()); err != nil {
-			s.node.options.Log.Error("job not added", "subject", string(j.ID), "error", err.Error())
-		}
+		s.addJob(port.Entry{Key: jobKey(j.ID), Value: record, Revision: revision}, nil)
 	})
 }
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -23,15 +23,15 @@
 	store   *relayedStore
 
 	config     atomic.Pointer[configInForce]
-	lastStore  atomic.Int64                  // Unix nanoseconds of the last answer of the store
-	membership atomic.Pointer[membership]    // what the scheduling node last told
-	scheduling atomic.Pointer[scheduling]    // non-nil while this node schedules
+	lastStore  atomic.Int64               // Unix nanoseconds of the last answer of the store
+	membership atomic.Pointer[membership] // what the scheduling node last told
+	scheduling atomic.Pointer[scheduling] // non-nil while this node schedules
 	stopping   atomic.Bool
 	leave      chan struct{} // closed when the node begins to stop
 	leaveOnce  sync.Once
 	peers      peerConns
 	outbox     chan *cellpb.MemberMessage // news for the scheduling node
-	fetching   atomic.Bool // a configuration is being fetched from another node
+	fetching   atomic.Bool                // a configuration is being fetched from another node
 }
 
 type configInForce struct {
--- a/internal/control/scheduling.go
+++ b/internal/control/scheduling.go
@@ -181,6 +181,7 @@
 	}
 	j, err := cell.DecodeJob(e.Value)
 	if err == nil {
+		s.committer.accepted[id] = e.Revision
 		err = s.core.AddJob(j, progress[id], time.Now())
 	}
 	if err != nil {
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -149,4 +149,3 @@
 	}
 	return t
 }
-
--- a/internal/core/cell/inventory.go
+++ b/internal/core/cell/inventory.go
@@ -7,7 +7,9 @@
 
 const (
 	// stallTime without progress means that a run stands still.
-	stallTime = 2200 * time.Millisecond
+	stallTime = 1600 * time.Millisecond
+	// workDone is the percentage at which a member of a gang waits for the slower members.
+	workDone = 100
 	// faultStreak failed or stalled runs in a row keep new work from a worker for a while.
 	faultStreak = 2
 	// The pause of a faulty worker doubles from first to last.
@@ -266,11 +268,13 @@
 
 // stalled stops runs that make no progress.
 func (s *Scheduler) stalled(t *task) bool {
-	if t.phase != taskRunning || s.now.Sub(t.progressAt) < stallTime {
+	if t.phase != taskRunning || t.percent >= workDone || s.now.Sub(t.progressAt) < stallTime {
 		return false
 	}
 	t.avoid = append(t.avoid, t.worker.ID)
 	s.blame(t.worker, "a run stands still")
+	s.events.Decided(t.id.String(), "stands still", "run", t.run, "worker", t.worker.ID, "percent", t.percent, "gang", t.step.spec.Gang,
+		"still_ms", s.now.Sub(t.progressAt).Milliseconds(), "ran_ms", s.now.Sub(t.startedAt).Milliseconds())
 	s.giveUp(t, "no progress")
 	return true
 }
--- a/internal/core/cell/writes.go
+++ b/internal/core/cell/writes.go
@@ -71,6 +71,22 @@
 	}
 }
 
+// Forget removes a job none of whose runs was ever recorded here.
+func (s *Scheduler) Forget(id JobID, reason string) {
+	j := s.jobs[id]
+	if j == nil {
+		return
+	}
+	s.events.Decided(string(id), "forgotten", "reason", reason)
+	for _, st := range j.steps {
+		for _, t := range st.tasks {
+			s.vacate(t)
+		}
+	}
+	j.cancel, j.archived, j.finished = true, true, s.now
+	delete(s.jobs, id)
+}
+
 // archiveIfIdle asks for the final record once an ended job holds no room any more.
 func (s *Scheduler) archiveIfIdle(j *job) {
 	if j.phase.Final() && !j.archived && j.openRuns == 0 && !j.dirty && j.recorded >= j.version {
