Let nodes attach while a term loads; serve surplus jobs last

Jobs of a tenant beyond its rate took the room of jobs that were owed. A takeover before the first configuration showed jobs as failed after one attempt. Tickets that lapsed during a store outage were used all the same. Change: members attach from the start of a term; a job's record holds its queue's terms; a job beyond its team's rate comes after all others; nothing new is placed while records are stuck; advice is asked only for steps that can get room.

--- a/internal/control/front.go
+++ b/internal/control/front.go
@@ -249,7 +249,7 @@
 // Waiting implements port.Front.
 func (n *Node) Waiting(ctx context.Context, queue string) (int64, error) {
 	for {
-		if m := n.membership.Load(); m != nil && time.Since(m.heard) < waitingAge && m.waiting != nil {
+		if m := n.membership.Load(); m != nil && time.Since(m.counted) < waitingAge {
 			return m.waiting[queue], nil
 		}
 		if !wait.For(ctx, submitRetry) {
--- a/internal/control/member.go
+++ b/internal/control/member.go
@@ -154,20 +154,29 @@
 
 // heard notes what the scheduling node tells.
 func (n *Node) heard(ctx context.Context, h *holder, m *cellpb.SchedulerMessage) {
-	old := n.membership.Load()
-	next := &membership{term: m.Term, address: h.Address, heard: time.Now(), version: m.ConfigVersion}
-	if len(m.Members) > 0 || old == nil {
-		next.members, next.waiting = m.Members, map[string]int64{}
+	n.noteMembership(h.Address, m)
+	if c := n.config.Load(); c == nil || c.Version < m.ConfigVersion {
+		n.fetchConfig(ctx)
+	}
+}
+
+// noteMembership keeps what a beat tells. The numbers of waiting jobs and the members stay until a beat has new ones.
+func (n *Node) noteMembership(address string, m *cellpb.SchedulerMessage) {
+	now := time.Now()
+	next := &membership{term: m.Term, address: address, heard: now, version: m.ConfigVersion}
+	if old := n.membership.Load(); old != nil {
+		next.members, next.waiting, next.counted = old.members, old.waiting, old.counted
+	}
+	if len(m.Members) > 0 {
+		next.members = m.Members
+	}
+	if m.Counted {
+		next.waiting, next.counted = map[string]int64{}, now
 		for _, q := range m.Waiting {
 			next.waiting[q.Queue] = q.Jobs
 		}
-	} else {
-		next.members, next.waiting = old.members, old.waiting
 	}
 	n.membership.Store(next)
-	if c := n.config.Load(); c == nil || c.Version < m.ConfigVersion {
-		n.fetchConfig(ctx)
-	}
 }
 
 // fetchConfig asks for the configuration without holding up the stream.
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -54,26 +54,19 @@
 
 func (m *members) beat() {
 	var lengths []*cellpb.QueueLength
-	if !m.s.ask(m.s.ctx, func() {
+	counted := m.s.ask(m.s.ctx, func() {
 		for queue, jobs := range m.s.core.Waiting() {
 			lengths = append(lengths, &cellpb.QueueLength{Queue: queue, Jobs: jobs})
 		}
-	}) {
-		return
-	}
+	})
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	message := m.message()
-	message.Waiting, message.Members = lengths, m.addresses()
+	message.Counted, message.Waiting, message.Members = counted, lengths, m.addresses()
 	for _, x := range m.list {
 		x.send(message)
 	}
-	waiting := map[string]int64{}
-	for _, l := range lengths {
-		waiting[l.Queue] = l.Jobs
-	}
-	node := m.s.node
-	node.membership.Store(&membership{term: m.s.term.number, address: node.options.Address, heard: time.Now(), waiting: waiting, members: message.Members})
+	m.s.node.noteMembership(m.s.node.options.Address, message)
 }
 
 func (m *members) message() *cellpb.SchedulerMessage {
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -46,6 +46,7 @@
 	heard   time.Time
 	version int64 // of the scheduling node's configuration
 	waiting map[string]int64
+	counted time.Time // when waiting was counted
 	members []string
 }
 
@@ -112,8 +113,8 @@
 
 // campaign tries to become the scheduling node, and schedules until the term ends.
 func (n *Node) campaign(ctx context.Context, revision int64, reason string) {
-	if n.stopping.Load() {
-		wait.For(ctx, beatInterval)
+	if n.stopping.Load() || n.config.Load() == nil {
+		wait.For(ctx, beatInterval/2)
 		return
 	}
 	began := time.Now()
--- a/internal/control/scheduling.go
+++ b/internal/control/scheduling.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -26,6 +27,7 @@
 	committer *committer
 	members   *members
 	began     time.Time
+	loaded    atomic.Bool // the state is loaded; events wait until then
 }
 
 const (
@@ -35,9 +37,6 @@
 	tick = 10 * time.Millisecond
 )
 
-// errResigned tells that the node gave up its term.
-var errResigned = errors.New("resigned")
-
 // schedule runs the scheduler for a term and returns why the term ended.
 func (n *Node) schedule(ctx context.Context, t *term, began time.Time) error {
 	termCtx, end := context.WithCancelCause(ctx)
@@ -52,6 +51,9 @@
 			end(err)
 		}
 	})
+	// The other nodes attach at once: loading may take longer than they bear a silence.
+	n.scheduling.Store(s)
+	s.tasks.Go(s.members.run)
 	s.tasks.Go(s.run)
 	<-termCtx.Done()
 	s.tasks.Wait()
@@ -68,8 +70,7 @@
 	}
 	s.tasks.Go(func() { s.pollChanges(changes) })
 	s.tasks.Go(s.pollRegistry)
-	s.tasks.Go(s.members.run)
-	s.node.scheduling.Store(s)
+	s.loaded.Store(true)
 	s.loop()
 }
 
@@ -121,8 +122,12 @@
 	return false
 }
 
-// ask runs a question on the scheduler's goroutine and waits for it.
+// ask runs a question on the scheduler's goroutine and waits for it. It reports false if the state isn't loaded yet or the
+// term ended.
 func (s *scheduling) ask(ctx context.Context, question func()) bool {
+	if !s.loaded.Load() {
+		return false
+	}
 	done := make(chan struct{})
 	if !s.post(ctx, func() { question(); close(done) }) {
 		return false
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -75,7 +75,7 @@
 // State implements cellpb.CellServer.
 func (p *peerServer) State(ctx context.Context, r *cellpb.StateRequest) (*cellpb.StateReply, error) {
 	s := p.node.scheduling.Load()
-	if s == nil {
+	if s == nil || !s.loaded.Load() {
 		return &cellpb.StateReply{}, nil
 	}
 	reply := &cellpb.StateReply{Scheduling: true}
--- a/internal/core/cell/advice.go
+++ b/internal/core/cell/advice.go
@@ -16,6 +16,8 @@
 	minNamed = 12
 	// namedPerTask workers are named for each task of a step.
 	namedPerTask = 5
+	// adviceOverbooking is how many times the free room is spread over the steps that may ask for advice.
+	adviceOverbooking = 2
 	// adviceRetry is the pause after a call for advice that failed.
 	adviceRetry = 100 * time.Millisecond
 )
@@ -57,6 +59,9 @@
 	if len(named) == 0 || st.advice.inFlight {
 		return
 	}
+	if s.pass.room <= 0 && st.advice.judged == nil {
+		return // steps that go first will take the room that there is
+	}
 	st.advice.inFlight = true
 	s.advice = append(s.advice, AdviceRequest{Step: st.id, Workers: named, Duration: q.Advice.Duration(len(named)), Urgency: st.job.deadline})
 }
--- a/internal/core/cell/place.go
+++ b/internal/core/cell/place.go
@@ -21,6 +21,7 @@
 type placementPass struct {
 	at       time.Time
 	usable   []*worker
+	room     int64                       // thousandths of a core that are free for steps further down
 	blocked  map[*worker]resource.Vector // room kept for gangs that go first
 	blockers int
 	steps    []candidateStep
@@ -29,15 +30,24 @@
 type candidateStep struct {
 	step  *step
 	queue *Queue
-	class int // 0: can meet its objective, 1: late, 2: without worth
+	class urgency
 	prio  int
-	share float64
 }
 
+// urgency is the first criterion of the order in which steps are served.
+type urgency int
+
+const (
+	inTime  urgency = iota // can meet its objective
+	late                   // has missed it, but is still worth something
+	surplus                // beyond what its team may hand in
+	overdue                // worth nothing any more
+)
+
 // place decides which waiting tasks start where.
 func (s *Scheduler) place() {
 	since := s.now.Sub(s.pass.at)
-	if since < placementInterval || !s.changed && since < idlePassInterval {
+	if s.stalledWrites() || since < placementInterval || !s.changed && since < idlePassInterval {
 		return
 	}
 	s.changed = false
@@ -47,14 +57,16 @@
 	s.collectSteps()
 	for _, c := range s.pass.steps {
 		s.placeStep(c.step, c.queue)
+		s.pass.room -= int64(c.step.waiting) * c.step.spec.Each.MilliCPU / adviceOverbooking
 	}
 }
 
 func (s *Scheduler) collectUsable() {
-	s.pass.usable = s.pass.usable[:0]
+	s.pass.usable, s.pass.room = s.pass.usable[:0], 0
 	for _, w := range s.workers {
 		if w.usable(s.now) {
 			s.pass.usable = append(s.pass.usable, w)
+			s.pass.room += max(0, w.free.MilliCPU)
 		}
 	}
 	slices.SortFunc(s.pass.usable, func(a, b *worker) int { return cmp.Compare(a.ID, b.ID) })
@@ -85,17 +97,27 @@
 	})
 }
 
-func (s *Scheduler) lateness(j *job) int {
-	end := s.now.Add(j.estimate / 2)
+func (s *Scheduler) lateness(j *job) urgency {
+	end := s.now.Add(j.remaining())
 	switch {
-	case end.Before(j.deadline):
-		return 0
-	case end.Before(j.lateDeadline):
-		return 1
-	}
-	return 2
+	case end.After(j.lateDeadline):
+		return overdue
+	case j.surplus:
+		return surplus
+	case end.After(j.deadline):
+		return late
+	}
+	return inTime
+}
+
+// stalledWrites reports whether records haven't become durable for a while. New intents would only lose their tickets.
+func (s *Scheduler) stalledWrites() bool {
+	return !s.unrecorded.IsZero() && s.now.Sub(s.unrecorded) > writeStall
 }
 
+// writeStall is how long a record may take before nothing new is placed.
+const writeStall = 400 * time.Millisecond
+
 // placeStep places what it can of a step, and asks for advice that is missing.
 func (s *Scheduler) placeStep(st *step, q *Queue) {
 	if q != nil && q.Advice != nil && (st.advice.inFlight || s.now.Before(st.advice.retryAt)) {
--- a/internal/core/cell/scheduler.go
+++ b/internal/core/cell/scheduler.go
@@ -33,6 +33,9 @@
 	advice  []AdviceRequest
 	pass    placementPass
 	lastRun time.Time
+	// unrecorded is when the oldest record that isn't durable was taken, zero if there is none.
+	unrecorded time.Time
+	rates      map[string]*rate // by team
 }
 
 // Events receives decisions for the log. Its methods must not block.
@@ -44,7 +47,7 @@
 // New returns a scheduler without jobs, workers or configuration.
 func New(o Options, e Events) *Scheduler {
 	return &Scheduler{options: o, events: e, jobs: map[JobID]*job{}, workers: map[WorkerID]*worker{}, usage: map[string]resource.Vector{},
-		config: NewConfig(Config{})}
+		rates: map[string]*rate{}, config: NewConfig(Config{})}
 }
 
 // SetConfig puts a configuration in force.
@@ -71,6 +74,7 @@
 		}
 	}
 	s.setObjective(st, now)
+	st.surplus = !s.rateOf(j.Team).take(j.AcceptedMS)
 	s.jobs[j.ID] = st
 	s.active = append(s.active, st)
 	s.changed = true
@@ -81,22 +85,21 @@
 	return nil
 }
 
-// setObjective derives the job's objective and attempts from its queue. A queue that was removed leaves the defaults.
+// setObjective derives the job's objective and attempts from its queue.
 func (s *Scheduler) setObjective(j *job, now time.Time) {
-	j.maxAttempts, j.queuePrio = 1, 0
-	stretch, slack := 2.0, time.Second
+	terms := j.Terms
 	if q := s.config.Queue(j.Queue); q != nil {
-		j.maxAttempts, j.queuePrio = max(1, q.MaxAttempts), q.Priority
-		stretch, slack = q.Stretch, q.Slack
+		terms = q.Terms()
 		if q.Advice != nil {
 			j.estimate += q.Advice.Duration(adviceReference)
 		}
 	}
+	j.maxAttempts, j.queuePrio = max(1, terms.MaxAttempts), terms.Priority
 	accepted := now
 	if age := now.UnixMilli() - j.AcceptedMS; age > 0 && age < int64(time.Hour/time.Millisecond) {
 		accepted = now.Add(-time.Duration(age) * time.Millisecond)
 	}
-	objective := time.Duration(float64(j.estimate)*stretch) + slack
+	objective := time.Duration(float64(j.estimate)*terms.Stretch) + time.Duration(terms.SlackMS)*time.Millisecond
 	j.deadline = accepted.Add(objective)
 	j.lateDeadline = accepted.Add(lateFactor * objective)
 }
--- a/internal/core/cell/state.go
+++ b/internal/core/cell/state.go
@@ -78,6 +78,7 @@
 	deadline     time.Time // the objective
 	finished     time.Time
 	archived     bool // the final record is durable
+	surplus      bool // beyond what its team may hand in
 	estimate     time.Duration
 	reason       string
 	maxAttempts  int
@@ -150,6 +151,22 @@
 	return longest
 }
 
+// remaining returns the longest chain of estimated work that isn't done.
+func (j *job) remaining() time.Duration {
+	longest := time.Duration(0)
+	ends := make([]time.Duration, len(j.steps))
+	for i, st := range j.steps {
+		for _, a := range st.spec.After {
+			ends[i] = max(ends[i], ends[a])
+		}
+		if st.open > 0 {
+			ends[i] += time.Duration(st.spec.EstimateMS) * time.Millisecond
+		}
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
 // ready reports whether all earlier steps that the step needs are done.
 func (st *step) ready() bool {
 	for _, a := range st.spec.After {
--- a/internal/core/cell/types.go
+++ b/internal/core/cell/types.go
@@ -63,6 +63,15 @@
 	Spec       string `json:"spec"`
 	Steps      []Step `json:"steps"`
 	AcceptedMS int64  `json:"accepted_ms"` // Unix milliseconds
+	Terms      Terms  `json:"terms"`
+}
+
+// Terms are what a job's queue promised when the job was accepted. They hold for jobs whose queue was removed.
+type Terms struct {
+	Priority    int     `json:"priority"`
+	MaxAttempts int     `json:"max_attempts"`
+	Stretch     float64 `json:"stretch"`
+	SlackMS     int64   `json:"slack_ms"`
 }
 
 // Phase is the state of a job as callers see it.
@@ -91,6 +100,11 @@
 	Open                        bool          // takes jobs without a key
 }
 
+// Terms returns what the queue promises.
+func (q *Queue) Terms() Terms {
+	return Terms{Priority: q.Priority, MaxAttempts: q.MaxAttempts, Stretch: q.Stretch, SlackMS: q.Slack.Milliseconds()}
+}
+
 // AdviceTiming tells how long the advice service takes and how long its tickets hold.
 type AdviceTiming struct {
 	Decision  time.Duration
--- a/internal/core/cell/writes.go
+++ b/internal/core/cell/writes.go
@@ -1,5 +1,7 @@
 package cell
 
+import "time"
+
 // Write is a record that has to be made durable.
 type Write struct {
 	Job     JobID
@@ -12,6 +14,9 @@
 func (s *Scheduler) TakeWrites(n int) []Write {
 	var writes []Write
 	taken := 0
+	if s.unrecorded.IsZero() && len(s.dirty) > 0 {
+		s.unrecorded = s.now
+	}
 	for _, j := range s.dirty {
 		if len(writes) == n {
 			break
@@ -47,6 +52,7 @@
 
 // Recorded tells that a record is durable.
 func (s *Scheduler) Recorded(w Write) {
+	s.unrecorded = time.Time{}
 	j := s.jobs[w.Job]
 	if j == nil {
 		return
@@ -56,15 +62,32 @@
 	for _, st := range j.steps {
 		for _, t := range st.tasks {
 			if t.phase == taskPlaced && t.intentVersion <= j.recorded {
-				t.phase, t.retryAt, t.startedAt, t.orders = taskStarting, s.now, s.now, 0
+				s.recordedIntent(t)
 			}
 		}
 	}
 	s.archiveIfIdle(j)
 }
 
+// recordedIntent lets the order for a run go out, or takes the intent back if its ticket has lapsed meanwhile.
+func (s *Scheduler) recordedIntent(t *task) {
+	if t.ticket != "" {
+		if now, ok := t.step.advice.good[t.worker.ID]; !ok || now.value != t.ticket || s.now.After(now.expires) {
+			s.events.Decided(t.id.String(), "intent taken back", "run", t.run, "worker", t.worker.ID, "reason", "its ticket has lapsed")
+			st := t.step
+			s.wait(t)
+			if st.spec.Gang {
+				s.breakGang(st, "a member's ticket has lapsed")
+			}
+			return
+		}
+	}
+	t.phase, t.retryAt, t.startedAt, t.orders = taskStarting, s.now, s.now, 0
+}
+
 // NotRecorded returns a record that couldn't be written, so that it is taken again.
 func (s *Scheduler) NotRecorded(w Write) {
+	s.unrecorded = time.Time{}
 	if j := s.jobs[w.Job]; j != nil && !j.dirty && !j.archived {
 		j.dirty = true
 		s.dirty = append(s.dirty, j)
@@ -73,6 +96,7 @@
 
 // Forget removes a job none of whose runs was ever recorded here.
 func (s *Scheduler) Forget(id JobID, reason string) {
+	s.unrecorded = time.Time{}
 	j := s.jobs[id]
 	if j == nil {
 		return
