Let silent workers' leases lapse; keep starts off draining workers; cheaper passes

A successor counted an end as failed that its predecessor had counted (a job shown as failed after one attempt). A pass over thousands of waiting steps took more time than its interval, and records waited for one transaction at a time. Change: only calls that may have been sent move the lapse; the last counted run is in the record; a start isn't sent to a draining worker; a pass ends after 128 steps without room; four transactions at a time.

--- a/internal/control/committer.go
+++ b/internal/control/committer.go
@@ -14,15 +14,17 @@
 	// writesPerTxn records of progress fit into a transaction together with the scheduler key: a final record takes up to
 	// six entries of 32.
 	writesPerTxn = 5
+	// maxTxns transactions are under way at a time.
+	maxTxns = 4
 	// commitRetry is the pause before a transaction without an answer is sent again.
 	commitRetry = 50 * time.Millisecond
 )
 
-// committer makes the scheduler's records durable, one transaction at a time. Each transaction requires that the term
+// committer makes the scheduler's records durable. Each transaction requires that the term
 // lasts and that each record still has the revision that this node gave it, so that a late one changes nothing.
 type committer struct {
 	s         *scheduling
-	busy      bool
+	busy      int                  // transactions under way
 	revisions map[cell.JobID]int64 // of the records of progress, owned by the scheduler's goroutine
 	// accepted holds the revisions of the jobs' own records. News of a job may come long after the job has ended; its first
 	// record of progress requires that the job's own record is still there.
@@ -33,18 +35,17 @@
 	return &committer{s: s, revisions: map[cell.JobID]int64{}, accepted: map[cell.JobID]int64{}}
 }
 
-// flush begins a transaction if there is something to write and none is under way.
+// flush begins transactions for what has to be written.
 func (c *committer) flush() {
-	if c.busy || !c.s.core.HasWrites() {
-		return
-	}
-	writes := c.s.core.TakeWrites(writesPerTxn)
-	if len(writes) == 0 {
-		return
+	for c.busy < maxTxns && c.s.core.HasWrites() {
+		writes := c.s.core.TakeWrites(writesPerTxn)
+		if len(writes) == 0 {
+			return
+		}
+		c.busy++
+		txn := c.txn(writes)
+		c.s.tasks.Go(func() { c.commit(writes, txn) })
 	}
-	c.busy = true
-	txn := c.txn(writes)
-	c.s.tasks.Go(func() { c.commit(writes, txn) })
 }
 
 func (c *committer) txn(writes []cell.Write) port.Txn {
@@ -144,7 +145,7 @@
 // notDone forgets the jobs that have ended before and returns the other records to the scheduler.
 func (c *committer) notDone(writes []cell.Write, ended map[cell.JobID]bool) {
 	c.s.post(c.s.ctx, func() {
-		c.busy = false
+		c.busy--
 		for _, w := range writes {
 			if !ended[w.Job] {
 				c.s.core.NotRecorded(w)
@@ -160,7 +161,7 @@
 func (c *committer) done(writes []cell.Write, revision func(cell.Write) int64) {
 	c.s.node.storeHeard()
 	c.s.post(c.s.ctx, func() {
-		c.busy = false
+		c.busy--
 		for _, w := range writes {
 			if w.Final {
 				delete(c.revisions, w.Job)
--- a/internal/control/links.go
+++ b/internal/control/links.go
@@ -32,9 +32,10 @@
 	draining bool
 	born     int64
 	clock    clockSample
-	// lapseAt is when everything on the worker has certainly ended, unless it is renewed.
+	// lapseAt is when everything on the worker has certainly ended, unless it is renewed. Calls under way may renew it.
 	lapseAt time.Time
 	lapsed  bool
+	calls   int // that carry a lease and are under way
 }
 
 // clockSample is a reading of a worker's steady clock.
@@ -105,7 +106,9 @@
 		if first {
 			wait = 0
 		}
-		reply, err := l.s.node.options.Workers.Renew(ctx, l.ref, l.renewal(wait))
+		r, lapse := l.renewal(wait)
+		reply, err := l.s.node.options.Workers.Renew(ctx, l.ref, r)
+		l.called(lapse, err)
 		if err != nil {
 			l.failed(ctx, err)
 			if !l.pause(ctx, renewRetry) {
@@ -128,27 +131,38 @@
 	}
 }
 
-// renewal returns the next renewal, which extends the lease if the worker's clock is known.
-func (l *workerLink) renewal(wait time.Duration) port.Renewal {
+// renewal returns the next renewal, which extends the lease if the worker's clock is known, and when that lease has lapsed
+// for certain. The caller reports the outcome to called.
+func (l *workerLink) renewal(wait time.Duration) (port.Renewal, time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return port.Renewal{Token: l.s.term.number, DueMS: l.due(time.Now()), Ack: l.ack, Wait: wait}
+	due, lapse := l.due(time.Now())
+	return port.Renewal{Token: l.s.term.number, DueMS: due, Ack: l.ack, Wait: wait}, lapse
 }
 
-// due returns the end of a lease that begins now on the worker's clock, 0 if that isn't known, and notes when the lease has
-// lapsed for certain. The caller holds mu.
-func (l *workerLink) due(now time.Time) int64 {
+// due begins a call that carries a lease. It returns the lease's end on the worker's clock, 0 if that isn't known, and when
+// the lease has lapsed for certain. The caller holds mu.
+func (l *workerLink) due(now time.Time) (int64, time.Time) {
+	l.calls++
 	if l.clock.at.IsZero() {
-		return 0
+		return 0, time.Time{}
 	}
 	lease := l.s.node.options.lease()
 	since := now.Sub(l.clock.at)
 	due := l.clock.ms + (since + lease).Milliseconds()
 	lapse := l.clock.at.Add(time.Duration(float64(since+lease)*(1+2*clockDrift)) + time.Millisecond)
-	if lapse.After(l.lapseAt) {
+	return due, lapse
+}
+
+// called ends a call that carried a lease. One that wasn't sent has renewed nothing.
+func (l *workerLink) called(lapse time.Time, err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.calls--
+	sent := !errors.Is(err, port.ErrUnavailable) && !errors.Is(err, port.ErrNotListening)
+	if sent && lapse.After(l.lapseAt) {
 		l.lapseAt = lapse
 	}
-	return due
 }
 
 // renewed takes a worker's answer to the scheduler, and waits until its ends are durable.
@@ -214,7 +228,7 @@
 // checkLapse tells the scheduler once when everything on the worker has ended.
 func (l *workerLink) checkLapse() {
 	l.mu.Lock()
-	lapsed := !l.lapsed && time.Now().After(l.lapseAt)
+	lapsed := !l.lapsed && l.calls == 0 && time.Now().After(l.lapseAt)
 	l.lapsed = l.lapsed || lapsed
 	l.mu.Unlock()
 	if lapsed {
@@ -249,15 +263,9 @@
 
 // send performs an order.
 func (l *workerLink) send(o cell.Order) cell.OrderOutcome {
-	l.mu.Lock()
-	due := l.due(time.Now())
-	l.mu.Unlock()
 	var err error
 	if o.Kind == cell.OrderStart {
-		if due == 0 {
-			return cell.OrderRefused
-		}
-		_, err = l.s.node.options.Workers.Start(l.s.ctx, l.ref, port.Start{Order: o, Token: l.s.term.number, DueMS: due})
+		err = l.start(o)
 	} else {
 		_, err = l.s.node.options.Workers.Stop(l.s.ctx, l.ref, o.Run, l.s.term.number)
 	}
@@ -269,6 +277,18 @@
 	return outcome
 }
 
+func (l *workerLink) start(o cell.Order) error {
+	l.mu.Lock()
+	due, lapse := l.due(time.Now())
+	l.mu.Unlock()
+	err := errors.Wrap(port.ErrUnavailable, "the worker's clock isn't known yet")
+	if due != 0 {
+		_, err = l.s.node.options.Workers.Start(l.s.ctx, l.ref, port.Start{Order: o, Token: l.s.term.number, DueMS: due})
+	}
+	l.called(lapse, err)
+	return err
+}
+
 func orderOutcome(err error) cell.OrderOutcome {
 	switch {
 	case err == nil:
@@ -283,6 +303,8 @@
 		return cell.OrderGone
 	case errors.Is(err, port.ErrUnknownOutcome):
 		return cell.OrderUnanswered
+	case errors.Is(err, port.ErrUnavailable), errors.Is(err, port.ErrNotListening):
+		return cell.OrderNotSent
 	}
-	return cell.OrderRefused // ErrRefused, ErrUnavailable, ErrNotListening, ErrBadOrder: certainly not carried out
+	return cell.OrderRefused
 }
--- a/internal/core/cell/inventory.go
+++ b/internal/core/cell/inventory.go
@@ -174,17 +174,21 @@
 	}
 }
 
-// countFailure counts a failed run, of a gang once for all members, and reports whether the job has failed by it.
+// countFailure counts a failed run, of a gang once for all members, and reports whether the job has failed by it. A
+// successor may see an end again that its predecessor has counted, because the worker lists it until it is acknowledged.
 func (s *Scheduler) countFailure(t *task, run int) bool {
 	st, fails := t.step, 0
 	if st.spec.Gang {
-		if run == st.gangRun && st.failedRun != run {
+		if run > st.failedRun {
 			st.failedRun = run
 			st.gangFails++
 		}
 		fails = st.gangFails
 	} else {
-		t.failed++
+		if run > t.failedRun {
+			t.failedRun = run
+			t.failed++
+		}
 		fails = t.failed
 	}
 	if fails < st.job.maxAttempts || st.job.phase.Final() || t.phase == taskDone {
@@ -266,15 +270,25 @@
 	w.faults.streak, w.faults.backoff, w.faults.success = 0, 0, now
 }
 
-// stalled stops runs that make no progress.
-func (s *Scheduler) stalled(t *task) bool {
-	if t.phase != taskRunning || t.percent >= workDone || s.now.Sub(t.progressAt) < stallTime {
-		return false
+// stopStalled stops the runs of a job that make no progress.
+func (s *Scheduler) stopStalled(j *job) {
+	if j.openRuns == 0 {
+		return
 	}
+	for _, st := range j.steps {
+		for _, t := range st.tasks {
+			if t.phase == taskRunning && t.percent < workDone && s.now.Sub(t.progressAt) >= stallTime {
+				s.stalled(t)
+			}
+		}
+	}
+}
+
+// stalled stops a run that makes no progress.
+func (s *Scheduler) stalled(t *task) {
 	t.avoid = append(t.avoid, t.worker.ID)
 	s.blame(t.worker, "a run stands still")
 	s.events.Decided(t.id.String(), "stands still", "run", t.run, "worker", t.worker.ID, "percent", t.percent, "gang", t.step.spec.Gang,
 		"still_ms", s.now.Sub(t.progressAt).Milliseconds(), "ran_ms", s.now.Sub(t.startedAt).Milliseconds())
 	s.giveUp(t, "no progress")
-	return true
 }
--- a/internal/core/cell/orders.go
+++ b/internal/core/cell/orders.go
@@ -38,10 +38,11 @@
 	OrderDone       OrderOutcome = "done"
 	OrderUnanswered OrderOutcome = "unanswered" // may still be carried out
 	OrderFenced     OrderOutcome = "fenced"     // another node gives the orders now
-	OrderOld        OrderOutcome = "old"        // the run, or a later one, has ended or was stopped there
-	OrderRefused    OrderOutcome = "refused"    // not carried out, the worker may take it later
-	OrderNoTicket   OrderOutcome = "no ticket"  // not carried out, the ticket has lapsed
-	OrderGone       OrderOutcome = "gone"       // that life of the worker has ended
+	OrderNotSent    OrderOutcome = "not sent"
+	OrderOld        OrderOutcome = "old"       // the run, or a later one, has ended or was stopped there
+	OrderRefused    OrderOutcome = "refused"   // not carried out, the worker may take it later
+	OrderNoTicket   OrderOutcome = "no ticket" // not carried out, the ticket has lapsed
+	OrderGone       OrderOutcome = "gone"      // that life of the worker has ended
 )
 
 // dueOrders returns the orders whose time has come.
@@ -69,6 +70,10 @@
 	o := Order{Worker: t.worker.ID, Run: RunID{t.id, t.run}}
 	switch t.phase {
 	case taskStarting:
+		if t.worker.Draining {
+			s.startRejected(t, "the worker drains")
+			return Order{}, false
+		}
 		o.Kind, o.Spec, o.Ticket, o.Checkpoint = OrderStart, t.step.job.Spec, t.ticket, t.checkpoint
 	case taskStopping:
 		if t.worker.gone {
@@ -110,7 +115,7 @@
 	if t.phase != taskStopping {
 		return
 	}
-	if outcome == OrderUnanswered || outcome == OrderRefused {
+	if outcome == OrderUnanswered || outcome == OrderRefused || outcome == OrderNotSent {
 		t.retryAt = s.now.Add(orderTimeoutRetry)
 		return
 	}
@@ -127,11 +132,17 @@
 		return
 	}
 	switch outcome {
+	case OrderNotSent:
+		t.retryAt = s.now.Add(orderTimeoutRetry)
+		if s.now.Sub(t.startedAt) > startPatience {
+			s.startRejected(t, "the worker can't be reached")
+		}
 	case OrderDone:
 		s.confirm(t)
 		t.checkAfter = s.seq.Add(1)
 		t.unlisted = true
 	case OrderUnanswered:
+		t.uncertain = true
 		t.retryAt = s.now.Add(orderTimeoutRetry)
 		if s.now.Sub(t.startedAt) > startPatience {
 			s.giveUp(t, "the worker doesn't answer")
@@ -154,10 +165,10 @@
 const refusedPause = 300 * time.Millisecond
 
 // startRejected handles a start that certainly wasn't carried out. An earlier, unanswered order for the same run may
-// still be, so only the first order's rejection frees the task at once.
+// still be; then the run is stopped first.
 func (s *Scheduler) startRejected(t *task, reason string) {
 	s.events.Decided(t.id.String(), "start rejected", "run", t.run, "worker", t.worker.ID, "reason", reason)
-	if t.orders > 1 {
+	if t.uncertain {
 		s.giveUp(t, reason)
 		return
 	}
@@ -172,7 +183,7 @@
 // giveUp stops a run, or makes sure that it never starts.
 func (s *Scheduler) giveUp(t *task, reason string) {
 	s.events.Decided(t.id.String(), "stopped", "run", t.run, "worker", t.worker.ID, "reason", reason)
-	t.phase, t.retryAt, t.orders = taskStopping, s.now, 0
+	s.stop(t)
 	if t.step.spec.Gang {
 		s.breakGang(t.step, reason)
 	}
--- a/internal/core/cell/place.go
+++ b/internal/core/cell/place.go
@@ -13,6 +13,8 @@
 	maxBlockers = 2
 	// placementInterval is the shortest time between two passes.
 	placementInterval = 8 * time.Millisecond
+	// maxFruitless steps in a row without room end a pass, so that its cost doesn't grow with what waits.
+	maxFruitless = 128
 	// idlePassInterval is the longest time between two passes: tickets lapse and pauses end without an event.
 	idlePassInterval = 50 * time.Millisecond
 )
@@ -22,6 +24,7 @@
 	at       time.Time
 	usable   []*worker
 	room     int64                       // thousandths of a core that are free for steps further down
+	largest  resource.Vector             // the most that any worker has free of each resource
 	blocked  map[*worker]resource.Vector // room kept for gangs that go first
 	blockers int
 	steps    []candidateStep
@@ -55,18 +58,29 @@
 	s.pass.blocked, s.pass.blockers = map[*worker]resource.Vector{}, 0
 	s.collectUsable()
 	s.collectSteps()
+	fruitless := 0
 	for _, c := range s.pass.steps {
+		if !c.step.spec.Each.Fits(s.pass.largest) && c.step.advice.judged != nil {
+			continue
+		}
+		before := c.step.waiting
 		s.placeStep(c.step, c.queue)
+		if c.step.waiting < before {
+			fruitless = 0
+		} else if fruitless++; fruitless == maxFruitless {
+			return
+		}
 		s.pass.room -= int64(c.step.waiting) * c.step.spec.Each.MilliCPU / adviceOverbooking
 	}
 }
 
 func (s *Scheduler) collectUsable() {
-	s.pass.usable, s.pass.room = s.pass.usable[:0], 0
+	s.pass.usable, s.pass.room, s.pass.largest = s.pass.usable[:0], 0, resource.Vector{}
 	for _, w := range s.workers {
 		if w.usable(s.now) {
 			s.pass.usable = append(s.pass.usable, w)
 			s.pass.room += max(0, w.free.MilliCPU)
+			s.pass.largest = s.pass.largest.Max(w.free)
 		}
 	}
 	slices.SortFunc(s.pass.usable, func(a, b *worker) int { return cmp.Compare(a.ID, b.ID) })
@@ -82,9 +96,6 @@
 		}
 		q := s.config.Queue(j.Queue)
 		for _, st := range j.steps {
-			for _, t := range st.tasks {
-				s.stalled(t)
-			}
 			if st.waiting == 0 || s.now.Before(st.blocked) || !st.ready() {
 				continue
 			}
@@ -222,7 +233,7 @@
 
 func (s *Scheduler) intend(t *task) {
 	t.ticket, _ = t.step.advice.valid(t.worker.ID, s.now)
-	t.phase, t.unlisted, t.orderOut, t.orders = taskPlaced, false, false, 0
+	t.phase, t.unlisted, t.orderOut, t.uncertain, t.orders = taskPlaced, false, false, false, 0
 	t.intentVersion = s.touch(t.step.job)
 	s.events.Decided(t.id.String(), "placed", "run", t.run, "worker", t.worker.ID, "free_mcpu", t.worker.free.MilliCPU,
 		"waited_ms", s.now.UnixMilli()-t.step.job.AcceptedMS)
--- a/internal/core/cell/record.go
+++ b/internal/core/cell/record.go
@@ -33,6 +33,7 @@
 	Tasks     []taskProgress `json:"tasks,omitempty"`
 	GangRun   int            `json:"gang_run,omitempty"`
 	GangFails int            `json:"gang_failed,omitempty"`
+	FailedRun int            `json:"failed_run,omitempty"` // last run of the gang that was counted in gang_failed
 }
 
 // taskProgress is a task that was placed and isn't done.
@@ -40,7 +41,8 @@
 	Task       int      `json:"i"`
 	Run        int      `json:"r"`
 	Failed     int      `json:"f,omitempty"`
-	Worker     WorkerID `json:"w,omitempty"` // empty unless the run may exist
+	FailedRun  int      `json:"fr,omitempty"` // last run that was counted in f
+	Worker     WorkerID `json:"w,omitempty"`  // empty unless the run may exist
 	Checkpoint string   `json:"c,omitempty"`
 }
 
@@ -95,7 +97,7 @@
 }
 
 func (st *step) progress() stepProgress {
-	p := stepProgress{GangRun: st.gangRun, GangFails: st.gangFails}
+	p := stepProgress{GangRun: st.gangRun, GangFails: st.gangFails, FailedRun: st.failedRun}
 	for n, t := range st.tasks {
 		if t.phase == taskDone {
 			p.Done = append(p.Done, n)
@@ -104,7 +106,7 @@
 		if t.run == 0 {
 			continue
 		}
-		row := taskProgress{Task: n, Run: t.run, Failed: t.failed, Checkpoint: t.checkpoint}
+		row := taskProgress{Task: n, Run: t.run, Failed: t.failed, FailedRun: t.failedRun, Checkpoint: t.checkpoint}
 		if t.worker != nil && t.phase != taskReserved {
 			row.Worker = t.worker.ID
 		}
@@ -133,7 +135,7 @@
 }
 
 func (s *Scheduler) restoreStep(st *step, p stepProgress) {
-	st.gangRun, st.gangFails = p.GangRun, p.GangFails
+	st.gangRun, st.gangFails, st.failedRun = p.GangRun, p.GangFails, p.FailedRun
 	for _, n := range p.Done {
 		if n >= 0 && n < len(st.tasks) && st.tasks[n].phase != taskDone {
 			st.tasks[n].phase = taskDone
@@ -147,7 +149,7 @@
 			continue
 		}
 		t := st.tasks[row.Task]
-		t.run, t.failed, t.checkpoint = row.Run, row.Failed, row.Checkpoint
+		t.run, t.failed, t.failedRun, t.checkpoint = row.Run, row.Failed, row.FailedRun, row.Checkpoint
 		st.job.began, st.began = true, true
 		if row.Worker != "" && t.phase == taskWaiting {
 			s.occupy(t, s.workerOf(row.Worker))
--- a/internal/core/cell/scheduler.go
+++ b/internal/core/cell/scheduler.go
@@ -33,6 +33,10 @@
 	advice  []AdviceRequest
 	pass    placementPass
 	lastRun time.Time
+	// ordersPending tells that an order may be due before the next regular look.
+	ordersPending bool
+	lastOrders    time.Time
+	lastSweep     time.Time
 	// unrecorded is when the oldest record that isn't durable was taken, zero if there is none.
 	unrecorded time.Time
 	rates      map[string]*rate // by team
@@ -142,10 +146,16 @@
 	case taskReserved, taskPlaced:
 		s.wait(t)
 	case taskStarting, taskRunning:
-		t.phase, t.retryAt, t.orders = taskStopping, s.now, 0
+		s.stop(t)
 	}
 }
 
+// stop lets the order to stop a run go out.
+func (s *Scheduler) stop(t *task) {
+	t.phase, t.retryAt, t.orders = taskStopping, s.now, 0
+	s.ordersPending = true
+}
+
 // finishIfDone completes a job whose tasks are all done.
 func (s *Scheduler) finishIfDone(j *job) {
 	if j.phase.Final() {
@@ -198,8 +208,14 @@
 	var a Actions
 	s.place()
 	a.Advice, s.advice = s.advice, nil
-	a.Orders = s.dueOrders()
-	s.sweep()
+	if s.ordersPending || now.Sub(s.lastOrders) >= orderInterval {
+		s.ordersPending, s.lastOrders = false, now
+		a.Orders = s.dueOrders()
+	}
+	if now.Sub(s.lastSweep) >= sweepInterval {
+		s.lastSweep = now
+		s.sweep()
+	}
 	return a
 }
 
@@ -209,10 +225,18 @@
 	Advice []AdviceRequest
 }
 
-// sweep forgets jobs that ended a while ago.
+const (
+	// orderInterval is the longest time between two looks for orders that are due.
+	orderInterval = 10 * time.Millisecond
+	// sweepInterval is the time between two looks for runs that stand still and jobs that have ended.
+	sweepInterval = 100 * time.Millisecond
+)
+
+// sweep stops runs that stand still and forgets jobs that ended a while ago.
 func (s *Scheduler) sweep() {
 	kept := s.active[:0]
 	for _, j := range s.active {
+		s.stopStalled(j)
 		if !j.archived || j.openRuns > 0 {
 			kept = append(kept, j)
 		}
--- a/internal/core/cell/state.go
+++ b/internal/core/cell/state.go
@@ -28,6 +28,7 @@
 	worker     *worker
 	run        int
 	failed     int // runs that ended as failed
+	failedRun  int // last run that was counted as failed
 	checkpoint string
 	avoid      []WorkerID // workers on which a run failed or stood still
 
@@ -36,6 +37,7 @@
 	startedAt     time.Time // first order of the run
 	orders        int       // orders sent for the run in its current phase
 	orderOut      bool      // an order is on its way
+	uncertain     bool      // an order to start the run got no answer and may still be carried out
 	retryAt       time.Time // when the next order is due
 	checkAfter    uint64    // an inventory asked for later than this order shows whether the run exists
 	unlisted      bool      // the worker's answer to the last order may have been passed by an inventory
@@ -75,6 +77,7 @@
 	version      uint64 // rises with each change that the record shows
 	recorded     uint64 // version of the durable record
 	dirty        bool
+	writing      bool      // a write of the record is under way
 	deadline     time.Time // the objective
 	finished     time.Time
 	archived     bool // the final record is durable
--- a/internal/core/cell/writes.go
+++ b/internal/core/cell/writes.go
@@ -13,26 +13,26 @@
 // TakeWrites returns at most n records that changed since they were last taken.
 func (s *Scheduler) TakeWrites(n int) []Write {
 	var writes []Write
-	taken := 0
 	if s.unrecorded.IsZero() && len(s.dirty) > 0 {
 		s.unrecorded = s.now
 	}
+	kept := s.dirty[:0]
 	for _, j := range s.dirty {
-		if len(writes) == n {
-			break
+		if j.writing || len(writes) == n {
+			kept = append(kept, j) // a job has one write under way at a time
+			continue
 		}
-		taken++
 		j.dirty = false
 		w, err := s.write(j)
 		if err != nil {
 			s.events.Decided(string(j.ID), "record not written", "error", err.Error())
 			continue
 		}
+		j.writing = true
 		writes = append(writes, w)
 	}
-	rest := copy(s.dirty, s.dirty[taken:])
-	clear(s.dirty[rest:])
-	s.dirty = s.dirty[:rest]
+	clear(s.dirty[len(kept):])
+	s.dirty = kept
 	return writes
 }
 
@@ -57,6 +57,7 @@
 	if j == nil {
 		return
 	}
+	j.writing = false
 	j.recorded = max(j.recorded, w.Version)
 	j.archived = j.archived || w.Final
 	for _, st := range j.steps {
@@ -83,12 +84,18 @@
 		}
 	}
 	t.phase, t.retryAt, t.startedAt, t.orders = taskStarting, s.now, s.now, 0
+	s.ordersPending = true
 }
 
 // NotRecorded returns a record that couldn't be written, so that it is taken again.
 func (s *Scheduler) NotRecorded(w Write) {
 	s.unrecorded = time.Time{}
-	if j := s.jobs[w.Job]; j != nil && !j.dirty && !j.archived {
+	j := s.jobs[w.Job]
+	if j == nil {
+		return
+	}
+	j.writing = false
+	if !j.dirty && !j.archived {
 		j.dirty = true
 		s.dirty = append(s.dirty, j)
 	}
