Let the strongest node schedule

Change: a node's strength (cores, less with a thin link) delays its first attempt, orders the succession, and a scheduling node hands over once to a node that is 1.5 times as strong.

--- a/internal/control/member.go
+++ b/internal/control/member.go
@@ -56,11 +56,11 @@
 const (
 	// rankStep is the delay between the attempts of two nodes to take over.
 	rankStep = 60 * time.Millisecond
-	// maxRank bounds the delay of nodes that don't know their rank.
+	// maxRank bounds the delay of nodes far down in the order of succession.
 	maxRank = 8
 )
 
-// rankDelay spreads the attempts to take over, so that usually one node tries.
+// rankDelay spreads the attempts to take over, so that usually the strongest node tries alone.
 func (n *Node) rankDelay() time.Duration {
 	if m := n.membership.Load(); m != nil {
 		if i := slices.Index(m.members, n.options.Address); i >= 0 {
@@ -69,7 +69,9 @@
 	}
 	f := fnv.New32a()
 	f.Write([]byte(n.options.Name))
-	return time.Duration(f.Sum32()%maxRank) * rankStep
+	spread := time.Duration(f.Sum32()%maxRank) * rankStep / maxRank
+	weakness := 1 - min(n.options.Strength/fullStrength, 1)
+	return spread + time.Duration(weakness*float64(weakDelay))
 }
 
 // askOthers asks the other members whether they hear the scheduling node. heard tells that at least one answered.
@@ -216,7 +218,8 @@
 }
 
 func (n *Node) beat() *cellpb.MemberMessage {
-	return &cellpb.MemberMessage{Node: n.options.Name, Address: n.options.Address, StoreAgeMs: n.storeAge().Milliseconds(), Leaving: n.stopping.Load()}
+	return &cellpb.MemberMessage{Node: n.options.Name, Address: n.options.Address, StoreAgeMs: n.storeAge().Milliseconds(), Leaving: n.stopping.Load(),
+		Strength: n.options.Strength}
 }
 
 // adviceSlack is added to the time that a call for advice takes by its configuration.
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -15,8 +15,9 @@
 type members struct {
 	s *scheduling
 
-	mu   sync.Mutex
-	list []*member
+	mu         sync.Mutex
+	list       []*member // in the order of succession
+	handedOver bool      // a successor was asked to take over
 }
 
 // member is an attached node.
@@ -25,6 +26,7 @@
 	out           chan *cellpb.SchedulerMessage
 	storeAge      time.Duration
 	leaving       bool
+	strength      float64
 	asked         bool // to take over
 }
 
@@ -77,10 +79,10 @@
 	return message
 }
 
-// addresses returns the members in the order of succession: those that reach the store first.
+// addresses returns the members in the order of succession: those that reach the store first, the strongest of them first.
 func (m *members) addresses() []string {
 	slices.SortStableFunc(m.list, func(a, b *member) int {
-		return cmp.Or(cmp.Compare(bool2int(a.unfit()), bool2int(b.unfit())), cmp.Compare(a.name, b.name))
+		return cmp.Or(cmp.Compare(bool2int(a.unfit()), bool2int(b.unfit())), cmp.Compare(b.strength, a.strength), cmp.Compare(a.name, b.name))
 	})
 	list := make([]string, len(m.list))
 	for i, x := range m.list {
@@ -105,20 +107,20 @@
 func (m *members) resignIfNeeded() {
 	node := m.s.node
 	silent := node.storeAge() > resignAge
-	if !node.stopping.Load() && !silent {
-		return
-	}
+	must := node.stopping.Load() || silent
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, x := range m.list {
-		if x.unfit() || x.asked || silent && x.storeAge > resignAge/2 {
+		stronger := x.strength > strongerFactor*node.options.Strength && !m.handedOver
+		if !must && !stronger || x.unfit() || x.asked || silent && x.storeAge > resignAge/2 {
 			continue
 		}
+		m.handedOver = true
 		x.asked = true
 		message := m.message()
 		message.Resign = true
 		node.options.Log.Info("decision", "subject", node.options.Name, "decision", "successor asked", "node", x.name, "term", m.s.term.number,
-			"stopping", node.stopping.Load(), "store_age_ms", node.storeAge().Milliseconds())
+			"strength", x.strength, "stopping", node.stopping.Load(), "store_age_ms", node.storeAge().Milliseconds())
 		x.send(message)
 		return
 	}
@@ -156,6 +158,7 @@
 // note applies a node's message.
 func (m *members) note(x *member, r *cellpb.MemberMessage) {
 	m.mu.Lock()
+	x.strength = r.Strength
 	x.storeAge, x.leaving = time.Duration(r.StoreAgeMs)*time.Millisecond, r.Leaving
 	m.mu.Unlock()
 	received := time.Now()
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -96,7 +96,9 @@
 		case err != nil:
 			n.followKnown(ctx)
 		case h == nil:
-			n.campaign(ctx, 0, "no node schedules")
+			if wait.For(ctx, n.rankDelay()) {
+				n.campaign(ctx, 0, "no node schedules")
+			}
 		case h.Address == n.options.Address:
 			n.campaign(ctx, h.revision, "an earlier life of this node scheduled")
 		default:
--- a/internal/control/options.go
+++ b/internal/control/options.go
@@ -20,6 +20,8 @@
 	KeepEnded time.Duration
 	// StoreLeaseMin is the shortest lease that the store grants.
 	StoreLeaseMin time.Duration
+	// Strength is the number of cores that the node can use for scheduling.
+	Strength float64
 	// Grace is the time from SIGTERM to SIGKILL.
 	Grace time.Duration
 
@@ -53,6 +55,15 @@
 	readyAge = 2 * time.Second
 )
 
+const (
+	// fullStrength is the number of cores with which a node is a candidate at once; weaker ones wait.
+	fullStrength = 0.8
+	// weakDelay is how long a node without any strength waits before it tries to schedule.
+	weakDelay = 500 * time.Millisecond
+	// strongerFactor times its own strength is what another node must have for the scheduling node to hand over.
+	strongerFactor = 1.5
+)
+
 // lease is how long a worker keeps its runs.
 func (o Options) lease() time.Duration { return min(workerLease, o.LeaseMax) }
 
