--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -71,8 +71,13 @@
 	m.s.node.noteMembership(m.s.node.options.Address, message)
 }
 
+// message returns a message without news. The caller holds mu.
 func (m *members) message() *cellpb.SchedulerMessage {
-	message := &cellpb.SchedulerMessage{Term: m.s.term.number, Node: m.s.node.options.Name}
+	age := m.s.node.storeAge()
+	for _, x := range m.list {
+		age = min(age, x.storeAge)
+	}
+	message := &cellpb.SchedulerMessage{Term: m.s.term.number, Node: m.s.node.options.Name, StoreAgeMs: age.Milliseconds()}
 	if c := m.s.node.config.Load(); c != nil {
 		message.ConfigVersion = c.Version
 	}
@@ -139,7 +144,9 @@
 func (m *members) join(name, address string) (*member, func()) {
 	x := &member{name: name, address: address, out: make(chan *cellpb.SchedulerMessage, memberBuffer)}
 	a := &adviser{name: name, send: func(id int64, r cell.AdviceRequest) bool {
+		m.mu.Lock()
 		message := m.message()
+		m.mu.Unlock()
 		message.Advice = adviceMessage(id, r)
 		return x.send(message)
 	}}
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -24,6 +24,7 @@
 
 	config     atomic.Pointer[configInForce]
 	lastStore  atomic.Int64               // Unix nanoseconds of the last answer of the store
+	storeFails atomic.Int64               // calls of the store without an answer since the last one with
 	membership atomic.Pointer[membership] // what the scheduling node last told
 	scheduling atomic.Pointer[scheduling] // non-nil while this node schedules
 	stopping   atomic.Bool
@@ -45,9 +46,11 @@
 	address string // of the scheduling node
 	heard   time.Time
 	version int64 // of the scheduling node's configuration
-	waiting map[string]int64
-	counted time.Time // when waiting was counted
-	members []string
+	// storeAge is the time since the store's last answer to the scheduling node or a member when it was heard.
+	storeAge time.Duration
+	waiting  map[string]int64
+	counted  time.Time // when waiting was counted
+	members  []string
 }
 
 // outboxSize bounds the news that wait for the connection to the scheduling node. It finds the rest in the store.
@@ -135,7 +138,24 @@
 }
 
 // storeHeard notes an answer of the store.
-func (n *Node) storeHeard() { n.lastStore.Store(time.Now().UnixNano()) }
+func (n *Node) storeHeard() {
+	n.lastStore.Store(time.Now().UnixNano())
+	n.storeFails.Store(0)
+}
+
+// storeFailed notes a call that the store didn't answer or refused.
+func (n *Node) storeFailed() { n.storeFails.Add(1) }
+
+const (
+	// storeFailLimit calls in a row without an answer open the circuit to the store.
+	storeFailLimit = 2
+	// probeInterval is the pause between two looks whether the store answers again.
+	probeInterval = 120 * time.Millisecond
+)
+
+// storeUp reports whether calls of the store are worth sending. While it is silent, a job's record isn't sent at all, so
+// that the caller can be told truthfully that the job never runs.
+func (n *Node) storeUp() bool { return n.storeFails.Load() < storeFailLimit }
 
 // neverHeard is the age of an answer that never came.
 const neverHeard = time.Hour
@@ -160,12 +180,13 @@
 		case errors.Is(err, port.ErrNotFound):
 			n.storeHeard()
 		default:
+			n.storeFailed()
 			n.options.Log.Warn("configuration not read", "error", err.Error(), "store_age_ms", n.storeAge().Milliseconds())
 			n.configFromPeer(ctx)
 		}
 		pause := configPoll
-		if n.config.Load() == nil {
-			pause = configPoll / 6
+		if n.config.Load() == nil || !n.storeUp() {
+			pause = probeInterval
 		}
 		if !wait.For(ctx, pause) {
 			return
--- a/internal/control/relay.go
+++ b/internal/control/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -16,12 +17,18 @@
 	node *Node
 }
 
+// errCircuitOpen tells that a call wasn't sent because the store is silent.
+var errCircuitOpen = errors.Wrap(port.ErrUnavailable, "the store doesn't answer this node")
+
 // Get implements port.TxnStore.
 func (r *relayedStore) Get(ctx context.Context, key string) (port.Entry, error) {
-	e, err := r.TxnStore.Get(ctx, key)
-	if err == nil || errors.Is(err, port.ErrNotFound) {
-		r.node.storeHeard()
-		return e, err
+	e, err := port.Entry{}, errCircuitOpen
+	if r.node.storeUp() {
+		if e, err = r.TxnStore.Get(ctx, key); err == nil || errors.Is(err, port.ErrNotFound) {
+			r.node.storeHeard()
+			return e, err
+		}
+		r.node.storeFailed()
 	}
 	reply, relayed := r.relay(ctx, &cellpb.RelayRequest{Call: &cellpb.RelayRequest_Get{Get: key}})
 	switch {
@@ -35,10 +42,14 @@
 
 // Commit implements port.TxnStore. If any attempt has an unknown outcome, so has the call unless a later one decides.
 func (r *relayedStore) Commit(ctx context.Context, t port.Txn) (int64, error) {
-	revision, err := r.TxnStore.Commit(ctx, t)
-	if !errors.Is(err, port.ErrUnavailable) && !errors.Is(err, port.ErrUnknownOutcome) {
-		r.node.storeHeard()
-		return revision, err
+	revision, err := int64(0), errCircuitOpen
+	if r.node.storeUp() {
+		revision, err = r.TxnStore.Commit(ctx, t)
+		if !errors.Is(err, port.ErrUnavailable) && !errors.Is(err, port.ErrUnknownOutcome) {
+			r.node.storeHeard()
+			return revision, err
+		}
+		r.node.storeFailed()
 	}
 	reply, relayed := r.relay(ctx, &cellpb.RelayRequest{Call: &cellpb.RelayRequest_Txn{Txn: txnMessage(t)}})
 	if !relayed {
@@ -62,7 +73,7 @@
 // relay asks other nodes, the scheduling node first, until one has an answer of the store.
 func (r *relayedStore) relay(ctx context.Context, call *cellpb.RelayRequest) (*cellpb.RelayReply, bool) {
 	m := r.node.membership.Load()
-	if m == nil {
+	if m == nil || m.storeAge+time.Since(m.heard) > relayAge {
 		return nil, false
 	}
 	var last *cellpb.RelayReply
@@ -89,8 +100,12 @@
 	return last, last != nil
 }
 
-// relayAttempts is how many nodes are asked to make a call.
-const relayAttempts = 2
+const (
+	// relayAttempts is how many nodes are asked to make a call.
+	relayAttempts = 2
+	// relayAge is how old the store's last answer to any node may be for a call to be relayed.
+	relayAge = 900 * time.Millisecond
+)
 
 func entryFrom(e *cellpb.Entry) port.Entry {
 	return port.Entry{Key: e.Key, Value: e.Value, Revision: e.Revision}
