Let records share transactions, those that somebody waits for first

Cause: five records a transaction and four at a time carry some 1000 records a second; at 680 ends a second on the grown site intents queued behind ends (from placed to started: 42 ms at first, 163 ms later, 359 ms for one in ten). Change: a transaction is filled by entries, intents and final phases go first, a record of ends alone waits up to 25 ms for others; six transactions at a time.

--- a/internal/control/committer.go
+++ b/internal/control/committer.go
@@ -11,11 +11,10 @@
 )
 
 const (
-	// writesPerTxn records of progress fit into a transaction together with the scheduler key: a final record takes up to
-	// six entries of 32.
-	writesPerTxn = 5
+	// entriesPerTxn is what is left of a transaction's 32 entries beside the scheduler key.
+	entriesPerTxn = 31
 	// maxTxns transactions are under way at a time.
-	maxTxns = 4
+	maxTxns = 6
 	// commitRetry is the pause before a transaction without an answer is sent again.
 	commitRetry = 50 * time.Millisecond
 )
@@ -38,7 +37,7 @@
 // flush begins transactions for what has to be written.
 func (c *committer) flush() {
 	for c.busy < maxTxns && c.s.core.HasWrites() {
-		writes := c.s.core.TakeWrites(writesPerTxn)
+		writes := c.s.core.TakeWrites(entriesPerTxn)
 		if len(writes) == 0 {
 			return
 		}
--- a/internal/core/cell/place.go
+++ b/internal/core/cell/place.go
@@ -234,7 +234,7 @@
 func (s *Scheduler) intend(t *task) {
 	t.ticket, _ = t.step.advice.valid(t.worker.ID, s.now)
 	t.phase, t.unlisted, t.orderOut, t.uncertain, t.orders = taskPlaced, false, false, false, 0
-	t.intentVersion = s.touch(t.step.job)
+	t.intentVersion = s.touchNow(t.step.job)
 	s.events.Decided(t.id.String(), "placed", "run", t.run, "worker", t.worker.ID, "free_mcpu", t.worker.free.MilliCPU,
 		"waited_ms", s.now.UnixMilli()-t.step.job.AcceptedMS)
 }
--- a/internal/core/cell/scheduler.go
+++ b/internal/core/cell/scheduler.go
@@ -131,7 +131,7 @@
 // end gives a job its final phase and stops what runs.
 func (s *Scheduler) end(j *job, p Phase, reason string) {
 	j.phase, j.reason, j.finished = p, reason, s.now
-	s.touch(j)
+	s.touchNow(j)
 	s.events.Decided(string(j.ID), "ended", "phase", p, "reason", reason, "queue", j.Queue, "team", j.Team)
 	for _, st := range j.steps {
 		for _, t := range st.tasks {
--- a/internal/core/cell/state.go
+++ b/internal/core/cell/state.go
@@ -77,7 +77,9 @@
 	version      uint64 // rises with each change that the record shows
 	recorded     uint64 // version of the durable record
 	dirty        bool
-	writing      bool      // a write of the record is under way
+	writing      bool // a write of the record is under way
+	urgent       bool // the record holds an intent or a final phase
+	dirtyAt      time.Time
 	deadline     time.Time // the objective
 	finished     time.Time
 	archived     bool // the final record is durable
@@ -184,12 +186,22 @@
 func (s *Scheduler) touch(j *job) uint64 {
 	j.version++
 	if !j.dirty {
-		j.dirty = true
-		s.dirty = append(s.dirty, j)
+		s.markDirty(j)
 	}
 	return j.version
 }
 
+func (s *Scheduler) markDirty(j *job) {
+	j.dirty, j.dirtyAt = true, s.now
+	s.dirty = append(s.dirty, j)
+}
+
+// touchNow notes that the job's record has to be written without delay.
+func (s *Scheduler) touchNow(j *job) uint64 {
+	j.urgent = true
+	return s.touch(j)
+}
+
 // occupy takes room for a task.
 func (s *Scheduler) occupy(t *task, w *worker) {
 	each := t.step.spec.Each
--- a/internal/core/cell/writes.go
+++ b/internal/core/cell/writes.go
@@ -1,6 +1,9 @@
 package cell
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Write is a record that has to be made durable.
 type Write struct {
@@ -10,32 +13,62 @@
 	Final   bool // replaces the job's other records
 }
 
-// TakeWrites returns at most n records that changed since they were last taken.
-func (s *Scheduler) TakeWrites(n int) []Write {
-	var writes []Write
+const (
+	// finalEntries, firstEntries and progressEntries are what a record takes of a transaction: a final one, the first of
+	// a job, any other.
+	finalEntries    = 6
+	firstEntries    = 3
+	progressEntries = 2
+	// writeDelay is how long a record without an intent or a final phase waits, so that several ends share a write.
+	writeDelay = 25 * time.Millisecond
+)
+
+// entries returns what the job's record takes of a transaction.
+func (j *job) entries() int {
+	switch {
+	case j.phase.Final() && j.openRuns == 0:
+		return finalEntries
+	case j.recorded <= 1:
+		return firstEntries
+	}
+	return progressEntries
+}
+
+// TakeWrites returns records that changed, as many as fit into a transaction with that many entries: first those that
+// somebody waits for. It returns none if all can wait.
+func (s *Scheduler) TakeWrites(entries int) []Write {
 	if s.unrecorded.IsZero() && len(s.dirty) > 0 {
 		s.unrecorded = s.now
 	}
-	kept := s.dirty[:0]
-	for _, j := range s.dirty {
-		if j.writing || len(writes) == n {
-			kept = append(kept, j) // a job has one write under way at a time
-			continue
-		}
-		j.dirty = false
-		w, err := s.write(j)
-		if err != nil {
-			s.events.Decided(string(j.ID), "record not written", "error", err.Error())
-			continue
+	var writes []Write
+	for _, urgent := range []bool{true, false} {
+		for _, j := range s.dirty {
+			due := j.urgent || !urgent && (len(writes) > 0 || s.now.Sub(j.dirtyAt) >= writeDelay)
+			if j.writing || !j.dirty || !due || j.entries() > entries {
+				continue // a job has one write under way at a time
+			}
+			if w, ok := s.take(j); ok {
+				entries -= j.entries()
+				writes = append(writes, w)
+			}
 		}
-		j.writing = true
-		writes = append(writes, w)
 	}
-	clear(s.dirty[len(kept):])
-	s.dirty = kept
+	s.dirty = slices.DeleteFunc(s.dirty, func(j *job) bool { return !j.dirty })
 	return writes
 }
 
+// take encodes the record of a job that changed.
+func (s *Scheduler) take(j *job) (Write, bool) {
+	j.dirty, j.urgent = false, false
+	w, err := s.write(j)
+	if err != nil {
+		s.events.Decided(string(j.ID), "record not written", "error", err.Error())
+		return w, false
+	}
+	j.writing = true
+	return w, true
+}
+
 func (s *Scheduler) write(j *job) (Write, error) {
 	w := Write{Job: j.ID, Version: j.version, Final: j.phase.Final() && j.openRuns == 0}
 	var err error
@@ -95,9 +128,9 @@
 		return
 	}
 	j.writing = false
+	j.urgent = true
 	if !j.dirty && !j.archived {
-		j.dirty = true
-		s.dirty = append(s.dirty, j)
+		s.markDirty(j)
 	}
 }
 
