Leave out silent workers at once; spread the room kept for gangs; metrics, explain

Change: a worker that doesn't answer is left out until it does, its unsent starts go elsewhere at once; room for a gang is kept one member a worker where most is left.

--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -18,7 +18,8 @@
 
 // newNode returns the command that runs a node on the users' platform.
 func newNode() *cobra.Command {
-	return &cobra.Command{
+	var metricsPort int
+	c := &cobra.Command{
 		Use:   "node",
 		Short: "Run a node on the users' platform",
 		Long: "Run a node on the users' platform until SIGTERM. The environment variable " + platform.SettingsVariable + " holds the path of\n" +
@@ -36,7 +37,7 @@
 			defer writer.Wait()
 			defer endLog()
 			log := slog.New(slog.NewJSONHandler(out, nil))
-			err := platform.Run(c.Context(), path, log, telemetry.NewRegistry(log))
+			err := platform.Run(c.Context(), path, metricsPort, log, telemetry.NewRegistry(log))
 			var wrong *platform.SettingsError
 			if errors.As(err, &wrong) {
 				return &ExitError{Code: ExitInvalid, Err: err}
@@ -44,4 +45,6 @@
 			return err
 		},
 	}
+	c.Flags().IntVar(&metricsPort, "metrics-port", 0, "port on which the metrics are served at /metrics; 0 serves none")
+	return c
 }
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -62,7 +62,7 @@
 	}
 	root.PersistentFlags().VarP(&outputFlag{value: outputTable}, "output", "o", "format of the output: table or json")
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usage(err) })
-	root.AddCommand(newValidate(), newPublish(d), newGet(d), newSettings(), newVersion(), newKey(), newExperiment())
+	root.AddCommand(newValidate(), newPublish(d), newGet(d), newSettings(), newVersion(), newKey(), newExperiment(), newExplain())
 	root.AddCommand(newSubmit(d), newJob(d), newCancel(d), newStatus(d))
 	root.AddCommand(processCommands()...)
 	wrapArgs(root)
--- a/internal/control/advisors.go
+++ b/internal/control/advisors.go
@@ -127,6 +127,12 @@
 	}
 	delete(p.flight, id)
 	f.by.busy = 0
+	since(p.s.node.metrics.adviceTime, f.sent)
+	if failed {
+		p.s.node.metrics.count("advice_total", "call", "failed")
+	} else {
+		p.s.node.metrics.count("advice_total", "call", "answered")
+	}
 	p.s.core.Advised(f.request, tickets, asked.Add(f.request.Duration), validity, failed, time.Now())
 }
 
--- a/internal/control/committer.go
+++ b/internal/control/committer.go
@@ -67,7 +67,9 @@
 // commit repeats the transaction until its outcome is known.
 func (c *committer) commit(writes []cell.Write, t port.Txn) {
 	for attempt := 0; ; attempt++ {
+		began := time.Now()
 		revision, err := c.s.node.options.Store.Commit(c.s.ctx, t)
+		since(c.s.node.metrics.commitTime, began)
 		var conflict *port.TxnConflictError
 		switch {
 		case err == nil:
--- a/internal/control/decisions.go
+++ b/internal/control/decisions.go
@@ -1,11 +1,20 @@
 package control
 
-import "log/slog"
+import (
+	"log/slog"
+	"time"
+)
 
-// decisionLog writes the scheduler's decisions.
-type decisionLog struct{ log *slog.Logger }
+// decisionLog writes the scheduler's decisions and measures the wait for the first start of a job.
+type decisionLog struct {
+	log     *slog.Logger
+	metrics *metrics
+}
 
 // Decided implements cell.Events.
 func (d decisionLog) Decided(subject, decision string, attrs ...any) {
 	d.log.Info("decision", append([]any{"subject", subject, "decision", decision}, attrs...)...)
 }
+
+// FirstStart implements cell.Events.
+func (d decisionLog) FirstStart(wait time.Duration) { d.metrics.firstStart.Record(wait) }
--- a/internal/control/front.go
+++ b/internal/control/front.go
@@ -52,6 +52,8 @@
 	defer cancel()
 	began := time.Now()
 	revision, err := n.record(ctx, j.ID, record)
+	since(n.metrics.submitTime, began)
+	n.metrics.submitted(err)
 	outcome := "accepted"
 	if err != nil {
 		outcome = "refused"
@@ -177,6 +179,7 @@
 
 // State implements port.Front: from the scheduling node, or from the store if that doesn't know the job.
 func (n *Node) State(ctx context.Context, id cell.JobID, team string) (cell.Phase, bool, error) {
+	defer since(n.metrics.stateTime, time.Now())
 	if phase, owner, known := n.liveState(ctx, id); known {
 		return phase, mayAsk(team, owner), nil
 	}
--- a/internal/control/links.go
+++ b/internal/control/links.go
@@ -221,6 +221,7 @@
 		l.s.post(ctx, func() { l.s.core.WorkerRefuses(l.ref.ID, time.Now()) })
 		l.checkLapse()
 	default:
+		l.s.post(ctx, func() { l.s.core.WorkerSilent(l.ref.ID, time.Now()) })
 		l.checkLapse()
 	}
 }
@@ -264,12 +265,15 @@
 // send performs an order.
 func (l *workerLink) send(o cell.Order) cell.OrderOutcome {
 	var err error
+	began := time.Now()
 	if o.Kind == cell.OrderStart {
 		err = l.start(o)
 	} else {
 		_, err = l.s.node.options.Workers.Stop(l.s.ctx, l.ref, o.Run, l.s.term.number)
 	}
 	outcome := orderOutcome(err)
+	since(l.s.node.metrics.orderTime, began)
+	l.s.node.metrics.count("orders_total", string(o.Kind), string(outcome))
 	if outcome != cell.OrderDone {
 		l.s.node.options.Log.Info("order", "kind", o.Kind, "subject", o.Run.Task.String(), "run", o.Run.Run, "worker", o.Worker, "outcome", outcome,
 			"error", err.Error())
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -21,6 +21,7 @@
 type Node struct {
 	options Options
 	store   *relayedStore
+	metrics *metrics
 
 	config     atomic.Pointer[configInForce]
 	lastStore  atomic.Int64               // Unix nanoseconds of the last answer of the store
@@ -60,6 +61,7 @@
 func New(o Options) *Node {
 	n := &Node{options: o, leave: make(chan struct{}), outbox: make(chan *cellpb.MemberMessage, outboxSize)}
 	n.store = &relayedStore{TxnStore: o.Store, node: n}
+	n.metrics = newMetrics(o.Metrics, n)
 	return n
 }
 
--- a/internal/core/cell/faults_test.go
+++ b/internal/core/cell/faults_test.go
@@ -187,3 +187,20 @@
 	assert.Equal(t, len(h.takeStarts()), 0)
 	assert.Equal(t, len(h.takeStops()), 1)
 }
+
+// Guards against tasks that are placed again and again on a worker that nothing reaches.
+func TestTaskLeavesAnUnreachableWorkerAtOnce(t *testing.T) {
+	h := newHarness(t, 2)
+	h.add(Job{ID: "a", Steps: []Step{tasks(1, 1000)}})
+	h.pass(0)
+	o := h.takeStarts()[0]
+	h.s.Ordered(o, OrderNotSent, h.now)
+	h.pass(20 * time.Millisecond)
+	again := h.takeStarts()
+	assert.Equal(t, len(again), 1)
+	assert.Assert(t, again[0].Worker != o.Worker)
+	h.renew(indexOf(o.Worker), nil, nil)
+	h.add(Job{ID: "b", Steps: []Step{tasks(2, 3500)}})
+	h.pass(20 * time.Millisecond)
+	assert.Equal(t, len(h.takeStarts()), 1, "it answers again and is used again")
+}
--- a/internal/core/cell/harness_test.go
+++ b/internal/core/cell/harness_test.go
@@ -29,6 +29,8 @@
 
 func (quietEvents) Decided(string, string, ...any) {}
 
+func (quietEvents) FirstStart(time.Duration) {}
+
 const (
 	plainQueue   = "plain"   // every worker may run it
 	advisedQueue = "advised" // needs tickets
--- a/internal/core/cell/inventory.go
+++ b/internal/core/cell/inventory.go
@@ -28,6 +28,10 @@
 	if w.BornMS != 0 && inv.BornMS != 0 && inv.BornMS != w.BornMS {
 		s.rebirth(w, inv.BornMS)
 	}
+	if w.silent {
+		w.silent, s.changed = false, true
+		s.events.Decided(string(w.ID), "worker answers again", "runs", len(w.tasks))
+	}
 	if !w.reached {
 		w.reached = true
 		s.changed = true
--- a/internal/core/cell/orders.go
+++ b/internal/core/cell/orders.go
@@ -99,6 +99,9 @@
 		return true
 	}
 	t.orderOut = false
+	if outcome == OrderNotSent || outcome == OrderUnanswered {
+		s.setSilent(t.worker)
+	}
 	if outcome == OrderGone {
 		s.workerEnded(t.worker, "another life answers at its address")
 		return true
@@ -133,10 +136,7 @@
 	}
 	switch outcome {
 	case OrderNotSent:
-		t.retryAt = s.now.Add(orderTimeoutRetry)
-		if s.now.Sub(t.startedAt) > startPatience {
-			s.startRejected(t, "the worker can't be reached")
-		}
+		s.startRejected(t, "the worker can't be reached")
 	case OrderDone:
 		s.confirm(t)
 		t.checkAfter = s.seq.Add(1)
@@ -208,6 +208,7 @@
 	j := t.step.job
 	if !j.began {
 		j.began = true
+		s.events.FirstStart(max(0, s.now.Sub(time.UnixMilli(j.AcceptedMS))))
 		if !j.phase.Final() {
 			j.phase = Running
 		}
--- a/internal/core/cell/place.go
+++ b/internal/core/cell/place.go
@@ -10,7 +10,7 @@
 
 const (
 	// maxBlockers is how many gangs that wait for room keep later steps from the workers that they need.
-	maxBlockers = 2
+	maxBlockers = 3
 	// placementInterval is the shortest time between two passes.
 	placementInterval = 8 * time.Millisecond
 	// maxFruitless steps in a row without room end a pass, so that its cost doesn't grow with what waits.
@@ -323,39 +323,39 @@
 		(limit.Accelerators == 0 || each.Accelerators == 0 || use.Accelerators <= limit.Accelerators)
 }
 
-// blockFor keeps room for a gang that doesn't fit yet on the workers where it will fit soonest.
+// blockFor keeps room for a gang that doesn't fit yet, for each member on the worker that has most left. Spread like that,
+// the room comes as single tasks end, and no worker has to become empty.
 func (s *Scheduler) blockFor(st *step, q *Queue) {
 	if s.pass.blockers >= maxBlockers {
 		return
 	}
-	type candidate struct {
-		w     *worker
-		share float64
-	}
-	var found []candidate
+	var found []*worker
 	for _, w := range s.pass.usable {
-		if !s.suits(st, w) || q != nil && q.Advice != nil && !st.advice.judged[w.ID] || !st.spec.Each.Fits(w.Capacity) {
-			continue
+		if s.suits(st, w) && (q == nil || q.Advice == nil || st.advice.judged[w.ID]) && st.spec.Each.Fits(w.Capacity) {
+			found = append(found, w)
 		}
-		found = append(found, candidate{w, w.free.Sub(s.pass.blocked[w]).DominantShare(w.Capacity)})
 	}
 	if len(found) == 0 {
 		return
 	}
 	s.pass.blockers++
-	slices.SortFunc(found, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(b.share, a.share), cmp.Compare(a.w.ID, b.w.ID))
-	})
-	left := len(st.tasks)
-	for _, c := range found {
-		room := c.w.Capacity
-		for left > 0 && st.spec.Each.Fits(room) {
-			room = room.Sub(st.spec.Each)
-			s.pass.blocked[c.w] = s.pass.blocked[c.w].Add(st.spec.Each)
-			left--
-		}
-		if left == 0 {
-			return
-		}
+	for range st.tasks {
+		best := slices.MaxFunc(found, func(a, b *worker) int {
+			return cmp.Or(cmp.Compare(s.leftShare(a), s.leftShare(b)), cmp.Compare(b.ID, a.ID))
+		})
+		s.pass.blocked[best] = s.pass.blocked[best].Add(st.spec.Each)
+	}
+}
+
+// leftShare returns the part of a worker that is free and not kept for a gang, below 0 if more is kept than is free.
+func (s *Scheduler) leftShare(w *worker) float64 {
+	left := w.free.Sub(s.pass.blocked[w])
+	share := 1.0
+	if w.Capacity.MilliCPU > 0 {
+		share = float64(left.MilliCPU) / float64(w.Capacity.MilliCPU)
+	}
+	if w.Capacity.MemoryMB > 0 {
+		share = min(share, float64(left.MemoryMB)/float64(w.Capacity.MemoryMB))
 	}
+	return share
 }
--- a/internal/core/cell/scheduler.go
+++ b/internal/core/cell/scheduler.go
@@ -46,6 +46,8 @@
 type Events interface {
 	// Decided tells what was decided about a job, step or task, on which inputs.
 	Decided(subject, decision string, attrs ...any)
+	// FirstStart tells how long a job waited from its acceptance to the start of its first task.
+	FirstStart(wait time.Duration)
 }
 
 // New returns a scheduler without jobs, workers or configuration.
--- a/internal/core/cell/state.go
+++ b/internal/core/cell/state.go
@@ -97,6 +97,7 @@
 	listed     bool // in the registry
 	reached    bool // has answered this holder of the lease in its current life
 	gone       bool // certainly ended
+	silent     bool // didn't answer its last call
 	free       resource.Vector
 	tasks      map[*task]bool
 	noted      int64 // number of the last end that was processed
@@ -121,7 +122,7 @@
 }
 
 func (w *worker) usable(now time.Time) bool {
-	return w.listed && w.reached && !w.gone && !w.Draining && !now.Before(w.faults.until)
+	return w.listed && w.reached && !w.gone && !w.silent && !w.Draining && !now.Before(w.faults.until)
 }
 
 // newJob builds the state of an accepted job.
--- a/internal/core/cell/workers.go
+++ b/internal/core/cell/workers.go
@@ -63,6 +63,21 @@
 	}
 }
 
+// WorkerSilent tells that a worker didn't answer. Nothing is placed on it until it answers again.
+func (s *Scheduler) WorkerSilent(id WorkerID, now time.Time) {
+	s.now = now
+	if w := s.workers[id]; w != nil {
+		s.setSilent(w)
+	}
+}
+
+func (s *Scheduler) setSilent(w *worker) {
+	if !w.silent {
+		w.silent = true
+		s.events.Decided(string(w.ID), "worker silent", "runs", len(w.tasks))
+	}
+}
+
 // WorkerGone tells that a life of a worker has certainly ended, because another instance answers at its address.
 func (s *Scheduler) WorkerGone(id WorkerID, born int64, now time.Time) {
 	s.now = now
--- a/internal/telemetry/registry.go
+++ b/internal/telemetry/registry.go
@@ -123,6 +123,13 @@
 	return value
 }
 
+// Collect adds a function that brings gauges up to date before an exposition.
+func (r *Registry) Collect(f func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.collectors = append(r.collectors, f)
+}
+
 // sanitize replaces characters that metric and label names can't have.
 func sanitize(name string) string {
 	return strings.Map(func(c rune) rune {
