Hand the term over sooner when the store turns its holder away

Change: two failed calls and 0.35 s without an answer, while a member has heard the store later, ask that member to take over; the old term ends when the record names the new one; a refused member looks at the record again before it asks the others.

--- a/internal/control/election.go
+++ b/internal/control/election.go
@@ -109,6 +109,8 @@
 			return errors.New("the store lease has lapsed")
 		case time.Since(last) > storeSilence:
 			return errors.Wrap(err, "the store is silent")
+		default:
+			n.storeFailed()
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/control/member.go
+++ b/internal/control/member.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	"sequoiastall/internal/core/cell"
 	"sequoiastall/internal/rpc/cellpb"
@@ -28,6 +30,10 @@
 	if errors.Is(err, errOtherTerm) {
 		return
 	}
+	if status.Code(err) == codes.FailedPrecondition && n.refused != h.revision {
+		n.refused = h.revision
+		return // its term has ended: the record may tell of another one
+	}
 	n.options.Log.Warn("dependency lost", "dependency", "scheduling node", "node", h.Node, "term", h.Term, "error", err.Error())
 	alive, heard := n.askOthers(ctx, h)
 	if alive || !heard {
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -104,23 +104,37 @@
 }
 
 // unfit reports whether a node shouldn't schedule.
-func (x *member) unfit() bool { return x.leaving || x.storeAge > resignAge }
-
-// resignAge is the age of the store's last answer from which a node that schedules looks for another one.
-const resignAge = 800 * time.Millisecond
+func (x *member) unfit() bool { return x.leaving || x.storeAge > unfitAge }
+
+const (
+	// resignAge is the age of the store's last answer from which a node that schedules looks for another one.
+	resignAge = 350 * time.Millisecond
+	// unfitAge is the age of the store's last answer from which a node shouldn't schedule.
+	unfitAge = 1500 * time.Millisecond
+	// fresherBy is how much later a successor must have heard the store.
+	fresherBy = 100 * time.Millisecond
+	// handoverPoll is the pause between two looks whether the successor has taken over.
+	handoverPoll = 40 * time.Millisecond
+)
 
+// resignIfNeeded asks a member to take over if this node is about to stop, if the store doesn't answer it and answers the
+// member, or once if the member is much stronger.
 func (m *members) resignIfNeeded() {
 	node := m.s.node
-	silent := node.storeAge() > resignAge
+	age := node.storeAge()
+	silent := !node.storeUp() && age > resignAge
 	must := node.stopping.Load() || silent
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, x := range m.list {
 		stronger := x.strength > strongerFactor*node.options.Strength && !m.handedOver
-		if !must && !stronger || x.unfit() || x.asked || silent && x.storeAge > resignAge/2 {
+		if !must && !stronger || x.unfit() || x.asked || silent && x.storeAge > age-fresherBy {
 			continue
 		}
-		m.handedOver = true
+		if !m.handedOver {
+			m.handedOver = true
+			m.s.tasks.Go(m.awaitSuccessor)
+		}
 		x.asked = true
 		message := m.message()
 		message.Resign = true
@@ -131,6 +145,17 @@
 	}
 }
 
+// awaitSuccessor ends the term as soon as another node holds the next one, so that the members turn to it.
+func (m *members) awaitSuccessor() {
+	for m.s.pause(handoverPoll) {
+		h, err := readHolder(m.s.ctx, m.s.node.store)
+		if err == nil && h != nil && h.Term > m.s.term.number {
+			m.s.end(errLost)
+			return
+		}
+	}
+}
+
 func (x *member) send(m *cellpb.SchedulerMessage) bool {
 	select {
 	case x.out <- m:
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -29,6 +29,7 @@
 	membership atomic.Pointer[membership] // what the scheduling node last told
 	scheduling atomic.Pointer[scheduling] // non-nil while this node schedules
 	stopping   atomic.Bool
+	refused    int64         // revision of the scheduler key whose node refused to be followed; owned by supervise
 	leave      chan struct{} // closed when the node begins to stop
 	leaveOnce  sync.Once
 	peers      peerConns
