Ask for advice in the order of service

Steps that had their advice took the room of earlier steps that waited for theirs. Change: requests have the rank of their step and are returned after 0.25 s without a node; room is kept for steps whose advice is on its way; advice is asked ahead for a tenth of the cell.

--- a/internal/control/advisors.go
+++ b/internal/control/advisors.go
@@ -27,12 +27,20 @@
 // advisorPool spreads the requests for advice over the cell's nodes. It belongs to the scheduler's goroutine.
 type advisorPool struct {
 	s        *scheduling
-	waiting  []cell.AdviceRequest
+	waiting  []waitingAdvice
 	advisers []*adviser
 	flight   map[int64]adviceFlight
 	nextID   int64
 }
 
+type waitingAdvice struct {
+	request cell.AdviceRequest
+	since   time.Time
+}
+
+// maxAdviceWait is how long a request waits for a node before its turn is decided anew.
+const maxAdviceWait = 250 * time.Millisecond
+
 type adviceFlight struct {
 	request cell.AdviceRequest
 	by      *adviser
@@ -52,7 +60,7 @@
 	p.advisers = slices.DeleteFunc(p.advisers, func(x *adviser) bool { return x == a })
 	if f, ok := p.flight[a.busy]; ok && f.by == a {
 		delete(p.flight, a.busy)
-		p.waiting = append(p.waiting, f.request)
+		p.waiting = append(p.waiting, waitingAdvice{f.request, time.Now()})
 	}
 }
 
@@ -62,7 +70,7 @@
 		p.s.core.Advised(r, nil, time.Now(), 0, true, time.Now())
 		return
 	}
-	p.waiting = append(p.waiting, r)
+	p.waiting = append(p.waiting, waitingAdvice{r, time.Now()})
 }
 
 // dispatch gives waiting requests to idle nodes.
@@ -71,11 +79,24 @@
 	if len(p.waiting) == 0 {
 		return
 	}
-	slices.SortStableFunc(p.waiting, func(a, b cell.AdviceRequest) int { return a.Urgency.Compare(b.Urgency) })
+	slices.SortStableFunc(p.waiting, func(a, b waitingAdvice) int {
+		switch {
+		case a.request.Before(b.request):
+			return -1
+		case b.request.Before(a.request):
+			return 1
+		}
+		return 0
+	})
+	now := time.Now()
 	kept := p.waiting[:0]
-	for _, r := range p.waiting {
-		if !p.assign(r) {
-			kept = append(kept, r)
+	for _, w := range p.waiting {
+		switch {
+		case p.assign(w.request):
+		case now.Sub(w.since) > maxAdviceWait:
+			p.s.core.AdviceWithdrawn(w.request)
+		default:
+			kept = append(kept, w)
 		}
 	}
 	clear(p.waiting[len(kept):])
@@ -119,7 +140,7 @@
 	}
 }
 
-// finish takes an answer to the scheduler. issued is the earliest time from which the tickets hold.
+// finish takes an answer to the scheduler. The tickets hold from the end of the call at the earliest.
 func (p *advisorPool) finish(id int64, tickets []cell.Ticket, asked time.Time, validity time.Duration, failed bool) {
 	f, ok := p.flight[id]
 	if !ok {
@@ -149,7 +170,7 @@
 	return true
 }
 
-// request returns the message to another node.
+// adviceMessage returns the request to another node.
 func adviceMessage(id int64, r cell.AdviceRequest) *cellpb.AdviceRequest {
 	workers := make([]string, len(r.Workers))
 	for i, w := range r.Workers {
--- a/internal/control/links.go
+++ b/internal/control/links.go
@@ -27,11 +27,10 @@
 	cancel context.CancelFunc
 	acked  chan struct{} // signals that ack has moved
 
-	mu       sync.Mutex
-	ack      int64
-	draining bool
-	born     int64
-	clock    clockSample
+	mu    sync.Mutex
+	ack   int64
+	born  int64
+	clock clockSample
 	// lapseAt is when everything on the worker has certainly ended, unless it is renewed. Calls under way may renew it.
 	lapseAt time.Time
 	lapsed  bool
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -91,7 +91,7 @@
 	n.leaveOnce.Do(func() { close(n.leave) })
 }
 
-// Leaving reports whether the node may end: another node schedules.
+// Scheduling reports whether this node holds the term.
 func (n *Node) Scheduling() bool { return n.scheduling.Load() != nil }
 
 // supervise follows the scheduling node, and becomes it when there is none.
--- a/internal/core/cell/advice.go
+++ b/internal/core/cell/advice.go
@@ -16,8 +16,6 @@
 	minNamed = 12
 	// namedPerTask workers are named for each task of a step.
 	namedPerTask = 5
-	// adviceOverbooking is how many times the free room is spread over the steps that may ask for advice.
-	adviceOverbooking = 2
 	// adviceRetry is the pause after a call for advice that failed.
 	adviceRetry = 100 * time.Millisecond
 )
@@ -27,7 +25,19 @@
 	Step     StepID
 	Workers  []WorkerID
 	Duration time.Duration // that the service takes
-	Urgency  time.Time     // requests with an earlier time go first
+	rank     rank
+}
+
+// Before reports whether the request goes before another one: in the order in which the steps are served.
+func (r AdviceRequest) Before(other AdviceRequest) bool { return r.rank.compare(other.rank) < 0 }
+
+// AdviceWithdrawn returns a request that no node has had time for, so that the step's turn is decided anew.
+func (s *Scheduler) AdviceWithdrawn(r AdviceRequest) {
+	if j := s.jobs[r.Step.Job]; j != nil && r.Step.Step < len(j.steps) {
+		st := j.steps[r.Step.Step]
+		st.advice.inFlight = false
+		s.unreserve(st)
+	}
 }
 
 // Ticket lets a worker start the tasks of a step.
@@ -59,11 +69,8 @@
 	if len(named) == 0 || st.advice.inFlight {
 		return
 	}
-	if s.pass.room <= 0 && st.advice.judged == nil {
-		return // steps that go first will take the room that there is
-	}
 	st.advice.inFlight = true
-	s.advice = append(s.advice, AdviceRequest{Step: st.id, Workers: named, Duration: q.Advice.Duration(len(named)), Urgency: st.job.deadline})
+	s.advice = append(s.advice, AdviceRequest{Step: st.id, Workers: named, Duration: q.Advice.Duration(len(named)), rank: s.rank(st.job)})
 }
 
 // unjudged returns workers that may be named next: those with most room first.
@@ -77,7 +84,7 @@
 		if _, known := st.advice.judged[w.ID]; known || !s.suits(st, w) {
 			continue
 		}
-		if !st.spec.Gang && !st.spec.Each.Fits(w.free) || !st.spec.Each.Fits(w.Capacity) {
+		if !st.spec.Each.Fits(w.Capacity) {
 			continue
 		}
 		found = append(found, candidate{w.ID, w.free.MilliCPU})
--- a/internal/core/cell/place.go
+++ b/internal/core/cell/place.go
@@ -13,6 +13,8 @@
 	maxBlockers = 3
 	// placementInterval is the shortest time between two passes.
 	placementInterval = 8 * time.Millisecond
+	// turnoverPart of the cell comes free while advice is on its way.
+	turnoverPart = 10
 	// maxFruitless steps in a row without room end a pass, so that its cost doesn't grow with what waits.
 	maxFruitless = 128
 	// idlePassInterval is the longest time between two passes: tickets lapse and pauses end without an event.
@@ -24,6 +26,7 @@
 	at       time.Time
 	usable   []*worker
 	room     int64                       // thousandths of a core that are free for steps further down
+	turnover int64                       // thousandths of a core that will soon be free
 	largest  resource.Vector             // the most that any worker has free of each resource
 	blocked  map[*worker]resource.Vector // room kept for gangs that go first
 	blockers int
@@ -33,10 +36,23 @@
 type candidateStep struct {
 	step  *step
 	queue *Queue
-	class urgency
-	prio  int
+	rank  rank
 }
 
+// rank is the order in which jobs are served.
+type rank struct {
+	class    urgency
+	priority int
+	deadline time.Time
+	job      JobID
+}
+
+func (r rank) compare(o rank) int {
+	return cmp.Or(cmp.Compare(r.class, o.class), cmp.Compare(r.priority, o.priority), r.deadline.Compare(o.deadline), cmp.Compare(r.job, o.job))
+}
+
+func (s *Scheduler) rank(j *job) rank { return rank{s.lateness(j), j.queuePrio, j.deadline, j.ID} }
+
 // urgency is the first criterion of the order in which steps are served.
 type urgency int
 
@@ -60,26 +76,39 @@
 	s.collectSteps()
 	fruitless := 0
 	for _, c := range s.pass.steps {
-		if !c.step.spec.Each.Fits(s.pass.largest) && c.step.advice.judged != nil {
+		if s.pass.room+s.pass.turnover <= 0 {
+			return
+		}
+		st := c.step
+		if !st.spec.Each.Fits(s.pass.largest) && st.advice.judged != nil {
 			continue
 		}
-		before := c.step.waiting
-		s.placeStep(c.step, c.queue)
-		if c.step.waiting < before {
+		before := st.waiting
+		s.placeStep(st, c.queue)
+		if st.waiting < before {
 			fruitless = 0
 		} else if fruitless++; fruitless == maxFruitless {
 			return
 		}
-		s.pass.room -= int64(c.step.waiting) * c.step.spec.Each.MilliCPU / adviceOverbooking
+		s.claim(st)
+	}
+}
+
+// claim takes what a step will place once its advice has come off the room of the steps behind it. Otherwise these would
+// take it meanwhile.
+func (s *Scheduler) claim(st *step) {
+	if !st.spec.Gang && st.advice.inFlight {
+		s.pass.room -= int64(st.waiting) * st.spec.Each.MilliCPU
 	}
 }
 
 func (s *Scheduler) collectUsable() {
-	s.pass.usable, s.pass.room, s.pass.largest = s.pass.usable[:0], 0, resource.Vector{}
+	s.pass.usable, s.pass.room, s.pass.turnover, s.pass.largest = s.pass.usable[:0], 0, 0, resource.Vector{}
 	for _, w := range s.workers {
 		if w.usable(s.now) {
 			s.pass.usable = append(s.pass.usable, w)
 			s.pass.room += max(0, w.free.MilliCPU)
+			s.pass.turnover += w.Capacity.MilliCPU / turnoverPart
 			s.pass.largest = s.pass.largest.Max(w.free)
 		}
 	}
@@ -99,13 +128,10 @@
 			if st.waiting == 0 || s.now.Before(st.blocked) || !st.ready() {
 				continue
 			}
-			s.pass.steps = append(s.pass.steps, candidateStep{step: st, queue: q, class: s.lateness(j), prio: j.queuePrio})
+			s.pass.steps = append(s.pass.steps, candidateStep{st, q, s.rank(j)})
 		}
 	}
-	slices.SortStableFunc(s.pass.steps, func(a, b candidateStep) int {
-		return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(a.prio, b.prio),
-			a.step.job.deadline.Compare(b.step.job.deadline), cmp.Compare(a.step.job.ID, b.step.job.ID))
-	})
+	slices.SortStableFunc(s.pass.steps, func(a, b candidateStep) int { return a.rank.compare(b.rank) })
 }
 
 func (s *Scheduler) lateness(j *job) urgency {
@@ -147,6 +173,9 @@
 		if t.phase != taskWaiting {
 			continue
 		}
+		if s.pass.room < st.spec.Each.MilliCPU {
+			break // kept for steps whose advice is on its way
+		}
 		w := s.choose(t, q)
 		if w == nil {
 			break
@@ -171,6 +200,10 @@
 	if st.waiting < len(st.tasks) {
 		return
 	}
+	if s.pass.room < int64(len(st.tasks))*st.spec.Each.MilliCPU && st.advice.judged != nil {
+		s.blockFor(st, q)
+		return
+	}
 	var chosen []WorkerID
 	placed, tickets := 0, true
 	for _, t := range st.tasks {
@@ -187,6 +220,7 @@
 	switch {
 	case placed < len(st.tasks):
 		s.unreserve(st)
+		s.pass.room += int64(placed) * st.spec.Each.MilliCPU
 		s.blockFor(st, q)
 		if q != nil && q.Advice != nil {
 			s.ask(st, q, s.unjudged(st))
@@ -201,6 +235,7 @@
 // occupyFor reserves room for a task, and reports whether the task can start without a new ticket.
 func (s *Scheduler) occupyFor(t *task, w *worker, q *Queue) bool {
 	s.occupy(t, w)
+	s.pass.room -= t.step.spec.Each.MilliCPU
 	t.phase = taskReserved
 	t.step.waiting--
 	if q == nil || q.Advice == nil {
--- a/internal/core/cell/policy_test.go
+++ b/internal/core/cell/policy_test.go
@@ -168,3 +168,18 @@
 	h.pass(0)
 	assert.Equal(t, len(h.takeStarts()), 1)
 }
+
+// Guards against late work with advice at hand that takes the room of work in time whose advice is on its way.
+func TestRoomIsKeptWhileAdviceIsOnItsWay(t *testing.T) {
+	h := newHarness(t, 1)
+	h.add(Job{ID: "in-time", Queue: advisedQueue, Steps: []Step{tasks(1, 3000)}})
+	h.add(Job{ID: "later", Steps: []Step{tasks(2, 2000)}})
+	h.pass(0)
+	assert.Equal(t, len(h.takeStarts()), 0)
+	assert.Equal(t, len(h.advice), 1)
+	h.s.Advised(h.advice[0], []Ticket{{workerID(0), "t"}}, h.now, ticketTime, false, h.now)
+	h.pass(20 * time.Millisecond)
+	orders := h.takeStarts()
+	assert.Equal(t, len(orders), 1)
+	assert.Equal(t, orders[0].Run.Task.Job, JobID("in-time"))
+}
--- a/internal/core/cell/state.go
+++ b/internal/core/cell/state.go
@@ -46,9 +46,6 @@
 	progressAt time.Time // when the percentage last rose
 }
 
-// holds reports whether the task takes room on its worker.
-func (t *task) holds() bool { return t.worker != nil }
-
 // step is a step of a job.
 type step struct {
 	id        StepID
