--- a/internal/control/committer.go
+++ b/internal/control/committer.go
@@ -81,7 +81,7 @@
 		case c.s.ctx.Err() != nil:
 			return
 		}
-		c.s.node.storeFailed()
+		c.s.node.storeFailed(err)
 		if attempt%10 == 0 {
 			c.s.node.options.Log.Warn("records not written", "records", len(writes), "attempt", attempt, "error", err.Error())
 		}
--- a/internal/control/election.go
+++ b/internal/control/election.go
@@ -110,7 +110,7 @@
 		case time.Since(last) > storeSilence:
 			return errors.Wrap(err, "the store is silent")
 		default:
-			n.storeFailed()
+			n.storeFailed(err)
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -142,12 +142,19 @@
 
 // storeHeard notes an answer of the store.
 func (n *Node) storeHeard() {
+	silence := n.storeAge()
 	n.lastStore.Store(time.Now().UnixNano())
-	n.storeFails.Store(0)
+	if n.storeFails.Swap(0) >= storeFailLimit {
+		n.options.Log.Info("dependency regained", "dependency", "store", "silence_ms", silence.Milliseconds())
+	}
 }
 
 // storeFailed notes a call that the store didn't answer or refused.
-func (n *Node) storeFailed() { n.storeFails.Add(1) }
+func (n *Node) storeFailed(err error) {
+	if n.storeFails.Add(1) == storeFailLimit {
+		n.options.Log.Warn("dependency lost", "dependency", "store", "error", err.Error(), "store_age_ms", n.storeAge().Milliseconds())
+	}
+}
 
 const (
 	// storeFailLimit calls in a row without an answer open the circuit to the store.
@@ -183,8 +190,7 @@
 		case errors.Is(err, port.ErrNotFound):
 			n.storeHeard()
 		default:
-			n.storeFailed()
-			n.options.Log.Warn("configuration not read", "error", err.Error(), "store_age_ms", n.storeAge().Milliseconds())
+			n.storeFailed(err)
 			n.configFromPeer(ctx)
 		}
 		pause := configPoll
--- a/internal/control/relay.go
+++ b/internal/control/relay.go
@@ -28,7 +28,7 @@
 			r.node.storeHeard()
 			return e, err
 		}
-		r.node.storeFailed()
+		r.node.storeFailed(err)
 	}
 	reply, relayed := r.relay(ctx, &cellpb.RelayRequest{Call: &cellpb.RelayRequest_Get{Get: key}})
 	switch {
@@ -49,7 +49,7 @@
 			r.node.storeHeard()
 			return revision, err
 		}
-		r.node.storeFailed()
+		r.node.storeFailed(err)
 	}
 	reply, relayed := r.relay(ctx, &cellpb.RelayRequest{Call: &cellpb.RelayRequest_Txn{Txn: txnMessage(t)}})
 	if !relayed {
--- a/internal/core/cell/faults_test.go
+++ b/internal/core/cell/faults_test.go
@@ -204,3 +204,21 @@
 	h.pass(20 * time.Millisecond)
 	assert.Equal(t, len(h.takeStarts()), 1, "it answers again and is used again")
 }
+
+// Guards against blaming a worker that is cut off for runs that seem to stand still: it only tells nothing.
+func TestSilentWorkerIsNotBlamedForStalls(t *testing.T) {
+	h := newHarness(t, 2)
+	h.add(Job{ID: "a", Steps: []Step{tasks(1, 1000)}})
+	h.pass(0)
+	o := h.takeStarts()[0]
+	h.s.Ordered(o, OrderDone, h.now)
+	h.renew(indexOf(o.Worker), []RunningRow{{Run: o.Run, Percent: 10}}, nil)
+	h.s.WorkerSilent(o.Worker, h.now)
+	for range 4 {
+		h.pass(time.Second)
+	}
+	assert.Equal(t, len(h.takeStops()), 0)
+	h.renew(indexOf(o.Worker), []RunningRow{{Run: o.Run, Percent: 60}}, nil)
+	h.pass(time.Second)
+	assert.Equal(t, len(h.takeStops()), 0)
+}
--- a/internal/core/cell/inventory.go
+++ b/internal/core/cell/inventory.go
@@ -28,6 +28,7 @@
 	if w.BornMS != 0 && inv.BornMS != 0 && inv.BornMS != w.BornMS {
 		s.rebirth(w, inv.BornMS)
 	}
+	w.heard = now
 	if w.silent {
 		w.silent, s.changed = false, true
 		s.events.Decided(string(w.ID), "worker answers again", "runs", len(w.tasks))
@@ -277,14 +278,14 @@
 	w.faults.streak, w.faults.backoff, w.faults.success = 0, 0, now
 }
 
-// stopStalled stops the runs of a job that make no progress.
+// stopStalled stops the runs of a job that make no progress by their workers' inventories. A silent worker tells nothing.
 func (s *Scheduler) stopStalled(j *job) {
 	if j.openRuns == 0 {
 		return
 	}
 	for _, st := range j.steps {
 		for _, t := range st.tasks {
-			if t.phase == taskRunning && t.percent < workDone && s.now.Sub(t.progressAt) >= stallTime {
+			if t.phase == taskRunning && t.percent < workDone && t.worker.heard.Sub(t.progressAt) >= stallTime {
 				s.stalled(t)
 			}
 		}
--- a/internal/core/cell/state.go
+++ b/internal/core/cell/state.go
@@ -91,10 +91,11 @@
 // worker is a worker that runs or ran tasks of this cell.
 type worker struct {
 	WorkerReport
-	listed     bool // in the registry
-	reached    bool // has answered this holder of the lease in its current life
-	gone       bool // certainly ended
-	silent     bool // didn't answer its last call
+	listed     bool      // in the registry
+	reached    bool      // has answered this holder of the lease in its current life
+	gone       bool      // certainly ended
+	silent     bool      // didn't answer its last call
+	heard      time.Time // its last inventory
 	free       resource.Vector
 	tasks      map[*task]bool
 	noted      int64 // number of the last end that was processed
