--- a/internal/cli/settings.go
+++ b/internal/cli/settings.go
@@ -6,6 +6,7 @@
 	"github.com/spf13/cobra"
 
 	"sequoiastall/internal/settings"
+	"sequoiastall/platform"
 )
 
 func newSettings() *cobra.Command {
@@ -49,5 +50,26 @@
 			return &ExitError{Code: ExitInvalid, Err: errReported}
 		},
 	})
+	cmd.AddCommand(newPlatformSettings())
 	return cmd
 }
+
+// newPlatformSettings returns the command that checks the settings file that the users' platform gives a node.
+func newPlatformSettings() *cobra.Command {
+	return &cobra.Command{
+		Use:   "platform FILE",
+		Short: "Check the settings file of a node on the users' platform",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			checked, err := platform.LoadSettings(args[0])
+			if err != nil {
+				return &ExitError{Code: ExitInvalid, Err: err}
+			}
+			if wantsJSON(cmd) {
+				return printJSON(cmd.OutOrStdout(), checked)
+			}
+			_, err = fmt.Fprintln(cmd.OutOrStdout(), "no problems")
+			return err
+		},
+	}
+}
