--- a/internal/control/member.go
+++ b/internal/control/member.go
@@ -171,7 +171,7 @@
 // noteMembership keeps what a beat tells. The numbers of waiting jobs and the members stay until a beat has new ones.
 func (n *Node) noteMembership(address string, m *cellpb.SchedulerMessage) {
 	now := time.Now()
-	next := &membership{term: m.Term, address: address, heard: now, version: m.ConfigVersion,
+	next := &membership{term: m.Term, address: address, heard: now,
 		storeAge: time.Duration(m.StoreAgeMs) * time.Millisecond}
 	if old := n.membership.Load(); old != nil {
 		next.members, next.waiting, next.counted = old.members, old.waiting, old.counted
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -47,7 +47,6 @@
 	term    int64
 	address string // of the scheduling node
 	heard   time.Time
-	version int64 // of the scheduling node's configuration
 	// storeAge is the time since the store's last answer to the scheduling node or a member when it was heard.
 	storeAge time.Duration
 	waiting  map[string]int64
--- a/internal/control/options.go
+++ b/internal/control/options.go
@@ -14,16 +14,12 @@
 	Address string // of the service for other nodes, IP:port
 	// LeaseMax is the longest time that a worker keeps its runs without a renewal.
 	LeaseMax time.Duration
-	// StopTime is the longest time that a worker takes to stop a run.
-	StopTime time.Duration
 	// KeepEnded is how long an ended job stays known.
 	KeepEnded time.Duration
 	// StoreLeaseMin is the shortest lease that the store grants.
 	StoreLeaseMin time.Duration
 	// Strength is the number of cores that the node can use for scheduling.
 	Strength float64
-	// Grace is the time from SIGTERM to SIGKILL.
-	Grace time.Duration
 
 	Store     port.TxnStore
 	Operators port.Operators
--- a/internal/control/scheduling.go
+++ b/internal/control/scheduling.go
@@ -42,7 +42,7 @@
 	termCtx, end := context.WithCancelCause(ctx)
 	defer end(nil)
 	s := &scheduling{node: n, term: t, events: make(chan func(), eventBuffer), ctx: termCtx, end: end, links: map[cell.WorkerID]*workerLink{}, began: began}
-	s.core = cell.New(cell.Options{Lease: n.options.lease(), Stop: n.options.StopTime, Keep: n.options.KeepEnded}, decisionLog{n.options.Log, n.metrics})
+	s.core = cell.New(cell.Options{Keep: n.options.KeepEnded}, decisionLog{n.options.Log, n.metrics})
 	s.advisors = newAdvisorPool(s)
 	s.committer = newCommitter(s)
 	s.members = newMembers(s)
--- a/internal/core/cell/config.go
+++ b/internal/core/cell/config.go
@@ -9,8 +9,7 @@
 	Version int64
 	Queues  []Queue
 	Teams   []Team
-	Guarded map[string]bool // by service: its workers refuse what doesn't fit
-	BodyMax int             // bytes
+	BodyMax int // bytes
 	byName  map[string]*Queue
 	byTeam  map[string]*Team
 	byKey   map[string]*Team
--- a/internal/core/cell/harness_test.go
+++ b/internal/core/cell/harness_test.go
@@ -59,7 +59,7 @@
 }
 
 func (h *harness) scheduler() *Scheduler {
-	s := New(Options{Lease: 4 * time.Second, Stop: time.Second, Keep: time.Minute}, quietEvents{})
+	s := New(Options{Keep: time.Minute}, quietEvents{})
 	s.SetConfig(testConfig())
 	return s
 }
--- a/internal/core/cell/inventory.go
+++ b/internal/core/cell/inventory.go
@@ -132,7 +132,7 @@
 // done marks a task, or all members of a gang, as done.
 func (s *Scheduler) done(t *task, w *worker) {
 	if t.worker != nil {
-		t.worker.succeeded(s.now)
+		t.worker.succeeded()
 	}
 	members := []*task{t}
 	if t.step.spec.Gang {
@@ -274,9 +274,7 @@
 	s.events.Decided(string(w.ID), "worker set aside", "reason", reason, "streak", f.streak, "pause_ms", f.backoff.Milliseconds())
 }
 
-func (w *worker) succeeded(now time.Time) {
-	w.faults.streak, w.faults.backoff, w.faults.success = 0, 0, now
-}
+func (w *worker) succeeded() { w.faults.streak, w.faults.backoff = 0, 0 }
 
 // stopStalled stops the runs of a job that make no progress by their workers' inventories. A silent worker tells nothing.
 func (s *Scheduler) stopStalled(j *job) {
--- a/internal/core/cell/model_test.go
+++ b/internal/core/cell/model_test.go
@@ -89,7 +89,7 @@
 func (m *model) takeOver() {
 	m.token++
 	m.advice, m.delayed = nil, nil
-	m.s = New(Options{Lease: modelLease, Stop: time.Second, Keep: time.Minute}, quietEvents{})
+	m.s = New(Options{Keep: time.Minute}, quietEvents{})
 	m.s.SetConfig(testConfig())
 	for _, id := range m.jobIDs() {
 		if !m.final[id] {
--- a/internal/core/cell/place.go
+++ b/internal/core/cell/place.go
@@ -125,7 +125,7 @@
 		}
 		q := s.config.Queue(j.Queue)
 		for _, st := range j.steps {
-			if st.waiting == 0 || s.now.Before(st.blocked) || !st.ready() {
+			if st.waiting == 0 || !st.ready() {
 				continue
 			}
 			s.pass.steps = append(s.pass.steps, candidateStep{st, q, s.rank(j)})
--- a/internal/core/cell/scheduler.go
+++ b/internal/core/cell/scheduler.go
@@ -7,12 +7,8 @@
 	"sequoiastall/internal/core/resource"
 )
 
-// Options are the platform's bounds that scheduling depends on.
+// Options are the bounds of a scheduler.
 type Options struct {
-	// Lease is how long a worker keeps its runs after the last renewal.
-	Lease time.Duration
-	// Stop is how long a worker may take to stop a run.
-	Stop time.Duration
 	// Keep is how long the state of an ended job stays in memory.
 	Keep time.Duration
 }
--- a/internal/core/cell/state.go
+++ b/internal/core/cell/state.go
@@ -59,7 +59,6 @@
 	failedRun int // last gang run that was counted as failed
 	perWorker map[WorkerID]int
 	advice    stepAdvice
-	blocked   time.Time // no placement before this time
 	began     bool
 }
 
@@ -116,7 +115,6 @@
 	streak  int       // failed or stalled runs since the last success
 	until   time.Time // no new work before this time
 	backoff time.Duration
-	success time.Time
 }
 
 func (w *worker) usable(now time.Time) bool {
