Use the shared pause and Registry.Collect

Cause: read once more: the pause that ends with its context stood again twice in internal/control, and ExposeProcess took the registry's lock beside Collect. Change: both call what there is. Behaviour is the same.

--- a/internal/control/links.go
+++ b/internal/control/links.go
@@ -9,6 +9,7 @@
 
 	"sequoiastall/internal/core/cell"
 	"sequoiastall/internal/port"
+	"sequoiastall/internal/wait"
 )
 
 const (
@@ -94,23 +95,23 @@
 	first := true
 	for ctx.Err() == nil {
 		if l.ref.Address == "" {
-			if !l.pause(ctx, renewRetry) {
+			if !wait.For(ctx, renewRetry) {
 				return
 			}
 			l.checkLapse()
 			continue
 		}
 		asked := l.s.core.OrderSequence()
-		wait := renewWait
+		longest := renewWait
 		if first {
-			wait = 0
+			longest = 0
 		}
-		r, lapse := l.renewal(wait)
+		r, lapse := l.renewal(longest)
 		reply, err := l.s.node.options.Workers.Renew(ctx, l.ref, r)
 		l.called(lapse, err)
 		if err != nil {
 			l.failed(ctx, err)
-			if !l.pause(ctx, renewRetry) {
+			if !wait.For(ctx, renewRetry) {
 				return
 			}
 			continue
@@ -121,22 +122,13 @@
 	}
 }
 
-func (l *workerLink) pause(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
-
 // renewal returns the next renewal, which extends the lease if the worker's clock is known, and when that lease has lapsed
 // for certain. The caller reports the outcome to called.
-func (l *workerLink) renewal(wait time.Duration) (port.Renewal, time.Time) {
+func (l *workerLink) renewal(longest time.Duration) (port.Renewal, time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	due, lapse := l.due(time.Now())
-	return port.Renewal{Token: l.s.term.number, DueMS: due, Ack: l.ack, Wait: wait}, lapse
+	return port.Renewal{Token: l.s.term.number, DueMS: due, Ack: l.ack, Wait: longest}, lapse
 }
 
 // due begins a call that carries a lease. It returns the lease's end on the worker's clock, 0 if that isn't known, and when
--- a/internal/control/scheduling.go
+++ b/internal/control/scheduling.go
@@ -10,6 +10,7 @@
 
 	"sequoiastall/internal/core/cell"
 	"sequoiastall/internal/port"
+	"sequoiastall/internal/wait"
 )
 
 // scheduling is one term of the scheduling node. The core belongs to the goroutine of loop; others send it events.
@@ -275,11 +276,5 @@
 	}
 }
 
-func (s *scheduling) pause(d time.Duration) bool {
-	select {
-	case <-s.ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
+// pause waits and reports whether the term goes on.
+func (s *scheduling) pause(d time.Duration) bool { return wait.For(s.ctx, d) }
--- a/internal/telemetry/process.go
+++ b/internal/telemetry/process.go
@@ -22,9 +22,7 @@
 func (r *Registry) ExposeProcess() {
 	cpu, rss := r.Gauge(ProcessCPU), r.Gauge(ProcessRSS)
 	heap, allocated, goroutines := r.Gauge(ProcessHeap), r.Gauge(ProcessAllocated), r.Gauge(ProcessGoroutines)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.collectors = append(r.collectors, func() {
+	r.Collect(func() {
 		cpu.Update(processorTime())
 		rss.Update(residentBytes())
 		samples := []metrics.Sample{{Name: "/memory/classes/heap/objects:bytes"}, {Name: "/gc/heap/allocs:bytes"}}
