Answer about an ended job once its record is durable; refuse at once while the store is silent

Cause, answers: callers ask some 10 ms after a job's last task. The final record was still on its way then, the answer was "running", and the next question came 270 ms later. Ruled out: placement (overhead before the first start is 104 ms at the median) and slow answers. Change: the scheduling node answers when the final record is written, at most 300 ms later. A completed job is no longer shown as running while the ends of its other gang members are recorded.

Cause, refusals: while the store was silent a submit was held for 1.2 s although nothing could be sent, and the look at the store waited for one member after another that was asked for the configuration (44 nodes, 350 ms each). Change: refuse with the time to come back as soon as the circuit is open; ask the other nodes apart from the look at the store.

--- a/internal/control/committer.go
+++ b/internal/control/committer.go
@@ -155,6 +155,7 @@
 			}
 			delete(c.accepted, w.Job)
 			c.s.core.Forget(w.Job, "its record is gone: the job has ended before")
+			c.s.settling.written(w.Job)
 		}
 	})
 }
@@ -172,6 +173,7 @@
 				c.revisions[w.Job] = revision(w)
 			}
 			c.s.core.Recorded(w)
+			c.s.settling.written(w.Job)
 		}
 		c.s.updateAcks()
 	})
--- a/internal/control/front.go
+++ b/internal/control/front.go
@@ -85,6 +85,8 @@
 			return 0, nil
 		case errors.Is(err, port.ErrUnknownOutcome):
 			undecided = true
+		case errors.Is(err, errCircuitOpen) && !undecided:
+			return 0, errors.Wrap(port.ErrNotAccepted, err.Error())
 		}
 		if !wait.For(ctx, submitRetry) {
 			if undecided {
@@ -180,8 +182,8 @@
 // State implements port.Front: from the scheduling node, or from the store if that doesn't know the job.
 func (n *Node) State(ctx context.Context, id cell.JobID, team string) (cell.Phase, bool, error) {
 	defer since(n.metrics.stateTime, time.Now())
-	if phase, owner, known := n.liveState(ctx, id); known {
-		return phase, mayAsk(team, owner), nil
+	if state := n.liveState(ctx, id); state.Known {
+		return state.Phase, mayAsk(team, state.Team), nil
 	}
 	var err error
 	for {
@@ -199,22 +201,23 @@
 	}
 }
 
-func (n *Node) liveState(ctx context.Context, id cell.JobID) (phase cell.Phase, team string, known bool) {
+// liveState asks the scheduling node.
+func (n *Node) liveState(ctx context.Context, id cell.JobID) cell.JobState {
 	if s := n.scheduling.Load(); s != nil {
-		s.ask(ctx, func() { phase, team, known = s.core.State(id) })
-		return phase, team, known
+		state, _ := s.state(ctx, id)
+		return state
 	}
 	m := n.membership.Load()
 	if m == nil || time.Since(m.heard) > beatSilence {
-		return "", "", false
+		return cell.JobState{}
 	}
-	call, cancel := context.WithTimeout(ctx, peerTimeout)
+	call, cancel := context.WithTimeout(ctx, peerTimeout+settleWait)
 	defer cancel()
 	reply, err := n.peers.client(m.address).State(call, &cellpb.StateRequest{Job: string(id)})
-	if err != nil || !reply.Known {
-		return "", "", false
+	if err != nil {
+		return cell.JobState{}
 	}
-	return cell.Phase(reply.Phase), reply.Team, true
+	return cell.JobState{Known: reply.Known, Phase: cell.Phase(reply.Phase), Team: reply.Team}
 }
 
 // storedState returns a job's phase from its records. The job may end between two reads, so its end is looked up last.
--- /dev/null
+++ b/internal/control/front_test.go
@@ -0,0 +1,95 @@
+package control
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+
+	"sequoiastall/internal/core/cell"
+	"sequoiastall/internal/port"
+	"sequoiastall/internal/telemetry"
+)
+
+// silentStore answers no call. It counts the transactions.
+type silentStore struct {
+	port.TxnStore
+	commits atomic.Int64
+}
+
+func (s *silentStore) Commit(context.Context, port.Txn) (int64, error) {
+	s.commits.Add(1)
+	return 0, errors.Wrap(port.ErrUnknownOutcome, "no answer")
+}
+
+// silentOperators answer no call. They count the calls.
+type silentOperators struct {
+	port.Operators
+	calls atomic.Int64
+}
+
+func (o *silentOperators) Configuration(context.Context) (*cell.Config, []byte, error) {
+	o.calls.Add(1)
+	return nil, nil, errors.Wrap(port.ErrUnavailable, "no answer")
+}
+
+func cutOffNode() (*Node, *silentStore, *silentOperators) {
+	store, operators := &silentStore{}, &silentOperators{}
+	log := slog.New(slog.NewJSONHandler(io.Discard, nil))
+	n := New(Options{Name: "a", Address: "127.0.0.1:1", Store: store, Operators: operators, Log: log, Metrics: telemetry.NewRegistry(log)})
+	n.config.Store(&configInForce{Config: cell.NewConfig(cell.Config{Version: 1})})
+	return n, store, operators
+}
+
+// Guards against a job that is held although its refusal is certain, and against a write that would make the refusal
+// untrue.
+func TestRefusesAtOnceWhileTheStoreIsSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, store, _ := cutOffNode()
+		n.storeFails.Store(storeFailLimit)
+		began := time.Now()
+		err := n.Submit(t.Context(), cell.Job{ID: "a"})
+		assert.ErrorIs(t, err, port.ErrNotAccepted)
+		assert.Equal(t, time.Since(began), time.Duration(0))
+		assert.Equal(t, store.commits.Load(), int64(0))
+	})
+}
+
+// Guards against a refusal of a job whose record may have been written.
+func TestUndecidedJobIsNotRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, store, _ := cutOffNode()
+		assert.ErrorIs(t, n.Submit(t.Context(), cell.Job{ID: "a"}), port.ErrUndecided)
+		assert.Equal(t, store.commits.Load(), int64(storeFailLimit))
+	})
+}
+
+// Guards against a store whose return goes unnoticed while other nodes are asked for the configuration one after another.
+func TestSilentNodesDoNotHoldUpTheLookAtTheStore(t *testing.T) {
+	n, _, operators := cutOffNode()
+	members := make([]string, 20)
+	for i := range members {
+		hanging, err := net.Listen("tcp4", "127.0.0.1:0")
+		assert.NilError(t, err)
+		defer hanging.Close()
+		members[i] = hanging.Addr().String()
+	}
+	n.membership.Store(&membership{address: members[0], members: members, heard: time.Now()})
+	ctx, cancel := context.WithCancel(t.Context())
+	polled := make(chan struct{})
+	go func() { defer close(polled); n.pollConfig(ctx) }()
+	for operators.calls.Load() < 5 {
+		time.Sleep(time.Millisecond)
+	}
+	assert.Assert(t, n.fetching.Load(), "the other nodes are still being asked")
+	cancel()
+	<-polled
+	n.peers.close()
+}
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -190,7 +190,7 @@
 			n.storeHeard()
 		default:
 			n.storeFailed(err)
-			n.configFromPeer(ctx)
+			n.fetchConfig(ctx)
 		}
 		pause := configPoll
 		if n.config.Load() == nil || !n.storeUp() {
--- a/internal/control/scheduling.go
+++ b/internal/control/scheduling.go
@@ -27,6 +27,7 @@
 	advisors  *advisorPool
 	committer *committer
 	members   *members
+	settling  settling
 	began     time.Time
 	loaded    atomic.Bool // the state is loaded; events wait until then
 }
@@ -42,7 +43,8 @@
 func (n *Node) schedule(ctx context.Context, t *term, began time.Time) error {
 	termCtx, end := context.WithCancelCause(ctx)
 	defer end(nil)
-	s := &scheduling{node: n, term: t, events: make(chan func(), eventBuffer), ctx: termCtx, end: end, links: map[cell.WorkerID]*workerLink{}, began: began}
+	s := &scheduling{node: n, term: t, events: make(chan func(), eventBuffer), ctx: termCtx, end: end, links: map[cell.WorkerID]*workerLink{},
+		settling: settling{}, began: began}
 	s.core = cell.New(cell.Options{Keep: n.options.KeepEnded}, decisionLog{n.options.Log, n.metrics})
 	s.advisors = newAdvisorPool(s)
 	s.committer = newCommitter(s)
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -78,14 +78,11 @@
 	if s == nil || !s.loaded.Load() {
 		return &cellpb.StateReply{}, nil
 	}
-	reply := &cellpb.StateReply{Scheduling: true}
-	if !s.ask(ctx, func() {
-		phase, team, known := s.core.State(cell.JobID(r.Job))
-		reply.Phase, reply.Team, reply.Known = string(phase), team, known
-	}) {
+	state, ok := s.state(ctx, cell.JobID(r.Job))
+	if !ok {
 		return &cellpb.StateReply{}, nil
 	}
-	return reply, nil
+	return &cellpb.StateReply{Scheduling: true, Phase: string(state.Phase), Team: state.Team, Known: state.Known}, nil
 }
 
 // Hears implements cellpb.CellServer.
--- /dev/null
+++ b/internal/control/settling.go
@@ -0,0 +1,59 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"sequoiastall/internal/core/cell"
+)
+
+// settleWait is how long the answer about a job that has just ended waits until its end is durable. Callers ask right
+// after the last task, and their next question comes much later than the record.
+const settleWait = 300 * time.Millisecond
+
+// settling lets questions about ended jobs wait for the jobs' final records. It belongs to the scheduler's goroutine.
+type settling map[cell.JobID]chan struct{}
+
+// wait returns a channel that is closed when a record of the job has been written.
+func (w settling) wait(id cell.JobID) <-chan struct{} {
+	if w[id] == nil {
+		w[id] = make(chan struct{})
+	}
+	return w[id]
+}
+
+// written wakes those who wait for a record of the job.
+func (w settling) written(id cell.JobID) {
+	if c := w[id]; c != nil {
+		close(c)
+		delete(w, id)
+	}
+}
+
+// state returns a job as callers may see it. It waits for the final record of a job that has ended. It reports false if
+// the state isn't loaded yet or the term ended.
+func (s *scheduling) state(ctx context.Context, id cell.JobID) (answer cell.JobState, ok bool) {
+	ctx, cancel := context.WithTimeout(ctx, settleWait)
+	defer cancel()
+	for {
+		var state cell.JobState // the question may still write it after ask has given up
+		var written <-chan struct{}
+		if !s.ask(ctx, func() {
+			if state = s.core.State(id); state.Settling {
+				written = s.settling.wait(id)
+			}
+		}) {
+			return cell.JobState{}, false
+		}
+		if !state.Settling {
+			return state, true
+		}
+		select {
+		case <-written:
+		case <-ctx.Done():
+			return state, true
+		case <-s.ctx.Done():
+			return cell.JobState{}, false
+		}
+	}
+}
--- a/internal/core/cell/faults_test.go
+++ b/internal/core/cell/faults_test.go
@@ -84,9 +84,9 @@
 	h.list(1, false)
 	h.renew(0, nil, []EndedRow{end})
 	h.pass(time.Millisecond * 20)
-	phase, _, known := h.s.State("a")
-	assert.Assert(t, known)
-	assert.Equal(t, phase, Running)
+	state := h.s.State("a")
+	assert.Assert(t, state.Known)
+	assert.Equal(t, state.Phase, Running)
 	assert.Equal(t, len(h.takeStarts()), 1)
 }
 
--- a/internal/core/cell/policy_test.go
+++ b/internal/core/cell/policy_test.go
@@ -143,18 +143,35 @@
 	h.pass(0)
 	o := h.takeStarts()[0]
 	h.renew(0, nil, []EndedRow{{Number: 1, Run: o.Run, Kind: EndDone}})
-	phase, _, _ := h.s.State("a")
-	assert.Equal(t, phase, Running)
+	state := h.s.State("a")
+	assert.Equal(t, state.Phase, Running)
+	assert.Assert(t, state.Settling)
 	cursor, pending := h.s.AckCursor(workerID(0))
 	assert.Equal(t, cursor, int64(0))
 	assert.Assert(t, pending)
 	h.record()
-	phase, _, _ = h.s.State("a")
-	assert.Equal(t, phase, Completed)
+	assert.DeepEqual(t, h.s.State("a"), JobState{Known: true, Phase: Completed, Team: "team"})
 	cursor, _ = h.s.AckCursor(workerID(0))
 	assert.Equal(t, cursor, int64(1))
 }
 
+// Guards against a job that is shown as running again while the ends of its other members are recorded.
+func TestCompletedStaysWhileMembersEnd(t *testing.T) {
+	h := newHarness(t, 1)
+	h.add(Job{ID: "a", Steps: []Step{{Count: 2, Each: tasks(1, 1000).Each, Gang: true, EstimateMS: 1000}}})
+	h.pass(0)
+	orders := h.takeStarts()
+	assert.Equal(t, len(orders), 2)
+	for _, o := range orders {
+		h.s.Ordered(o, OrderDone, h.now)
+	}
+	h.renew(0, []RunningRow{{Run: orders[1].Run, Percent: 100}}, []EndedRow{{Number: 1, Run: orders[0].Run, Kind: EndDone}})
+	h.record()
+	assert.Equal(t, h.s.State("a").Phase, Completed)
+	h.renew(0, nil, []EndedRow{{Number: 2, Run: orders[1].Run, Kind: EndDone}})
+	assert.Equal(t, h.s.State("a").Phase, Completed)
+}
+
 // Guards against records that harm others: of a later build, of another job's shape, or garbage.
 func TestUnreadableRecords(t *testing.T) {
 	h := newHarness(t, 1)
--- a/internal/core/cell/scheduler.go
+++ b/internal/core/cell/scheduler.go
@@ -129,7 +129,7 @@
 // end gives a job its final phase and stops what runs.
 func (s *Scheduler) end(j *job, p Phase, reason string) {
 	j.phase, j.reason, j.finished = p, reason, s.now
-	s.touchNow(j)
+	j.finalVersion = s.touchNow(j)
 	s.events.Decided(string(j.ID), "ended", "phase", p, "reason", reason, "queue", j.Queue, "team", j.Team)
 	for _, st := range j.steps {
 		for _, t := range st.tasks {
@@ -167,22 +167,31 @@
 	s.end(j, Completed, "")
 }
 
-// State returns a job's phase as callers may see it; false if the job isn't known. A final phase shows once it is
-// durable.
-func (s *Scheduler) State(id JobID) (phase Phase, team string, known bool) {
+// JobState is a job as callers may see it.
+type JobState struct {
+	Known bool
+	Phase Phase // a final phase shows once it is durable
+	Team  string
+	// Settling tells that the job has ended and that its end will soon be durable.
+	Settling bool
+}
+
+// State returns a job as callers may see it.
+func (s *Scheduler) State(id JobID) JobState {
 	j := s.jobs[id]
 	if j == nil {
-		return "", "", false
+		return JobState{}
 	}
+	state := JobState{Known: true, Phase: Pending, Team: j.Team}
 	switch {
-	case j.phase.Final() && j.recorded >= j.version:
-		return j.phase, j.Team, true
+	case j.phase.Final() && j.recorded >= j.finalVersion:
+		state.Phase = j.phase
 	case j.cancel:
-		return Canceled, j.Team, true
+		state.Phase = Canceled
 	case j.began:
-		return Running, j.Team, true
+		state.Phase, state.Settling = Running, j.phase.Final()
 	}
-	return Pending, j.Team, true
+	return state
 }
 
 // Waiting returns by queue how many jobs wait for the start of their first task.
--- a/internal/core/cell/state.go
+++ b/internal/core/cell/state.go
@@ -72,6 +72,7 @@
 	openRuns     int    // tasks that hold room
 	version      uint64 // rises with each change that the record shows
 	recorded     uint64 // version of the durable record
+	finalVersion uint64 // first version that shows the final phase
 	dirty        bool
 	writing      bool // a write of the record is under way
 	urgent       bool // the record holds an intent or a final phase
