Ask a gang's advice by calls at once; keep room for large tasks; more transactions while the store is slow

Ruled out: a full cell (wash-plan had slack throughout). Change: a step's workers are named by several calls at once, in parts for which a call spends as long on the workers as on its fixed part; a fifth of the cell is kept, in the order of service, for steps that don't fit, none for what a team's limit holds back; a quarter of a large cell's nodes make short calls only, two at a time.

Cause, slow store: six transactions under way carry 70 lookups a second when each takes 240 ms. Change: up to 20, those beyond six only when full.

Answers wait 25 ms for reports that may be under way from the workers (one question in six came some ms before the report).

--- a/internal/control/advisors.go
+++ b/internal/control/advisors.go
@@ -11,17 +11,40 @@
 const (
 	// longAdvice is the duration from which a call for advice counts as long.
 	longAdvice = 150 * time.Millisecond
-	// reservedForShort of the cell's nodes never make long calls, so that short ones don't wait behind them.
+	// reservedForShort of the cell's nodes never make long calls, so that short ones don't wait behind them. In a large
+	// cell it is one node of reservedPart.
 	reservedForShort = 2
+	reservedPart     = 4
+	// shortCalls are under way at one node, so that the service always has the next one of that node at hand.
+	shortCalls = 2
 	// maxAdviceQueue bounds the requests that wait for a node.
 	maxAdviceQueue = 4096
 )
 
 // adviser asks the advice service: this node or another one. The service handles one call at a time for each node.
 type adviser struct {
-	name string
-	send func(id int64, r cell.AdviceRequest) bool
-	busy int64 // id of the request under way, 0 for none
+	name  string
+	send  func(id int64, r cell.AdviceRequest) bool
+	calls int  // under way
+	long  bool // one of them is a long call
+}
+
+// idle reports whether the node can make a call now: any call if it makes none, a short one behind another short one.
+func (a *adviser) idle(r cell.AdviceRequest) bool {
+	return a.calls == 0 || isShort(r) && !a.long && a.calls < shortCalls
+}
+
+func isShort(r cell.AdviceRequest) bool { return r.Duration < longAdvice }
+
+// began and ended count the calls of the node.
+func (a *adviser) began(r cell.AdviceRequest) {
+	a.calls++
+	a.long = a.long || !isShort(r)
+}
+
+func (a *adviser) ended(r cell.AdviceRequest) {
+	a.calls--
+	a.long = a.long && isShort(r)
 }
 
 // advisorPool spreads the requests for advice over the cell's nodes. It belongs to the scheduler's goroutine.
@@ -58,9 +81,11 @@
 // remove takes out a node that is no longer attached and returns its request to the queue.
 func (p *advisorPool) remove(a *adviser) {
 	p.advisers = slices.DeleteFunc(p.advisers, func(x *adviser) bool { return x == a })
-	if f, ok := p.flight[a.busy]; ok && f.by == a {
-		delete(p.flight, a.busy)
-		p.waiting = append(p.waiting, waitingAdvice{f.request, time.Now()})
+	for id, f := range p.flight {
+		if f.by == a {
+			delete(p.flight, id)
+			p.waiting = append(p.waiting, waitingAdvice{f.request, time.Now()})
+		}
 	}
 }
 
@@ -104,29 +129,43 @@
 }
 
 func (p *advisorPool) assign(r cell.AdviceRequest) bool {
-	long := 0
-	var idle *adviser
-	for _, a := range p.advisers {
-		if a.busy == 0 {
-			idle = a
-		} else if p.flight[a.busy].request.Duration >= longAdvice {
-			long++
-		}
-	}
-	if idle == nil || r.Duration >= longAdvice && long >= max(1, len(p.advisers)-reservedForShort) {
+	a := p.choose(r)
+	if a == nil {
 		return false
 	}
 	p.nextID++
-	idle.busy = p.nextID
-	p.flight[p.nextID] = adviceFlight{r, idle, time.Now()}
-	if !idle.send(p.nextID, r) {
-		delete(p.flight, p.nextID)
-		idle.busy = 0
+	if !a.send(p.nextID, r) {
 		return false
 	}
+	a.began(r)
+	p.flight[p.nextID] = adviceFlight{r, a, time.Now()}
 	return true
 }
 
+// choose returns the node with the fewest calls that can make a call, nil if there is none.
+func (p *advisorPool) choose(r cell.AdviceRequest) *adviser {
+	long := 0
+	var best *adviser
+	for _, a := range p.advisers {
+		if a.long {
+			long++
+		}
+		if a.idle(r) && (best == nil || a.calls < best.calls) {
+			best = a
+		}
+	}
+	if !isShort(r) && long >= p.mostLong() {
+		return nil
+	}
+	return best
+}
+
+// mostLong is how many nodes may make long calls at a time.
+func (p *advisorPool) mostLong() int {
+	n := len(p.advisers)
+	return max(1, n-max(reservedForShort, n/reservedPart))
+}
+
 // adviceOverdue is added to a call's duration before its node counts as idle again.
 const adviceOverdue = time.Second
 
@@ -147,7 +186,7 @@
 		return
 	}
 	delete(p.flight, id)
-	f.by.busy = 0
+	f.by.ended(f.request)
 	since(p.s.node.metrics.adviceTime, f.sent)
 	if failed {
 		p.s.node.metrics.count("advice_total", "call", "failed")
--- a/internal/control/committer.go
+++ b/internal/control/committer.go
@@ -13,8 +13,12 @@
 const (
 	// entriesPerTxn is what is left of a transaction's 32 entries beside the scheduler key.
 	entriesPerTxn = 31
-	// maxTxns transactions are under way at a time.
-	maxTxns = 6
+	// usualTxns transactions are under way at a time without regard to what they hold.
+	usualTxns = 6
+	// maxTxns transactions are under way at a time, those beyond usualTxns with fullTxn records at least. A slow store is
+	// used in parallel, a quick one isn't asked for each record.
+	maxTxns = 20
+	fullTxn = 4
 	// commitRetry is the pause before a transaction without an answer is sent again.
 	commitRetry = 50 * time.Millisecond
 )
@@ -36,7 +40,7 @@
 
 // flush begins transactions for what has to be written.
 func (c *committer) flush() {
-	for c.busy < maxTxns && c.s.core.HasWrites() {
+	for c.mayBegin(c.s.core.UnwrittenJobs()) {
 		writes := c.s.core.TakeWrites(entriesPerTxn)
 		if len(writes) == 0 {
 			return
@@ -47,6 +51,11 @@
 	}
 }
 
+// mayBegin reports whether another transaction may begin while the records of so many jobs wait.
+func (c *committer) mayBegin(jobs int) bool {
+	return c.busy < usualTxns && jobs > 0 || c.busy < maxTxns && jobs >= fullTxn
+}
+
 func (c *committer) txn(writes []cell.Write) port.Txn {
 	t := port.Txn{Expect: []port.Expect{{Key: schedulerKey, Revision: c.s.term.revision}}}
 	for _, w := range writes {
--- a/internal/control/front_test.go
+++ b/internal/control/front_test.go
@@ -93,3 +93,13 @@
 	<-polled
 	n.peers.close()
 }
+
+// Guards against records that queue behind a few slow transactions, and against a call of the store for each record.
+func TestSlowStoreIsUsedInParallel(t *testing.T) {
+	for _, c := range []struct {
+		busy, jobs int
+		begin      bool
+	}{{0, 0, false}, {usualTxns - 1, 1, true}, {usualTxns, 1, false}, {usualTxns, fullTxn, true}, {maxTxns, 100, false}} {
+		assert.Equal(t, (&committer{busy: c.busy}).mayBegin(c.jobs), c.begin, "%v", c)
+	}
+}
--- a/internal/control/settling.go
+++ b/internal/control/settling.go
@@ -11,6 +11,10 @@
 // after the last task, and their next question comes much later than the record.
 const settleWait = 300 * time.Millisecond
 
+// reportLag is how long a worker's report of an end may be under way. The answer about a job all of whose tasks run waits
+// that long, so that it allows for all ends before the question.
+const reportLag = 25 * time.Millisecond
+
 // settling lets questions about ended jobs wait for the jobs' final records. It belongs to the scheduler's goroutine.
 type settling map[cell.JobID]chan struct{}
 
@@ -30,26 +34,29 @@
 	}
 }
 
-// state returns a job as callers may see it. It waits for the final record of a job that has ended. It reports false if
-// the state isn't loaded yet or the term ended.
+// state returns a job as callers may see it. It waits for the final record of a job that has ended, and for the reports
+// that may just be on their way from its workers. It reports false if the state isn't loaded yet or the term ended.
 func (s *scheduling) state(ctx context.Context, id cell.JobID) (answer cell.JobState, ok bool) {
 	ctx, cancel := context.WithTimeout(ctx, settleWait)
 	defer cancel()
+	reported := time.After(reportLag)
 	for {
 		var state cell.JobState // the question may still write it after ask has given up
-		var written <-chan struct{}
+		var changed <-chan struct{}
 		if !s.ask(ctx, func() {
-			if state = s.core.State(id); state.Settling {
-				written = s.settling.wait(id)
+			if state = s.core.State(id); state.Settling || state.MayEnd {
+				changed = s.settling.wait(id)
 			}
 		}) {
 			return cell.JobState{}, false
 		}
-		if !state.Settling {
+		if !state.Settling && (!state.MayEnd || reported == nil) {
 			return state, true
 		}
 		select {
-		case <-written:
+		case <-changed:
+		case <-reported:
+			reported = nil
 		case <-ctx.Done():
 			return state, true
 		case <-s.ctx.Done():
--- a/internal/core/cell/advice.go
+++ b/internal/core/cell/advice.go
@@ -12,10 +12,14 @@
 	ticketMargin = 200 * time.Millisecond
 	// maxNamed is the largest number of workers that one call for advice may name.
 	maxNamed = 100
+	// maxCalls for advice are under way for one step.
+	maxCalls = 8
 	// minNamed workers are named at least, if there are so many.
 	minNamed = 12
 	// namedPerTask workers are named for each task of a step.
 	namedPerTask = 5
+	// namedPerMember workers are named for each member of a gang, which needs room for all of them at once.
+	namedPerMember = 15
 	// adviceRetry is the pause after a call for advice that failed.
 	adviceRetry = 100 * time.Millisecond
 )
@@ -35,7 +39,7 @@
 func (s *Scheduler) AdviceWithdrawn(r AdviceRequest) {
 	if j := s.jobs[r.Step.Job]; j != nil && r.Step.Step < len(j.steps) {
 		st := j.steps[r.Step.Step]
-		st.advice.inFlight = false
+		st.advice.inFlight--
 		s.unreserve(st)
 	}
 }
@@ -50,7 +54,7 @@
 type stepAdvice struct {
 	judged   map[WorkerID]bool // whether the worker may run the step; the answer never changes
 	good     map[WorkerID]ticket
-	inFlight bool
+	inFlight int // calls under way
 	retryAt  time.Time
 }
 
@@ -64,16 +68,33 @@
 	return t.value, t.value != "" && now.Add(ticketMargin).Before(t.expires)
 }
 
-// ask requests advice on the workers.
+// ask requests advice on the workers, by several calls if one would take much longer.
 func (s *Scheduler) ask(st *step, q *Queue, named []WorkerID) {
-	if len(named) == 0 || st.advice.inFlight {
+	if len(named) == 0 || st.advice.inFlight > 0 || s.now.Before(st.advice.retryAt) {
 		return
 	}
-	st.advice.inFlight = true
-	s.advice = append(s.advice, AdviceRequest{Step: st.id, Workers: named, Duration: q.Advice.Duration(len(named)), rank: s.rank(st.job)})
+	calls := min(maxCalls, (len(named)+q.Advice.batch()-1)/q.Advice.batch())
+	size := min(maxNamed, (len(named)+calls-1)/calls)
+	for part := range slices.Chunk(named, size) {
+		if st.advice.inFlight == maxCalls {
+			return
+		}
+		st.advice.inFlight++
+		s.advice = append(s.advice, AdviceRequest{Step: st.id, Workers: part, Duration: q.Advice.Duration(len(part)), rank: s.rank(st.job)})
+	}
+}
+
+// batch is the number of workers from which a call spends more time on them than on its fixed part. Two calls of two
+// nodes are then worth their price.
+func (a AdviceTiming) batch() int {
+	if a.PerWorker <= 0 {
+		return maxNamed
+	}
+	return max(minNamed, min(maxNamed, int(a.Decision/a.PerWorker)))
 }
 
-// unjudged returns workers that may be named next: those with most room first.
+// unjudged returns workers that may be named next: those with most room first. Once some are known, a step that isn't a
+// gang asks only about workers that have room for a task now.
 func (s *Scheduler) unjudged(st *step) []WorkerID {
 	type candidate struct {
 		id   WorkerID
@@ -84,7 +105,11 @@
 		if _, known := st.advice.judged[w.ID]; known || !s.suits(st, w) {
 			continue
 		}
-		if !st.spec.Each.Fits(w.Capacity) {
+		room := w.Capacity
+		if st.advice.judged != nil && !st.spec.Gang {
+			room = w.free.Sub(w.kept)
+		}
+		if !st.spec.Each.Fits(room) {
 			continue
 		}
 		found = append(found, candidate{w.ID, w.free.MilliCPU})
@@ -92,7 +117,11 @@
 	slices.SortFunc(found, func(a, b candidate) int {
 		return cmp.Or(cmp.Compare(b.free, a.free), cmp.Compare(a.id, b.id))
 	})
-	n := min(len(found), maxNamed, max(minNamed, namedPerTask*st.spec.Count))
+	n := min(maxNamed, max(minNamed, namedPerTask*st.spec.Count))
+	if st.spec.Gang {
+		n = max(minNamed, namedPerMember*st.spec.Count)
+	}
+	n = min(n, len(found))
 	named := make([]WorkerID, n)
 	for i := range named {
 		named[i] = found[i].id
@@ -109,7 +138,7 @@
 		return
 	}
 	st := j.steps[r.Step.Step]
-	st.advice.inFlight = false
+	st.advice.inFlight--
 	s.changed = true
 	if failed {
 		st.advice.retryAt = now.Add(adviceRetry)
--- a/internal/core/cell/faults_test.go
+++ b/internal/core/cell/faults_test.go
@@ -110,7 +110,7 @@
 	h.s.Advised(h.advice[0], []Ticket{{workerID(0), "t"}}, h.now, ticketTime, false, h.now)
 	h.now = h.now.Add(placementInterval)
 	h.collect(h.s.Advance(h.now))
-	assert.Assert(t, h.s.HasWrites())
+	assert.Assert(t, h.s.UnwrittenJobs() > 0)
 	h.now = h.now.Add(ticketTime + time.Second) // the store doesn't answer
 	h.pass(0)
 	assert.Equal(t, len(h.takeStarts()), 0)
--- a/internal/core/cell/harness_test.go
+++ b/internal/core/cell/harness_test.go
@@ -35,7 +35,9 @@
 	plainQueue   = "plain"   // every worker may run it
 	advisedQueue = "advised" // needs tickets
 	urgentQueue  = "urgent"
-	ticketTime   = 2 * time.Second
+	// slowAdviceQueue needs tickets, from calls that take longer with each worker.
+	slowAdviceQueue = "slow-advice"
+	ticketTime      = 2 * time.Second
 )
 
 func testConfig() *Config {
@@ -45,6 +47,8 @@
 			{Name: urgentQueue, Host: "h", Prefix: "/urgent/", Service: "pool", Priority: 0, MaxAttempts: 2, Stretch: 3, Slack: time.Second},
 			{Name: advisedQueue, Host: "h", Prefix: "/advised/", Service: "pool", Priority: 1, MaxAttempts: 2, Stretch: 3, Slack: time.Second,
 				Advice: &AdviceTiming{Decision: 10 * time.Millisecond, Validity: ticketTime}},
+			{Name: slowAdviceQueue, Host: "h", Prefix: "/slow-advice/", Service: "pool", Priority: 1, MaxAttempts: 2, Stretch: 3, Slack: time.Second,
+				Advice: &AdviceTiming{Decision: 12 * time.Millisecond, PerWorker: time.Millisecond, Validity: ticketTime}},
 		},
 		Teams: []Team{{Name: "team", Keys: []string{"key"}, Weight: 1000}, {Name: "small", Weight: 1000, Limit: resource.Vector{MilliCPU: 2000}},
 			{Name: "slow", Weight: 1}},
@@ -123,7 +127,7 @@
 }
 
 func (h *harness) record() {
-	for h.s.HasWrites() {
+	for h.s.UnwrittenJobs() > 0 {
 		writes := h.s.TakeWrites(31)
 		if len(writes) == 0 {
 			return
--- a/internal/core/cell/place.go
+++ b/internal/core/cell/place.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// maxBlockers is how many gangs that wait for room keep later steps from the workers that they need.
-	maxBlockers = 3
+	// blockedPart of the cell is kept at most for steps that wait for room, but for one step in any case.
+	blockedPart = 5
 	// placementInterval is the shortest time between two passes.
 	placementInterval = 8 * time.Millisecond
 	// turnoverPart of the cell comes free while advice is on its way.
@@ -25,11 +25,10 @@
 type placementPass struct {
 	at       time.Time
 	usable   []*worker
-	room     int64                       // thousandths of a core that are free for steps further down
-	turnover int64                       // thousandths of a core that will soon be free
-	largest  resource.Vector             // the most that any worker has free of each resource
-	blocked  map[*worker]resource.Vector // room kept for gangs that go first
-	blockers int
+	room     int64           // thousandths of a core that are free for steps further down
+	turnover int64           // thousandths of a core that will soon be free
+	largest  resource.Vector // the most that any worker has free of each resource
+	keepable int64           // thousandths of a core that may still be kept for steps that go first
 	steps    []candidateStep
 }
 
@@ -71,7 +70,6 @@
 	}
 	s.changed = false
 	s.pass.at = s.now
-	s.pass.blocked, s.pass.blockers = map[*worker]resource.Vector{}, 0
 	s.collectUsable()
 	s.collectSteps()
 	fruitless := 0
@@ -81,6 +79,7 @@
 		}
 		st := c.step
 		if !st.spec.Each.Fits(s.pass.largest) && st.advice.judged != nil {
+			s.blockFor(st, c.queue)
 			continue
 		}
 		before := st.waiting
@@ -97,18 +96,20 @@
 // claim takes what a step will place once its advice has come off the room of the steps behind it. Otherwise these would
 // take it meanwhile.
 func (s *Scheduler) claim(st *step) {
-	if !st.spec.Gang && st.advice.inFlight {
+	if !st.spec.Gang && st.advice.inFlight > 0 {
 		s.pass.room -= int64(st.waiting) * st.spec.Each.MilliCPU
 	}
 }
 
 func (s *Scheduler) collectUsable() {
-	s.pass.usable, s.pass.room, s.pass.turnover, s.pass.largest = s.pass.usable[:0], 0, 0, resource.Vector{}
+	s.pass.usable, s.pass.room, s.pass.turnover, s.pass.keepable, s.pass.largest = s.pass.usable[:0], 0, 0, 0, resource.Vector{}
 	for _, w := range s.workers {
 		if w.usable(s.now) {
+			w.kept = resource.Vector{}
 			s.pass.usable = append(s.pass.usable, w)
 			s.pass.room += max(0, w.free.MilliCPU)
 			s.pass.turnover += w.Capacity.MilliCPU / turnoverPart
+			s.pass.keepable += w.Capacity.MilliCPU / blockedPart
 			s.pass.largest = s.pass.largest.Max(w.free)
 		}
 	}
@@ -157,14 +158,16 @@
 
 // placeStep places what it can of a step, and asks for advice that is missing.
 func (s *Scheduler) placeStep(st *step, q *Queue) {
-	if q != nil && q.Advice != nil && (st.advice.inFlight || s.now.Before(st.advice.retryAt)) {
-		return
-	}
+	advised := q != nil && q.Advice != nil
 	if st.spec.Gang {
-		s.placeGang(st, q)
+		if !advised || st.advice.judged != nil || st.advice.inFlight == 0 {
+			s.placeGang(st, q)
+		}
 		return
 	}
-	s.placeTasks(st, q)
+	if !advised || st.advice.inFlight == 0 && !s.now.Before(st.advice.retryAt) {
+		s.placeTasks(st, q)
+	}
 }
 
 func (s *Scheduler) placeTasks(st *step, q *Queue) {
@@ -173,11 +176,12 @@
 		if t.phase != taskWaiting {
 			continue
 		}
-		if s.pass.room < st.spec.Each.MilliCPU {
-			break // kept for steps whose advice is on its way
+		var w *worker
+		if s.pass.room >= st.spec.Each.MilliCPU { // the rest is kept for steps whose advice is on its way
+			w = s.choose(t, q)
 		}
-		w := s.choose(t, q)
 		if w == nil {
+			s.blockFor(st, q)
 			break
 		}
 		if s.occupyFor(t, w, q) {
@@ -284,7 +288,7 @@
 
 // choose returns the worker with the best fit for a task, nil if there is none.
 func (s *Scheduler) choose(t *task, q *Queue) *worker {
-	if !s.withinLimit(t) {
+	if !s.withinLimit(t.step, 1) {
 		return nil
 	}
 	var best *worker
@@ -311,7 +315,7 @@
 	if st.spec.MaxPerWorker > 0 && st.perWorker[w.ID] >= st.spec.MaxPerWorker {
 		return false
 	}
-	return st.spec.Each.Fits(w.free.Sub(s.pass.blocked[w]))
+	return st.spec.Each.Fits(w.free.Sub(w.kept))
 }
 
 // score prefers tight fits, so that large tasks find room, and workers whose tickets and data are at hand.
@@ -345,23 +349,30 @@
 	return ""
 }
 
-// withinLimit reports whether the team may run one more task like t.
-func (s *Scheduler) withinLimit(t *task) bool {
-	team := s.config.Team(t.step.job.Team)
+// withinLimit reports whether the team may run so many more tasks of a step.
+func (s *Scheduler) withinLimit(st *step, tasks int) bool {
+	team := s.config.Team(st.job.Team)
 	if team == nil {
 		return true
 	}
-	limit, each := team.Limit, t.step.spec.Each
+	limit, each := team.Limit, st.spec.Each.Scale(int64(tasks))
 	use := s.usage[team.Name].Add(each)
 	return (limit.MilliCPU == 0 || each.MilliCPU == 0 || use.MilliCPU <= limit.MilliCPU) &&
 		(limit.MemoryMB == 0 || each.MemoryMB == 0 || use.MemoryMB <= limit.MemoryMB) &&
 		(limit.Accelerators == 0 || each.Accelerators == 0 || use.Accelerators <= limit.Accelerators)
 }
 
-// blockFor keeps room for a gang that doesn't fit yet, for each member on the worker that has most left. Spread like that,
-// the room comes as single tasks end, and no worker has to become empty.
+// blockFor keeps room for the waiting tasks of a step that doesn't fit yet, for each task on the worker that has most left.
+// Spread like that, the room comes as single tasks end, and no worker has to become empty.
 func (s *Scheduler) blockFor(st *step, q *Queue) {
-	if s.pass.blockers >= maxBlockers {
+	wanted := st.waiting
+	switch {
+	case st.spec.Gang:
+		wanted = len(st.tasks)
+	case !s.withinLimit(st, wanted):
+		wanted = 1
+	}
+	if s.pass.keepable <= 0 || wanted > st.waiting || !s.withinLimit(st, wanted) {
 		return
 	}
 	var found []*worker
@@ -373,18 +384,18 @@
 	if len(found) == 0 {
 		return
 	}
-	s.pass.blockers++
-	for range st.tasks {
+	s.pass.keepable -= int64(wanted) * st.spec.Each.MilliCPU
+	for range wanted {
 		best := slices.MaxFunc(found, func(a, b *worker) int {
-			return cmp.Or(cmp.Compare(s.leftShare(a), s.leftShare(b)), cmp.Compare(b.ID, a.ID))
+			return cmp.Or(cmp.Compare(a.leftShare(), b.leftShare()), cmp.Compare(b.ID, a.ID))
 		})
-		s.pass.blocked[best] = s.pass.blocked[best].Add(st.spec.Each)
+		best.kept = best.kept.Add(st.spec.Each)
 	}
 }
 
-// leftShare returns the part of a worker that is free and not kept for a gang, below 0 if more is kept than is free.
-func (s *Scheduler) leftShare(w *worker) float64 {
-	left := w.free.Sub(s.pass.blocked[w])
+// leftShare returns the part of a worker that is free and not kept for a step, below 0 if more is kept than is free.
+func (w *worker) leftShare() float64 {
+	left := w.free.Sub(w.kept)
 	share := 1.0
 	if w.Capacity.MilliCPU > 0 {
 		share = float64(left.MilliCPU) / float64(w.Capacity.MilliCPU)
--- a/internal/core/cell/policy_test.go
+++ b/internal/core/cell/policy_test.go
@@ -79,6 +79,63 @@
 	}
 }
 
+// Guards against a large task that never starts because small tasks take each bit of room that comes free.
+func TestRoomIsKeptForATaskThatFitsNowhere(t *testing.T) {
+	h := newHarness(t, 1)
+	h.add(Job{ID: "busy", Steps: []Step{tasks(4, 1000)}})
+	h.pass(0)
+	busy := h.takeStarts()
+	assert.Equal(t, len(busy), 4)
+	h.add(Job{ID: "large", Queue: urgentQueue, Steps: []Step{tasks(1, 2000)}})
+	h.add(Job{ID: "small", Steps: []Step{tasks(4, 1000)}})
+	var ends []EndedRow
+	for i, o := range busy[:2] {
+		ends = append(ends, EndedRow{Number: int64(i + 1), Run: o.Run, Kind: EndDone})
+	}
+	h.renew(0, []RunningRow{{Run: busy[1].Run}, {Run: busy[2].Run}, {Run: busy[3].Run}}, ends[:1])
+	h.pass(20 * time.Millisecond)
+	assert.Equal(t, len(h.takeStarts()), 0)
+	h.renew(0, []RunningRow{{Run: busy[2].Run}, {Run: busy[3].Run}}, ends)
+	h.pass(20 * time.Millisecond)
+	started := h.takeStarts()
+	assert.Equal(t, len(started), 1)
+	assert.Equal(t, started[0].Run.Task.Job, JobID("large"))
+}
+
+// Guards against room that is kept for a gang that its team's limit holds back.
+func TestNoRoomIsKeptBeyondATeamsLimit(t *testing.T) {
+	h := newHarness(t, 1)
+	gang := tasks(3, 1200)
+	gang.Gang = true
+	h.add(Job{ID: "gang", Team: "small", Queue: urgentQueue, Steps: []Step{gang}})
+	h.add(Job{ID: "small", Steps: []Step{tasks(4, 1000)}})
+	h.pass(0)
+	assert.Equal(t, len(h.takeStarts()), 4)
+}
+
+// Guards against a gang that learns of the workers that may run it by one long call after another.
+func TestAdviceForAGangIsAskedByCallsAtOnce(t *testing.T) {
+	h := newHarness(t, 30)
+	gang := tasks(30, 3000)
+	gang.Gang = true
+	h.add(Job{ID: "gang", Queue: slowAdviceQueue, Steps: []Step{gang}})
+	h.pass(0)
+	assert.Equal(t, len(h.advice), 3)
+	named := 0
+	for _, r := range h.advice {
+		var good []Ticket
+		for _, id := range r.Workers {
+			named++
+			good = append(good, Ticket{Worker: id, Value: "t"})
+		}
+		assert.Equal(t, len(h.takeStarts()), 0)
+		h.s.Advised(r, good, h.now, ticketTime, false, h.now)
+		h.pass(20 * time.Millisecond)
+	}
+	assert.Equal(t, named, 30)
+	assert.Equal(t, len(h.takeStarts()), 30)
+}
+
 // Guards against jobs beyond a team's rate that take the room of jobs within it.
 func TestSurplusJobsComeLast(t *testing.T) {
 	h := newHarness(t, 1)
--- a/internal/core/cell/scheduler.go
+++ b/internal/core/cell/scheduler.go
@@ -174,6 +174,8 @@
 	Team  string
 	// Settling tells that the job has ended and that its end will soon be durable.
 	Settling bool
+	// MayEnd tells that the job ends with the next reports of its workers if all its runs have succeeded.
+	MayEnd bool
 }
 
 // State returns a job as callers may see it.
@@ -190,10 +192,23 @@
 		state.Phase = Canceled
 	case j.began:
 		state.Phase, state.Settling = Running, j.phase.Final()
+		state.MayEnd = !state.Settling && j.allRun()
 	}
 	return state
 }
 
+// allRun reports whether every task of the job is done or runs.
+func (j *job) allRun() bool {
+	for _, st := range j.steps {
+		for _, t := range st.tasks {
+			if t.phase != taskDone && t.phase != taskRunning {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // Waiting returns by queue how many jobs wait for the start of their first task.
 func (s *Scheduler) Waiting() map[string]int64 {
 	counts := map[string]int64{}
--- a/internal/core/cell/state.go
+++ b/internal/core/cell/state.go
@@ -97,6 +97,7 @@
 	silent     bool      // didn't answer its last call
 	heard      time.Time // its last inventory
 	free       resource.Vector
+	kept       resource.Vector // of the free room, in the current placement pass
 	tasks      map[*task]bool
 	noted      int64 // number of the last end that was processed
 	pendingAck []endVersion
--- a/internal/core/cell/writes.go
+++ b/internal/core/cell/writes.go
@@ -80,8 +80,8 @@
 	return w, err
 }
 
-// HasWrites reports whether records have to be written.
-func (s *Scheduler) HasWrites() bool { return len(s.dirty) > 0 }
+// UnwrittenJobs returns how many jobs have a record that has to be written.
+func (s *Scheduler) UnwrittenJobs() int { return len(s.dirty) }
 
 // Recorded tells that a record is durable.
 func (s *Scheduler) Recorded(w Write) {
