Serve late jobs before those that can wait; objectives allow for failed runs; bound what waiting advice claims

Late lookups waited for wash plans with 10 s to spare. Ruled out: lack of room (under half in use at the end). Change: order by what presses; a failed run moves the objective; claims of waiting advice are bounded and advice is asked only where there is room.

--- a/internal/core/cell/advice.go
+++ b/internal/core/cell/advice.go
@@ -93,38 +93,34 @@
 	return max(minNamed, min(maxNamed, int(a.Decision/a.PerWorker)))
 }
 
-// unjudged returns workers that may be named next: those with most room first. Once some are known, a step that isn't a
-// gang asks only about workers that have room for a task now.
-func (s *Scheduler) unjudged(st *step) []WorkerID {
-	type candidate struct {
-		id   WorkerID
-		free int64
-	}
-	var found []candidate
+// unjudged returns workers that may be named next, those with most room first; none if the queue needs no advice. Once
+// some are known, a step that isn't a gang asks again only if another worker has room for a task now.
+func (s *Scheduler) unjudged(st *step, q *Queue) []WorkerID {
+	if q == nil || q.Advice == nil {
+		return nil
+	}
+	again, fits := st.advice.judged != nil && !st.spec.Gang, false
+	var found []*worker
 	for _, w := range s.pass.usable {
-		if _, known := st.advice.judged[w.ID]; known || !s.suits(st, w) {
+		if _, known := st.advice.judged[w.ID]; known || !s.suits(st, w) || !st.spec.Each.Fits(w.Capacity) {
 			continue
 		}
-		room := w.Capacity
-		if st.advice.judged != nil && !st.spec.Gang {
-			room = w.free.Sub(w.kept)
-		}
-		if !st.spec.Each.Fits(room) {
-			continue
-		}
-		found = append(found, candidate{w.ID, w.free.MilliCPU})
+		found = append(found, w)
+		fits = fits || st.spec.Each.Fits(w.free.Sub(w.kept))
+	}
+	if again && !fits {
+		return nil
 	}
-	slices.SortFunc(found, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(b.free, a.free), cmp.Compare(a.id, b.id))
+	slices.SortFunc(found, func(a, b *worker) int {
+		return cmp.Or(cmp.Compare(b.leftShare(), a.leftShare()), cmp.Compare(a.ID, b.ID))
 	})
 	n := min(maxNamed, max(minNamed, namedPerTask*st.spec.Count))
 	if st.spec.Gang {
 		n = max(minNamed, namedPerMember*st.spec.Count)
 	}
-	n = min(n, len(found))
-	named := make([]WorkerID, n)
+	named := make([]WorkerID, min(n, len(found)))
 	for i := range named {
-		named[i] = found[i].id
+		named[i] = found[i].ID
 	}
 	return named
 }
--- a/internal/core/cell/inventory.go
+++ b/internal/core/cell/inventory.go
@@ -174,6 +174,9 @@
 	if row.Kind == EndFailed {
 		t.avoid = append(t.avoid, w.ID)
 		s.blame(w, "a run failed")
+		if !t.startedAt.IsZero() {
+			st.job.allowFor(s.now.Sub(t.startedAt))
+		}
 		failedJob = s.countFailure(t, row.Run.Run)
 	}
 	s.wait(t)
--- a/internal/core/cell/place.go
+++ b/internal/core/cell/place.go
@@ -11,6 +11,8 @@
 const (
 	// blockedPart of the cell is kept at most for steps that wait for room, but for one step in any case.
 	blockedPart = 5
+	// claimedPart of the cell is claimed at most by steps whose advice is on its way, but for one step in any case.
+	claimedPart = 5
 	// placementInterval is the shortest time between two passes.
 	placementInterval = 8 * time.Millisecond
 	// turnoverPart of the cell comes free while advice is on its way.
@@ -29,7 +31,9 @@
 	turnover int64           // thousandths of a core that will soon be free
 	largest  resource.Vector // the most that any worker has free of each resource
 	keepable int64           // thousandths of a core that may still be kept for steps that go first
-	steps    []candidateStep
+	// claimable is what steps whose advice is on its way may still claim, in thousandths of a core.
+	claimable int64
+	steps     []candidateStep
 }
 
 type candidateStep struct {
@@ -50,16 +54,24 @@
 	return cmp.Or(cmp.Compare(r.class, o.class), cmp.Compare(r.priority, o.priority), r.deadline.Compare(o.deadline), cmp.Compare(r.job, o.job))
 }
 
-func (s *Scheduler) rank(j *job) rank { return rank{s.lateness(j), j.queuePrio, j.deadline, j.ID} }
+func (s *Scheduler) rank(j *job) rank { return rank{s.urgency(j), j.queuePrio, j.deadline, j.ID} }
 
 // urgency is the first criterion of the order in which steps are served.
 type urgency int
 
 const (
-	inTime  urgency = iota // can meet its objective
-	late                   // has missed it, but is still worth something
-	surplus                // beyond what its team may hand in
-	overdue                // worth nothing any more
+	pressing urgency = iota // meets its objective if it starts soon
+	patient                 // meets its objective also if it waits, or has missed it and is still worth something
+	surplus                 // beyond what its team may hand in
+	overdue                 // worth nothing any more
+)
+
+const (
+	// pressingTime before the last moment at which a job must go on to meet its objective, it goes before those that can
+	// wait.
+	pressingTime = 2 * time.Second
+	// gangTime is added for a gang, which has to wait until there is room for all its members.
+	gangTime = 1500 * time.Millisecond
 )
 
 // place decides which waiting tasks start where.
@@ -89,20 +101,26 @@
 		} else if fruitless++; fruitless == maxFruitless {
 			return
 		}
-		s.claim(st)
+		if c.rank.class < surplus {
+			s.claim(st)
+		}
 	}
 }
 
 // claim takes what a step will place once its advice has come off the room of the steps behind it. Otherwise these would
-// take it meanwhile.
+// take it meanwhile. All claims together are bounded, because steps that wait for advice in a row can't use more at a time.
 func (s *Scheduler) claim(st *step) {
-	if !st.spec.Gang && st.advice.inFlight > 0 {
-		s.pass.room -= int64(st.waiting) * st.spec.Each.MilliCPU
+	if st.spec.Gang || st.advice.inFlight == 0 || s.pass.claimable <= 0 {
+		return
 	}
+	claimed := int64(st.waiting) * st.spec.Each.MilliCPU
+	s.pass.claimable -= claimed
+	s.pass.room -= claimed
 }
 
 func (s *Scheduler) collectUsable() {
-	s.pass.usable, s.pass.room, s.pass.turnover, s.pass.keepable, s.pass.largest = s.pass.usable[:0], 0, 0, 0, resource.Vector{}
+	s.pass.usable, s.pass.largest = s.pass.usable[:0], resource.Vector{}
+	s.pass.room, s.pass.turnover, s.pass.keepable, s.pass.claimable = 0, 0, 0, 0
 	for _, w := range s.workers {
 		if w.usable(s.now) {
 			w.kept = resource.Vector{}
@@ -110,14 +128,15 @@
 			s.pass.room += max(0, w.free.MilliCPU)
 			s.pass.turnover += w.Capacity.MilliCPU / turnoverPart
 			s.pass.keepable += w.Capacity.MilliCPU / blockedPart
+			s.pass.claimable += w.Capacity.MilliCPU / claimedPart
 			s.pass.largest = s.pass.largest.Max(w.free)
 		}
 	}
 	slices.SortFunc(s.pass.usable, func(a, b *worker) int { return cmp.Compare(a.ID, b.ID) })
 }
 
-// collectSteps lists the steps with waiting tasks in the order in which they are served: work that can still meet its
-// objective first, then by priority and objective.
+// collectSteps lists the steps with waiting tasks in the order in which they are served: work that must go on now to meet
+// its objective first, then by priority and objective.
 func (s *Scheduler) collectSteps() {
 	s.pass.steps = s.pass.steps[:0]
 	for _, j := range s.active {
@@ -135,17 +154,27 @@
 	slices.SortStableFunc(s.pass.steps, func(a, b candidateStep) int { return a.rank.compare(b.rank) })
 }
 
-func (s *Scheduler) lateness(j *job) urgency {
+func (s *Scheduler) urgency(j *job) urgency {
 	end := s.now.Add(j.remaining())
 	switch {
 	case end.After(j.lateDeadline):
 		return overdue
 	case j.surplus:
 		return surplus
-	case end.After(j.deadline):
-		return late
+	case end.After(j.deadline) || end.Add(j.lead()).Before(j.deadline):
+		return patient
+	}
+	return pressing
+}
+
+// lead is how long before the last moment a job becomes pressing.
+func (j *job) lead() time.Duration {
+	for _, st := range j.steps {
+		if st.spec.Gang && st.open > 0 {
+			return pressingTime + gangTime
+		}
 	}
-	return inTime
+	return pressingTime
 }
 
 // stalledWrites reports whether records haven't become durable for a while. New intents would only lose their tickets.
@@ -176,10 +205,13 @@
 		if t.phase != taskWaiting {
 			continue
 		}
-		var w *worker
-		if s.pass.room >= st.spec.Each.MilliCPU { // the rest is kept for steps whose advice is on its way
-			w = s.choose(t, q)
+		if s.pass.room < st.spec.Each.MilliCPU {
+			// The rest is claimed by steps whose advice is on its way. More advice wouldn't help.
+			s.blockFor(st, q)
+			s.ask(st, q, refresh)
+			return
 		}
+		w := s.choose(t, q)
 		if w == nil {
 			s.blockFor(st, q)
 			break
@@ -190,11 +222,8 @@
 			refresh = append(refresh, w.ID)
 		}
 	}
-	if q == nil || q.Advice == nil {
-		return
-	}
 	if len(refresh) == 0 && st.waiting > 0 {
-		refresh = s.unjudged(st)
+		refresh = s.unjudged(st, q)
 	}
 	s.ask(st, q, refresh)
 }
@@ -226,9 +255,7 @@
 		s.unreserve(st)
 		s.pass.room += int64(placed) * st.spec.Each.MilliCPU
 		s.blockFor(st, q)
-		if q != nil && q.Advice != nil {
-			s.ask(st, q, s.unjudged(st))
-		}
+		s.ask(st, q, s.unjudged(st, q))
 	case tickets:
 		s.startGang(st)
 	default:
@@ -304,15 +331,17 @@
 	return best
 }
 
-func (s *Scheduler) fits(t *task, w *worker, q *Queue) bool {
-	st := t.step
-	if !s.suits(st, w) || slices.Contains(t.avoid, w.ID) && len(t.avoid) < len(s.pass.usable)/2 {
+// mayRun reports whether the step may run another task on the worker, if there is room.
+func (s *Scheduler) mayRun(st *step, w *worker, q *Queue) bool {
+	if !s.suits(st, w) || q != nil && q.Advice != nil && !st.advice.judged[w.ID] {
 		return false
 	}
-	if q != nil && q.Advice != nil && !st.advice.judged[w.ID] {
-		return false
-	}
-	if st.spec.MaxPerWorker > 0 && st.perWorker[w.ID] >= st.spec.MaxPerWorker {
+	return st.spec.MaxPerWorker == 0 || st.perWorker[w.ID] < st.spec.MaxPerWorker
+}
+
+func (s *Scheduler) fits(t *task, w *worker, q *Queue) bool {
+	st := t.step
+	if !s.mayRun(st, w, q) || slices.Contains(t.avoid, w.ID) && len(t.avoid) < len(s.pass.usable)/2 {
 		return false
 	}
 	return st.spec.Each.Fits(w.free.Sub(w.kept))
@@ -377,7 +406,7 @@
 	}
 	var found []*worker
 	for _, w := range s.pass.usable {
-		if s.suits(st, w) && (q == nil || q.Advice == nil || st.advice.judged[w.ID]) && st.spec.Each.Fits(w.Capacity) {
+		if s.mayRun(st, w, q) && st.spec.Each.Fits(w.Capacity) {
 			found = append(found, w)
 		}
 	}
--- a/internal/core/cell/scheduler.go
+++ b/internal/core/cell/scheduler.go
@@ -101,11 +101,19 @@
 	if age := now.UnixMilli() - j.AcceptedMS; age > 0 && age < int64(time.Hour/time.Millisecond) {
 		accepted = now.Add(-time.Duration(age) * time.Millisecond)
 	}
+	j.stretch = terms.Stretch
 	objective := time.Duration(float64(j.estimate)*terms.Stretch) + time.Duration(terms.SlackMS)*time.Millisecond
 	j.deadline = accepted.Add(objective)
 	j.lateDeadline = accepted.Add(lateFactor * objective)
 }
 
+// allowFor moves the job's objective by work that was lost by the job's own fault.
+func (j *job) allowFor(lost time.Duration) {
+	extra := time.Duration(float64(lost) * j.stretch)
+	j.deadline = j.deadline.Add(extra)
+	j.lateDeadline = j.lateDeadline.Add(lateFactor * extra)
+}
+
 const (
 	// adviceReference is the number of workers named in the call for advice that a job's objective allows for.
 	adviceReference = 30
--- a/internal/core/cell/state.go
+++ b/internal/core/cell/state.go
@@ -80,6 +80,7 @@
 	deadline     time.Time // the objective
 	finished     time.Time
 	archived     bool // the final record is durable
+	stretch      float64
 	surplus      bool // beyond what its team may hand in
 	estimate     time.Duration
 	reason       string
