--- a/internal/control/advisors.go
+++ b/internal/control/advisors.go
@@ -15,38 +15,19 @@
 	// cell it is one node of reservedPart.
 	reservedForShort = 2
 	reservedPart     = 4
-	// shortCalls are under way at one node, so that the service always has the next one of that node at hand.
-	shortCalls = 2
 	// maxAdviceQueue bounds the requests that wait for a node.
 	maxAdviceQueue = 4096
 )
 
 // adviser asks the advice service: this node or another one. The service handles one call at a time for each node.
 type adviser struct {
-	name  string
-	send  func(id int64, r cell.AdviceRequest) bool
-	calls int  // under way
-	long  bool // one of them is a long call
-}
-
-// idle reports whether the node can make a call now: any call if it makes none, a short one behind another short one.
-func (a *adviser) idle(r cell.AdviceRequest) bool {
-	return a.calls == 0 || isShort(r) && !a.long && a.calls < shortCalls
+	name string
+	send func(id int64, r cell.AdviceRequest) bool
+	busy int64 // id of the request under way, 0 for none
 }
 
 func isShort(r cell.AdviceRequest) bool { return r.Duration < longAdvice }
 
-// began and ended count the calls of the node.
-func (a *adviser) began(r cell.AdviceRequest) {
-	a.calls++
-	a.long = a.long || !isShort(r)
-}
-
-func (a *adviser) ended(r cell.AdviceRequest) {
-	a.calls--
-	a.long = a.long && isShort(r)
-}
-
 // advisorPool spreads the requests for advice over the cell's nodes. It belongs to the scheduler's goroutine.
 type advisorPool struct {
 	s        *scheduling
@@ -81,11 +62,9 @@
 // remove takes out a node that is no longer attached and returns its request to the queue.
 func (p *advisorPool) remove(a *adviser) {
 	p.advisers = slices.DeleteFunc(p.advisers, func(x *adviser) bool { return x == a })
-	for id, f := range p.flight {
-		if f.by == a {
-			delete(p.flight, id)
-			p.waiting = append(p.waiting, waitingAdvice{f.request, time.Now()})
-		}
+	if f, ok := p.flight[a.busy]; ok && f.by == a {
+		delete(p.flight, a.busy)
+		p.waiting = append(p.waiting, waitingAdvice{f.request, time.Now()})
 	}
 }
 
@@ -129,7 +108,7 @@
 }
 
 func (p *advisorPool) assign(r cell.AdviceRequest) bool {
-	a := p.choose(r)
+	a := p.idle(r)
 	if a == nil {
 		return false
 	}
@@ -137,27 +116,26 @@
 	if !a.send(p.nextID, r) {
 		return false
 	}
-	a.began(r)
+	a.busy = p.nextID
 	p.flight[p.nextID] = adviceFlight{r, a, time.Now()}
 	return true
 }
 
-// choose returns the node with the fewest calls that can make a call, nil if there is none.
-func (p *advisorPool) choose(r cell.AdviceRequest) *adviser {
+// idle returns a node that can make the call, nil if there is none.
+func (p *advisorPool) idle(r cell.AdviceRequest) *adviser {
 	long := 0
-	var best *adviser
+	var idle *adviser
 	for _, a := range p.advisers {
-		if a.long {
+		if a.busy == 0 {
+			idle = a
+		} else if !isShort(p.flight[a.busy].request) {
 			long++
 		}
-		if a.idle(r) && (best == nil || a.calls < best.calls) {
-			best = a
-		}
 	}
 	if !isShort(r) && long >= p.mostLong() {
 		return nil
 	}
-	return best
+	return idle
 }
 
 // mostLong is how many nodes may make long calls at a time.
@@ -186,7 +164,7 @@
 		return
 	}
 	delete(p.flight, id)
-	f.by.ended(f.request)
+	f.by.busy = 0
 	since(p.s.node.metrics.adviceTime, f.sent)
 	if failed {
 		p.s.node.metrics.count("advice_total", "call", "failed")
--- a/internal/core/cell/inventory.go
+++ b/internal/core/cell/inventory.go
@@ -112,7 +112,7 @@
 		w.pendingAck = append(w.pendingAck, endVersion{number: row.Number})
 		return
 	}
-	t.step.began, t.step.job.began = true, true
+	t.step.job.began = true
 	current := t.worker == w && t.run == row.Run.Run
 	s.events.Decided(t.id.String(), "run ended", "run", row.Run.Run, "worker", w.ID, "how", row.Kind, "current", current)
 	switch {
--- a/internal/core/cell/orders.go
+++ b/internal/core/cell/orders.go
@@ -204,7 +204,6 @@
 		return
 	}
 	t.phase, t.percent, t.progressAt = taskRunning, 0, s.now
-	t.step.began = true
 	j := t.step.job
 	if !j.began {
 		j.began = true
--- a/internal/core/cell/place.go
+++ b/internal/core/cell/place.go
@@ -33,7 +33,9 @@
 	keepable int64           // thousandths of a core that may still be kept for steps that go first
 	// claimable is what steps whose advice is on its way may still claim, in thousandths of a core.
 	claimable int64
-	steps     []candidateStep
+	// lateWork waits of jobs that are late; up to fewLate of it goes first. In thousandths of a core times milliseconds.
+	lateWork, fewLate int64
+	steps             []candidateStep
 }
 
 type candidateStep struct {
@@ -60,13 +62,17 @@
 type urgency int
 
 const (
-	pressing urgency = iota // meets its objective if it starts soon
-	patient                 // meets its objective also if it waits, or has missed it and is still worth something
-	surplus                 // beyond what its team may hand in
-	overdue                 // worth nothing any more
+	pressing  urgency = iota // meets its objective if it starts soon
+	late                     // has missed its objective, is still worth something, and one of few
+	patient                  // meets its objective also if it waits
+	lateInRow                // late, and one of so many that serving them first would make others late
+	surplus                  // beyond what its team may hand in
+	overdue                  // worth nothing any more
 )
 
 const (
+	// fewLateTime of the whole cell's work is what late jobs may take before others wait no longer for them.
+	fewLateTime = 250 * time.Millisecond
 	// pressingTime before the last moment at which a job must go on to meet its objective, it goes before those that can
 	// wait.
 	pressingTime = 2 * time.Second
@@ -120,7 +126,7 @@
 
 func (s *Scheduler) collectUsable() {
 	s.pass.usable, s.pass.largest = s.pass.usable[:0], resource.Vector{}
-	s.pass.room, s.pass.turnover, s.pass.keepable, s.pass.claimable = 0, 0, 0, 0
+	s.pass.room, s.pass.turnover, s.pass.keepable, s.pass.claimable, s.pass.fewLate = 0, 0, 0, 0, 0
 	for _, w := range s.workers {
 		if w.usable(s.now) {
 			w.kept = resource.Vector{}
@@ -128,6 +134,7 @@
 			s.pass.room += max(0, w.free.MilliCPU)
 			s.pass.turnover += w.Capacity.MilliCPU / turnoverPart
 			s.pass.keepable += w.Capacity.MilliCPU / blockedPart
+			s.pass.fewLate += w.Capacity.MilliCPU * fewLateTime.Milliseconds()
 			s.pass.claimable += w.Capacity.MilliCPU / claimedPart
 			s.pass.largest = s.pass.largest.Max(w.free)
 		}
@@ -139,6 +146,12 @@
 // its objective first, then by priority and objective.
 func (s *Scheduler) collectSteps() {
 	s.pass.steps = s.pass.steps[:0]
+	s.pass.lateWork = 0
+	for _, j := range s.active {
+		if !j.phase.Final() && !j.cancel && s.isLate(j) {
+			s.pass.lateWork += j.waitingWork()
+		}
+	}
 	for _, j := range s.active {
 		if j.phase.Final() || j.cancel {
 			continue
@@ -161,12 +174,32 @@
 		return overdue
 	case j.surplus:
 		return surplus
-	case end.After(j.deadline) || end.Add(j.lead()).Before(j.deadline):
+	case end.After(j.deadline):
+		if s.pass.lateWork > s.pass.fewLate {
+			return lateInRow
+		}
+		return late
+	case end.Add(j.lead()).Before(j.deadline):
 		return patient
 	}
 	return pressing
 }
 
+// isLate reports whether a job has missed its objective and is still worth something.
+func (s *Scheduler) isLate(j *job) bool {
+	end := s.now.Add(j.remaining())
+	return !j.surplus && end.After(j.deadline) && !end.After(j.lateDeadline)
+}
+
+// waitingWork returns the work of a job's waiting tasks, in thousandths of a core times milliseconds.
+func (j *job) waitingWork() int64 {
+	work := int64(0)
+	for _, st := range j.steps {
+		work += int64(st.waiting) * st.spec.Each.MilliCPU * st.spec.EstimateMS
+	}
+	return work
+}
+
 // lead is how long before the last moment a job becomes pressing.
 func (j *job) lead() time.Duration {
 	for _, st := range j.steps {
@@ -391,7 +424,8 @@
 		(limit.Accelerators == 0 || each.Accelerators == 0 || use.Accelerators <= limit.Accelerators)
 }
 
-// blockFor keeps room for the waiting tasks of a step that doesn't fit yet, for each task on the worker that has most left.
+// blockFor keeps room for the waiting tasks of a gang, or of a step of large tasks, that doesn't fit yet, for each task on
+// the worker that has most left. Small tasks get their turn with the next end anyway.
 // Spread like that, the room comes as single tasks end, and no worker has to become empty.
 func (s *Scheduler) blockFor(st *step, q *Queue) {
 	wanted := st.waiting
@@ -406,7 +440,7 @@
 	}
 	var found []*worker
 	for _, w := range s.pass.usable {
-		if s.mayRun(st, w, q) && st.spec.Each.Fits(w.Capacity) {
+		if s.mayRun(st, w, q) && st.spec.Each.Fits(w.Capacity) && (st.spec.Gang || isLarge(st.spec.Each, w)) {
 			found = append(found, w)
 		}
 	}
@@ -422,6 +456,13 @@
 	}
 }
 
+// largeShare of a worker makes a task large: other tasks that end seldom leave that much free at once.
+const largeShare = 0.25
+
+func isLarge(each resource.Vector, w *worker) bool {
+	return each.DominantShare(w.Capacity) >= largeShare
+}
+
 // leftShare returns the part of a worker that is free and not kept for a step, below 0 if more is kept than is free.
 func (w *worker) leftShare() float64 {
 	left := w.free.Sub(w.kept)
--- a/internal/core/cell/record.go
+++ b/internal/core/cell/record.go
@@ -24,6 +24,7 @@
 	Version int            `json:"v"`
 	Phase   Phase          `json:"phase"`
 	Reason  string         `json:"reason,omitempty"`
+	Began   bool           `json:"began,omitempty"` // a task has started
 	Steps   []stepProgress `json:"steps,omitempty"`
 }
 
@@ -88,7 +89,7 @@
 
 // encodeProgress returns the record of the job's progress.
 func encodeProgress(j *job) ([]byte, error) {
-	r := progressRecord{Version: recordVersion, Phase: j.phase, Reason: j.reason}
+	r := progressRecord{Version: recordVersion, Phase: j.phase, Reason: j.reason, Began: j.began}
 	for _, st := range j.steps {
 		r.Steps = append(r.Steps, st.progress())
 	}
@@ -127,7 +128,7 @@
 	if len(r.Steps) > len(j.steps) {
 		return errors.Errorf("progress of %s has %d steps of %d", j.ID, len(r.Steps), len(j.steps))
 	}
-	j.phase, j.reason = r.Phase, r.Reason
+	j.phase, j.reason, j.began = r.Phase, r.Reason, r.Began || r.Phase == Running
 	for i, p := range r.Steps {
 		s.restoreStep(j.steps[i], p)
 	}
@@ -141,7 +142,7 @@
 			st.tasks[n].phase = taskDone
 			st.open--
 			st.waiting--
-			st.job.began, st.began = true, true
+			st.job.began = true
 		}
 	}
 	for _, row := range p.Tasks {
@@ -150,7 +151,6 @@
 		}
 		t := st.tasks[row.Task]
 		t.run, t.failed, t.failedRun, t.checkpoint = row.Run, row.Failed, row.FailedRun, row.Checkpoint
-		st.job.began, st.began = true, true
 		if row.Worker != "" && t.phase == taskWaiting {
 			s.occupy(t, s.workerOf(row.Worker))
 			t.phase = taskUnresolved
--- a/internal/core/cell/state.go
+++ b/internal/core/cell/state.go
@@ -59,7 +59,6 @@
 	failedRun int // last gang run that was counted as failed
 	perWorker map[WorkerID]int
 	advice    stepAdvice
-	began     bool
 }
 
 // job is an accepted job.
