Bound the cost of placement while much waits; no step is held back for good by others

Ruled out: room, advice (a third of the nodes' time), the store.

TestJobsBehindALongRowThatCannotStart fails without the change.

--- a/internal/control/advisors.go
+++ b/internal/control/advisors.go
@@ -35,6 +35,7 @@
 	advisers []*adviser
 	flight   map[int64]adviceFlight
 	nextID   int64
+	swept    time.Time // last look at all waiting requests
 }
 
 type waitingAdvice struct {
@@ -42,6 +43,9 @@
 	since   time.Time
 }
 
+// adviceSweep is the time between two looks at the waiting requests while all nodes make calls.
+const adviceSweep = 20 * time.Millisecond
+
 // maxAdviceWait is how long a request waits for a node before its turn is decided anew.
 const maxAdviceWait = 250 * time.Millisecond
 
@@ -80,9 +84,11 @@
 // dispatch gives waiting requests to idle nodes.
 func (p *advisorPool) dispatch() {
 	p.expire()
-	if len(p.waiting) == 0 {
+	now := time.Now()
+	if len(p.waiting) == 0 || !p.anyIdle() && now.Sub(p.swept) < adviceSweep {
 		return
 	}
+	p.swept = now
 	slices.SortStableFunc(p.waiting, func(a, b waitingAdvice) int {
 		switch {
 		case a.request.Before(b.request):
@@ -92,7 +98,6 @@
 		}
 		return 0
 	})
-	now := time.Now()
 	kept := p.waiting[:0]
 	for _, w := range p.waiting {
 		switch {
@@ -121,6 +126,10 @@
 	return true
 }
 
+func (p *advisorPool) anyIdle() bool {
+	return slices.ContainsFunc(p.advisers, func(a *adviser) bool { return a.busy == 0 })
+}
+
 // idle returns a node that can make the call, nil if there is none.
 func (p *advisorPool) idle(r cell.AdviceRequest) *adviser {
 	long := 0
--- a/internal/core/cell/advice.go
+++ b/internal/core/cell/advice.go
@@ -1,7 +1,6 @@
 package cell
 
 import (
-	"cmp"
 	"slices"
 	"time"
 )
@@ -99,6 +98,7 @@
 	if q == nil || q.Advice == nil {
 		return nil
 	}
+	s.pass.looks += len(s.pass.usable)
 	again, fits := st.advice.judged != nil && !st.spec.Gang, false
 	var found []*worker
 	for _, w := range s.pass.usable {
@@ -111,9 +111,7 @@
 	if again && !fits {
 		return nil
 	}
-	slices.SortFunc(found, func(a, b *worker) int {
-		return cmp.Or(cmp.Compare(b.leftShare(), a.leftShare()), cmp.Compare(a.ID, b.ID))
-	})
+	byRoom(found)
 	n := min(maxNamed, max(minNamed, namedPerTask*st.spec.Count))
 	if st.spec.Gang {
 		n = max(minNamed, namedPerMember*st.spec.Count)
@@ -135,6 +133,7 @@
 	}
 	st := j.steps[r.Step.Step]
 	st.advice.inFlight--
+	st.scanned = time.Time{}
 	s.changed = true
 	if failed {
 		st.advice.retryAt = now.Add(adviceRetry)
--- /dev/null
+++ b/internal/core/cell/bench_test.go
@@ -0,0 +1,64 @@
+package cell
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"sequoiastall/internal/core/resource"
+)
+
+// BenchmarkPass measures a placement pass over a full cell while many jobs wait.
+func BenchmarkPass(b *testing.B) {
+	for _, size := range []struct{ workers, waiting int }{{48, 200}, {350, 200}, {350, 1500}, {1300, 1500}} {
+		b.Run(fmt.Sprintf("workers=%d/waiting=%d", size.workers, size.waiting), func(b *testing.B) {
+			s, now := fullCell(size.workers, size.waiting)
+			b.ReportAllocs()
+			for b.Loop() {
+				now = now.Add(placementInterval)
+				s.changed = true
+				s.Advance(now)
+			}
+		})
+	}
+}
+
+// fullCell returns a scheduler whose workers are full, with jobs that wait with advice on a third of the workers: single
+// tasks, and gangs for each tenth.
+func fullCell(workers, waiting int) (*Scheduler, time.Time) {
+	s := New(Options{Keep: time.Minute}, quietEvents{})
+	s.SetConfig(testConfig())
+	var reports []WorkerReport
+	for i := range workers {
+		reports = append(reports, WorkerReport{ID: workerID(i), Address: "a", Service: "pool", Capacity: resource.Vector{MilliCPU: 16000, MemoryMB: 64000}, BornMS: 1})
+	}
+	now := start
+	s.SetWorkers(reports, now)
+	for i := range workers {
+		s.Renewed(Inventory{Worker: workerID(i), BornMS: 1}, now)
+	}
+	add := func(j Job) *job {
+		j.Team, j.Service, j.AcceptedMS = "team", "pool", now.UnixMilli()
+		if err := s.AddJob(j, nil, now); err != nil {
+			panic(err) // the jobs are valid
+		}
+		return s.jobs[j.ID]
+	}
+	add(Job{ID: "busy", Queue: plainQueue, Steps: []Step{tasks(15*workers, 1000)}})
+	now = now.Add(placementInterval)
+	s.Advance(now)
+	for i := range waiting {
+		step := tasks(3, 2500)
+		if i%10 == 0 {
+			step = tasks(20, 4500)
+			step.Gang = true
+		}
+		j := add(Job{ID: JobID(fmt.Sprint("waiting", i)), Queue: advisedQueue, Steps: []Step{step}})
+		a := &j.steps[0].advice
+		a.judged, a.good = map[WorkerID]bool{}, map[WorkerID]ticket{}
+		for w := range workers {
+			a.judged[workerID(w)] = w%3 == 0
+		}
+	}
+	return s, now
+}
--- a/internal/core/cell/place.go
+++ b/internal/core/cell/place.go
@@ -13,28 +13,44 @@
 	blockedPart = 5
 	// claimedPart of the cell is claimed at most by steps whose advice is on its way, but for one step in any case.
 	claimedPart = 5
-	// placementInterval is the shortest time between two passes.
+	// placementInterval is the shortest time between two passes. A costly pass is followed by a longer pause, so that
+	// placement leaves most of the processor to the rest.
 	placementInterval = 8 * time.Millisecond
+	longestPause      = 40 * time.Millisecond
+	// lookPause is the pause for each look at a worker, and stepPause for each step that waits.
+	lookPause = 400 * time.Nanosecond
+	stepPause = 4 * time.Microsecond
 	// turnoverPart of the cell comes free while advice is on its way.
 	turnoverPart = 10
-	// maxFruitless steps in a row without room end a pass, so that its cost doesn't grow with what waits.
-	maxFruitless = 128
+	// maxLooks at single workers bound the cost of a pass; steps that found no room lately then look only at workers that
+	// have got more.
+	maxLooks = 40_000
+	// rescanInterval is the time after which a step that found no room looks at all workers again.
+	rescanInterval = 100 * time.Millisecond
+	// overdueInterval is the time between two passes that serve jobs without worth. They may be many.
+	overdueInterval = 100 * time.Millisecond
+	// gangInterval is what rescanInterval is for a gang, which needs room on several workers at once.
+	gangInterval = 20 * time.Millisecond
 	// idlePassInterval is the longest time between two passes: tickets lapse and pauses end without an event.
 	idlePassInterval = 50 * time.Millisecond
 )
 
 // placementPass is the state of one pass over the waiting steps.
 type placementPass struct {
-	at       time.Time
-	usable   []*worker
-	room     int64           // thousandths of a core that are free for steps further down
-	turnover int64           // thousandths of a core that will soon be free
-	largest  resource.Vector // the most that any worker has free of each resource
-	keepable int64           // thousandths of a core that may still be kept for steps that go first
+	at        time.Time
+	overdueAt time.Time // of the last pass that served jobs without worth
+	usable    []*worker
+	room      int64           // thousandths of a core that are free for steps further down
+	turnover  int64           // thousandths of a core that will soon be free
+	largest   resource.Vector // the most that any worker has free of each resource
+	capacity  resource.Vector // the most that any worker has in all of each resource
+	keepable  int64           // thousandths of a core that may still be kept for steps that go first
 	// claimable is what steps whose advice is on its way may still claim, in thousandths of a core.
 	claimable int64
 	// lateWork waits of jobs that are late; up to fewLate of it goes first. In thousandths of a core times milliseconds.
 	lateWork, fewLate int64
+	looks             int       // at single workers so far
+	freed             []*worker // usable ones that have more room than in the last pass
 	steps             []candidateStep
 }
 
@@ -83,36 +99,49 @@
 // place decides which waiting tasks start where.
 func (s *Scheduler) place() {
 	since := s.now.Sub(s.pass.at)
-	if s.stalledWrites() || since < placementInterval || !s.changed && since < idlePassInterval {
+	if s.stalledWrites() || since < s.pass.pause() || !s.changed && since < idlePassInterval {
 		return
 	}
 	s.changed = false
 	s.pass.at = s.now
 	s.collectUsable()
 	s.collectSteps()
-	fruitless := 0
+	s.placeSteps()
+}
+
+// pause returns the shortest time between the beginning of this pass and of the next one.
+func (p *placementPass) pause() time.Duration {
+	return min(longestPause, placementInterval+time.Duration(p.looks)*lookPause+time.Duration(len(p.steps))*stepPause)
+}
+
+// placeSteps serves the steps in their order until there is no room.
+func (s *Scheduler) placeSteps() {
 	for _, c := range s.pass.steps {
 		if s.pass.room+s.pass.turnover <= 0 {
 			return
 		}
-		st := c.step
-		if !st.spec.Each.Fits(s.pass.largest) && st.advice.judged != nil {
-			s.blockFor(st, c.queue)
-			continue
-		}
-		before := st.waiting
-		s.placeStep(st, c.queue)
-		if st.waiting < before {
-			fruitless = 0
-		} else if fruitless++; fruitless == maxFruitless {
-			return
+		if !s.waitsForOthers(c) {
+			s.placeStep(c.step, c.queue)
 		}
 		if c.rank.class < surplus {
-			s.claim(st)
+			s.claim(c.step)
 		}
 	}
 }
 
+// waitsForOthers reports whether a step can't be placed for now without a look at the workers.
+func (s *Scheduler) waitsForOthers(c candidateStep) bool {
+	st := c.step
+	switch {
+	case !s.withinLimit(st, 1):
+		return true
+	case !st.spec.Each.Fits(s.pass.largest) && st.advice.judged != nil:
+		s.blockFor(st, c.queue)
+		return true
+	}
+	return !st.spec.Gang && st.advice.inFlight > 0
+}
+
 // claim takes what a step will place once its advice has come off the room of the steps behind it. Otherwise these would
 // take it meanwhile. All claims together are bounded, because steps that wait for advice in a row can't use more at a time.
 func (s *Scheduler) claim(st *step) {
@@ -125,21 +154,42 @@
 }
 
 func (s *Scheduler) collectUsable() {
-	s.pass.usable, s.pass.largest = s.pass.usable[:0], resource.Vector{}
-	s.pass.room, s.pass.turnover, s.pass.keepable, s.pass.claimable, s.pass.fewLate = 0, 0, 0, 0, 0
+	s.pass.usable, s.pass.freed, s.pass.largest = s.pass.usable[:0], s.pass.freed[:0], resource.Vector{}
+	s.pass.capacity = resource.Vector{}
+	s.pass.room, s.pass.turnover, s.pass.keepable, s.pass.claimable, s.pass.fewLate, s.pass.looks = 0, 0, 0, 0, 0, 0
 	for _, w := range s.workers {
 		if w.usable(s.now) {
 			w.kept = resource.Vector{}
 			s.pass.usable = append(s.pass.usable, w)
+			if w.freed {
+				w.freed = false
+				s.pass.freed = append(s.pass.freed, w)
+			}
 			s.pass.room += max(0, w.free.MilliCPU)
 			s.pass.turnover += w.Capacity.MilliCPU / turnoverPart
 			s.pass.keepable += w.Capacity.MilliCPU / blockedPart
 			s.pass.fewLate += w.Capacity.MilliCPU * fewLateTime.Milliseconds()
 			s.pass.claimable += w.Capacity.MilliCPU / claimedPart
 			s.pass.largest = s.pass.largest.Max(w.free)
+			s.pass.capacity = s.pass.capacity.Max(w.Capacity)
 		}
 	}
-	slices.SortFunc(s.pass.usable, func(a, b *worker) int { return cmp.Compare(a.ID, b.ID) })
+	byID := func(a, b *worker) int { return cmp.Compare(a.ID, b.ID) }
+	slices.SortFunc(s.pass.usable, byID)
+	slices.SortFunc(s.pass.freed, byID)
+}
+
+// candidates returns the workers among which a step looks for room: all, or those that have got more since it found none.
+func (s *Scheduler) candidates(st *step) []*worker {
+	if s.rescans(st, rescanInterval) {
+		return s.pass.usable
+	}
+	return s.pass.freed
+}
+
+// rescans reports whether a step looks at all workers in this pass.
+func (s *Scheduler) rescans(st *step, interval time.Duration) bool {
+	return st.scanned.IsZero() || s.now.Sub(st.scanned) >= interval && s.pass.looks < maxLooks
 }
 
 // collectSteps lists the steps with waiting tasks in the order in which they are served: work that must go on now to meet
@@ -147,48 +197,60 @@
 func (s *Scheduler) collectSteps() {
 	s.pass.steps = s.pass.steps[:0]
 	s.pass.lateWork = 0
+	withOverdue := s.now.Sub(s.pass.overdueAt) >= overdueInterval
+	if withOverdue {
+		s.pass.overdueAt = s.now
+	}
 	for _, j := range s.active {
-		if !j.phase.Final() && !j.cancel && s.isLate(j) {
+		if j.phase.Final() || j.cancel {
+			continue
+		}
+		j.ends = s.now.Add(j.remaining())
+		if !j.surplus && j.ends.After(j.deadline) && !j.ends.After(j.lateDeadline) {
 			s.pass.lateWork += j.waitingWork()
 		}
 	}
 	for _, j := range s.active {
-		if j.phase.Final() || j.cancel {
+		if j.phase.Final() || j.cancel || j.waits() == 0 {
+			continue
+		}
+		q, r := s.config.Queue(j.Queue), s.rank(j)
+		if r.class == overdue && !withOverdue {
 			continue
 		}
-		q := s.config.Queue(j.Queue)
 		for _, st := range j.steps {
-			if st.waiting == 0 || !st.ready() {
-				continue
+			if st.waiting > 0 && st.ready() {
+				s.pass.steps = append(s.pass.steps, candidateStep{st, q, r})
 			}
-			s.pass.steps = append(s.pass.steps, candidateStep{st, q, s.rank(j)})
 		}
 	}
 	slices.SortStableFunc(s.pass.steps, func(a, b candidateStep) int { return a.rank.compare(b.rank) })
 }
 
 func (s *Scheduler) urgency(j *job) urgency {
-	end := s.now.Add(j.remaining())
 	switch {
-	case end.After(j.lateDeadline):
+	case j.ends.After(j.lateDeadline):
 		return overdue
 	case j.surplus:
 		return surplus
-	case end.After(j.deadline):
+	case j.ends.After(j.deadline):
 		if s.pass.lateWork > s.pass.fewLate {
 			return lateInRow
 		}
 		return late
-	case end.Add(j.lead()).Before(j.deadline):
+	case j.ends.Add(j.lead()).Before(j.deadline):
 		return patient
 	}
 	return pressing
 }
 
-// isLate reports whether a job has missed its objective and is still worth something.
-func (s *Scheduler) isLate(j *job) bool {
-	end := s.now.Add(j.remaining())
-	return !j.surplus && end.After(j.deadline) && !end.After(j.lateDeadline)
+// waits returns the number of the job's waiting tasks.
+func (j *job) waits() int {
+	n := 0
+	for _, st := range j.steps {
+		n += st.waiting
+	}
+	return n
 }
 
 // waitingWork returns the work of a job's waiting tasks, in thousandths of a core times milliseconds.
@@ -227,12 +289,14 @@
 		}
 		return
 	}
-	if !advised || st.advice.inFlight == 0 && !s.now.Before(st.advice.retryAt) {
+	if !advised || !s.now.Before(st.advice.retryAt) {
 		s.placeTasks(st, q)
 	}
 }
 
 func (s *Scheduler) placeTasks(st *step, q *Queue) {
+	among := s.candidates(st)
+	all := len(among) == len(s.pass.usable)
 	var refresh []WorkerID
 	for _, t := range st.tasks {
 		if t.phase != taskWaiting {
@@ -244,7 +308,7 @@
 			s.ask(st, q, refresh)
 			return
 		}
-		w := s.choose(t, q)
+		w := s.choose(t, q, among)
 		if w == nil {
 			s.blockFor(st, q)
 			break
@@ -255,7 +319,8 @@
 			refresh = append(refresh, w.ID)
 		}
 	}
-	if len(refresh) == 0 && st.waiting > 0 {
+	if len(refresh) == 0 && st.waiting > 0 && all {
+		st.scanned = s.now
 		refresh = s.unjudged(st, q)
 	}
 	s.ask(st, q, refresh)
@@ -266,14 +331,20 @@
 	if st.waiting < len(st.tasks) {
 		return
 	}
-	if s.pass.room < int64(len(st.tasks))*st.spec.Each.MilliCPU && st.advice.judged != nil {
+	if !s.rescans(st, gangInterval) {
+		s.blockFor(st, q)
+		return
+	}
+	if !s.hasRoomFor(st, q) {
+		st.scanned = s.now
 		s.blockFor(st, q)
+		s.ask(st, q, s.unjudged(st, q))
 		return
 	}
 	var chosen []WorkerID
 	placed, tickets := 0, true
 	for _, t := range st.tasks {
-		w := s.choose(t, q)
+		w := s.choose(t, q, s.pass.usable)
 		if w == nil {
 			break
 		}
@@ -288,7 +359,6 @@
 		s.unreserve(st)
 		s.pass.room += int64(placed) * st.spec.Each.MilliCPU
 		s.blockFor(st, q)
-		s.ask(st, q, s.unjudged(st, q))
 	case tickets:
 		s.startGang(st)
 	default:
@@ -296,6 +366,28 @@
 	}
 }
 
+// hasRoomFor reports whether the workers may have room for all members of a gang. It is a quick look that spares the
+// search for a worker for each member.
+func (s *Scheduler) hasRoomFor(st *step, q *Queue) bool {
+	if !s.withinLimit(st, len(st.tasks)) || s.pass.room < int64(len(st.tasks))*st.spec.Each.MilliCPU {
+		return false
+	}
+	s.pass.looks += len(s.pass.usable)
+	members := 0
+	for _, w := range s.pass.usable {
+		if !s.mayRun(st, w, q) {
+			continue
+		}
+		for left := w.free.Sub(w.kept); st.spec.Each.Fits(left) && members < len(st.tasks); left = left.Sub(st.spec.Each) {
+			members++
+		}
+		if members == len(st.tasks) {
+			return true
+		}
+	}
+	return false
+}
+
 // occupyFor reserves room for a task, and reports whether the task can start without a new ticket.
 func (s *Scheduler) occupyFor(t *task, w *worker, q *Queue) bool {
 	s.occupy(t, w)
@@ -346,14 +438,15 @@
 	return st.spec.RequiredLabel == "" || slices.Contains(w.Labels, st.spec.RequiredLabel)
 }
 
-// choose returns the worker with the best fit for a task, nil if there is none.
-func (s *Scheduler) choose(t *task, q *Queue) *worker {
+// choose returns the worker with the best fit for a task among some, nil if there is none.
+func (s *Scheduler) choose(t *task, q *Queue, among []*worker) *worker {
 	if !s.withinLimit(t.step, 1) {
 		return nil
 	}
+	s.pass.looks += len(among)
 	var best *worker
 	bestScore := 0.0
-	for _, w := range s.pass.usable {
+	for _, w := range among {
 		if !s.fits(t, w, q) {
 			continue
 		}
@@ -428,6 +521,9 @@
 // the worker that has most left. Small tasks get their turn with the next end anyway.
 // Spread like that, the room comes as single tasks end, and no worker has to become empty.
 func (s *Scheduler) blockFor(st *step, q *Queue) {
+	if !st.spec.Gang && st.spec.Each.DominantShare(s.pass.capacity) < largeShare {
+		return
+	}
 	wanted := st.waiting
 	switch {
 	case st.spec.Gang:
@@ -438,9 +534,10 @@
 	if s.pass.keepable <= 0 || wanted > st.waiting || !s.withinLimit(st, wanted) {
 		return
 	}
+	s.pass.looks += len(s.pass.usable)
 	var found []*worker
 	for _, w := range s.pass.usable {
-		if s.mayRun(st, w, q) && st.spec.Each.Fits(w.Capacity) && (st.spec.Gang || isLarge(st.spec.Each, w)) {
+		if s.mayRun(st, w, q) && st.spec.Each.Fits(w.Capacity) {
 			found = append(found, w)
 		}
 	}
@@ -448,19 +545,21 @@
 		return
 	}
 	s.pass.keepable -= int64(wanted) * st.spec.Each.MilliCPU
-	for range wanted {
-		best := slices.MaxFunc(found, func(a, b *worker) int {
-			return cmp.Or(cmp.Compare(a.leftShare(), b.leftShare()), cmp.Compare(b.ID, a.ID))
-		})
-		best.kept = best.kept.Add(st.spec.Each)
+	byRoom(found)
+	for i := range wanted {
+		w := found[i%len(found)]
+		w.kept = w.kept.Add(st.spec.Each)
 	}
 }
 
-// largeShare of a worker makes a task large: other tasks that end seldom leave that much free at once.
+// largeShare of the largest worker makes a task large: other tasks that end seldom leave that much free at once.
 const largeShare = 0.25
 
-func isLarge(each resource.Vector, w *worker) bool {
-	return each.DominantShare(w.Capacity) >= largeShare
+// byRoom sorts workers by the room that they have left, most first.
+func byRoom(workers []*worker) {
+	slices.SortFunc(workers, func(a, b *worker) int {
+		return cmp.Or(cmp.Compare(b.leftShare(), a.leftShare()), cmp.Compare(a.ID, b.ID))
+	})
 }
 
 // leftShare returns the part of a worker that is free and not kept for a step, below 0 if more is kept than is free.
--- a/internal/core/cell/policy_test.go
+++ b/internal/core/cell/policy_test.go
@@ -322,3 +322,34 @@
 	h.renew(0, []RunningRow{{Run: RunID{TaskID{"a", 0, 0}, 1}}}, nil)
 	assert.Equal(t, h.s.Waiting()[plainQueue], int64(0))
 }
+
+// Guards against jobs that never start because many others, which can't start, go before them: those of teams at their
+// limit, and those that only a full worker may run.
+func TestJobsBehindALongRowThatCannotStart(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		team    string
+		label   string
+		starved int
+	}{{"limit", "small", "", maxLooks}, {"label", "team", "rare", maxLooks / 2}} {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHarness(t, 4)
+			h.add(Job{ID: "full", Team: "small", Steps: []Step{tasks(2, 1000)}})
+			h.pass(0)
+			assert.Equal(t, len(h.takeStarts()), 2)
+			for i := range c.starved {
+				step := tasks(1, 1000)
+				step.RequiredLabel = c.label
+				h.add(Job{ID: JobID(fmt.Sprint("row", i)), Team: c.team, Queue: urgentQueue, Steps: []Step{step}})
+			}
+			h.add(Job{ID: "behind", Steps: []Step{tasks(1, 1000)}})
+			for range 8 {
+				h.s.changed = true
+				h.pass(20 * time.Millisecond)
+			}
+			orders := h.takeStarts()
+			assert.Equal(t, len(orders), 1)
+			assert.Equal(t, orders[0].Run.Task.Job, JobID("behind"))
+		})
+	}
+}
--- a/internal/core/cell/state.go
+++ b/internal/core/cell/state.go
@@ -59,6 +59,7 @@
 	failedRun int // last gang run that was counted as failed
 	perWorker map[WorkerID]int
 	advice    stepAdvice
+	scanned   time.Time // when all workers were looked at and had no room, zero if a look is due
 }
 
 // job is an accepted job.
@@ -86,6 +87,7 @@
 	maxAttempts  int
 	queuePrio    int
 	lateDeadline time.Time
+	ends         time.Time // at the earliest, by the estimates, as of the last placement pass
 }
 
 // worker is a worker that runs or ran tasks of this cell.
@@ -97,6 +99,7 @@
 	silent     bool      // didn't answer its last call
 	heard      time.Time // its last inventory
 	free       resource.Vector
+	freed      bool            // has got room since the last placement pass
 	kept       resource.Vector // of the free room, in the current placement pass
 	tasks      map[*task]bool
 	noted      int64 // number of the last end that was processed
@@ -158,8 +161,10 @@
 // remaining returns the longest chain of estimated work that isn't done.
 func (j *job) remaining() time.Duration {
 	longest := time.Duration(0)
-	ends := make([]time.Duration, len(j.steps))
+	var few [8]time.Duration // spares an allocation for each job in each pass
+	ends := few[:0]
 	for i, st := range j.steps {
+		ends = append(ends, 0)
 		for _, a := range st.spec.After {
 			ends[i] = max(ends[i], ends[a])
 		}
@@ -220,7 +225,7 @@
 	}
 	t.worker = nil
 	delete(w.tasks, t)
-	w.free = w.free.Add(each)
+	w.free, w.freed = w.free.Add(each), true
 	if t.step.perWorker[w.ID]--; t.step.perWorker[w.ID] <= 0 {
 		delete(t.step.perWorker, w.ID)
 	}
@@ -235,6 +240,7 @@
 	if t.phase != taskWaiting {
 		t.phase = taskWaiting
 		t.step.waiting++
+		t.step.scanned = time.Time{}
 	}
 	t.ticket, t.orders, t.retryAt = "", 0, time.Time{}
 	s.changed = true
