--- /dev/null
+++ b/internal/core/cell/room.go
@@ -0,0 +1,110 @@
+package cell
+
+import (
+	"cmp"
+	"slices"
+)
+
+// claim takes what a step will place once its advice has come off the room of the steps behind it. Otherwise these would
+// take it meanwhile. All claims together are bounded, because steps that wait for advice in a row can't use more at a time.
+func (s *Scheduler) claim(st *step) {
+	if st.spec.Gang || st.advice.inFlight == 0 || s.pass.claimable <= 0 {
+		return
+	}
+	claimed := int64(st.waiting) * st.spec.Each.MilliCPU
+	s.pass.claimable -= claimed
+	s.pass.room -= claimed
+}
+
+// hasRoomFor reports whether the workers may have room for all members of a gang. It is a quick look that spares the
+// search for a worker for each member.
+func (s *Scheduler) hasRoomFor(st *step, q *Queue) bool {
+	if !s.withinLimit(st, len(st.tasks)) || s.pass.room < int64(len(st.tasks))*st.spec.Each.MilliCPU {
+		return false
+	}
+	s.pass.looks += len(s.pass.usable)
+	members := 0
+	for _, w := range s.pass.usable {
+		if !s.mayRun(st, w, q) {
+			continue
+		}
+		for left := w.free.Sub(w.kept); st.spec.Each.Fits(left) && members < len(st.tasks); left = left.Sub(st.spec.Each) {
+			members++
+		}
+		if members == len(st.tasks) {
+			return true
+		}
+	}
+	return false
+}
+
+// withinLimit reports whether the team may run so many more tasks of a step.
+func (s *Scheduler) withinLimit(st *step, tasks int) bool {
+	team := s.config.Team(st.job.Team)
+	if team == nil {
+		return true
+	}
+	limit, each := team.Limit, st.spec.Each.Scale(int64(tasks))
+	use := s.usage[team.Name].Add(each)
+	return (limit.MilliCPU == 0 || each.MilliCPU == 0 || use.MilliCPU <= limit.MilliCPU) &&
+		(limit.MemoryMB == 0 || each.MemoryMB == 0 || use.MemoryMB <= limit.MemoryMB) &&
+		(limit.Accelerators == 0 || each.Accelerators == 0 || use.Accelerators <= limit.Accelerators)
+}
+
+// blockFor keeps room for the waiting tasks of a gang, or of a step of large tasks, that doesn't fit yet, for each task on
+// the worker that has most left: spread like that, the room comes as single tasks end, and no worker has to become empty.
+// Small tasks get their turn with the next end anyway.
+func (s *Scheduler) blockFor(st *step, q *Queue) {
+	if !st.spec.Gang && st.spec.Each.DominantShare(s.pass.capacity) < largeShare {
+		return
+	}
+	wanted := st.waiting
+	switch {
+	case st.spec.Gang:
+		wanted = len(st.tasks)
+	case !s.withinLimit(st, wanted):
+		wanted = 1
+	}
+	if s.pass.keepable <= 0 || wanted > st.waiting || !s.withinLimit(st, wanted) {
+		return
+	}
+	s.pass.looks += len(s.pass.usable)
+	var found []*worker
+	for _, w := range s.pass.usable {
+		if s.mayRun(st, w, q) && st.spec.Each.Fits(w.Capacity) {
+			found = append(found, w)
+		}
+	}
+	if len(found) == 0 {
+		return
+	}
+	s.pass.keepable -= int64(wanted) * st.spec.Each.MilliCPU
+	byRoom(found)
+	for i := range wanted {
+		w := found[i%len(found)]
+		w.kept = w.kept.Add(st.spec.Each)
+	}
+}
+
+// largeShare of the largest worker makes a task large: other tasks that end seldom leave that much free at once.
+const largeShare = 0.25
+
+// byRoom sorts workers by the room that they have left, most first.
+func byRoom(workers []*worker) {
+	slices.SortFunc(workers, func(a, b *worker) int {
+		return cmp.Or(cmp.Compare(b.leftShare(), a.leftShare()), cmp.Compare(a.ID, b.ID))
+	})
+}
+
+// leftShare returns the part of a worker that is free and not kept for a step, below 0 if more is kept than is free.
+func (w *worker) leftShare() float64 {
+	left := w.free.Sub(w.kept)
+	share := 1.0
+	if w.Capacity.MilliCPU > 0 {
+		share = float64(left.MilliCPU) / float64(w.Capacity.MilliCPU)
+	}
+	if w.Capacity.MemoryMB > 0 {
+		share = min(share, float64(left.MemoryMB)/float64(w.Capacity.MemoryMB))
+	}
+	return share
+}
