Soak: node processes on the users' platform's stand-in under faults that overlap

Four nodes as processes, six workers, relays to the store, the advice service and the workers. Nodes are killed, stopped, frozen and told to reload; links delayed, silenced, muted one way and reset; the store busy, silent or losing answers and its history; workers crash, drain and lose answers.

--- a/internal/proof/process_test.go
+++ b/internal/proof/process_test.go
@@ -28,11 +28,18 @@
 
 // launch starts the binary. The process is killed at the end of the test, or when the test's own process dies.
 func launch(t *testing.T, dir, name string, args ...string) *process {
+	t.Helper()
+	return launchWith(t, nil, dir, name, args...)
+}
+
+// launchWith is launch with variables added to the environment.
+func launchWith(t *testing.T, env []string, dir, name string, args ...string) *process {
 	t.Helper()
 	p := &process{name: name, output: filepath.Join(dir, name+".log"), done: make(chan struct{})}
 	out, err := os.OpenFile(p.output, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
 	assert.NilError(t, err)
 	p.cmd = exec.Command(binary, args...)
+	p.cmd.Env = append(os.Environ(), env...)
 	p.cmd.Stdout, p.cmd.Stderr = out, out
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	assert.NilError(t, p.cmd.Start())
--- a/internal/proof/relay_test.go
+++ b/internal/proof/relay_test.go
@@ -6,6 +6,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -18,6 +19,9 @@
 	pairs    map[*pair]struct{}
 	refusing bool
 	wg       sync.WaitGroup
+
+	delay atomic.Int64 // nanoseconds by which each read is passed on later
+	mute  atomic.Bool  // what the target sends is dropped
 }
 
 // pair is a relayed connection.
@@ -82,7 +86,10 @@
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buffer)
-		if n > 0 && !p.silent.Load() {
+		if delay := r.delay.Load(); delay > 0 {
+			time.Sleep(time.Duration(delay))
+		}
+		if n > 0 && !p.silent.Load() && !(r.mute.Load() && from == p.far) {
 			if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
 				err = writeErr
 			}
--- /dev/null
+++ b/internal/proof/soak_cell_test.go
@@ -0,0 +1,166 @@
+package proof
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"sequoiastall/internal/standin/leased"
+	"sequoiastall/platform"
+)
+
+const (
+	soakNodes   = 4
+	soakWorkers = 6
+	soakTaskCPU = 1000
+	soakHost    = "jobs.example"
+	soakKey     = "key-1"
+)
+
+// soakCell is a cell of node processes on the stand-in of the users' platform. Each node reaches the store and the advice
+// service, and all nodes reach each worker, through relays.
+type soakCell struct {
+	t       *testing.T
+	dir     string
+	store   *leased.Store
+	ledger  *leased.Ledger
+	workers []*soakWorker
+	nodes   []*soakNode
+	relays  []*relay
+	version int // of the configuration
+}
+
+type soakWorker struct {
+	*leased.Worker
+	relay *relay
+}
+
+type soakNode struct {
+	settings leased.NodeSettings
+	file     string
+	client   *http.Client
+
+	mu      sync.Mutex
+	process *process
+}
+
+func newSoakCell(t *testing.T) *soakCell {
+	ip := fmt.Sprintf("127.%d.%d.1", 64+os.Getpid()%128, cells.Add(1))
+	c := &soakCell{t: t, dir: t.TempDir(), store: leased.NewStore(), ledger: leased.NewLedger()}
+	advice := leased.NewAdvice()
+	t.Cleanup(func() {
+		for _, w := range c.workers {
+			w.Close()
+		}
+		advice.CloseClientConnections()
+		advice.Close()
+		c.store.Close()
+	})
+	for i := range soakWorkers {
+		w := &soakWorker{Worker: leased.NewWorker(fmt.Sprint("w", i), 4*soakTaskCPU, soakTaskCPU, time.Duration(60+90*i)*time.Millisecond, c.ledger)}
+		w.relay = c.relay(ip, w.Address())
+		c.workers = append(c.workers, w)
+		c.register(w, "ready")
+	}
+	c.configure()
+	for i := range soakNodes {
+		n := &soakNode{file: filepath.Join(c.dir, fmt.Sprint("boot-", i, ".toml")), client: &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{}}}
+		n.settings = leased.NodeSettings{Name: fmt.Sprint("node-", i), IP: ip, Callers: 7500 + i, Ready: 7600 + i, Peers: 7400 + i,
+			Store: c.relay(ip, c.store.Address()).address(), Advice: c.relay(ip, strings.TrimPrefix(advice.URL, "http://")).address()}
+		assert.NilError(t, os.WriteFile(n.file, []byte(n.settings.TOML()), 0o600))
+		c.nodes = append(c.nodes, n)
+		c.start(n)
+		t.Cleanup(n.client.CloseIdleConnections)
+	}
+	return c
+}
+
+func (c *soakCell) relay(ip, target string) *relay {
+	r := newRelay(c.t, ip, target)
+	c.relays = append(c.relays, r)
+	return r
+}
+
+// register writes a worker's entry, at its relay's address.
+func (c *soakCell) register(w *soakWorker, state string) {
+	c.store.Put("servers/"+w.ID, w.EntryAt(w.relay.address(), "pool", state))
+}
+
+// configure writes a new version of the configuration.
+func (c *soakCell) configure() {
+	c.version++
+	config, err := json.Marshal(map[string]any{"version": c.version,
+		"routes": []map[string]any{
+			{"name": "plain", "host": soakHost, "prefix": "/plain/", "service": "pool", "max_attempts": 2, "stretch": 3, "slo_ms": 1000, "priority": 1},
+			{"name": "advised", "host": soakHost, "prefix": "/advised/", "service": "pool", "max_attempts": 2, "stretch": 3, "slo_ms": 1000,
+				"advice": map[string]any{"decision_ms": 5, "period_ms": 0.1, "validity_ms": 3000}},
+		},
+		"limits":  map[string]any{"body_bytes": 20000},
+		"tenants": []map[string]any{{"name": "team", "api_keys": []string{soakKey}, "weight": 1000}}})
+	assert.NilError(c.t, err)
+	c.store.Put("op/config", config)
+}
+
+// start starts a node's process.
+func (c *soakCell) start(n *soakNode) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.process = launchWith(c.t, []string{platform.SettingsVariable + "=" + n.file}, c.dir, n.settings.Name, "node")
+}
+
+// signal sends a signal to a node's process, which may have ended.
+func (n *soakNode) signal(s syscall.Signal) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	_ = n.process.cmd.Process.Signal(s) // fails only if the process has ended
+}
+
+// restart waits for the end of a node's process and starts it again.
+func (c *soakCell) restart(n *soakNode) {
+	n.mu.Lock()
+	p := n.process
+	n.mu.Unlock()
+	<-p.done
+	c.start(n)
+}
+
+// heal ends all faults of the relays, the store and the nodes.
+func (c *soakCell) heal() {
+	c.store.SetFault(nil)
+	for _, r := range c.relays {
+		r.delay.Store(0)
+		r.mute.Store(false)
+		r.cut(false)
+	}
+	for _, n := range c.nodes {
+		n.signal(syscall.SIGCONT)
+	}
+}
+
+// call performs a caller's request at a node and returns the status and body; 0 if there was no answer.
+func (c *soakCell) call(n *soakNode, method, route, body string) (int, string) {
+	r, err := http.NewRequest(method, fmt.Sprintf("http://%s:%d%s", n.settings.IP, n.settings.Callers, route), strings.NewReader(body))
+	assert.NilError(c.t, err)
+	r.Host = soakHost
+	r.Header.Set("Authorization", "Bearer "+soakKey)
+	r.Header.Set("Deadline-Ms", "3000")
+	reply, err := n.client.Do(r)
+	if err != nil {
+		return 0, ""
+	}
+	defer reply.Body.Close()
+	var text strings.Builder
+	if err := reply.Write(&text); err != nil {
+		return 0, ""
+	}
+	return reply.StatusCode, text.String()
+}
--- /dev/null
+++ b/internal/standin/leased/settings.go
@@ -0,0 +1,39 @@
+package leased
+
+import "fmt"
+
+// NodeSettings describe a node of a cell on the stand-in.
+type NodeSettings struct {
+	Name, IP              string
+	Callers, Ready, Peers int // ports
+	Store, Advice         string
+}
+
+// TOML returns the settings file that the platform would give the node.
+func (n NodeSettings) TOML() string {
+	return fmt.Sprintf(`
+node_name = "%s"
+role = "node"
+ip = "%s"
+zone = "z"
+port_range = [%d, %d]
+advice = "%s"
+future_field = 1
+[listen_addrs]
+front = "%s:%d"
+ready = "%s:%d"
+[limits]
+cpu_share = 0.8
+cores = 1
+[bounds]
+grace_s = 6
+hold_max_ms = 10000
+stop_ms = 900
+status_s = 120
+config_apply_ms = 2000
+[platform]
+address = "%s"
+value_bytes = 1048576
+ttl_min_ms = 1000
+`, n.Name, n.IP, n.Peers, n.Peers, n.Advice, n.IP, n.Callers, n.IP, n.Ready, n.Store)
+}
--- a/internal/standin/leased/store.go
+++ b/internal/standin/leased/store.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -125,7 +126,10 @@
 		case Busy:
 			w.WriteHeader(http.StatusServiceUnavailable)
 		case Silent:
-			<-r.Context().Done()
+			if _, err := io.Copy(io.Discard, r.Body); err != nil {
+				return
+			}
+			<-r.Context().Done() // ends with the caller's connection once the body has been read
 		case LostAnswer:
 			next.ServeHTTP(httptest.NewRecorder(), r)
 			panic(http.ErrAbortHandler)
--- a/internal/standin/leased/worker.go
+++ b/internal/standin/leased/worker.go
@@ -14,12 +14,37 @@
 type Ledger struct {
 	mu         sync.Mutex
 	running    map[string]string // task -> worker
-	done       map[string]int
+	done       map[string]int    // ends that the scheduler may still learn of, or knows
+	ever       map[string]bool   // tasks that have ever ended as done
+	begun      map[string]bool   // tasks that have ever started
 	violations []string
 }
 
 // NewLedger returns an empty ledger.
-func NewLedger() *Ledger { return &Ledger{running: map[string]string{}, done: map[string]int{}} }
+func NewLedger() *Ledger {
+	return &Ledger{running: map[string]string{}, done: map[string]int{}, ever: map[string]bool{}, begun: map[string]bool{}}
+}
+
+// WasDone reports whether a task, given as JOB.OCCURRENCE.STEP.INDEX, has ever ended as done.
+func (l *Ledger) WasDone(task string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.ever[task]
+}
+
+// Begun reports whether a task of the job has ever started.
+func (l *Ledger) Begun(job string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.begun[job]
+}
+
+// forgotten notes that a worker lost an end before anybody took note of it, so that the task has to run again.
+func (l *Ledger) forgotten(task string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.done, task)
+}
 
 // Violations returns what went wrong.
 func (l *Ledger) Violations() []string {
@@ -45,6 +70,8 @@
 		l.violations = append(l.violations, task+" starts after it was done")
 	}
 	l.running[task] = worker
+	job, _, _ := strings.Cut(task, ".")
+	l.begun[job] = true
 }
 
 func (l *Ledger) ended(task string, done bool) {
@@ -53,6 +80,7 @@
 	delete(l.running, task)
 	if done {
 		l.done[task]++
+		l.ever[task] = true
 	}
 }
 
@@ -80,6 +108,7 @@
 	number   int64
 	change   chan struct{}
 	unanswer int // so many of the next starts are carried out and not answered
+	lapses   *time.Timer
 }
 
 type run struct {
@@ -97,12 +126,49 @@
 	mux.HandleFunc("POST /run-start", w.start)
 	mux.HandleFunc("POST /run-stop", w.stop)
 	w.server = httptest.NewServer(mux)
+	w.lapses = time.AfterFunc(lapseCheck, w.checkLapse)
 	return w
 }
 
+// lapseCheck is the time between two looks whether the lease has run out.
+const lapseCheck = 20 * time.Millisecond
+
+func (w *Worker) checkLapse() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.lapse()
+	if w.lapses != nil {
+		w.lapses.Reset(lapseCheck)
+	}
+}
+
+// Crash ends this life of the worker and begins the next one under the same ID. It knows nothing of before.
+func (w *Worker) Crash() {
+	w.server.CloseClientConnections()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for task, r := range w.runs {
+		r.timer.Stop()
+		w.ledger.ended(task, false)
+	}
+	for _, row := range w.ended {
+		if row[3] == "done" {
+			w.ledger.forgotten(row[1].(string))
+		}
+	}
+	w.runs, w.refused, w.ended, w.number, w.token, w.due, w.born = map[string]*run{}, map[string]int{}, nil, 0, 0, 0, time.Now()
+	close(w.change)
+	w.change = make(chan struct{})
+}
+
+// Address returns the worker's IP and port.
+func (w *Worker) Address() string { return strings.TrimPrefix(w.server.URL, "http://") }
+
 // Close stops the worker with all that it runs.
 func (w *Worker) Close() {
 	w.mu.Lock()
+	w.lapses.Stop()
+	w.lapses = nil
 	for task, r := range w.runs {
 		r.timer.Stop()
 		w.ledger.ended(task, false)
@@ -121,8 +187,13 @@
 }
 
 // Entry returns what the worker writes into the registry.
-func (w *Worker) Entry(service, state string) []byte {
-	b, err := json.Marshal(map[string]any{"service": service, "address": strings.TrimPrefix(w.server.URL, "http://"), "zone": "z", "state": state,
+func (w *Worker) Entry(service, state string) []byte { return w.EntryAt(w.Address(), service, state) }
+
+// EntryAt is Entry for a worker that is reached at another address.
+func (w *Worker) EntryAt(address, service, state string) []byte {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	b, err := json.Marshal(map[string]any{"service": service, "address": address, "zone": "z", "state": state,
 		"capacity": map[string]int64{"cpu": w.cpu, "mem_mb": 32768}, "labels": []string{"a", "r1-1"}, "born": w.born.UnixMilli()})
 	if err != nil {
 		panic(err) // the fields are constant
