End a term by the successor's word

Cause: a node that the store turns away asked a member to take over and then looked for the successor in the store, that is, through other nodes.

--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"slices"
 	"sync"
 	"time"
@@ -18,6 +19,7 @@
 	mu         sync.Mutex
 	list       []*member // in the order of succession
 	handedOver bool      // a successor was asked to take over
+	successors []string  // addresses of the nodes that were asked
 }
 
 // member is an attached node.
@@ -136,6 +138,7 @@
 			m.s.tasks.Go(m.awaitSuccessor)
 		}
 		x.asked = true
+		m.successors = append(m.successors, x.address)
 		message := m.message()
 		message.Resign = true
 		node.options.Log.Info("decision", "subject", node.options.Name, "decision", "successor asked", "node", x.name, "term", m.s.term.number,
@@ -145,9 +148,17 @@
 	}
 }
 
-// awaitSuccessor ends the term as soon as another node holds the next one, so that the members turn to it.
+// awaitSuccessor ends the term as soon as another node holds the next one, so that the members turn to it. The members
+// that were asked tell it sooner than a store that turns this node away.
 func (m *members) awaitSuccessor() {
 	for m.s.pause(handoverPoll) {
+		if m.successorHolds() {
+			m.s.end(errLost)
+			return
+		}
+		if !m.s.node.storeUp() {
+			continue
+		}
 		h, err := readHolder(m.s.ctx, m.s.node.store)
 		if err == nil && h != nil && h.Term > m.s.term.number {
 			m.s.end(errLost)
@@ -156,6 +167,22 @@
 	}
 }
 
+// successorHolds asks the nodes that were asked to take over whether one of them has. They have left the list of members.
+func (m *members) successorHolds() bool {
+	m.mu.Lock()
+	asked := slices.Clone(m.successors)
+	m.mu.Unlock()
+	for _, address := range asked {
+		ctx, cancel := context.WithTimeout(m.s.ctx, peerTimeout)
+		reply, err := m.s.node.peers.client(address).Hears(ctx, &cellpb.HearsRequest{Term: m.s.term.number})
+		cancel()
+		if err == nil && reply.Term > m.s.term.number {
+			return true
+		}
+	}
+	return false
+}
+
 func (x *member) send(m *cellpb.SchedulerMessage) bool {
 	select {
 	case x.out <- m:
