Follow the next holder at once when a term ends

Change: calls under way end by their timeouts apart from that. TestTermEndsWhileCallsAreUnderWay hangs without it.

--- a/internal/control/members_test.go
+++ b/internal/control/members_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"testing"
 	"time"
 
 	"google.golang.org/grpc"
 	"gotest.tools/v3/assert"
 
+	"sequoiastall/internal/core/cell"
 	"sequoiastall/internal/port"
 	"sequoiastall/internal/rpc/cellpb"
 )
@@ -42,3 +44,59 @@
 	m.awaitSuccessor()
 	assert.ErrorIs(t, context.Cause(ctx), errLost)
 }
+
+// endingStore lets a term's lease lapse once a worker's renewal is under way. It is empty.
+type endingStore struct {
+	port.TxnStore
+	renewing chan struct{}
+}
+
+func (s *endingStore) Page(context.Context, string, string) (port.Page, error) {
+	return port.Page{Revision: 1}, nil
+}
+
+func (s *endingStore) Changes(context.Context, string, int64, time.Duration) ([]port.WatchEvent, int64, error) {
+	return nil, 1, nil
+}
+
+func (s *endingStore) KeepAlive(ctx context.Context, _ port.LeaseID) error {
+	select {
+	case <-s.renewing:
+		return port.ErrLeaseLapsed
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// stuckWorkers don't answer a renewal before they are released.
+type stuckWorkers struct {
+	port.LeasedWorkers
+	renewing, released chan struct{}
+	once               sync.Once
+}
+
+func (w *stuckWorkers) Renew(context.Context, port.WorkerRef, port.Renewal) (port.RenewalReply, error) {
+	w.once.Do(func() { close(w.renewing) })
+	<-w.released
+	return port.RenewalReply{}, port.ErrUnknownOutcome
+}
+
+// oneWorker is a registry.
+type oneWorker struct{ port.Operators }
+
+func (oneWorker) Workers(context.Context) ([]cell.WorkerReport, error) {
+	return []cell.WorkerReport{{ID: "w", Address: "127.0.0.1:1", BornMS: 1}}, nil
+}
+
+// Guards against a node that follows the next holder of the term only when the last call of its own term has ended.
+func TestTermEndsWhileCallsAreUnderWay(t *testing.T) {
+	renewing := make(chan struct{})
+	workers := &stuckWorkers{renewing: renewing, released: make(chan struct{})}
+	n, _, _ := cutOffNode()
+	n.options.Store, n.options.Workers, n.options.Operators = &endingStore{renewing: renewing}, workers, oneWorker{}
+	err := n.schedule(t.Context(), &term{number: 1}, time.Now())
+	assert.ErrorContains(t, err, "lapsed")
+	assert.Assert(t, !n.Scheduling())
+	close(workers.released)
+	n.terms.Wait()
+}
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -35,6 +35,7 @@
 	peers      peerConns
 	outbox     chan *cellpb.MemberMessage // news for the scheduling node
 	fetching   atomic.Bool                // a configuration is being fetched from another node
+	terms      conc.WaitGroup             // terms of this node that have calls under way
 }
 
 type configInForce struct {
@@ -81,6 +82,7 @@
 	server.Stop()
 	n.peers.close()
 	tasks.Wait()
+	n.terms.Wait()
 	return nil
 }
 
--- a/internal/control/scheduling.go
+++ b/internal/control/scheduling.go
@@ -59,8 +59,9 @@
 	s.tasks.Go(s.members.run)
 	s.tasks.Go(s.run)
 	<-termCtx.Done()
-	s.tasks.Wait()
 	n.scheduling.CompareAndSwap(s, nil)
+	// Calls under way end by their timeouts; meanwhile this node follows the next holder.
+	n.terms.Go(s.tasks.Wait)
 	return context.Cause(termCtx)
 }
 
