One test of lateness; the freed workers from the sorted list

Read once more: the condition for a late job stood in collectSteps and, in parts, in urgency; each pass sorted the workers that got room a second time. One method and one sort serve now. No change of behaviour is meant.

--- a/internal/core/cell/order.go
+++ b/internal/core/cell/order.go
@@ -40,7 +40,7 @@
 )
 
 const (
-	// fewLateTime of the whole cell's work is what late jobs may take before others wait no longer for them.
+	// fewLateTime of the whole cell's work is the most that may wait of late jobs while they go before others.
 	fewLateTime = 250 * time.Millisecond
 	// pressingTime before the last moment at which a job must go on to meet its objective, it goes before those that can
 	// wait.
@@ -63,7 +63,7 @@
 			continue
 		}
 		j.ends = s.now.Add(j.remaining())
-		if !j.surplus && j.ends.After(j.deadline) && !j.ends.After(j.lateDeadline) {
+		if j.isLate() {
 			s.pass.lateWork += j.waitingWork()
 		}
 	}
@@ -91,7 +91,7 @@
 		return overdue
 	case j.surplus:
 		return surplus
-	case j.ends.After(j.deadline):
+	case j.isLate():
 		if s.pass.lateWork > s.pass.fewLate {
 			return lateInRow
 		}
@@ -102,6 +102,11 @@
 	return pressing
 }
 
+// isLate reports whether the job misses its objective and is still worth something.
+func (j *job) isLate() bool {
+	return !j.surplus && j.ends.After(j.deadline) && !j.ends.After(j.lateDeadline)
+}
+
 // waits returns the number of the job's waiting tasks.
 func (j *job) waits() int {
 	n := 0
--- a/internal/core/cell/pass.go
+++ b/internal/core/cell/pass.go
@@ -108,10 +108,6 @@
 		if w.usable(s.now) {
 			w.kept = resource.Vector{}
 			s.pass.usable = append(s.pass.usable, w)
-			if w.freed {
-				w.freed = false
-				s.pass.freed = append(s.pass.freed, w)
-			}
 			s.pass.room += max(0, w.free.MilliCPU)
 			s.pass.turnover += w.Capacity.MilliCPU / turnoverPart
 			s.pass.keepable += w.Capacity.MilliCPU / blockedPart
@@ -121,9 +117,13 @@
 			s.pass.capacity = s.pass.capacity.Max(w.Capacity)
 		}
 	}
-	byID := func(a, b *worker) int { return cmp.Compare(a.ID, b.ID) }
-	slices.SortFunc(s.pass.usable, byID)
-	slices.SortFunc(s.pass.freed, byID)
+	slices.SortFunc(s.pass.usable, func(a, b *worker) int { return cmp.Compare(a.ID, b.ID) })
+	for _, w := range s.pass.usable {
+		if w.freed {
+			w.freed = false
+			s.pass.freed = append(s.pass.freed, w)
+		}
+	}
 }
 
 // candidates returns the workers among which a step looks for room: all, or those that have got more since it found none.
