cell: long-running steps, and pace of best-effort tasks beside services

Cause: every step that runs until it is canceled was answered with 422, so that kind of request was served not at all.

Change: a task of a long-running step is started again however it ends, without a limit of attempts, before all other work, and with a pause of 0 to 0.8 s after short runs. Services leave a draining worker one by one within max_unavailable, after advice for another worker has arrived. Best-effort tasks are placed away from tasks with a latency target; beside one that nears its target they are paused by feedback and come back in steps of 20%.

--- a/internal/control/links.go
+++ b/internal/control/links.go
@@ -272,9 +272,12 @@
 func (l *workerLink) send(o cell.Order) cell.OrderOutcome {
 	var err error
 	began := time.Now()
-	if o.Kind == cell.OrderStart {
+	switch o.Kind {
+	case cell.OrderStart:
 		err = l.start(o)
-	} else {
+	case cell.OrderPace:
+		err = l.s.node.options.Workers.Pace(l.s.ctx, l.ref, o.Run, o.Pace, l.s.term.number)
+	default:
 		_, err = l.s.node.options.Workers.Stop(l.s.ctx, l.ref, o.Run, l.s.term.number)
 	}
 	outcome := orderOutcome(err)
--- a/internal/core/cell/inventory.go
+++ b/internal/core/cell/inventory.go
@@ -51,6 +51,7 @@
 	for _, row := range inv.Ended {
 		s.applyEnd(w, row)
 	}
+	s.controlPace(w, inv.Running)
 	if !inv.Truncated {
 		s.releaseAbsentRuns(w, inv.RequestSequence, seen)
 	}
@@ -118,6 +119,10 @@
 	current := t.worker == w && t.run == row.Run.Run
 	s.events.LogDecision(t.id.String(), "run ended", "run", row.Run.Run, "worker", w.ID, "how", row.Kind, "current", current)
 	switch {
+	case t.step.spec.LongRunning:
+		if current {
+			s.restartService(t, row)
+		}
 	case row.Kind == EndDone:
 		s.completeTask(t, w)
 	case current && t.phase == taskDone:
@@ -287,14 +292,15 @@
 func (w *worker) clearFaults() { w.faults.streak, w.faults.backoff = 0, 0 }
 
 // stopStalledRuns stops the runs of a job that show no progress in their workers' inventories. The time is measured up to
-// the last inventory, because a worker that doesn't answer gives no evidence of a stall.
+// the last inventory, because a worker that doesn't answer gives no evidence of a stall. Runs at a reduced pace are left
+// alone.
 func (s *Scheduler) stopStalledRuns(j *job) {
 	if j.allocatedTasks == 0 {
 		return
 	}
 	for _, st := range j.steps {
 		for _, t := range st.tasks {
-			if t.phase == taskRunning && t.percent < fullProgress && t.worker.lastInventoryAt.Sub(t.progressAt) >= stallTimeout {
+			if t.phase == taskRunning && t.percent < fullProgress && t.pace == fullPace && t.worker.lastInventoryAt.Sub(t.progressAt) >= stallTimeout {
 				s.handleStall(t)
 			}
 		}
--- a/internal/core/cell/order.go
+++ b/internal/core/cell/order.go
@@ -31,7 +31,8 @@
 type urgency int
 
 const (
-	dueSoon      urgency = iota // meets its objective only if it starts soon
+	serviceDown  urgency = iota // a service that has been available before
+	dueSoon                     // meets its objective only if it starts soon
 	late                        // misses its objective, its result still has value, and there is little late work in all
 	canWait                     // meets its objective even if it waits
 	lateOverflow                // late, with so much late work that serving it first would make other jobs late
@@ -88,6 +89,8 @@
 // urgency classifies a job by its objective and its earliest possible end as of the current pass.
 func (s *Scheduler) urgency(j *job) urgency {
 	switch {
+	case j.isService():
+		return serviceUrgency(j)
 	case j.earliestEnd.After(j.expiresAt):
 		return expired
 	case j.overRate:
@@ -103,9 +106,20 @@
 	return dueSoon
 }
 
+// serviceUrgency classifies a job with long-running steps, whose value doesn't end with its objective.
+func serviceUrgency(j *job) urgency {
+	switch {
+	case j.started:
+		return serviceDown
+	case j.overRate:
+		return overRate
+	}
+	return dueSoon
+}
+
 // isLate reports whether the job misses its objective although its result still has value.
 func (j *job) isLate() bool {
-	return !j.overRate && j.earliestEnd.After(j.deadline) && !j.earliestEnd.After(j.expiresAt)
+	return !j.overRate && !j.isService() && j.earliestEnd.After(j.deadline) && !j.earliestEnd.After(j.expiresAt)
 }
 
 // waitingTasks returns the number of the job's waiting tasks.
--- a/internal/core/cell/orders.go
+++ b/internal/core/cell/orders.go
@@ -19,9 +19,10 @@
 const (
 	OrderStart OrderKind = "start"
 	OrderStop  OrderKind = "stop"
+	OrderPace  OrderKind = "pace"
 )
 
-// Order is a command to a worker to start or stop a run.
+// Order is a command to a worker to start, stop or pace a run.
 type Order struct {
 	Kind       OrderKind
 	Worker     WorkerID
@@ -29,6 +30,7 @@
 	Spec       string
 	Ticket     string
 	Checkpoint string
+	Pace       int // percent of full speed
 }
 
 // OrderOutcome is the result of an order: the worker's answer, or the lack of one.
@@ -99,6 +101,10 @@
 	if t == nil || t.run != o.Run.Run || t.worker == nil || t.worker.ID != o.Worker {
 		return true
 	}
+	if o.Kind == OrderPace {
+		s.applyPaceOutcome(t, o, outcome)
+		return true
+	}
 	t.orderInFlight = false
 	if outcome == OrderNotSent || outcome == OrderUnanswered {
 		s.markUnresponsive(t.worker)
@@ -209,7 +215,11 @@
 	if t.phase == taskRunning {
 		return
 	}
-	t.phase, t.percent, t.progressAt = taskRunning, 0, s.now
+	t.pace = fullPace
+	if t.phase == taskUnresolved {
+		t.pace = unknownPace
+	}
+	t.phase, t.percent, t.progressAt, t.paceInFlight = taskRunning, 0, s.now, false
 	j := t.step.job
 	if !j.started {
 		j.started = true
--- a/internal/core/cell/place.go
+++ b/internal/core/cell/place.go
@@ -23,7 +23,7 @@
 	allWorkers := len(workers) == len(s.pass.usable)
 	var toAsk []WorkerID
 	for _, t := range st.tasks {
-		if t.phase != taskWaiting {
+		if t.phase != taskWaiting || s.now.Before(t.restartAt) {
 			continue
 		}
 		if s.pass.freeCPU < st.spec.Each.MilliCPU {
@@ -54,7 +54,7 @@
 // placeGang places all members of a gang or none. Nothing is placed until every member is waiting: a member that was
 // requeued on its own waits until the other members have ended too.
 func (s *Scheduler) placeGang(st *step, q *Queue) {
-	if st.waiting < len(st.tasks) {
+	if st.waiting < len(st.tasks) || slices.ContainsFunc(st.tasks, func(t *task) bool { return s.now.Before(t.restartAt) }) {
 		return
 	}
 	if !s.fullScanDue(st, gangRescanInterval) {
@@ -182,8 +182,8 @@
 
 // score rates a worker for a task; higher is better. It prefers tight fits, which leave capacity for large tasks on other
 // workers. The fit counts for at most 1, and each other criterion for at least as much: a valid ticket, the rack of the
-// step's data, the rack of the step's first placed task if SameRack is set, and no failed or stalled run since the
-// worker's last success.
+// step's data, the rack of the step's first placed task if SameRack is set, no best-effort tasks beside tasks with a
+// latency target, and no failed or stalled run since the worker's last success.
 func (s *Scheduler) score(t *task, w *worker, q *Queue) float64 {
 	left := w.free.Sub(t.step.spec.Each)
 	score := -left.DominantShare(w.Capacity)
@@ -198,6 +198,9 @@
 	if w.faults.streak > 0 {
 		score -= 3
 	}
+	if t.step.interferes(w) {
+		score -= 1.5
+	}
 	if t.step.spec.SameRack && t.step.firstRack() == w.Rack {
 		score += 2
 	}
--- a/internal/core/cell/scheduler.go
+++ b/internal/core/cell/scheduler.go
@@ -28,6 +28,7 @@
 	orderSequence atomic.Uint64
 	now           time.Time
 	advice        []AdviceRequest
+	paceOrders    []Order
 	pass          placementPass
 	lastCleanup   time.Time
 	// ordersPending is set if an order may be due before the next check at orderInterval.
@@ -207,11 +208,11 @@
 	return state
 }
 
-// allRunningOrDone reports whether every task of the job is running or done.
+// allRunningOrDone reports whether every task of the job is running or done, and none is long-running.
 func (j *job) allRunningOrDone() bool {
 	for _, st := range j.steps {
 		for _, t := range st.tasks {
-			if t.phase != taskDone && t.phase != taskRunning {
+			if t.phase != taskDone && t.phase != taskRunning || st.spec.LongRunning {
 				return false
 			}
 		}
@@ -245,8 +246,11 @@
 		s.ordersPending, s.lastOrders = false, now
 		a.Orders = s.dueOrders()
 	}
+	a.Orders = append(a.Orders, s.paceOrders...)
+	s.paceOrders = nil
 	if now.Sub(s.lastSweep) >= sweepInterval {
 		s.lastSweep = now
+		s.evacuateServices()
 		s.sweep()
 	}
 	return a
--- a/internal/core/cell/state.go
+++ b/internal/core/cell/state.go
@@ -46,6 +46,12 @@
 
 	percent    float64
 	progressAt time.Time // when the percentage last rose
+
+	pace         int  // percent of full speed at which a best-effort task works, or unknownPace
+	paceInFlight bool // a pace order was sent and its outcome isn't known yet
+
+	shortRuns int       // runs of a service task that ended soon after their start, since the last stable one
+	restartAt time.Time // a service task isn't started before this time
 }
 
 // step is the scheduling state of a step.
@@ -89,6 +95,7 @@
 	maxAttempts     int
 	queuePriority   int
 	expiresAt       time.Time
+	service         bool      // a step is long-running
 	earliestEnd     time.Time // by the estimates, as of the last placement pass
 }
 
@@ -108,6 +115,7 @@
 	pendingEnds     []pendingEnd
 	ackCursor       int64 // ends up to this number are durable
 	faults          faults
+	bestEffort      paceControl
 }
 
 // pendingEnd is an ended run with the version of the job's record that makes its end durable.
@@ -139,6 +147,7 @@
 			st.tasks = append(st.tasks, &task{id: TaskID{j.ID, i, n}, step: st})
 		}
 		created.steps = append(created.steps, st)
+		created.service = created.service || spec.LongRunning
 	}
 	created.estimate = criticalPath(created.Steps)
 	return created
--- a/internal/core/cell/types.go
+++ b/internal/core/cell/types.go
@@ -52,6 +52,17 @@
 	RequiredLabel string          `json:"label,omitempty"`
 	DataRack      string          `json:"data,omitempty"`
 	MaxPerWorker  int             `json:"apart,omitempty"` // 0: no limit
+
+	// LongRunning tasks run until their job is canceled and are restarted however they end.
+	LongRunning bool `json:"lasts,omitempty"`
+	// MaxUnavailable limits how many tasks of a long-running step the scheduler may make unavailable at a time; 0 is no
+	// limit.
+	MaxUnavailable int `json:"unavail,omitempty"`
+	// LatencyTargetMS is the tail latency below which the tasks must answer their own users; 0 if they serve none.
+	LatencyTargetMS int64  `json:"target,omitempty"`
+	Image           string `json:"image,omitempty"` // tasks of the same image behave alike
+	// BestEffort tasks use CPU that other tasks leave idle, and may slow down tasks with a latency target.
+	BestEffort bool `json:"fills,omitempty"`
 }
 
 // Job is an accepted job as stored in its record.
@@ -161,6 +172,9 @@
 	Run        RunID
 	Checkpoint string
 	Percent    float64 // progress
+	// Usage of the last half second: the tail latency in milliseconds of a task with a latency target, or the used CPU in
+	// thousandths of a core of any other task.
+	Usage float64
 }
 
 // EndedRow is a run that has ended, in a worker's inventory.
--- a/internal/port/cell.go
+++ b/internal/port/cell.go
@@ -127,6 +127,8 @@
 	// it.
 	Start(ctx context.Context, w WorkerRef, s Start) (clockMS int64, err error)
 	Stop(ctx context.Context, w WorkerRef, r cell.RunID, token int64) (clockMS int64, err error)
+	// Pace sets the percentage of full speed at which a run works.
+	Pace(ctx context.Context, w WorkerRef, r cell.RunID, percent int, token int64) error
 }
 
 // Advisor decides which workers may run a step.
--- a/internal/standin/leased/worker.go
+++ b/internal/standin/leased/worker.go
@@ -127,6 +127,7 @@
 	mux.HandleFunc("POST /hold", w.handleHold)
 	mux.HandleFunc("POST /run-start", w.handleStart)
 	mux.HandleFunc("POST /run-stop", w.handleStop)
+	mux.HandleFunc("POST /pace", w.handlePace)
 	w.server = httptest.NewServer(mux)
 	w.leaseTimer = time.AfterFunc(leaseCheckInterval, w.checkLease)
 	return w
@@ -321,6 +322,14 @@
 	writeJSON(out, http.StatusOK, map[string]any{"clock_ms": w.clockMS()})
 }
 
+// handlePace accepts a pace without effect: every task takes taskDuration.
+func (w *Worker) handlePace(out http.ResponseWriter, r *http.Request) {
+	if _, ok := w.accept(out, r); ok {
+		defer w.mu.Unlock()
+		writeJSON(out, http.StatusOK, map[string]any{"clock_ms": w.clockMS()})
+	}
+}
+
 func (w *Worker) handleHold(out http.ResponseWriter, r *http.Request) {
 	req, ok := w.accept(out, r)
 	if !ok {
