control: heartbeats without repeated lists, registry read as changes

Cause: each of the ten heartbeats a second to every member carried the addresses of all members and the lengths of all queues, so the scheduling node's bytes grew with the square of the members; and the whole registry (440 bytes a worker) was read every 400 ms. A node that lost the scheduling node asked every other member, all of them at once.

Change: the succession (its first 24 members) is sent when it changes, the numbers of waiting jobs twice a second, names once a stream. Members beyond the first 16 get fewer heartbeats in cells of more than 64 nodes. The registry is read once a term and then through its changes. A member asks at most 8 others before it campaigns.

--- a/internal/control/member.go
+++ b/internal/control/member.go
@@ -63,26 +63,32 @@
 const (
 	// candidacyStep is the delay between the attempts of two successive nodes to take over.
 	candidacyStep = 60 * time.Millisecond
-	// maxCandidacyRank bounds the delay of nodes far down in the succession order.
-	maxCandidacyRank = 8
+	// candidacySpread is the number of further steps over which the nodes are spread that aren't in the known succession.
+	candidacySpread = 8
 )
 
 // candidacyDelay staggers the attempts to take over, so that usually only the node with the most cores tries.
 func (n *Node) candidacyDelay() time.Duration {
-	if m := n.membership.Load(); m != nil {
+	f := fnv.New32a()
+	f.Write([]byte(n.options.Name))
+	step := time.Duration(f.Sum32() % candidacySpread)
+	if m := n.membership.Load(); m != nil && len(m.members) > 0 {
 		if i := slices.Index(m.members, n.options.Address); i >= 0 {
-			return time.Duration(min(i, maxCandidacyRank)) * candidacyStep
+			return time.Duration(i) * candidacyStep
 		}
+		return (time.Duration(len(m.members)) + step) * candidacyStep
 	}
-	f := fnv.New32a()
-	f.Write([]byte(n.options.Name))
-	spread := time.Duration(f.Sum32()%maxCandidacyRank) * candidacyStep / maxCandidacyRank
+	spread := step * candidacyStep / candidacySpread
 	coreShortfall := 1 - min(n.options.Cores/fullCores, 1)
 	return spread + time.Duration(coreShortfall*float64(maxLowCoresDelay))
 }
 
-// pollMembers asks the other members whether they still receive heartbeats from the scheduling node. answered reports
-// whether at least one of them answered or there was none to ask.
+// maxMembersPolled bounds how many members a node asks about the scheduling node. Each of the others may ask at the same
+// time.
+const maxMembersPolled = 8
+
+// pollMembers asks the first members in the succession whether they still receive heartbeats from the scheduling node.
+// answered reports whether at least one of them answered or there was none to ask.
 func (n *Node) pollMembers(ctx context.Context, h *holder) (alive, answered bool) {
 	m := n.membership.Load()
 	if m == nil {
@@ -97,7 +103,7 @@
 	call, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	for _, address := range m.members {
-		if address == n.options.Address || address == h.Address {
+		if address == n.options.Address || address == h.Address || asked == maxMembersPolled {
 			continue
 		}
 		asked++
@@ -129,6 +135,7 @@
 func (n *Node) attach(ctx context.Context, h *holder) (takeOver bool, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	interval := heartbeatInterval
 	watchdog := time.AfterFunc(heartbeatTimeout, cancel)
 	defer watchdog.Stop()
 	stream, err := n.peers.client(h.Address).Attach(ctx)
@@ -137,7 +144,8 @@
 	}
 	sent := make(chan error, 1)
 	advice := make(chan *cellpb.AdviceReply, outboxSize)
-	go func() { sent <- n.sendMessages(ctx, stream, advice) }()
+	intervals := make(chan time.Duration, 1)
+	go func() { sent <- n.sendMessages(ctx, stream, advice, intervals) }()
 	defer func() { cancel(); <-sent }()
 	first := true
 	for {
@@ -148,7 +156,11 @@
 		if m.Term < h.Term {
 			return false, errStaleTerm
 		}
-		watchdog.Reset(heartbeatTimeout)
+		if m.HeartbeatMs > 0 {
+			interval = time.Duration(m.HeartbeatMs) * time.Millisecond
+			replaceValue(intervals, interval)
+		}
+		watchdog.Reset(missedHeartbeats * interval)
 		if first {
 			first = false
 			n.options.Log.Info("dependency regained", "dependency", "scheduling node", "node", m.Node, "term", m.Term)
@@ -202,35 +214,37 @@
 	}
 }
 
-// sendMessages sends heartbeats, messages about jobs and advice replies.
-func (n *Node) sendMessages(ctx context.Context, stream cellpb.Cell_AttachClient, advice <-chan *cellpb.AdviceReply) error {
+// sendMessages sends heartbeats at the given intervals, messages about jobs and advice replies.
+func (n *Node) sendMessages(ctx context.Context, stream cellpb.Cell_AttachClient, advice <-chan *cellpb.AdviceReply,
+	intervals <-chan time.Duration) error {
 	ticker := time.NewTicker(heartbeatInterval)
 	defer ticker.Stop()
-	m := n.heartbeat()
+	m := &cellpb.MemberMessage{Node: n.options.Name, Address: n.options.Address, Strength: n.options.Cores}
 	for {
+		m.StoreAgeMs, m.Leaving = n.storeAge().Milliseconds(), n.stopping.Load()
 		if err := stream.Send(m); err != nil {
 			return err
 		}
+		m = &cellpb.MemberMessage{}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
+		case interval := <-intervals:
+			ticker.Reset(interval)
 		case <-ticker.C:
-			m = n.heartbeat()
 		case m = <-n.outbox:
-		case a := <-advice:
-			m = &cellpb.MemberMessage{Advice: a}
-		}
-		if m.Node == "" {
-			b := n.heartbeat()
-			b.AcceptedJob, b.Revision, b.CanceledJob, b.Advice = m.AcceptedJob, m.Revision, m.CanceledJob, m.Advice
-			m = b
+		case m.Advice = <-advice:
 		}
 	}
 }
 
-func (n *Node) heartbeat() *cellpb.MemberMessage {
-	return &cellpb.MemberMessage{Node: n.options.Name, Address: n.options.Address, StoreAgeMs: n.storeAge().Milliseconds(), Leaving: n.stopping.Load(),
-		Strength: n.options.Cores}
+// replaceValue puts a value into a channel with a buffer of one, in place of an earlier one that hasn't been received.
+func replaceValue[T any](c chan T, value T) {
+	select {
+	case <-c:
+	default:
+	}
+	c <- value
 }
 
 // adviceTimeoutMargin is added to the configured duration of a call to the advice service.
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -18,8 +18,11 @@
 
 	mu         sync.Mutex
 	list       []*member // in succession order
-	handedOver bool      // at least one member was asked to take over
-	successors []string  // addresses of the members that were asked to take over
+	announced  []string  // succession that was last sent to all members
+	countedAt  time.Time // when the waiting jobs were last sent
+	ticks      int
+	handedOver bool     // at least one member was asked to take over
+	successors []string // addresses of the members that were asked to take over
 }
 
 // member is an attached node.
@@ -30,6 +33,8 @@
 	leaving           bool
 	cores             float64
 	handoverRequested bool // was asked to take over
+	// beat is the number of heartbeat intervals between two heartbeats.
+	beat int
 }
 
 // memberBuffer bounds the messages queued for a member's stream. A member that falls behind misses heartbeats.
@@ -57,44 +62,112 @@
 	}
 }
 
+// sendHeartbeats sends a heartbeat to each member for which one is due. What changes seldom is sent only when it has
+// changed, because a message to all members costs the more, the more there are.
 func (m *members) sendHeartbeats() {
-	var lengths []*cellpb.QueueLength
-	counted := m.s.query(m.s.ctx, func() {
+	message := &cellpb.SchedulerMessage{}
+	toAll := m.addWaitingJobs(message)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	toAll = m.addSuccession(message) || toAll
+	m.fill(message)
+	m.ticks++
+	for i, x := range m.list {
+		beat := heartbeatsBetween(i, len(m.list))
+		if beat != x.beat {
+			x.beat = beat
+			x.send(m.greeting(x))
+		} else if toAll || m.ticks%beat == 0 {
+			x.send(message)
+		}
+	}
+	m.s.node.updateMembership(m.s.node.options.Address, message)
+}
+
+// addWaitingJobs adds the numbers of waiting jobs if they are due, and reports whether it did.
+func (m *members) addWaitingJobs(message *cellpb.SchedulerMessage) bool {
+	if time.Since(m.countedAt) < countInterval {
+		return false
+	}
+	message.Counted = m.s.query(m.s.ctx, func() {
 		for queue, jobs := range m.s.core.WaitingJobsByQueue() {
-			lengths = append(lengths, &cellpb.QueueLength{Queue: queue, Jobs: jobs})
+			message.Waiting = append(message.Waiting, &cellpb.QueueLength{Queue: queue, Jobs: jobs})
 		}
 	})
-	m.mu.Lock()
-	defer m.mu.Unlock()
+	if message.Counted {
+		m.countedAt = time.Now()
+	}
+	return message.Counted
+}
+
+// addSuccession adds the succession if it has changed, and reports whether it did. The caller must hold mu.
+func (m *members) addSuccession(message *cellpb.SchedulerMessage) bool {
+	succession := m.succession()
+	if slices.Equal(succession, m.announced) {
+		return false
+	}
+	m.announced, message.Members = succession, succession
+	return true
+}
+
+// greeting returns the first message to a member, or one that changes its heartbeat interval. The caller must hold mu.
+func (m *members) greeting(x *member) *cellpb.SchedulerMessage {
 	message := m.message()
-	message.Counted, message.Waiting, message.Members = counted, lengths, m.addresses()
-	for _, x := range m.list {
-		x.send(message)
+	message.Node, message.Members = m.s.node.options.Name, m.announced
+	message.HeartbeatMs = (time.Duration(x.beat) * heartbeatInterval).Milliseconds()
+	return message
+}
+
+const (
+	// promptMembers is the number of members, first in the succession, that get every heartbeat. They decide whether the
+	// scheduling node is lost.
+	promptMembers = 16
+	// membersPerBeat is the number of members for which the others get every heartbeat too. With more members, they get
+	// correspondingly fewer, so that the cost of heartbeats grows slowly with the cell.
+	membersPerBeat = 64
+	// maxSuccession bounds the succession that is sent to the members.
+	maxSuccession = 24
+	// countInterval is the interval at which the members are told how many jobs wait.
+	countInterval = 500 * time.Millisecond
+)
+
+// heartbeatsBetween returns after how many heartbeat intervals the member at a position in the succession gets the next
+// heartbeat.
+func heartbeatsBetween(position, members int) int {
+	if position < promptMembers {
+		return 1
 	}
-	m.s.node.updateMembership(m.s.node.options.Address, message)
+	return (members + membersPerBeat - 1) / membersPerBeat
 }
 
 // message returns a message with the common fields set. The caller must hold mu.
 func (m *members) message() *cellpb.SchedulerMessage {
+	message := &cellpb.SchedulerMessage{}
+	m.fill(message)
+	return message
+}
+
+// fill sets the common fields of a message. The caller must hold mu.
+func (m *members) fill(message *cellpb.SchedulerMessage) {
 	age := m.s.node.storeAge()
 	for _, x := range m.list {
 		age = min(age, x.storeAge)
 	}
-	message := &cellpb.SchedulerMessage{Term: m.s.term.number, Node: m.s.node.options.Name, StoreAgeMs: age.Milliseconds()}
+	message.Term, message.StoreAgeMs = m.s.term.number, age.Milliseconds()
 	if c := m.s.node.config.Load(); c != nil {
 		message.ConfigVersion = c.Version
 	}
-	return message
 }
 
-// addresses returns the members in succession order: eligible ones first, and among these the ones with the most cores.
-func (m *members) addresses() []string {
+// succession sorts the members into succession order: eligible ones first, and among these the ones with the most cores.
+// It returns the addresses of the first maxSuccession.
+func (m *members) succession() []string {
 	slices.SortStableFunc(m.list, func(a, b *member) int {
 		return cmp.Or(cmp.Compare(bool2int(a.ineligible()), bool2int(b.ineligible())), cmp.Compare(b.cores, a.cores), cmp.Compare(a.name, b.name))
 	})
-	list := make([]string, len(m.list))
-	for i, x := range m.list {
-		list[i] = x.address
+	list := make([]string, min(len(m.list), maxSuccession))
+	for i := range list {
+		list[i] = m.list[i].address
 	}
 	return list
 }
@@ -185,6 +258,13 @@
 	return false
 }
 
+// silenceTimeout returns how long a member may be silent before it is considered lost.
+func (m *members) silenceTimeout(x *member) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return missedHeartbeats * time.Duration(x.beat) * heartbeatInterval
+}
+
 func (x *member) send(m *cellpb.SchedulerMessage) bool {
 	select {
 	case x.out <- m:
@@ -194,10 +274,10 @@
 	}
 }
 
-// join adds a node. The returned function removes it.
-func (m *members) join(name, address string) (*member, func()) {
-	x := &member{name: name, address: address, out: make(chan *cellpb.SchedulerMessage, memberBuffer)}
-	a := &adviceNode{name: name, send: func(id int64, r cell.AdviceRequest) bool {
+// join adds the node that has sent the first message of a stream. The returned function removes it.
+func (m *members) join(first *cellpb.MemberMessage) (*member, func()) {
+	x := &member{name: first.Node, address: first.Address, cores: first.Strength, beat: 1, out: make(chan *cellpb.SchedulerMessage, memberBuffer)}
+	a := &adviceNode{name: x.name, send: func(id int64, r cell.AdviceRequest) bool {
 		m.mu.Lock()
 		message := m.message()
 		m.mu.Unlock()
@@ -206,6 +286,7 @@
 	}}
 	m.mu.Lock()
 	m.list = append(m.list, x)
+	x.send(m.greeting(x))
 	m.mu.Unlock()
 	m.s.post(m.s.ctx, func() { m.s.advice.add(a) })
 	return x, func() {
@@ -219,7 +300,6 @@
 // handleMessage processes a member's message.
 func (m *members) handleMessage(x *member, r *cellpb.MemberMessage) {
 	m.mu.Lock()
-	x.cores = r.Strength
 	x.storeAge, x.leaving = time.Duration(r.StoreAgeMs)*time.Millisecond, r.Leaving
 	m.mu.Unlock()
 	received := time.Now()
--- a/internal/control/members_test.go
+++ b/internal/control/members_test.go
@@ -84,8 +84,12 @@
 // oneWorker is a registry with one worker.
 type oneWorker struct{ port.ConfigSource }
 
-func (oneWorker) Workers(context.Context) ([]cell.WorkerReport, error) {
-	return []cell.WorkerReport{{ID: "w", Address: "127.0.0.1:1", StartMS: 1}}, nil
+func (oneWorker) Workers(context.Context) ([]cell.WorkerReport, int64, error) {
+	return []cell.WorkerReport{{ID: "w", Address: "127.0.0.1:1", StartMS: 1}}, 1, nil
+}
+
+func (oneWorker) WorkerChanges(_ context.Context, after int64) ([]port.WorkerChange, int64, error) {
+	return nil, after, nil
 }
 
 // A node must be able to follow the next holder before the last call of its own term has ended.
--- a/internal/control/options.go
+++ b/internal/control/options.go
@@ -42,8 +42,9 @@
 	schedulerLease = 2 * time.Second
 
 	heartbeatInterval = 100 * time.Millisecond
-	// heartbeatTimeout is how long one side waits for a heartbeat before it considers the other side lost.
-	heartbeatTimeout = 600 * time.Millisecond
+	// missedHeartbeats is after how many heartbeat intervals without a message one side considers the other side lost.
+	missedHeartbeats = 6
+	heartbeatTimeout = missedHeartbeats * heartbeatInterval
 
 	configPollInterval   = 600 * time.Millisecond
 	registryPollInterval = 400 * time.Millisecond
--- a/internal/control/scheduling.go
+++ b/internal/control/scheduling.go
@@ -264,24 +264,5 @@
 	}
 }
 
-// pollRegistry polls the registry of workers.
-func (s *activeTerm) pollRegistry() {
-	for {
-		reports, err := s.node.options.ConfigSource.Workers(s.ctx)
-		if err == nil {
-			s.node.storeAnswered()
-			s.post(s.ctx, func() {
-				s.core.SetWorkers(reports, time.Now())
-				s.updateLinks()
-			})
-		} else if s.ctx.Err() == nil {
-			s.node.options.Log.Warn("registry not read", "error", err.Error())
-		}
-		if !s.pause(registryPollInterval) {
-			return
-		}
-	}
-}
-
 // pause waits for d and reports whether the term still lasts.
 func (s *activeTerm) pause(d time.Duration) bool { return wait.For(s.ctx, d) }
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -31,7 +31,7 @@
 	if err != nil {
 		return err
 	}
-	x, leave := s.members.join(first.Node, first.Address)
+	x, leave := s.members.join(first)
 	defer leave()
 	s.members.handleMessage(x, first)
 	received := make(chan error, 1)
@@ -48,7 +48,7 @@
 		case err := <-received:
 			return err
 		case <-heartbeat:
-			silence.Reset(heartbeatTimeout)
+			silence.Reset(s.members.silenceTimeout(x))
 		case <-silence.C:
 			p.node.options.Log.Warn("dependency lost", "dependency", "member", "node", x.name, "reason", "silent")
 			return status.Error(codes.DeadlineExceeded, "silent")
--- a/internal/core/cell/workers.go
+++ b/internal/core/cell/workers.go
@@ -31,7 +31,14 @@
 			w.registered = false
 			s.events.LogDecision(string(id), "worker unlisted", "runs", len(w.tasks), "draining", w.Draining)
 		}
-		if len(w.tasks) == 0 {
+	}
+	s.ForgetIdleWorkers()
+}
+
+// ForgetIdleWorkers drops the workers that have left the registry and have no runs any more.
+func (s *Scheduler) ForgetIdleWorkers() {
+	for id, w := range s.workers {
+		if !w.registered && len(w.tasks) == 0 {
 			delete(s.workers, id)
 		}
 	}
--- a/internal/port/cell.go
+++ b/internal/port/cell.go
@@ -78,8 +78,18 @@
 	Configuration(ctx context.Context) (*cell.Config, []byte, error)
 	// DecodeConfiguration decodes the encoded form.
 	DecodeConfiguration(raw []byte) (*cell.Config, error)
-	// Workers returns the registry of workers. Entries that can't be read are left out.
-	Workers(ctx context.Context) ([]cell.WorkerReport, error)
+	// Workers returns the registry of workers and the revision after which changes have to be read. Entries that can't be
+	// read are left out.
+	Workers(ctx context.Context) (reports []cell.WorkerReport, revision int64, err error)
+	// WorkerChanges returns the changes of the registry after a revision and the revision to continue from. It fails with
+	// ErrCompacted if the changes are no longer available.
+	WorkerChanges(ctx context.Context, after int64) (changes []WorkerChange, revision int64, err error)
+}
+
+// WorkerChange is a change of a worker's entry in the registry.
+type WorkerChange struct {
+	ID     cell.WorkerID
+	Report *cell.WorkerReport // nil if the entry was removed or can't be read
 }
 
 // Errors of calls to workers, besides ErrUnavailable and ErrUnknownOutcome.
