--- a/internal/control/front.go
+++ b/internal/control/front.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"github.com/pkg/errors"
@@ -241,13 +240,8 @@
 	p, err := n.store.Get(ctx, progressKey(id))
 	switch {
 	case err == nil:
-		var r struct {
-			Phase cell.Phase `json:"phase"`
-		}
-		if err := json.Unmarshal(p.Value, &r); err != nil {
-			return "", false, errors.Wrap(err, "progress")
-		}
-		return r.Phase, true, nil
+		phase, err := cell.DecodePhase(p.Value)
+		return phase, err == nil, err
 	case errors.Is(err, port.ErrNotFound):
 		if phase, known, err := n.finalPhase(ctx, id, team); err != nil || known {
 			return phase, known, err
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -34,6 +34,7 @@
 	leaveOnce       sync.Once
 	peers           peerConns
 	outbox          chan *cellpb.MemberMessage // messages to the scheduling node
+	malformedConfig string                     // last logged error of a configuration that can't be decoded; used only by pollConfig
 	fetchingConfig  atomic.Bool                // a configuration is being fetched from another node
 	endedTerms      conc.WaitGroup             // ended terms of this node whose calls are still in flight
 }
@@ -193,6 +194,9 @@
 			n.adoptConfig(c, raw, "store")
 		case errors.Is(err, port.ErrNotFound):
 			n.storeAnswered()
+		case errors.Is(err, port.ErrMalformed):
+			n.storeAnswered()
+			n.logMalformedConfig(err)
 		default:
 			n.storeFailed(err)
 			n.fetchConfig(ctx)
@@ -207,6 +211,14 @@
 	}
 }
 
+// logMalformedConfig logs a configuration that can't be decoded, once. The last valid one stays in force.
+func (n *Node) logMalformedConfig(err error) {
+	if text := err.Error(); text != n.malformedConfig {
+		n.malformedConfig = text
+		n.options.Log.Error("configuration can't be read, the last valid one stays in force", "error", text)
+	}
+}
+
 // adoptConfig puts a configuration in force unless the active one is at least as new.
 func (n *Node) adoptConfig(c *cell.Config, raw []byte, source string) {
 	for {
--- a/internal/core/cell/record.go
+++ b/internal/core/cell/record.go
@@ -1,7 +1,6 @@
 package cell
 
 import (
-	"encoding/json"
 	"time"
 
 	"github.com/pkg/errors"
@@ -59,26 +58,52 @@
 
 // EncodeJob returns the record of an accepted job.
 func EncodeJob(j Job) ([]byte, error) {
-	b, err := json.Marshal(jobRecord{Version: recordVersion, Job: j})
+	b, err := encodeRecord(jobRecord{Version: recordVersion, Job: j})
 	return b, errors.Wrap(err, "encode job")
 }
 
-// DecodeJob decodes the record of an accepted job. It returns ErrRecordVersion or the error of the JSON decoder.
+// DecodeJob decodes the record of an accepted job. It returns ErrRecordVersion or an error of the decoder.
 func DecodeJob(b []byte) (Job, error) {
 	var r jobRecord
-	if err := json.Unmarshal(b, &r); err != nil {
+	if err := decodeRecord(b, &r); err != nil {
 		return Job{}, errors.Wrap(err, "decode job")
 	}
 	if r.Version < 1 || r.Version > recordVersion {
 		return Job{}, errors.Wrapf(ErrRecordVersion, "job %s: %d", r.ID, r.Version)
 	}
-	return r.Job, nil
+	return r.Job, r.Job.check()
 }
 
-// DecodeFinal decodes the record of a job that has ended. It returns ErrRecordVersion or the error of the JSON decoder.
+// ErrInvalidJob is returned for a record whose job can't be scheduled.
+var ErrInvalidJob = errors.New("record has an invalid job")
+
+// maxJobTasks bounds the tasks of a job, so that a corrupt record can't fill the memory.
+const maxJobTasks = 100_000
+
+// check reports the first part of a job that the scheduler can't work with.
+func (j Job) check() error {
+	tasks := 0
+	for n, s := range j.Steps {
+		if s.Count < 1 || s.Count > maxJobTasks-tasks {
+			return errors.Wrapf(ErrInvalidJob, "%s: step %d has %d tasks", j.ID, n, s.Count)
+		}
+		tasks += s.Count
+		if s.Each.HasNegative() || s.EstimateMS < 0 || s.MaxPerWorker < 0 || s.MaxUnavailable < 0 {
+			return errors.Wrapf(ErrInvalidJob, "%s: step %d has a negative figure", j.ID, n)
+		}
+		for _, a := range s.After {
+			if a < 0 || a >= n {
+				return errors.Wrapf(ErrInvalidJob, "%s: step %d depends on step %d", j.ID, n, a)
+			}
+		}
+	}
+	return nil
+}
+
+// DecodeFinal decodes the record of a job that has ended. It returns ErrRecordVersion or an error of the decoder.
 func DecodeFinal(b []byte) (FinalRecord, error) {
 	var r FinalRecord
-	if err := json.Unmarshal(b, &r); err != nil {
+	if err := decodeRecord(b, &r); err != nil {
 		return r, errors.Wrap(err, "decode final record")
 	}
 	if r.Version < 1 || r.Version > recordVersion {
@@ -93,7 +118,7 @@
 	for _, st := range j.steps {
 		r.Steps = append(r.Steps, st.progress())
 	}
-	b, err := json.Marshal(r)
+	b, err := encodeRecord(r)
 	return b, errors.Wrapf(err, "encode progress of %s", j.ID)
 }
 
@@ -116,10 +141,22 @@
 	return p
 }
 
+// DecodePhase returns the phase in a progress record. It returns ErrRecordVersion or an error of the decoder.
+func DecodePhase(b []byte) (Phase, error) {
+	var r progressRecord
+	if err := decodeRecord(b, &r); err != nil {
+		return "", errors.Wrap(err, "decode progress")
+	}
+	if r.Version < 1 || r.Version > recordVersion {
+		return "", errors.Wrapf(ErrRecordVersion, "progress: %d", r.Version)
+	}
+	return r.Phase, nil
+}
+
 // restoreProgress applies a progress record to a newly created job.
 func (s *Scheduler) restoreProgress(j *job, b []byte) error {
 	var r progressRecord
-	if err := json.Unmarshal(b, &r); err != nil {
+	if err := decodeRecord(b, &r); err != nil {
 		return errors.Wrapf(err, "decode progress of %s", j.ID)
 	}
 	if r.Version < 1 || r.Version > recordVersion {
@@ -163,7 +200,7 @@
 
 // finalRecord returns the encoded FinalRecord of a job that has ended.
 func finalRecord(j *job, now time.Time) ([]byte, error) {
-	b, err := json.Marshal(FinalRecord{Version: recordVersion, Queue: j.Queue, Team: j.Team, Phase: j.phase, Reason: j.reason,
+	b, err := encodeRecord(FinalRecord{Version: recordVersion, Queue: j.Queue, Team: j.Team, Phase: j.phase, Reason: j.reason,
 		EndedMS: now.UnixMilli()})
 	return b, errors.Wrapf(err, "encode final record of %s", j.ID)
 }
--- a/internal/port/cell.go
+++ b/internal/port/cell.go
@@ -74,7 +74,7 @@
 // ConfigSource provides the configuration and the registry of workers, which come from the platform.
 type ConfigSource interface {
 	// Configuration returns the newest configuration and its encoded form, which is sent to other nodes. It fails with
-	// ErrNotFound if there is none yet.
+	// ErrNotFound if there is none yet, and with ErrMalformed if it can't be decoded.
 	Configuration(ctx context.Context) (*cell.Config, []byte, error)
 	// DecodeConfiguration decodes the encoded form.
 	DecodeConfiguration(raw []byte) (*cell.Config, error)
@@ -98,7 +98,7 @@
 	ErrRefused           = errors.New("refused, not executed")
 	ErrNoTicket          = errors.New("invalid ticket")
 	ErrInstanceChanged   = errors.New("another instance answers at the address")
-	ErrMalformed         = errors.New("malformed order or answer")
+	ErrMalformed         = errors.New("malformed message")
 	ErrConnectionRefused = errors.New("the address refuses connections")
 )
 
