control: in a large cell, members carry the calls to workers and read the store

Cause: the scheduling node's own link was full. It alone sent every order and renewal to every worker and read every entry that workers wrote again (60 a second for 90 workers, nearly all of them without a change) and every accepted job a second time.

Change: from 16 members on, calls to a worker go through a member in its data centre, over one stream a member, in batches. A carrier keeps no state and decides nothing; orders are safe when late because of the token and the lease's end on the worker's clock. A carrier that was paused refuses what lay in its buffers, a lost one is replaced at once for renewals, and starts it may still execute count as unknown. One member, the delegate, reads the registry and the accepted jobs for the scheduling node and passes on what it lacks. Relayed store calls go to the scheduling node last.

Tests: carriers_test.go, registry_test.go.

--- /dev/null
+++ b/internal/control/carriers.go
@@ -0,0 +1,267 @@
+package control
+
+import (
+	"cmp"
+	"context"
+	"hash/fnv"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"sequoiastall/internal/core/cell"
+	"sequoiastall/internal/port"
+	"sequoiastall/internal/rpc/cellpb"
+)
+
+// In a large cell, the members carry the calls to the workers: each worker has a carrier in its own data centre, which
+// keeps the connections and exchanges compact batches with the scheduling node. A carrier decides nothing and keeps no
+// state. Every call contains all that makes it safe when it is executed late: the fencing token, and the end of the
+// lease on the worker's own clock, after which the worker refuses a start. A carrier that is frozen, cut off or dead is
+// therefore no worse than a slow network, and the worker's lease is renewed through another one.
+
+const (
+	// carrierMargin is added to the duration that a call may take on its carrier.
+	carrierMargin = 300 * time.Millisecond
+	// orderDuration is how long a start, stop or pace order may take on its carrier.
+	orderDuration = 400 * time.Millisecond
+	// renewalOverhead is how long a renewal may take on its carrier besides its wait.
+	renewalOverhead = 550 * time.Millisecond
+	// carrierQueue bounds the calls that wait to be sent to a carrier.
+	carrierQueue = 1024
+	// maxBatch bounds the calls or replies in one message.
+	maxBatch = 64
+	// carrierPause is how long no calls go to a carrier that left one without a reply.
+	carrierPause = 2 * time.Second
+)
+
+// carriers passes calls to workers on to members. It implements port.LeasedWorkers for the links of a term.
+type carriers struct {
+	direct port.LeasedWorkers
+
+	mu     sync.Mutex
+	list   []*carrier // sorted by name
+	paths  map[cell.WorkerID]int
+	nextID int64
+}
+
+// carrier is a member that executes calls.
+type carrier struct {
+	name, zone  string
+	hash        uint64
+	out         chan *cellpb.CarriedCall
+	gone        chan struct{} // closed when the member's stream has ended
+	pausedUntil time.Time     // guarded by carriers.mu
+
+	mu      sync.Mutex
+	pending map[int64]chan *cellpb.CarriedReply
+}
+
+func newCarriers(direct port.LeasedWorkers) *carriers {
+	return &carriers{direct: direct, paths: map[cell.WorkerID]int{}}
+}
+
+// join adds a member as a carrier. The returned function keeps further calls from it.
+func (c *carriers) join(name, zone string) (*carrier, func()) {
+	x := &carrier{name: name, zone: zone, hash: hashOf(name), out: make(chan *cellpb.CarriedCall, carrierQueue), gone: make(chan struct{}),
+		pending: map[int64]chan *cellpb.CarriedReply{}}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.list = append(c.list, x)
+	return x, func() {
+		c.mu.Lock()
+		c.list = slices.DeleteFunc(c.list, func(y *carrier) bool { return x == y })
+		c.mu.Unlock()
+	}
+}
+
+// choose returns the carrier for the next call to a worker, or nil if the call is to be made directly. A worker keeps
+// its carrier as long as that one stays and reaches it.
+func (c *carriers) choose(w port.WorkerRef) *carrier {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.list) < minSpreadMembers {
+		return nil
+	}
+	paths := c.candidates(w)
+	i := c.paths[w.ID] % (len(paths) + 1)
+	if i == len(paths) {
+		return nil
+	}
+	return paths[i]
+}
+
+// maxCarriersOfWorker is the number of carriers that are tried for a worker before a call is made directly.
+const maxCarriersOfWorker = 2
+
+// candidates returns the carriers for a worker in the order of preference: those of its zone first, and among these in an
+// order that differs from worker to worker, so that each carrier gets an equal share and a carrier that leaves moves
+// only its own workers.
+func (c *carriers) candidates(w port.WorkerRef) []*carrier {
+	now, id := time.Now(), hashOf(string(w.ID))
+	var best []*carrier
+	for _, x := range c.list {
+		if now.Before(x.pausedUntil) {
+			continue
+		}
+		best = append(best, x)
+		for i := len(best) - 1; i > 0 && prefers(w.Zone, id, best[i], best[i-1]); i-- {
+			best[i], best[i-1] = best[i-1], best[i]
+		}
+		best = best[:min(len(best), maxCarriersOfWorker)]
+	}
+	return best
+}
+
+// prefers reports whether a worker of the zone is better served by carrier a than by b.
+func prefers(zone string, worker uint64, a, b *carrier) bool {
+	if (a.zone == zone) != (b.zone == zone) {
+		return a.zone == zone
+	}
+	return cmp.Compare(mix(a.hash^worker), mix(b.hash^worker)) > 0
+}
+
+func hashOf(s string) uint64 {
+	f := fnv.New64a()
+	f.Write([]byte(s))
+	return f.Sum64()
+}
+
+// mix spreads the bits of a hash, so that the order of two carriers differs from worker to worker.
+func mix(h uint64) uint64 {
+	h ^= h >> 33
+	h *= 0xff51afd7ed558ccd
+	h ^= h >> 33
+	h *= 0xc4ceb9fe1a85ec53
+	return h ^ h>>33
+}
+
+// reroute makes the next call to a worker take another path, after one that didn't reach the worker.
+func (c *carriers) reroute(w port.WorkerRef) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.paths[w.ID] = (c.paths[w.ID] + 1) % (maxCarriersOfWorker + 1)
+}
+
+// suspend keeps calls from a carrier for a while.
+func (c *carriers) suspend(x *carrier) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	x.pausedUntil = time.Now().Add(carrierPause)
+}
+
+// errCarrierLost means that a carrier left a call without a reply.
+var errCarrierLost = errors.Wrap(port.ErrUnknownOutcome, "no reply of the carrier")
+
+// exchange sends a call to a carrier and waits for its reply.
+func (c *carriers) exchange(ctx context.Context, x *carrier, call *cellpb.CarriedCall, timeout time.Duration) (*cellpb.CarriedReply, error) {
+	reply := make(chan *cellpb.CarriedReply, 1)
+	c.mu.Lock()
+	c.nextID++
+	call.Id = c.nextID
+	c.mu.Unlock()
+	x.mu.Lock()
+	x.pending[call.Id] = reply
+	x.mu.Unlock()
+	defer func() {
+		x.mu.Lock()
+		delete(x.pending, call.Id)
+		x.mu.Unlock()
+	}()
+	select {
+	case x.out <- call:
+	default:
+		c.suspend(x)
+		return nil, errors.Wrap(port.ErrUnavailable, "the queue to the carrier is full")
+	}
+	timer := time.NewTimer(timeout + carrierMargin)
+	defer timer.Stop()
+	select {
+	case r := <-reply:
+		return r, nil
+	case <-x.gone:
+		return nil, errCarrierLost
+	case <-timer.C:
+		c.suspend(x)
+		return nil, errCarrierLost
+	case <-ctx.Done():
+		return nil, errors.Wrap(port.ErrUnknownOutcome, ctx.Err().Error())
+	}
+}
+
+// call makes a call through the worker's carrier. ok is false if there is none, so that the call has to be made directly.
+func (c *carriers) call(ctx context.Context, w port.WorkerRef, call *cellpb.CarriedCall, timeout time.Duration) (reply *cellpb.CarriedReply, err error, ok bool) {
+	x := c.choose(w)
+	if x == nil {
+		return nil, nil, false
+	}
+	call.Worker, call.Address = string(w.ID), w.Address
+	reply, err = c.exchange(ctx, x, call, timeout)
+	if err == nil {
+		err = errorOf(reply)
+	}
+	if errors.Is(err, port.ErrUnavailable) || errors.Is(err, port.ErrUnknownOutcome) {
+		c.reroute(w)
+	}
+	return reply, err, true
+}
+
+// Renew implements port.LeasedWorkers. If the carrier is lost, the renewal takes another path at once: it may be repeated.
+func (c *carriers) Renew(ctx context.Context, w port.WorkerRef, r port.Renewal) (port.RenewalReply, error) {
+	for range maxCarriersOfWorker {
+		call := &cellpb.CarriedCall{Token: r.Token, Call: &cellpb.CarriedCall_Renew{Renew: &cellpb.CarriedRenewal{LeaseEndMs: r.LeaseEndMS,
+			Ack: r.Ack, WaitMs: r.Wait.Milliseconds()}}}
+		reply, err, ok := c.call(ctx, w, call, renewalOverhead+r.Wait)
+		if !ok {
+			break
+		}
+		if !errors.Is(err, errCarrierLost) || ctx.Err() != nil {
+			return renewalReplyFrom(w.ID, reply), err
+		}
+		// The worker may have restarted since its last answer, and numbers its ended runs anew.
+		r.Ack, r.Wait = 0, 0
+	}
+	reply, err := c.direct.Renew(ctx, w, r)
+	c.noteDirect(w, err)
+	return reply, err
+}
+
+// Start implements port.LeasedWorkers.
+func (c *carriers) Start(ctx context.Context, w port.WorkerRef, s port.Start) (int64, error) {
+	call := &cellpb.CarriedCall{Token: s.Token, Call: &cellpb.CarriedCall_Start{Start: &cellpb.CarriedStart{Run: runMessage(s.Order.Run),
+		Spec: s.Order.Spec, Ticket: s.Order.Ticket, Checkpoint: s.Order.Checkpoint, LeaseEndMs: s.LeaseEndMS}}}
+	if reply, err, ok := c.call(ctx, w, call, orderDuration); ok {
+		return reply.GetClockMs(), err
+	}
+	clock, err := c.direct.Start(ctx, w, s)
+	c.noteDirect(w, err)
+	return clock, err
+}
+
+// Stop implements port.LeasedWorkers.
+func (c *carriers) Stop(ctx context.Context, w port.WorkerRef, r cell.RunID, token int64) (int64, error) {
+	call := &cellpb.CarriedCall{Token: token, Call: &cellpb.CarriedCall_Stop{Stop: runMessage(r)}}
+	if reply, err, ok := c.call(ctx, w, call, orderDuration); ok {
+		return reply.GetClockMs(), err
+	}
+	clock, err := c.direct.Stop(ctx, w, r, token)
+	c.noteDirect(w, err)
+	return clock, err
+}
+
+// Pace implements port.LeasedWorkers.
+func (c *carriers) Pace(ctx context.Context, w port.WorkerRef, r cell.RunID, percent int, token int64) error {
+	call := &cellpb.CarriedCall{Token: token, Call: &cellpb.CarriedCall_Pace{Pace: &cellpb.CarriedPace{Run: runMessage(r), Percent: int32(percent)}}}
+	if _, err, ok := c.call(ctx, w, call, orderDuration); ok {
+		return err
+	}
+	return c.direct.Pace(ctx, w, r, percent, token)
+}
+
+// noteDirect makes the next call to a worker take another path after a direct one that didn't reach it.
+func (c *carriers) noteDirect(w port.WorkerRef, err error) {
+	if errors.Is(err, port.ErrUnavailable) || errors.Is(err, port.ErrUnknownOutcome) {
+		c.reroute(w)
+	}
+}
--- /dev/null
+++ b/internal/control/carriers_test.go
@@ -0,0 +1,226 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/grpc"
+	"gotest.tools/v3/assert"
+
+	"sequoiastall/internal/core/cell"
+	"sequoiastall/internal/port"
+	"sequoiastall/internal/rpc/cellpb"
+)
+
+// recordingWorkers answers every call and counts them.
+type recordingWorkers struct {
+	port.LeasedWorkers
+	renewals, starts atomic.Int64
+	err              error
+}
+
+func (r *recordingWorkers) Renew(_ context.Context, w port.WorkerRef, _ port.Renewal) (port.RenewalReply, error) {
+	r.renewals.Add(1)
+	return port.RenewalReply{ClockMS: 7, Inventory: cell.Inventory{Worker: w.ID, StartMS: 3}}, r.err
+}
+
+func (r *recordingWorkers) Start(context.Context, port.WorkerRef, port.Start) (int64, error) {
+	r.starts.Add(1)
+	return 7, r.err
+}
+
+// newTestCarriers returns n carriers in four zones that answer every call as DONE.
+func newTestCarriers(t *testing.T, n int) (*carriers, *recordingWorkers, []func()) {
+	direct := &recordingWorkers{}
+	c := newCarriers(direct)
+	var leave []func()
+	for i := range n {
+		x, left := c.join(fmt.Sprint("node-", i), fmt.Sprint("zone-", i%4))
+		leave = append(leave, left)
+		go x.answer(t.Context())
+	}
+	return c, direct, leave
+}
+
+// answer replies to all calls, except to those of a worker named "lost".
+func (x *carrier) answer(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case call := <-x.out:
+			if call.Worker == "lost" {
+				continue
+			}
+			x.mu.Lock()
+			if waiting := x.pending[call.Id]; waiting != nil {
+				waiting <- &cellpb.CarriedReply{Id: call.Id, Outcome: cellpb.CarriedReply_DONE, ClockMs: 5, Inventory: &cellpb.CarriedInventory{StartMs: 1}}
+			}
+			x.mu.Unlock()
+		}
+	}
+}
+
+func refs(n int) []port.WorkerRef {
+	var list []port.WorkerRef
+	for i := range n {
+		list = append(list, port.WorkerRef{ID: cell.WorkerID(fmt.Sprint("i-", i)), Address: "a", Zone: fmt.Sprint("zone-", i%4)})
+	}
+	return list
+}
+
+// Guards against a scheduling node that makes most calls itself, against carriers in other zones, and against a carrier
+// that leaves and moves more than its own workers.
+func TestWorkersAreSpreadOverCarriersOfTheirZone(t *testing.T) {
+	c, _, leave := newTestCarriers(t, 24)
+	workers := refs(480)
+	before, share := map[cell.WorkerID]string{}, map[string]int{}
+	for _, w := range workers {
+		x := c.choose(w)
+		assert.Assert(t, x != nil)
+		assert.Equal(t, x.zone, w.Zone)
+		before[w.ID] = x.name
+		share[x.name]++
+	}
+	for name, n := range share {
+		assert.Assert(t, n < 3*480/24, "%s has %d workers", name, n)
+	}
+	leave[0]()
+	for _, w := range workers {
+		if x := c.choose(w); before[w.ID] != "node-0" {
+			assert.Equal(t, x.name, before[w.ID])
+		} else {
+			assert.Equal(t, x.zone, w.Zone)
+		}
+	}
+}
+
+// Guards against spreading the calls of a small cell, where it only adds a hop.
+func TestSmallCellCallsDirectly(t *testing.T) {
+	c, direct, _ := newTestCarriers(t, minSpreadMembers-1)
+	_, err := c.Renew(t.Context(), refs(1)[0], port.Renewal{})
+	assert.NilError(t, err)
+	assert.Equal(t, direct.renewals.Load(), int64(1))
+}
+
+// Guards against a lease that isn't renewed, or a start that is taken for not sent, because the carrier was lost.
+func TestLostCarrierLosesNoLease(t *testing.T) {
+	c, direct, _ := newTestCarriers(t, 24)
+	lost := port.WorkerRef{ID: "lost", Address: "a", Zone: "zone-1"}
+	began := time.Now()
+	reply, err := c.Renew(t.Context(), lost, port.Renewal{Token: 1, LeaseEndMS: 5, Ack: 3})
+	assert.NilError(t, err)
+	assert.Equal(t, reply.ClockMS, int64(7), "made directly after two carriers")
+	assert.Equal(t, direct.renewals.Load(), int64(1))
+	assert.Assert(t, time.Since(began) < 3*time.Second)
+	c.paths["lost"] = 0
+	_, err = c.Start(t.Context(), lost, port.Start{})
+	assert.ErrorIs(t, err, port.ErrUnknownOutcome)
+	assert.Assert(t, !errors.Is(err, port.ErrUnavailable))
+	assert.Equal(t, direct.starts.Load(), int64(0), "the carrier may still execute the start, so the scheduler decides")
+}
+
+// Guards against calls that wait for a carrier whose stream has ended.
+func TestCallsOfAGoneCarrierEndAtOnce(t *testing.T) {
+	c, _, leave := newTestCarriers(t, 24)
+	lost := port.WorkerRef{ID: "lost", Address: "a", Zone: "zone-2"}
+	x := c.choose(lost)
+	time.AfterFunc(20*time.Millisecond, func() { leave[0](); close(x.gone) })
+	began := time.Now()
+	_, err := c.Start(t.Context(), lost, port.Start{})
+	assert.ErrorIs(t, err, port.ErrUnknownOutcome)
+	assert.Assert(t, time.Since(began) < orderDuration)
+}
+
+// Guards against outcomes that change their meaning on the way: a start that wasn't executed must not become one that
+// may have been, nor the other way round.
+func TestOutcomesSurviveTheWire(t *testing.T) {
+	for _, err := range []error{port.ErrUnknownOutcome, port.ErrUnavailable, port.ErrConnectionRefused, port.ErrFenced, port.ErrStaleRun, port.ErrRefused,
+		port.ErrNoTicket, port.ErrInstanceChanged, port.ErrMalformed} {
+		got := errorOf(replyOf(1, errors.Wrap(err, "detail")))
+		for _, other := range outcomes {
+			assert.Equal(t, errors.Is(got, other.err), errors.Is(err, other.err), "%v as %v", err, other.err)
+		}
+	}
+	assert.NilError(t, errorOf(replyOf(1, nil)))
+	assert.ErrorIs(t, errorOf(replyOf(1, errors.New("other"))), port.ErrUnknownOutcome)
+	assert.ErrorIs(t, errorOf(&cellpb.CarriedReply{Outcome: 99}), port.ErrUnknownOutcome)
+}
+
+// Guards against a carrier that was paused and then executes the calls that lay in its buffers, and against one that
+// refuses all calls after a step of a clock.
+func TestCallsThatWaitedInAPausedCarrierAreRefused(t *testing.T) {
+	var f delayFilter
+	const offset = 400 // difference of the clocks
+	for i := range int64(10) {
+		assert.Assert(t, !f.late(1000+i, 1000+i+offset+i%3))
+	}
+	assert.Assert(t, f.late(2000, 2000+offset+4000), "the carrier was paused for 4 s")
+	assert.Assert(t, f.late(2100, 2000+offset+4000))
+	assert.Assert(t, !f.late(6000, 6000+offset))
+	refused := 0
+	for i := range int64(100) {
+		if f.late(7000+i, 7000+i+offset+2400) {
+			refused++
+		}
+	}
+	assert.Assert(t, refused > 0 && refused < 20, "%d calls were refused after a step of 2.4 s", refused)
+}
+
+// Guards against calls and replies that get lost between the scheduling node and a real stream of a member, and against
+// a member that gets calls after it has announced that it leaves.
+func TestMemberCarriesCalls(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	scheduling, _, _ := newIsolatedNode()
+	ctx, end := context.WithCancelCause(t.Context())
+	defer end(nil)
+	s := &activeTerm{node: scheduling, term: &term{number: 1}, ctx: ctx, end: end, carriers: newCarriers(&recordingWorkers{})}
+	scheduling.activeTerm.Store(s)
+	server := grpc.NewServer(serverOptions()...)
+	cellpb.RegisterCellServer(server, &peerServer{node: scheduling})
+	go func() { _ = server.Serve(listener) }() // ends with Stop
+	defer server.Stop()
+
+	member, _, _ := newIsolatedNode()
+	defer member.peers.close()
+	workers := &recordingWorkers{}
+	member.options.Workers, member.options.Zone = workers, "z"
+	carrying, stop := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() { member.keepCarrying(carrying, listener.Addr().String()); close(ended) }()
+	count := func() int {
+		s.carriers.mu.Lock()
+		defer s.carriers.mu.Unlock()
+		return len(s.carriers.list)
+	}
+	waitUntil(t, func() bool { return count() == 1 })
+	x := s.carriers.list[0]
+	for range 200 {
+		reply, err := s.carriers.exchange(ctx, x, &cellpb.CarriedCall{Worker: "w", Call: &cellpb.CarriedCall_Renew{Renew: &cellpb.CarriedRenewal{}}}, time.Minute)
+		assert.NilError(t, err)
+		assert.Equal(t, renewalReplyFrom("w", reply).Inventory.StartMS, int64(3))
+	}
+	assert.Equal(t, workers.renewals.Load(), int64(200))
+	member.Leave()
+	waitUntil(t, func() bool { return count() == 0 })
+	_, err = s.carriers.exchange(ctx, x, &cellpb.CarriedCall{Worker: "w", Call: &cellpb.CarriedCall_Renew{Renew: &cellpb.CarriedRenewal{}}}, time.Minute)
+	assert.NilError(t, err, "calls that were already on their way are answered")
+	stop()
+	<-ended
+}
+
+// waitUntil polls a condition. The result doesn't depend on how long it takes.
+func waitUntil(t *testing.T, condition func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(time.Minute); !condition(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the condition didn't become true within a minute")
+		}
+	}
+}
--- /dev/null
+++ b/internal/control/delegate.go
@@ -0,0 +1,184 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"sequoiastall/internal/core/cell"
+	"sequoiastall/internal/port"
+	"sequoiastall/internal/rpc/cellpb"
+)
+
+// In a large cell, the scheduling node leaves the reading of the store to a member, the delegate. What the store returns
+// is many times larger than what has changed: workers write their entries again and again, and the scheduling node has
+// nearly all accepted jobs already.
+
+const (
+	// minSpreadMembers is the number of members from which the scheduling node leaves reads of the store and calls to
+	// workers to them.
+	minSpreadMembers = 16
+	// delegateTimeout bounds a call to the delegate, which makes at least one call to the store.
+	delegateTimeout = 800 * time.Millisecond
+)
+
+// delegate returns the address of the member that reads the store for the scheduling node, or "" if there is none. It
+// stays the same as long as its calls succeed.
+func (m *members) delegate() string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(m.list) < minSpreadMembers {
+		return ""
+	}
+	// The first members may have to take over. The eligible ones come first.
+	for i := len(m.list) / 2; i > 0; i-- {
+		if x := m.list[(i+m.delegateFailures)%len(m.list)]; !x.ineligible() {
+			return x.address
+		}
+	}
+	return ""
+}
+
+func (m *members) delegateFailed(address string, err error) {
+	m.mu.Lock()
+	m.delegateFailures++
+	m.mu.Unlock()
+	m.s.node.options.Log.Warn("dependency lost", "dependency", "delegate", "address", address, "error", err.Error())
+}
+
+// workersSince returns what has changed in the registry after a revision, from the delegate or from the store itself.
+func (s *activeTerm) workersSince(revision int64) (workerChanges, error) {
+	if address := s.members.delegate(); address != "" && revision >= 0 {
+		ctx, cancel := context.WithTimeout(s.ctx, delegateTimeout)
+		reply, err := s.node.peers.client(address).Workers(ctx, &cellpb.WorkersRequest{After: revision})
+		cancel()
+		if err == nil {
+			return workerChangesFrom(reply), nil
+		}
+		s.members.delegateFailed(address, err)
+	}
+	c, err := s.node.registry.since(s.ctx, revision)
+	if err == nil {
+		s.node.storeAnswered()
+	}
+	return c, err
+}
+
+// Workers implements cellpb.CellServer.
+func (p *peerServer) Workers(ctx context.Context, r *cellpb.WorkersRequest) (*cellpb.WorkersReply, error) {
+	c, err := p.node.registry.since(ctx, r.After)
+	if err != nil {
+		return nil, err
+	}
+	return workersReply(c), nil
+}
+
+func workersReply(c workerChanges) *cellpb.WorkersReply {
+	reply := &cellpb.WorkersReply{Revision: c.revision, Full: c.full}
+	for _, w := range c.reports {
+		reply.Reports = append(reply.Reports, &cellpb.WorkerReport{Id: string(w.ID), Address: w.Address, Service: w.Service, Zone: w.Zone,
+			Rack: w.Rack, Labels: w.Labels, MilliCpu: w.Capacity.MilliCPU, MemoryMb: w.Capacity.MemoryMB,
+			Accelerators: w.Capacity.Accelerators, Draining: w.Draining, StartMs: w.StartMS})
+	}
+	for _, id := range c.removed {
+		reply.Removed = append(reply.Removed, string(id))
+	}
+	return reply
+}
+
+func workerChangesFrom(reply *cellpb.WorkersReply) workerChanges {
+	c := workerChanges{full: reply.Full, revision: reply.Revision}
+	for _, r := range reply.Reports {
+		w := cell.WorkerReport{ID: cell.WorkerID(r.Id), Address: r.Address, Service: r.Service, Zone: r.Zone, Rack: r.Rack, Labels: r.Labels,
+			Draining: r.Draining, StartMS: r.StartMs}
+		w.Capacity.MilliCPU, w.Capacity.MemoryMB, w.Capacity.Accelerators = r.MilliCpu, r.MemoryMb, r.Accelerators
+		c.reports = append(c.reports, w)
+	}
+	for _, id := range reply.Removed {
+		c.removed = append(c.removed, cell.WorkerID(id))
+	}
+	return c
+}
+
+// Jobs implements cellpb.CellServer.
+func (p *peerServer) Jobs(ctx context.Context, r *cellpb.JobsRequest) (*cellpb.JobsReply, error) {
+	events, revision, err := p.node.options.Store.Changes(ctx, inPrefix, r.After, 0)
+	if errors.Is(err, port.ErrCompacted) {
+		return &cellpb.JobsReply{Compacted: true}, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	reply := &cellpb.JobsReply{Revision: revision}
+	for _, e := range events {
+		if e.Deleted {
+			continue
+		}
+		if id, ok := idIn(e.Entry.Key, jobPrefix); ok {
+			reply.Accepted = append(reply.Accepted, string(id))
+		} else if id, ok := idIn(e.Entry.Key, cancelPrefix); ok {
+			reply.Canceled = append(reply.Canceled, string(id))
+		}
+	}
+	return reply, nil
+}
+
+// jobChanges returns the records of accepted and canceled jobs that were written after a revision, except for jobs that
+// the scheduler knows. It fails with port.ErrCompacted if the store no longer has changes that old.
+func (s *activeTerm) jobChanges(after int64) ([]port.Entry, int64, error) {
+	if address := s.members.delegate(); address != "" {
+		ctx, cancel := context.WithTimeout(s.ctx, delegateTimeout)
+		reply, err := s.node.peers.client(address).Jobs(ctx, &cellpb.JobsRequest{After: after})
+		cancel()
+		switch {
+		case err != nil:
+			s.members.delegateFailed(address, err)
+		case reply.Compacted:
+			return nil, after, port.ErrCompacted
+		default:
+			return s.fetchUnknownJobs(reply, after)
+		}
+	}
+	events, at, err := s.node.options.Store.Changes(s.ctx, inPrefix, after, 0)
+	if err != nil {
+		return nil, after, err
+	}
+	var entries []port.Entry
+	for _, e := range events {
+		if !e.Deleted {
+			entries = append(entries, e.Entry)
+		}
+	}
+	return entries, at, nil
+}
+
+// fetchUnknownJobs reads the records of the accepted jobs that the scheduler doesn't know. If one can't be read, the
+// changes have to be read again.
+func (s *activeTerm) fetchUnknownJobs(reply *cellpb.JobsReply, after int64) ([]port.Entry, int64, error) {
+	var unknown []cell.JobID
+	if !s.query(s.ctx, func() {
+		for _, id := range reply.Accepted {
+			if !s.core.Knows(cell.JobID(id)) {
+				unknown = append(unknown, cell.JobID(id))
+			}
+		}
+	}) {
+		return nil, after, s.ctx.Err()
+	}
+	var entries []port.Entry
+	for _, id := range unknown {
+		e, err := s.node.options.Store.Get(s.ctx, jobKey(id))
+		switch {
+		case errors.Is(err, port.ErrNotFound): // the job has ended
+		case err != nil:
+			return nil, after, err
+		default:
+			entries = append(entries, e)
+		}
+	}
+	for _, id := range reply.Canceled {
+		entries = append(entries, port.Entry{Key: cancelKey(cell.JobID(id))})
+	}
+	return entries, reply.Revision, nil
+}
--- a/internal/control/links.go
+++ b/internal/control/links.go
@@ -60,7 +60,7 @@
 			l.cancel()
 		}
 		ctx, cancel := context.WithCancel(s.ctx)
-		l := &workerLink{s: s, ref: port.WorkerRef{ID: w.ID, Address: w.Address}, cancel: cancel, acked: make(chan struct{}, 1), instanceStartMS: w.StartMS,
+		l := &workerLink{s: s, ref: port.WorkerRef{ID: w.ID, Address: w.Address, Zone: w.Zone}, cancel: cancel, acked: make(chan struct{}, 1), instanceStartMS: w.StartMS,
 			expiresAt: s.began.Add(s.node.options.orphanTimeout())}
 		s.links[w.ID] = l
 		s.tasks.Go(func() { l.run(ctx) })
@@ -111,7 +111,7 @@
 			maxWait = 0
 		}
 		r, expiry := l.nextRenewal(maxWait)
-		reply, err := l.s.node.options.Workers.Renew(ctx, l.ref, r)
+		reply, err := l.s.carriers.Renew(ctx, l.ref, r)
 		l.endLeaseCall(expiry, err)
 		if err != nil {
 			l.handleFailure(ctx, err)
@@ -276,9 +276,9 @@
 	case cell.OrderStart:
 		err = l.start(o)
 	case cell.OrderPace:
-		err = l.s.node.options.Workers.Pace(l.s.ctx, l.ref, o.Run, o.Pace, l.s.term.number)
+		err = l.s.carriers.Pace(l.s.ctx, l.ref, o.Run, o.Pace, l.s.term.number)
 	default:
-		_, err = l.s.node.options.Workers.Stop(l.s.ctx, l.ref, o.Run, l.s.term.number)
+		_, err = l.s.carriers.Stop(l.s.ctx, l.ref, o.Run, l.s.term.number)
 	}
 	outcome := orderOutcome(err)
 	recordSince(l.s.node.metrics.orderTime, began)
@@ -296,7 +296,7 @@
 	l.mu.Unlock()
 	err := errors.Wrap(port.ErrUnavailable, "worker clock not known yet")
 	if leaseEndMS != 0 {
-		_, err = l.s.node.options.Workers.Start(l.s.ctx, l.ref, port.Start{Order: o, Token: l.s.term.number, LeaseEndMS: leaseEndMS})
+		_, err = l.s.carriers.Start(l.s.ctx, l.ref, port.Start{Order: o, Token: l.s.term.number, LeaseEndMS: leaseEndMS})
 	}
 	l.endLeaseCall(expiry, err)
 	return err
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -16,13 +16,15 @@
 type members struct {
 	s *activeTerm
 
-	mu         sync.Mutex
-	list       []*member // in succession order
-	announced  []string  // succession that was last sent to all members
-	countedAt  time.Time // when the waiting jobs were last sent
-	ticks      int
-	handedOver bool     // at least one member was asked to take over
-	successors []string // addresses of the members that were asked to take over
+	mu        sync.Mutex
+	list      []*member // in succession order
+	announced []string  // succession that was last sent to all members
+	countedAt time.Time // when the waiting jobs were last sent
+	ticks     int
+	// delegateFailures is the number of failed calls to delegates, each of which makes another member the delegate.
+	delegateFailures int
+	handedOver       bool     // at least one member was asked to take over
+	successors       []string // addresses of the members that were asked to take over
 }
 
 // member is an attached node.
--- a/internal/control/members_test.go
+++ b/internal/control/members_test.go
@@ -97,7 +97,7 @@
 	renewing := make(chan struct{})
 	workers := &blockedWorkers{renewing: renewing, released: make(chan struct{})}
 	n, _, _ := newIsolatedNode()
-	n.options.Store, n.options.Workers, n.options.ConfigSource = &endingStore{renewing: renewing}, workers, oneWorker{}
+	n.options.Store, n.options.Workers, n.registry.source = &endingStore{renewing: renewing}, workers, oneWorker{}
 	err := n.schedule(t.Context(), &term{number: 1}, time.Now())
 	assert.ErrorContains(t, err, "lapsed")
 	assert.Assert(t, !n.Scheduling())
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -33,6 +33,7 @@
 	leaving         chan struct{} // closed when the node starts to stop
 	leaveOnce       sync.Once
 	peers           peerConns
+	registry        registry
 	outbox          chan *cellpb.MemberMessage // messages to the scheduling node
 	malformedConfig string                     // last logged error of a configuration that can't be decoded; used only by pollConfig
 	fetchingConfig  atomic.Bool                // a configuration is being fetched from another node
@@ -65,6 +66,7 @@
 func New(o Options) *Node {
 	n := &Node{options: o, leaving: make(chan struct{}), outbox: make(chan *cellpb.MemberMessage, outboxSize)}
 	n.store = &relayingStore{TxnStore: o.Store, node: n}
+	n.registry.source = o.ConfigSource
 	n.metrics = newMetrics(o.Metrics, n)
 	return n
 }
--- a/internal/control/options.go
+++ b/internal/control/options.go
@@ -12,6 +12,7 @@
 type Options struct {
 	Name    string
 	Address string // IP:port of the service for other nodes
+	Zone    string
 	// MaxLease is the longest time for which a worker keeps its runs without a renewal.
 	MaxLease time.Duration
 	// EndedRetention is how long an ended job stays known.
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -96,6 +96,18 @@
 	return nil, f.err
 }
 
+func (f failingClient) Workers(context.Context, *cellpb.WorkersRequest, ...grpc.CallOption) (*cellpb.WorkersReply, error) {
+	return nil, f.err
+}
+
+func (f failingClient) Jobs(context.Context, *cellpb.JobsRequest, ...grpc.CallOption) (*cellpb.JobsReply, error) {
+	return nil, f.err
+}
+
+func (f failingClient) Carry(context.Context, ...grpc.CallOption) (grpc.BidiStreamingClient[cellpb.CarriedReplies, cellpb.CarriedCalls], error) {
+	return nil, f.err
+}
+
 func (f failingClient) Relay(context.Context, *cellpb.RelayRequest, ...grpc.CallOption) (*cellpb.RelayReply, error) {
 	return nil, f.err
 }
--- a/internal/control/registry.go
+++ b/internal/control/registry.go
@@ -1,8 +1,9 @@
 package control
 
 import (
-	"maps"
-	"slices"
+	"context"
+	"reflect"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -11,71 +12,136 @@
 	"sequoiastall/internal/port"
 )
 
-// registry is a copy of the registry of workers. The whole list is read once in a term, or again after the store has
-// discarded its history; after that, only changes are read.
+// registry is a node's copy of the registry of workers. The whole list is read once, or again after the store has
+// discarded its history; after that, only changes are read. It is safe for concurrent use.
 type registry struct {
-	source   port.ConfigSource
-	reports  map[cell.WorkerID]cell.WorkerReport
-	revision int64 // after which changes have to be read, 0 if the whole list has to be read
+	source port.ConfigSource
+
+	mu        sync.Mutex
+	reports   map[cell.WorkerID]cell.WorkerReport
+	changedAt map[cell.WorkerID]int64 // revision up to which the registry was read when a worker last changed or left
+	readAt    int64                   // revision at which the whole list was read
+	revision  int64                   // up to which changes were read, 0 if the whole list has to be read
 }
 
-// pollRegistry keeps the scheduler's workers up to date with the registry.
-func (s *activeTerm) pollRegistry() {
-	r := registry{source: s.node.options.ConfigSource}
-	for {
-		changed, err := r.poll(s)
-		switch {
-		case err == nil:
-			s.node.storeAnswered()
-		case s.ctx.Err() == nil:
-			s.node.options.Log.Warn("registry not read", "error", err.Error())
+// workerChanges is what has changed in the registry of workers.
+type workerChanges struct {
+	full     bool // reports is the whole registry
+	reports  []cell.WorkerReport
+	removed  []cell.WorkerID
+	revision int64 // up to which changes are included
+}
+
+func (c workerChanges) empty() bool { return !c.full && len(c.reports) == 0 && len(c.removed) == 0 }
+
+// since reads the registry and returns what has changed after a revision.
+func (r *registry) since(ctx context.Context, after int64) (workerChanges, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err := r.refresh(ctx); err != nil {
+		return workerChanges{}, err
+	}
+	c := workerChanges{full: after < r.readAt, revision: r.revision}
+	for id, w := range r.reports {
+		if c.full || r.changedAt[id] > after {
+			c.reports = append(c.reports, w)
 		}
-		reports := slices.Collect(maps.Values(r.reports))
-		s.post(s.ctx, func() {
-			if changed {
-				s.core.SetWorkers(reports, time.Now())
-			}
-			s.core.ForgetIdleWorkers()
-			s.updateLinks()
-		})
-		if !s.pause(registryPollInterval) {
-			return
+	}
+	for id, at := range r.changedAt {
+		if _, listed := r.reports[id]; !listed && !c.full && at > after {
+			c.removed = append(c.removed, id)
 		}
 	}
+	return c, nil
 }
 
-// poll reads the registry or its changes, and reports whether the copy has changed.
-func (r *registry) poll(s *activeTerm) (changed bool, err error) {
+// refresh reads the registry's changes, or the whole list if that isn't possible. The caller must hold mu.
+func (r *registry) refresh(ctx context.Context) error {
 	if r.revision == 0 {
-		return r.readAll(s)
+		return r.readAll(ctx)
 	}
-	changes, revision, err := r.source.WorkerChanges(s.ctx, r.revision)
+	changes, revision, err := r.source.WorkerChanges(ctx, r.revision)
 	if errors.Is(err, port.ErrCompacted) {
-		s.node.options.Log.Warn("changes of the registry are gone, reading all workers", "after", r.revision)
-		return r.readAll(s)
+		return r.readAll(ctx)
 	}
 	if err != nil {
-		return false, err
+		return err
 	}
 	r.revision = revision
 	for _, c := range changes {
-		if c.Report == nil {
-			delete(r.reports, c.ID)
-		} else {
-			r.reports[c.ID] = *c.Report
-		}
+		r.apply(c)
 	}
-	return len(changes) > 0, nil
+	return nil
 }
 
-func (r *registry) readAll(s *activeTerm) (changed bool, err error) {
-	reports, revision, err := r.source.Workers(s.ctx)
+// apply applies a change. Workers write their entries again and again, mostly without a change that matters here.
+func (r *registry) apply(c port.WorkerChange) {
+	old, listed := r.reports[c.ID]
+	switch {
+	case c.Report == nil && !listed, c.Report != nil && listed && reflect.DeepEqual(old, *c.Report):
+		return
+	case c.Report == nil:
+		delete(r.reports, c.ID)
+	default:
+		r.reports[c.ID] = *c.Report
+	}
+	r.changedAt[c.ID] = r.revision
+}
+
+func (r *registry) readAll(ctx context.Context) error {
+	reports, revision, err := r.source.Workers(ctx)
 	if err != nil {
-		return false, err
+		return err
 	}
-	r.reports, r.revision = make(map[cell.WorkerID]cell.WorkerReport, len(reports)), revision
+	r.reports, r.changedAt = make(map[cell.WorkerID]cell.WorkerReport, len(reports)), map[cell.WorkerID]int64{}
+	r.readAt, r.revision = revision, revision
 	for _, w := range reports {
 		r.reports[w.ID] = w
 	}
-	return true, nil
+	return nil
+}
+
+// pollRegistry keeps the scheduler's workers up to date with the registry.
+func (s *activeTerm) pollRegistry() {
+	known, revision := map[cell.WorkerID]cell.WorkerReport{}, int64(-1)
+	for {
+		c, err := s.workersSince(revision)
+		switch {
+		case err == nil:
+			revision = c.revision
+			s.postWorkers(known, c)
+		case s.ctx.Err() == nil:
+			s.node.options.Log.Warn("registry not read", "error", err.Error())
+		}
+		if !s.pause(registryPollInterval) {
+			return
+		}
+	}
+}
+
+// postWorkers applies changes to the known workers and passes them to the scheduler.
+func (s *activeTerm) postWorkers(known map[cell.WorkerID]cell.WorkerReport, c workerChanges) {
+	if c.full {
+		clear(known)
+	}
+	for _, w := range c.reports {
+		known[w.ID] = w
+	}
+	for _, id := range c.removed {
+		delete(known, id)
+	}
+	var reports []cell.WorkerReport
+	if !c.empty() {
+		reports = make([]cell.WorkerReport, 0, len(known))
+		for _, w := range known {
+			reports = append(reports, w)
+		}
+	}
+	s.post(s.ctx, func() {
+		if !c.empty() {
+			s.core.SetWorkers(reports, time.Now())
+		}
+		s.core.ForgetIdleWorkers()
+		s.updateLinks()
+	})
 }
--- a/internal/control/registry_test.go
+++ b/internal/control/registry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -15,12 +16,14 @@
 	port.ConfigSource
 	lists     int
 	changes   []port.WorkerChange
+	revision  int64
 	compacted bool
 }
 
 func (c *changingRegistry) Workers(context.Context) ([]cell.WorkerReport, int64, error) {
 	c.lists++
-	return []cell.WorkerReport{{ID: "w1"}, {ID: "w2"}}, 7, nil
+	c.revision++
+	return []cell.WorkerReport{{ID: "w1"}, {ID: "w2"}}, c.revision, nil
 }
 
 func (c *changingRegistry) WorkerChanges(_ context.Context, after int64) ([]port.WorkerChange, int64, error) {
@@ -28,32 +31,54 @@
 		c.compacted = false
 		return nil, after, port.ErrCompacted
 	}
-	return c.changes, after + int64(len(c.changes)), nil
+	changes := c.changes
+	c.changes = nil
+	c.revision += int64(len(changes))
+	return changes, c.revision, nil
 }
 
-// Guards against reading the whole registry again and again, against missing a worker that has joined, left or become
-// unreadable, and against keeping workers that left while the store discarded its history.
-func TestRegistryFollowsChanges(t *testing.T) {
-	node, _, _ := newIsolatedNode()
-	s := &activeTerm{node: node, ctx: t.Context()}
+// Guards against reading the whole registry again and again, against passing on entries that were only written again,
+// against missing a worker that has joined, left or become unreadable, and against keeping workers that left while the
+// store discarded its history.
+func TestRegistryPassesOnChanges(t *testing.T) {
 	source := &changingRegistry{}
-	r := registry{source: source}
-	poll := func(expectChanged bool) {
+	r := &registry{source: source}
+	since := func(after int64) workerChanges {
 		t.Helper()
-		changed, err := r.poll(s)
+		c, err := r.since(t.Context(), after)
 		assert.NilError(t, err)
-		assert.Equal(t, changed, expectChanged)
+		return c
 	}
-	poll(true)
-	poll(false)
-	poll(false)
+	first := since(-1)
+	assert.Assert(t, first.full)
+	assert.Equal(t, len(first.reports), 2)
+	source.changes = []port.WorkerChange{{ID: "w1", Report: &cell.WorkerReport{ID: "w1"}}}
+	assert.Assert(t, since(first.revision).empty())
 	assert.Equal(t, source.lists, 1)
+
 	source.changes = []port.WorkerChange{{ID: "w1"}, {ID: "w3", Report: &cell.WorkerReport{ID: "w3", Draining: true}}}
-	poll(true)
-	assert.Equal(t, len(r.reports), 2)
-	assert.Assert(t, r.reports["w3"].Draining)
-	source.changes, source.compacted = nil, true
-	poll(true)
+	second := since(first.revision)
+	assert.Assert(t, !second.full)
+	assert.DeepEqual(t, second.removed, []cell.WorkerID{"w1"})
+	assert.DeepEqual(t, second.reports, []cell.WorkerReport{{ID: "w3", Draining: true}})
+	assert.Assert(t, since(second.revision).empty())
+	assert.Equal(t, len(since(first.revision).removed), 1, "a caller that didn't get the answer asks again")
+
+	source.compacted = true
+	third := since(second.revision)
+	assert.Assert(t, third.full)
+	assert.Equal(t, len(third.reports), 2)
 	assert.Equal(t, source.lists, 2)
-	assert.DeepEqual(t, r.reports, map[cell.WorkerID]cell.WorkerReport{"w1": {ID: "w1"}, "w2": {ID: "w2"}})
+}
+
+// Guards against fields that get lost between the delegate and the scheduling node.
+func TestWorkerChangesSurviveTheWire(t *testing.T) {
+	w := cell.WorkerReport{ID: "w", Address: "a", Service: "s", Zone: "z", Rack: "r1-1", Labels: []string{"a", "r1-1"}, Draining: true, StartMS: 5}
+	w.Capacity.MilliCPU, w.Capacity.MemoryMB, w.Capacity.Accelerators = 1, 2, 3
+	c := workerChanges{full: true, reports: []cell.WorkerReport{w}, removed: []cell.WorkerID{"x"}, revision: 9}
+	got := workerChangesFrom(workersReply(c))
+	assert.Assert(t, got.full)
+	assert.Equal(t, got.revision, int64(9))
+	assert.DeepEqual(t, got.reports, c.reports)
+	assert.Assert(t, slices.Equal(got.removed, c.removed))
 }
--- a/internal/control/relay.go
+++ b/internal/control/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -71,7 +72,22 @@
 	return 0, errors.Wrap(port.ErrUnknownOutcome, "relayed")
 }
 
-// relay asks other nodes to make a call, the scheduling node first, until one has an answer from the store.
+// relays returns the addresses of the nodes that may make a call for this one. In a large cell the scheduling node comes
+// last, because many nodes may need a relay at the same time, and the members are asked in an order that differs from
+// node to node.
+func (r *relayingStore) relays(m *membership) []string {
+	members := slices.DeleteFunc(slices.Clone(m.members), func(a string) bool { return a == r.node.options.Address })
+	if m.address == r.node.options.Address {
+		return members
+	}
+	if len(members) < minSpreadMembers {
+		return append([]string{m.address}, members...)
+	}
+	first := int(hashOf(r.node.options.Name) % uint64(len(members)))
+	return append(append(members[first:len(members):len(members)], members[:first]...), m.address)
+}
+
+// relay asks other nodes to make a call until one has an answer from the store.
 func (r *relayingStore) relay(ctx context.Context, call *cellpb.RelayRequest) (*cellpb.RelayReply, bool) {
 	m := r.node.membership.Load()
 	if m == nil || m.storeAge+time.Since(m.lastContact) > maxRelayStoreAge {
@@ -79,9 +95,9 @@
 	}
 	var last *cellpb.RelayReply
 	tried := 0
-	for _, address := range append([]string{m.address}, m.members...) {
-		if address == r.node.options.Address || tried == relayAttempts || ctx.Err() != nil {
-			continue
+	for _, address := range r.relays(m) {
+		if tried == relayAttempts || ctx.Err() != nil {
+			break
 		}
 		tried++
 		attempt, cancel := context.WithTimeout(ctx, peerTimeout)
--- a/internal/control/scheduling.go
+++ b/internal/control/scheduling.go
@@ -28,6 +28,7 @@
 	advice        *advicePool
 	committer     *committer
 	members       *members
+	carriers      *carriers
 	recordWaiters recordWaiters
 	began         time.Time
 	loaded        atomic.Bool // the state is loaded; events are queued until then
@@ -50,6 +51,7 @@
 	s.advice = newAdvicePool(s)
 	s.committer = newCommitter(s)
 	s.members = newMembers(s)
+	s.carriers = newCarriers(n.options.Workers)
 	s.tasks.Go(func() {
 		if err := n.renewTerm(termCtx, t); err != nil {
 			end(err)
@@ -225,23 +227,16 @@
 // lost.
 func (s *activeTerm) pollChanges(after int64) {
 	for {
-		events, at, err := s.node.options.Store.Changes(s.ctx, inPrefix, after, 0)
+		entries, at, err := s.jobChanges(after)
 		switch {
 		case errors.Is(err, port.ErrCompacted):
 			s.node.options.Log.Warn("changes of the store are gone, reading all jobs", "after", after)
-			var entries []port.Entry
 			if entries, at, err = s.readAll(inPrefix); err == nil {
 				after = at
 				s.post(s.ctx, func() { s.applyEntries(entries) })
 			}
 		case err == nil:
 			after = at
-			entries := make([]port.Entry, 0, len(events))
-			for _, e := range events {
-				if !e.Deleted {
-					entries = append(entries, e.Entry)
-				}
-			}
 			if len(entries) > 0 {
 				s.post(s.ctx, func() { s.applyEntries(entries) })
 			}
--- a/internal/core/cell/scheduler.go
+++ b/internal/core/cell/scheduler.go
@@ -124,6 +124,9 @@
 	expiryFactor = 3
 )
 
+// Knows reports whether the scheduler has the job.
+func (s *Scheduler) Knows(id JobID) bool { return s.jobs[id] != nil }
+
 // CancelJob cancels a job and reports whether the job is known. A job that has ended is left unchanged.
 func (s *Scheduler) CancelJob(id JobID) bool {
 	j := s.jobs[id]
--- a/internal/core/cell/workers.go
+++ b/internal/core/cell/workers.go
@@ -131,6 +131,7 @@
 type WorkerInUse struct {
 	ID      WorkerID
 	Address string
+	Zone    string
 	StartMS int64
 	Runs    int
 }
@@ -139,7 +140,7 @@
 func (s *Scheduler) WorkersInUse() []WorkerInUse {
 	used := make([]WorkerInUse, 0, len(s.workers))
 	for _, w := range s.workers {
-		used = append(used, WorkerInUse{w.ID, w.Address, w.StartMS, len(w.tasks)})
+		used = append(used, WorkerInUse{w.ID, w.Address, w.Zone, w.StartMS, len(w.tasks)})
 	}
 	slices.SortFunc(used, func(a, b WorkerInUse) int {
 		switch {
--- a/internal/port/cell.go
+++ b/internal/port/cell.go
@@ -106,6 +106,7 @@
 type WorkerRef struct {
 	ID      cell.WorkerID
 	Address string
+	Zone    string // "" if it isn't known
 }
 
 // Renewal extends the lease of everything that runs on a worker.
