control: a large cell stays spread after losses, old copies of the registry are read anew

Change: spreading starts at 16 members and ends below 4; a successor goes on with what its predecessor did. A copy older than 3 s is read as a whole list. A delegate gets 1.5 s, and a second one is asked.

--- a/internal/control/carriers.go
+++ b/internal/control/carriers.go
@@ -40,10 +40,11 @@
 type carriers struct {
 	direct port.LeasedWorkers
 
-	mu     sync.Mutex
-	list   []*carrier // sorted by name
-	paths  map[cell.WorkerID]int
-	nextID int64
+	mu        sync.Mutex
+	list      []*carrier
+	spreading spreading
+	paths     map[cell.WorkerID]int // which of a worker's candidates is used; beyond them, calls are made directly
+	nextID    int64
 }
 
 // carrier is a member that executes calls.
@@ -58,8 +59,8 @@
 	pending map[int64]chan *cellpb.CarriedReply
 }
 
-func newCarriers(direct port.LeasedWorkers) *carriers {
-	return &carriers{direct: direct, paths: map[cell.WorkerID]int{}}
+func newCarriers(direct port.LeasedWorkers, known spreading) *carriers {
+	return &carriers{direct: direct, spreading: known, paths: map[cell.WorkerID]int{}}
 }
 
 // join adds a member as a carrier. The returned function keeps further calls from it.
@@ -81,7 +82,7 @@
 func (c *carriers) choose(w port.WorkerRef) *carrier {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.list) < minSpreadMembers {
+	if !c.spreading.update(len(c.list)) {
 		return nil
 	}
 	paths := c.candidates(w)
--- a/internal/control/carriers_test.go
+++ b/internal/control/carriers_test.go
@@ -37,7 +37,7 @@
 // newTestCarriers returns n carriers in four zones that answer every call as DONE.
 func newTestCarriers(t *testing.T, n int) (*carriers, *recordingWorkers, []func()) {
 	direct := &recordingWorkers{}
-	c := newCarriers(direct)
+	c := newCarriers(direct, spreading{})
 	var leave []func()
 	for i := range n {
 		x, left := c.join(fmt.Sprint("node-", i), fmt.Sprint("zone-", i%4))
@@ -108,6 +108,19 @@
 	assert.Equal(t, direct.renewals.Load(), int64(1))
 }
 
+// Guards against moving all calls to the scheduling node's own link at the moment at which a large cell has lost many
+// nodes.
+func TestLargeCellStaysSpreadWithoutManyNodes(t *testing.T) {
+	c, _, leave := newTestCarriers(t, minSpreadMembers)
+	assert.Assert(t, c.choose(refs(1)[0]) != nil)
+	for _, left := range leave[:minSpreadMembers-keepSpreadMembers] {
+		left()
+	}
+	assert.Assert(t, c.choose(refs(1)[0]) != nil)
+	leave[minSpreadMembers-1]()
+	assert.Assert(t, c.choose(refs(1)[0]) == nil)
+}
+
 // Guards against a lease that isn't renewed, or a start that is taken for not sent, because the carrier was lost.
 func TestLostCarrierLosesNoLease(t *testing.T) {
 	c, direct, _ := newTestCarriers(t, 24)
@@ -180,7 +193,7 @@
 	scheduling, _, _ := newIsolatedNode()
 	ctx, end := context.WithCancelCause(t.Context())
 	defer end(nil)
-	s := &activeTerm{node: scheduling, term: &term{number: 1}, ctx: ctx, end: end, carriers: newCarriers(&recordingWorkers{})}
+	s := &activeTerm{node: scheduling, term: &term{number: 1}, ctx: ctx, end: end, carriers: newCarriers(&recordingWorkers{}, spreading{})}
 	scheduling.activeTerm.Store(s)
 	server := grpc.NewServer(serverOptions()...)
 	cellpb.RegisterCellServer(server, &peerServer{node: scheduling})
--- a/internal/control/delegate.go
+++ b/internal/control/delegate.go
@@ -19,16 +19,31 @@
 	// minSpreadMembers is the number of members from which the scheduling node leaves reads of the store and calls to
 	// workers to them.
 	minSpreadMembers = 16
-	// delegateTimeout bounds a call to the delegate, which makes at least one call to the store.
-	delegateTimeout = 800 * time.Millisecond
+	// keepSpreadMembers is the number of members down to which it goes on to do so. A large cell that has lost many nodes
+	// must not move all calls to the scheduling node's link at that moment.
+	keepSpreadMembers = 4
+	// delegateTimeout bounds a call to the delegate. The store may hold a read of changes for a second when it discards its
+	// history.
+	delegateTimeout = 1500 * time.Millisecond
+	// delegateAttempts is the number of delegates that are asked before the scheduling node reads the store itself.
+	delegateAttempts = 2
 )
 
+// spreading decides whether a cell is large enough to spread the scheduling node's work over the members.
+type spreading struct{ active bool }
+
+// update returns the decision for the current number of members.
+func (s *spreading) update(members int) bool {
+	s.active = members >= minSpreadMembers || s.active && members >= keepSpreadMembers
+	return s.active
+}
+
 // delegate returns the address of the member that reads the store for the scheduling node, or "" if there is none. It
 // stays the same as long as its calls succeed.
 func (m *members) delegate() string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if len(m.list) < minSpreadMembers {
+	if !m.spreading.update(len(m.list)) {
 		return ""
 	}
 	// The first members may have to take over. The eligible ones come first.
@@ -49,7 +64,11 @@
 
 // workersSince returns what has changed in the registry after a revision, from the delegate or from the store itself.
 func (s *activeTerm) workersSince(revision int64) (workerChanges, error) {
-	if address := s.members.delegate(); address != "" && revision >= 0 {
+	for range delegateAttempts {
+		address := s.members.delegate()
+		if address == "" || revision < 0 {
+			break
+		}
 		ctx, cancel := context.WithTimeout(s.ctx, delegateTimeout)
 		reply, err := s.node.peers.client(address).Workers(ctx, &cellpb.WorkersRequest{After: revision})
 		cancel()
@@ -127,7 +146,11 @@
 // jobChanges returns the records of accepted and canceled jobs that were written after a revision, except for jobs that
 // the scheduler knows. It fails with port.ErrCompacted if the store no longer has changes that old.
 func (s *activeTerm) jobChanges(after int64) ([]port.Entry, int64, error) {
-	if address := s.members.delegate(); address != "" {
+	for range delegateAttempts {
+		address := s.members.delegate()
+		if address == "" {
+			break
+		}
 		ctx, cancel := context.WithTimeout(s.ctx, delegateTimeout)
 		reply, err := s.node.peers.client(address).Jobs(ctx, &cellpb.JobsRequest{After: after})
 		cancel()
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -21,6 +21,7 @@
 	announced []string  // succession that was last sent to all members
 	countedAt time.Time // when the waiting jobs were last sent
 	ticks     int
+	spreading spreading
 	// delegateFailures is the number of failed calls to delegates, each of which makes another member the delegate.
 	delegateFailures int
 	handedOver       bool     // at least one member was asked to take over
@@ -42,7 +43,14 @@
 // memberBuffer bounds the messages queued for a member's stream. A member that falls behind misses heartbeats.
 const memberBuffer = 64
 
-func newMembers(s *activeTerm) *members { return &members{s: s} }
+func newMembers(s *activeTerm) *members { return &members{s: s, spreading: s.node.knownSpreading()} }
+
+// knownSpreading returns whether the work was spread in the term that this node followed last. It isn't known how many
+// members that term had beyond maxSuccession.
+func (n *Node) knownSpreading() spreading {
+	m := n.membership.Load()
+	return spreading{active: m != nil && len(m.members) >= minSpreadMembers}
+}
 
 // run sends heartbeats, and requests a handover if this node is about to stop, can't reach the store while other nodes
 // can, or has far fewer cores than a member.
--- a/internal/control/registry.go
+++ b/internal/control/registry.go
@@ -22,8 +22,13 @@
 	changedAt map[cell.WorkerID]int64 // revision up to which the registry was read when a worker last changed or left
 	readAt    int64                   // revision at which the whole list was read
 	revision  int64                   // up to which changes were read, 0 if the whole list has to be read
+	readTime  time.Time               // when the registry was last read
 }
 
+// maxChangesAge is the age of the copy from which the whole list is read. Workers write their entries every second or
+// two, so the changes would be larger.
+const maxChangesAge = 3 * time.Second
+
 // workerChanges is what has changed in the registry of workers.
 type workerChanges struct {
 	full     bool // reports is the whole registry
@@ -57,7 +62,7 @@
 
 // refresh reads the registry's changes, or the whole list if that isn't possible. The caller must hold mu.
 func (r *registry) refresh(ctx context.Context) error {
-	if r.revision == 0 {
+	if r.revision == 0 || time.Since(r.readTime) > maxChangesAge {
 		return r.readAll(ctx)
 	}
 	changes, revision, err := r.source.WorkerChanges(ctx, r.revision)
@@ -67,7 +72,7 @@
 	if err != nil {
 		return err
 	}
-	r.revision = revision
+	r.revision, r.readTime = revision, time.Now()
 	for _, c := range changes {
 		r.apply(c)
 	}
@@ -94,7 +99,7 @@
 		return err
 	}
 	r.reports, r.changedAt = make(map[cell.WorkerID]cell.WorkerReport, len(reports)), map[cell.WorkerID]int64{}
-	r.readAt, r.revision = revision, revision
+	r.readAt, r.revision, r.readTime = revision, revision, time.Now()
 	for _, w := range reports {
 		r.reports[w.ID] = w
 	}
--- a/internal/control/registry_test.go
+++ b/internal/control/registry_test.go
@@ -71,6 +71,19 @@
 	assert.Equal(t, source.lists, 2)
 }
 
+// Guards against a fallback that reads all that workers have written since the copy was last in use, many times the whole
+// list, over a link that is short of capacity.
+func TestOldCopyOfTheRegistryIsReadAnew(t *testing.T) {
+	source := &changingRegistry{}
+	r := &registry{source: source}
+	first, err := r.since(t.Context(), -1)
+	assert.NilError(t, err)
+	r.readTime = r.readTime.Add(-2 * maxChangesAge)
+	_, err = r.since(t.Context(), first.revision)
+	assert.NilError(t, err)
+	assert.Equal(t, source.lists, 2)
+}
+
 // Guards against fields that get lost between the delegate and the scheduling node.
 func TestWorkerChangesSurviveTheWire(t *testing.T) {
 	w := cell.WorkerReport{ID: "w", Address: "a", Service: "s", Zone: "z", Rack: "r1-1", Labels: []string{"a", "r1-1"}, Draining: true, StartMS: 5}
--- a/internal/control/scheduling.go
+++ b/internal/control/scheduling.go
@@ -51,7 +51,7 @@
 	s.advice = newAdvicePool(s)
 	s.committer = newCommitter(s)
 	s.members = newMembers(s)
-	s.carriers = newCarriers(n.options.Workers)
+	s.carriers = newCarriers(n.options.Workers, n.knownSpreading())
 	s.tasks.Go(func() {
 		if err := n.renewTerm(termCtx, t); err != nil {
 			end(err)
