control: overload of the scheduling node's link doesn't feed itself

On the next node, orders without an answer were sent again every 60 ms, workers whose carriers seemed silent moved to direct calls for good, and 455 orders of 5 s went unanswered, for 13 s.

Change: members read a new configuration from the store, and ask each other only when it doesn't answer them. The pause before an unanswered order or transaction is repeated doubles. When a third of the carriers leave calls without a reply, the own link is taken for the cause and no call moves to it; direct calls are never kept up.

Tests: TestNewerConfigurationIsReadFromTheStore, TestSlowOwnLinkDoesNotMoveCallsToIt.

--- a/internal/control/carriers.go
+++ b/internal/control/carriers.go
@@ -93,17 +93,29 @@
 	return paths[i]
 }
 
-// maxCarriersOfWorker is the number of carriers that are tried for a worker before a call is made directly.
-const maxCarriersOfWorker = 2
+const (
+	// maxCarriersOfWorker is the number of carriers that are tried for a worker before a call is made directly.
+	maxCarriersOfWorker = 2
+	// maxPausedDivisor is the fraction (1/n) of the carriers up to which paused ones are left out.
+	maxPausedDivisor = 3
+)
 
 // candidates returns the carriers for a worker in the order of preference: those of its zone first, and among these in an
 // order that differs from worker to worker, so that each carrier gets an equal share and a carrier that leaves moves
 // only its own workers.
 func (c *carriers) candidates(w port.WorkerRef) []*carrier {
-	now, id := time.Now(), hashOf(string(w.ID))
-	var best []*carrier
+	now, id, paused := time.Now(), hashOf(string(w.ID)), 0
 	for _, x := range c.list {
 		if now.Before(x.pausedUntil) {
+			paused++
+		}
+	}
+	// If many carriers leave calls without a reply, this node's own link is to blame, and direct calls would only load it
+	// more.
+	skipPaused := paused*maxPausedDivisor <= len(c.list)
+	var best []*carrier
+	for _, x := range c.list {
+		if skipPaused && now.Before(x.pausedUntil) {
 			continue
 		}
 		best = append(best, x)
@@ -223,9 +235,8 @@
 		// The worker may have restarted since its last answer, and numbers its ended runs anew.
 		r.Ack, r.Wait = 0, 0
 	}
-	reply, err := c.direct.Renew(ctx, w, r)
-	c.noteDirect(w, err)
-	return reply, err
+	defer c.tryCarriersAgain(w)
+	return c.direct.Renew(ctx, w, r)
 }
 
 // Start implements port.LeasedWorkers.
@@ -235,9 +246,8 @@
 	if reply, err, ok := c.call(ctx, w, call, orderDuration); ok {
 		return reply.GetClockMs(), err
 	}
-	clock, err := c.direct.Start(ctx, w, s)
-	c.noteDirect(w, err)
-	return clock, err
+	defer c.tryCarriersAgain(w)
+	return c.direct.Start(ctx, w, s)
 }
 
 // Stop implements port.LeasedWorkers.
@@ -246,9 +256,8 @@
 	if reply, err, ok := c.call(ctx, w, call, orderDuration); ok {
 		return reply.GetClockMs(), err
 	}
-	clock, err := c.direct.Stop(ctx, w, r, token)
-	c.noteDirect(w, err)
-	return clock, err
+	defer c.tryCarriersAgain(w)
+	return c.direct.Stop(ctx, w, r, token)
 }
 
 // Pace implements port.LeasedWorkers.
@@ -257,12 +266,13 @@
 	if _, err, ok := c.call(ctx, w, call, orderDuration); ok {
 		return err
 	}
+	defer c.tryCarriersAgain(w)
 	return c.direct.Pace(ctx, w, r, percent, token)
 }
 
-// noteDirect makes the next call to a worker take another path after a direct one that didn't reach it.
-func (c *carriers) noteDirect(w port.WorkerRef, err error) {
-	if errors.Is(err, port.ErrUnavailable) || errors.Is(err, port.ErrUnknownOutcome) {
-		c.reroute(w)
-	}
+// tryCarriersAgain ends the direct calls to a worker after one of them.
+func (c *carriers) tryCarriersAgain(w port.WorkerRef) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.paths, w.ID)
 }
--- a/internal/control/carriers_test.go
+++ b/internal/control/carriers_test.go
@@ -138,6 +138,23 @@
 	assert.Equal(t, direct.starts.Load(), int64(0), "the carrier may still execute the start, so the scheduler decides")
 }
 
+// Guards against moving the calls to the scheduling node's own link when that link is what makes the carriers' replies
+// late, and against workers that stay on direct calls after a short disruption.
+func TestSlowOwnLinkDoesNotMoveCallsToIt(t *testing.T) {
+	c, _, _ := newTestCarriers(t, 24)
+	w := refs(1)[0]
+	for _, x := range c.list {
+		c.suspend(x)
+	}
+	assert.Assert(t, c.choose(w) != nil)
+	c.reroute(w)
+	c.reroute(w)
+	assert.Assert(t, c.choose(w) == nil)
+	_, err := c.Start(t.Context(), w, port.Start{})
+	assert.NilError(t, err)
+	assert.Assert(t, c.choose(w) != nil)
+}
+
 // Guards against calls that wait for a carrier whose stream has ended.
 func TestCallsOfAGoneCarrierEndAtOnce(t *testing.T) {
 	c, _, leave := newTestCarriers(t, 24)
--- a/internal/control/committer.go
+++ b/internal/control/committer.go
@@ -21,8 +21,10 @@
 	// each record.
 	maxTxns               = 20
 	minBacklogForExtraTxn = 4
-	// commitRetryDelay is the delay before a transaction that got no answer is sent again.
-	commitRetryDelay = 50 * time.Millisecond
+	// commitRetryDelay is the delay before a transaction that got no answer is sent again. It doubles with each attempt up
+	// to maxCommitRetryDelay, so that repeated records don't fill a link that is too slow for them.
+	commitRetryDelay    = 50 * time.Millisecond
+	maxCommitRetryDelay = 400 * time.Millisecond
 )
 
 // committer writes the scheduler's records to the store. Each transaction requires that the term is still held and that
@@ -96,7 +98,7 @@
 		if attempt%10 == 0 {
 			c.s.node.options.Log.Warn("records not written", "records", len(writes), "attempt", attempt, "error", err.Error())
 		}
-		if !c.s.pause(commitRetryDelay) {
+		if !c.s.pause(min(commitRetryDelay<<min(attempt, 3), maxCommitRetryDelay)) {
 			return
 		}
 	}
--- a/internal/control/heartbeat_test.go
+++ b/internal/control/heartbeat_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -10,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"sequoiastall/internal/core/cell"
+	"sequoiastall/internal/port"
 	"sequoiastall/internal/rpc/cellpb"
 )
 
@@ -105,3 +107,30 @@
 	assert.Equal(t, len(first), 30)
 	assert.Equal(t, len(last), 10)
 }
+
+// Guards against members that all ask the scheduling node for a new configuration at once: each reads the store.
+func TestNewerConfigurationIsReadFromTheStore(t *testing.T) {
+	node, _, _ := newIsolatedNode()
+	source := &countingSource{}
+	node.options.ConfigSource = source
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() { node.pollConfig(ctx); close(ended) }()
+	waitUntil(t, func() bool { return source.reads.Load() == 1 })
+	node.handleSchedulerMessage(&holder{Address: "127.0.0.1:1"}, &cellpb.SchedulerMessage{Term: 1, ConfigVersion: 9})
+	waitUntil(t, func() bool { return source.reads.Load() > 1 })
+	assert.Assert(t, !node.fetchingConfig.Load())
+	cancel()
+	<-ended
+}
+
+// countingSource counts the reads of the configuration.
+type countingSource struct {
+	port.ConfigSource
+	reads atomic.Int64
+}
+
+func (c *countingSource) Configuration(context.Context) (*cell.Config, []byte, error) {
+	c.reads.Add(1)
+	return cell.NewConfig(cell.Config{Version: 2}), nil, nil
+}
--- a/internal/control/member.go
+++ b/internal/control/member.go
@@ -170,7 +170,7 @@
 			n.options.Log.Info("dependency regained", "dependency", "scheduling node", "node", m.Node, "term", m.Term)
 			carrying.Go(func() { n.keepCarrying(ctx, h.Address) })
 		}
-		n.handleSchedulerMessage(ctx, h, m)
+		n.handleSchedulerMessage(h, m)
 		if m.Advice != nil {
 			go n.advise(ctx, m.Advice, advice)
 		}
@@ -181,10 +181,14 @@
 }
 
 // handleSchedulerMessage processes a message of the scheduling node.
-func (n *Node) handleSchedulerMessage(ctx context.Context, h *holder, m *cellpb.SchedulerMessage) {
+func (n *Node) handleSchedulerMessage(h *holder, m *cellpb.SchedulerMessage) {
 	n.updateMembership(h.Address, m)
 	if c := n.config.Load(); c == nil || c.Version < m.ConfigVersion {
-		n.fetchConfig(ctx)
+		// The store is asked first: if all members asked the scheduling node at once, they would fill its link.
+		select {
+		case n.newerConfig <- struct{}{}:
+		default:
+		}
 	}
 }
 
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -30,6 +30,7 @@
 	activeTerm      atomic.Pointer[activeTerm] // nil unless this node schedules
 	stopping        atomic.Bool
 	refusedRevision int64         // revision of the scheduler key whose node refused the attachment; used only by supervise
+	newerConfig     chan struct{} // signals that another node has a newer configuration
 	leaving         chan struct{} // closed when the node starts to stop
 	leaveOnce       sync.Once
 	peers           peerConns
@@ -64,7 +65,7 @@
 
 // New returns a node.
 func New(o Options) *Node {
-	n := &Node{options: o, leaving: make(chan struct{}), outbox: make(chan *cellpb.MemberMessage, outboxSize)}
+	n := &Node{options: o, newerConfig: make(chan struct{}, 1), leaving: make(chan struct{}), outbox: make(chan *cellpb.MemberMessage, outboxSize)}
 	n.store = &relayingStore{TxnStore: o.Store, node: n}
 	n.registry.source = o.ConfigSource
 	n.metrics = newMetrics(o.Metrics, n)
@@ -203,16 +204,37 @@
 			n.storeFailed(err)
 			n.fetchConfig(ctx)
 		}
-		pause := configPollInterval
-		if n.config.Load() == nil || !n.storeAvailable() {
-			pause = probeInterval
-		}
-		if !wait.For(ctx, pause) {
+		if !n.awaitConfigPoll(ctx) {
 			return
 		}
 	}
 }
 
+// newerConfigDelay is the delay before the store is read because another node has a newer configuration.
+const newerConfigDelay = 20 * time.Millisecond
+
+// awaitConfigPoll waits until the configuration has to be read again, which is at once if another node has a newer one.
+// It returns false if ctx ended first.
+func (n *Node) awaitConfigPoll(ctx context.Context) bool {
+	pause := configPollInterval
+	if n.config.Load() == nil || !n.storeAvailable() {
+		pause = probeInterval
+	}
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-n.newerConfig:
+		if !n.storeAvailable() {
+			n.fetchConfig(ctx)
+		}
+		return wait.For(ctx, newerConfigDelay)
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // logMalformedConfig logs a configuration that can't be decoded, once. The last valid one stays in force.
 func (n *Node) logMalformedConfig(err error) {
 	if text := err.Error(); text != n.malformedConfig {
@@ -242,17 +264,14 @@
 // backgroundCtx is for calls that are bounded only by the term that they belong to.
 var backgroundCtx = context.Background()
 
-// fetchConfigFromPeers asks the scheduling node, and then the members, for a newer configuration. It stops at the first
-// configuration that can be decoded.
+// fetchConfigFromPeers asks other nodes for a newer configuration. It stops at the first configuration that can be
+// decoded.
 func (n *Node) fetchConfigFromPeers(ctx context.Context) {
 	m := n.membership.Load()
 	if m == nil {
 		return
 	}
-	for _, address := range append([]string{m.address}, m.members...) {
-		if address == n.options.Address {
-			continue
-		}
+	for _, address := range n.store.relays(m) {
 		call, cancel := context.WithTimeout(ctx, peerTimeout)
 		reply, err := n.peers.client(address).Configuration(call, &cellpb.ConfigurationRequest{})
 		cancel()
--- a/internal/core/cell/orders.go
+++ b/internal/core/cell/orders.go
@@ -3,8 +3,10 @@
 import "time"
 
 const (
-	// orderRetryInterval is the delay before an unanswered order is sent again.
-	orderRetryInterval = 60 * time.Millisecond
+	// orderRetryInterval is the delay before an unanswered order is sent again. It doubles with each order up to
+	// maxOrderRetryInterval, so that orders don't fill a link that is too slow for them.
+	orderRetryInterval    = 60 * time.Millisecond
+	maxOrderRetryInterval = 480 * time.Millisecond
 	// startTimeout is how long an unanswered start order is repeated before the run is stopped instead.
 	startTimeout = 1500 * time.Millisecond
 	// answeredRetryInterval is the delay before an order that its worker has answered is repeated: a stop order, or a
@@ -121,6 +123,17 @@
 	return true
 }
 
+// retryInterval returns the delay before the task's unanswered order is sent again.
+func (t *task) retryInterval() time.Duration {
+	interval := orderRetryInterval
+	for range t.ordersSent - 1 {
+		if interval *= 2; interval >= maxOrderRetryInterval {
+			return maxOrderRetryInterval
+		}
+	}
+	return interval
+}
+
 // applyStopOutcome applies the outcome of a stop order. An answer doesn't show that the run has ended; the inventory
 // does.
 func (s *Scheduler) applyStopOutcome(t *task, outcome OrderOutcome) {
@@ -128,7 +141,7 @@
 		return
 	}
 	if outcome == OrderUnanswered || outcome == OrderRefused || outcome == OrderNotSent {
-		t.nextOrderAt = s.now.Add(orderRetryInterval)
+		t.nextOrderAt = s.now.Add(t.retryInterval())
 		return
 	}
 	t.checkAfter = s.orderSequence.Add(1)
@@ -154,7 +167,7 @@
 		t.answered = true
 	case OrderUnanswered:
 		t.startUncertain = true
-		t.nextOrderAt = s.now.Add(orderRetryInterval)
+		t.nextOrderAt = s.now.Add(t.retryInterval())
 		if s.now.Sub(t.startedAt) > startTimeout {
 			s.abortRun(t, "the worker doesn't answer")
 		}
