--- a/internal/control/advisors.go
+++ b/internal/control/advisors.go
@@ -188,7 +188,7 @@
 
 // callLocal calls the advice service from this node.
 func (p *advicePool) callLocal(id int64, r cell.AdviceRequest) bool {
-	p.s.tasks.Go(func() {
+	p.s.spawn(func() {
 		asked := time.Now()
 		tickets, validity, err := p.s.node.options.Advisor.Advise(p.s.ctx, r.Step, r.Workers, r.Duration+adviceTimeoutMargin)
 		if err != nil && p.s.ctx.Err() == nil {
--- a/internal/control/carriers_test.go
+++ b/internal/control/carriers_test.go
@@ -205,31 +205,12 @@
 // Guards against calls and replies that get lost between the scheduling node and a real stream of a member, and against
 // a member that gets calls after it has announced that it leaves.
 func TestMemberCarriesCalls(t *testing.T) {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	assert.NilError(t, err)
-	scheduling, _, _ := newIsolatedNode()
-	ctx, end := context.WithCancelCause(t.Context())
-	defer end(nil)
-	s := &activeTerm{node: scheduling, term: &term{number: 1}, ctx: ctx, end: end, carriers: newCarriers(&recordingWorkers{}, spreading{})}
-	scheduling.activeTerm.Store(s)
-	server := grpc.NewServer(serverOptions()...)
-	cellpb.RegisterCellServer(server, &peerServer{node: scheduling})
-	go func() { _ = server.Serve(listener) }() // ends with Stop
-	defer server.Stop()
-
-	member, _, _ := newIsolatedNode()
-	defer member.peers.close()
+	_, member, s, stop := newCarryingPair(t)
+	defer stop()
 	workers := &recordingWorkers{}
-	member.options.Workers, member.options.Zone = workers, "z"
-	carrying, stop := context.WithCancel(t.Context())
-	ended := make(chan struct{})
-	go func() { member.keepCarrying(carrying, listener.Addr().String()); close(ended) }()
-	count := func() int {
-		s.carriers.mu.Lock()
-		defer s.carriers.mu.Unlock()
-		return len(s.carriers.list)
-	}
-	waitUntil(t, func() bool { return count() == 1 })
+	member.options.Workers = workers
+	waitUntil(t, func() bool { return s.carriers.count() == 1 })
+	ctx := t.Context()
 	x := s.carriers.list[0]
 	for range 200 {
 		reply, err := s.carriers.exchange(ctx, x, &cellpb.CarriedCall{Worker: "w", Call: &cellpb.CarriedCall_Renew{Renew: &cellpb.CarriedRenewal{}}}, time.Minute)
@@ -238,11 +219,39 @@
 	}
 	assert.Equal(t, workers.renewals.Load(), int64(200))
 	member.Leave()
-	waitUntil(t, func() bool { return count() == 0 })
-	_, err = s.carriers.exchange(ctx, x, &cellpb.CarriedCall{Worker: "w", Call: &cellpb.CarriedCall_Renew{Renew: &cellpb.CarriedRenewal{}}}, time.Minute)
+	waitUntil(t, func() bool { return s.carriers.count() == 0 })
+	_, err := s.carriers.exchange(ctx, x, &cellpb.CarriedCall{Worker: "w", Call: &cellpb.CarriedCall_Renew{Renew: &cellpb.CarriedRenewal{}}}, time.Minute)
 	assert.NilError(t, err, "calls that were already on their way are answered")
-	stop()
-	<-ended
+}
+
+func (c *carriers) count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.list)
+}
+
+// newCarryingPair returns a scheduling node with its term and a member that offers itself as a carrier.
+func newCarryingPair(t *testing.T) (scheduling, member *Node, s *activeTerm, stop func()) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	scheduling, _, _ = newIsolatedNode()
+	ctx, end := context.WithCancelCause(t.Context())
+	s = &activeTerm{node: scheduling, term: &term{number: 1}, ctx: ctx, end: end, carriers: newCarriers(&recordingWorkers{}, spreading{})}
+	scheduling.activeTerm.Store(s)
+	server := grpc.NewServer(serverOptions(scheduling.options.Log)...)
+	cellpb.RegisterCellServer(server, &peerServer{node: scheduling})
+	go func() { _ = server.Serve(listener) }() // ends with Stop
+	member, _, _ = newIsolatedNode()
+	carrying, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() { member.keepCarrying(carrying, listener.Addr().String()); close(ended) }()
+	return scheduling, member, s, func() {
+		cancel()
+		<-ended
+		end(nil)
+		server.Stop()
+		member.peers.close()
+	}
 }
 
 // waitUntil polls a condition. The result doesn't depend on how long it takes.
--- a/internal/control/carry.go
+++ b/internal/control/carry.go
@@ -6,6 +6,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	"sequoiastall/internal/contain"
 	"sequoiastall/internal/core/cell"
 	"sequoiastall/internal/port"
 	"sequoiastall/internal/rpc/cellpb"
@@ -164,7 +165,8 @@
 			}
 			tasks.Go(func() {
 				defer func() { <-slots }()
-				reply := n.execute(ctx, call)
+				reply := &cellpb.CarriedReply{} // an unknown outcome, unless the call ends without a panic
+				contain.Panics(n.options.Log, "carrying a call", func() { reply = n.execute(ctx, call) })
 				reply.Id = call.Id
 				select {
 				case replies <- reply:
--- a/internal/control/committer.go
+++ b/internal/control/committer.go
@@ -51,7 +51,7 @@
 		}
 		c.inFlight++
 		txn := c.txn(writes)
-		c.s.tasks.Go(func() { c.commit(writes, txn) })
+		c.s.spawn(func() { c.commit(writes, txn) })
 	}
 }
 
--- a/internal/control/front.go
+++ b/internal/control/front.go
@@ -162,7 +162,7 @@
 
 // hasAccess reports whether a caller may access a job. team is empty for a caller without a key, which only open queues
 // allow. owner is empty for a job that was submitted without a key.
-func hasAccess(team, owner string) bool { return team == "" || owner == "" || team == owner }
+func hasAccess(team, owner string) bool { return owner == "" || team == owner }
 
 // finalPhase returns the phase of a job that has ended.
 func (n *Node) finalPhase(ctx context.Context, id cell.JobID, team string) (cell.Phase, bool, error) {
--- a/internal/control/links.go
+++ b/internal/control/links.go
@@ -63,7 +63,7 @@
 		l := &workerLink{s: s, ref: port.WorkerRef{ID: w.ID, Address: w.Address, Zone: w.Zone}, cancel: cancel, acked: make(chan struct{}, 1), instanceStartMS: w.StartMS,
 			expiresAt: s.began.Add(s.node.options.orphanTimeout())}
 		s.links[w.ID] = l
-		s.tasks.Go(func() { l.run(ctx) })
+		s.spawn(func() { l.run(ctx) })
 	}
 	for id, l := range s.links {
 		if !inUse[id] {
@@ -249,7 +249,7 @@
 		s.core.ApplyOrderOutcome(o, cell.OrderUnanswered, time.Now())
 		return
 	}
-	s.tasks.Go(func() {
+	s.spawn(func() {
 		outcome := l.send(o)
 		s.post(s.ctx, func() {
 			if !s.core.ApplyOrderOutcome(o, outcome, time.Now()) {
@@ -264,7 +264,7 @@
 func (s *activeTerm) stopUnexpectedRun(o cell.Order) {
 	s.node.options.Log.Info("decision", "subject", o.Run.Task.String(), "decision", "stray run stopped", "run", o.Run.Run, "worker", o.Worker)
 	if l := s.links[o.Worker]; l != nil && l.ref.Address != "" {
-		s.tasks.Go(func() { l.send(o) })
+		s.spawn(func() { l.send(o) })
 	}
 }
 
--- a/internal/control/member.go
+++ b/internal/control/member.go
@@ -11,6 +11,7 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
+	"sequoiastall/internal/contain"
 	"sequoiastall/internal/core/cell"
 	"sequoiastall/internal/rpc/cellpb"
 	"sequoiastall/internal/wait"
@@ -172,7 +173,7 @@
 		}
 		n.handleSchedulerMessage(h, m)
 		if m.Advice != nil {
-			go n.advise(ctx, m.Advice, advice)
+			go contain.Panics(n.options.Log, "calling the advice service", func() { n.advise(ctx, m.Advice, advice) })
 		}
 		if m.Resign {
 			return true, nil
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -219,7 +219,7 @@
 		}
 		if !m.handedOver {
 			m.handedOver = true
-			m.s.tasks.Go(m.awaitSuccessor)
+			m.s.spawn(m.awaitSuccessor)
 		}
 		x.handoverRequested = true
 		m.successors = append(m.successors, x.address)
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -11,6 +11,7 @@
 	"github.com/sourcegraph/conc"
 	"google.golang.org/grpc"
 
+	"sequoiastall/internal/contain"
 	"sequoiastall/internal/core/cell"
 	"sequoiastall/internal/port"
 	"sequoiastall/internal/rpc/cellpb"
@@ -74,7 +75,7 @@
 
 // Run serves the other nodes on the listener and participates in the cell until ctx is done.
 func (n *Node) Run(ctx context.Context, listener net.Listener) error {
-	server := grpc.NewServer(serverOptions()...)
+	server := grpc.NewServer(serverOptions(n.options.Log)...)
 	cellpb.RegisterCellServer(server, &peerServer{node: n})
 	var tasks conc.WaitGroup
 	tasks.Go(func() {
@@ -82,8 +83,8 @@
 			n.options.Log.Error("serving other nodes ended", "error", err.Error())
 		}
 	})
-	tasks.Go(func() { n.pollConfig(ctx) })
-	tasks.Go(func() { n.supervise(ctx) })
+	tasks.Go(func() { n.keepRunning(ctx, "reading the configuration", n.pollConfig) })
+	tasks.Go(func() { n.keepRunning(ctx, "following the scheduling node", n.supervise) })
 	<-ctx.Done()
 	server.Stop()
 	n.peers.close()
@@ -92,6 +93,15 @@
 	return nil
 }
 
+// keepRunning runs fn until ctx is done, again after a panic.
+func (n *Node) keepRunning(ctx context.Context, during string, fn func(context.Context)) {
+	for contain.Panics(n.options.Log, during, func() { fn(ctx) }) {
+		if !wait.For(ctx, probeInterval) {
+			return
+		}
+	}
+}
+
 // Leave starts a graceful stop: the node hands over scheduling and no longer reports itself ready.
 func (n *Node) Leave() {
 	n.stopping.Store(true)
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -2,14 +2,18 @@
 
 import (
 	"context"
+	"log/slog"
 	"sync"
 	"time"
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/status"
 
+	"sequoiastall/internal/contain"
 	"sequoiastall/internal/rpc/cellpb"
 )
 
@@ -22,12 +26,35 @@
 	peerWindow = 1 << 20
 )
 
-func serverOptions() []grpc.ServerOption {
-	return []grpc.ServerOption{grpc.MaxRecvMsgSize(maxMessage), grpc.InitialWindowSize(peerWindow), grpc.InitialConnWindowSize(peerWindow),
+func serverOptions(log *slog.Logger) []grpc.ServerOption {
+	return []grpc.ServerOption{grpc.UnaryInterceptor(containUnary(log)), grpc.StreamInterceptor(containStream(log)),
+		grpc.MaxRecvMsgSize(maxMessage), grpc.InitialWindowSize(peerWindow), grpc.InitialConnWindowSize(peerWindow),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: time.Second, PermitWithoutStream: true}),
 		grpc.WriteBufferSize(8 << 10), grpc.ReadBufferSize(8 << 10)}
 }
 
+var errPanicked = status.Error(codes.Internal, "panic")
+
+// containUnary makes a panic in a call fail only that call.
+func containUnary(log *slog.Logger) grpc.UnaryServerInterceptor {
+	return func(ctx context.Context, request any, info *grpc.UnaryServerInfo, handle grpc.UnaryHandler) (reply any, err error) {
+		if contain.Panics(log, info.FullMethod, func() { reply, err = handle(ctx, request) }) {
+			return nil, errPanicked
+		}
+		return reply, err
+	}
+}
+
+// containStream makes a panic in a stream end only that stream.
+func containStream(log *slog.Logger) grpc.StreamServerInterceptor {
+	return func(server any, stream grpc.ServerStream, info *grpc.StreamServerInfo, handle grpc.StreamHandler) (err error) {
+		if contain.Panics(log, info.FullMethod, func() { err = handle(server, stream) }) {
+			return errPanicked
+		}
+		return err
+	}
+}
+
 // peerConns holds one connection to each other node.
 type peerConns struct {
 	mu    sync.Mutex
--- a/internal/control/scheduling.go
+++ b/internal/control/scheduling.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc"
 
+	"sequoiastall/internal/contain"
 	"sequoiastall/internal/core/cell"
 	"sequoiastall/internal/port"
 	"sequoiastall/internal/wait"
@@ -52,15 +53,15 @@
 	s.committer = newCommitter(s)
 	s.members = newMembers(s)
 	s.carriers = newCarriers(n.options.Workers, n.knownSpreading())
-	s.tasks.Go(func() {
+	s.spawn(func() {
 		if err := n.renewTerm(termCtx, t); err != nil {
 			end(err)
 		}
 	})
 	// The other nodes must be able to attach at once: loading may take longer than their heartbeat timeout.
 	n.activeTerm.Store(s)
-	s.tasks.Go(s.members.run)
-	s.tasks.Go(s.run)
+	s.spawn(s.members.run)
+	s.spawn(s.run)
 	<-termCtx.Done()
 	n.activeTerm.CompareAndSwap(s, nil)
 	// Calls in flight end with their timeouts. In the meantime this node follows the next holder.
@@ -68,6 +69,19 @@
 	return context.Cause(termCtx)
 }
 
+// spawn runs fn in a goroutine of the term. A panic ends the term instead of the process: the state may be inconsistent,
+// and the next term builds it anew from the records.
+func (s *activeTerm) spawn(fn func()) {
+	s.tasks.Go(func() {
+		if contain.Panics(s.node.options.Log, "scheduling", fn) {
+			s.end(errPanic)
+		}
+	})
+}
+
+// errPanic means that an error of the program ended the term.
+var errPanic = errors.New("a panic ended the term")
+
 // run loads the cell's state and schedules until the term ends.
 func (s *activeTerm) run() {
 	revision, err := s.load()
@@ -75,8 +89,8 @@
 		s.end(errors.Wrap(err, "load state"))
 		return
 	}
-	s.tasks.Go(func() { s.pollChanges(revision) })
-	s.tasks.Go(s.pollRegistry)
+	s.spawn(func() { s.pollChanges(revision) })
+	s.spawn(s.pollRegistry)
 	s.loaded.Store(true)
 	recordSince(s.node.metrics.takeover, s.began)
 	s.loop()
@@ -193,11 +207,14 @@
 	if !ok {
 		return
 	}
-	j, err := cell.DecodeJob(e.Value)
-	if err == nil {
-		s.committer.jobRevisions[id] = e.Revision
-		err = s.core.AddJob(j, progress[id], time.Now())
-	}
+	err := errPanic // unless the record is handled
+	contain.Panics(s.node.options.Log, "adding job "+string(id), func() {
+		var j cell.Job
+		if j, err = cell.DecodeJob(e.Value); err == nil {
+			s.committer.jobRevisions[id] = e.Revision
+			err = s.core.AddJob(j, progress[id], time.Now())
+		}
+	})
 	if err != nil {
 		s.node.options.Log.Error("record set aside", "key", e.Key, "revision", e.Revision, "error", err.Error())
 	}
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -8,6 +8,7 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
+	"sequoiastall/internal/contain"
 	"sequoiastall/internal/core/cell"
 	"sequoiastall/internal/port"
 	"sequoiastall/internal/rpc/cellpb"
@@ -36,7 +37,11 @@
 	s.members.handleMessage(x, first)
 	received := make(chan error, 1)
 	heartbeat := make(chan struct{}, 1)
-	go func() { received <- p.receive(stream, s, x, heartbeat) }()
+	go func() {
+		err := errPanicked
+		contain.Panics(p.node.options.Log, "a member's message", func() { err = p.receive(stream, s, x, heartbeat) })
+		received <- err
+	}()
 	silence := time.NewTimer(heartbeatTimeout)
 	defer silence.Stop()
 	for {
--- a/internal/core/cell/faults_test.go
+++ b/internal/core/cell/faults_test.go
@@ -226,3 +226,63 @@
 	h.advance(time.Second)
 	assert.Equal(t, len(h.takeStops()), 0)
 }
+
+// Guards against a gang that keeps its reserved capacity for good: a call for advice fails, and the next pass, before the
+// call may be repeated, reserves capacity for which no ticket can be requested.
+func TestGangReleasesCapacityAfterFailedAdvice(t *testing.T) {
+	h := newHarness(t, 2)
+	blockers := h.startService("blocker", plainQueue, tasks(2, 4000))
+	gang := tasks(2, 3000)
+	gang.Gang = true
+	h.addJob(Job{ID: "a", Queue: advisedQueue, Steps: []Step{gang}})
+	h.advance(0)
+	h.answerAdvice()
+	h.advance(2 * ticketValidity) // the tickets have expired
+	h.advice = nil
+	for _, o := range blockers {
+		h.renew(indexOf(o.Worker), nil, []EndedRow{{Number: 1, Run: o.Run, Kind: EndDone}})
+	}
+	h.advance(50 * time.Millisecond) // there is capacity, and new tickets are requested
+	requests := h.advice
+	assert.Assert(t, len(requests) > 0)
+	h.advice = nil
+	for _, r := range requests {
+		h.s.ApplyAdvice(r, nil, h.now, 0, true, h.now)
+	}
+	for range 10 {
+		h.advance(20 * time.Millisecond)
+		h.answerAdvice()
+	}
+	h.advance(10 * time.Millisecond)
+	assert.Equal(t, len(h.takeStarts()), 2)
+}
+
+// Guards against a refused start that ends the longer pause of a worker which fails what it runs.
+func TestRefusedStartKeepsLongerPause(t *testing.T) {
+	h := newHarness(t, 1)
+	w := h.s.workers[workerID(0)]
+	h.addJob(Job{ID: "a", Steps: []Step{tasks(1, 1000)}})
+	h.advance(0)
+	o := h.takeStarts()[0]
+	w.faults.until = h.now.Add(10 * time.Second)
+	h.s.ApplyOrderOutcome(o, OrderRefused, h.now)
+	assert.Assert(t, !w.usable(h.now.Add(5*time.Second)))
+}
+
+// Guards against a late success that ends the pause of the worker of the current run, which had no part in it.
+func TestLateSuccessIsCreditedToItsWorker(t *testing.T) {
+	h := newHarness(t, 2)
+	h.addJob(Job{ID: "a", Steps: []Step{tasks(1, 1000)}})
+	h.advance(0)
+	first := h.takeStarts()[0]
+	h.s.ApplyOrderOutcome(first, OrderDone, h.now)
+	h.s.WorkerLeaseExpired(first.Worker, h.now)
+	h.advance(20 * time.Millisecond)
+	second := h.takeStarts()[0]
+	assert.Assert(t, second.Worker != first.Worker)
+	early, late := h.s.workers[first.Worker], h.s.workers[second.Worker]
+	early.faults.streak, late.faults.streak = 1, 1
+	h.renew(indexOf(first.Worker), nil, []EndedRow{{Number: 1, Run: first.Run, Kind: EndDone}})
+	assert.Equal(t, early.faults.streak, 0)
+	assert.Equal(t, late.faults.streak, 1)
+}
--- a/internal/core/cell/inventory.go
+++ b/internal/core/cell/inventory.go
@@ -138,9 +138,7 @@
 
 // completeTask marks a task, or all members of its gang, as done.
 func (s *Scheduler) completeTask(t *task, w *worker) {
-	if t.worker != nil {
-		t.worker.clearFaults()
-	}
+	w.clearFaults()
 	members := []*task{t}
 	if t.step.spec.Gang {
 		members = t.step.tasks
--- a/internal/core/cell/orders.go
+++ b/internal/core/cell/orders.go
@@ -180,7 +180,9 @@
 		delete(t.step.advice.allowed, t.worker.ID)
 		s.startRejected(t, "ticket")
 	case OrderRefused:
-		t.worker.faults.until = s.now.Add(refusedPause)
+		if until := s.now.Add(refusedPause); until.After(t.worker.faults.until) {
+			t.worker.faults.until = until
+		}
 		s.startRejected(t, "refused")
 	}
 }
--- a/internal/core/cell/place.go
+++ b/internal/core/cell/place.go
@@ -89,6 +89,11 @@
 		s.startGang(st)
 	default:
 		s.requestAdvice(st, q, chosen)
+		if st.advice.inFlight == 0 { // after a failed call, the next one has to wait
+			s.releaseReserved(st)
+			s.pass.freeCPU += int64(placed) * st.spec.Each.MilliCPU
+			s.withholdFor(st, q)
+		}
 	}
 }
 
