control: cancellations don't wait for the records of unknown jobs

After a takeover hundreds of jobs are unknown, and a slow store takes 0.25 s for each.

Change: cancellations of known jobs are applied at once; more than four unknown jobs are read with one call.

--- a/internal/control/delegate.go
+++ b/internal/control/delegate.go
@@ -160,9 +160,14 @@
 		case reply.Compacted:
 			return nil, after, port.ErrCompacted
 		default:
-			return s.fetchUnknownJobs(reply, after)
+			return s.resolveJobs(reply, after)
 		}
 	}
+	return s.readJobChanges(after)
+}
+
+// readJobChanges reads the records of accepted and canceled jobs that were written after a revision from the store.
+func (s *activeTerm) readJobChanges(after int64) ([]port.Entry, int64, error) {
 	events, at, err := s.node.options.Store.Changes(s.ctx, inPrefix, after, 0)
 	if err != nil {
 		return nil, after, err
@@ -176,11 +181,18 @@
 	return entries, at, nil
 }
 
-// fetchUnknownJobs reads the records of the accepted jobs that the scheduler doesn't know. If one can't be read, the
-// changes have to be read again.
-func (s *activeTerm) fetchUnknownJobs(reply *cellpb.JobsReply, after int64) ([]port.Entry, int64, error) {
+// maxJobsFetched is the number of unknown jobs up to which their records are read one by one. After a takeover there may
+// be hundreds, because the accepting nodes' messages were lost.
+const maxJobsFetched = 4
+
+// resolveJobs applies cancellations of known jobs, and reads the records of the accepted jobs that the scheduler doesn't
+// know. If one can't be read, the changes have to be read again.
+func (s *activeTerm) resolveJobs(reply *cellpb.JobsReply, after int64) ([]port.Entry, int64, error) {
 	var unknown []cell.JobID
 	if !s.query(s.ctx, func() {
+		for _, id := range reply.Canceled {
+			s.core.CancelJob(cell.JobID(id))
+		}
 		for _, id := range reply.Accepted {
 			if !s.core.Knows(cell.JobID(id)) {
 				unknown = append(unknown, cell.JobID(id))
@@ -189,6 +201,9 @@
 	}) {
 		return nil, after, s.ctx.Err()
 	}
+	if len(unknown) > maxJobsFetched {
+		return s.readJobChanges(after)
+	}
 	var entries []port.Entry
 	for _, id := range unknown {
 		e, err := s.node.options.Store.Get(s.ctx, jobKey(id))
