control: starts and renewals without an answer are repeated before their timeout

Of stop, renewal and inventory it is the next renewal that can tell soonest what became of a start: with a second renewal after the wait and 60 ms, no later than 0.2 s after an unanswered call.

Change: a start or renewal that takes four times as long as usual (60 ms at least) is sent a second time. A refusal of one attempt doesn't decide the other. Renewals wait 0.15 s instead of 1 s for 5 s after a call without an answer. While all answers are slow, nothing is sent twice.

--- a/internal/control/links.go
+++ b/internal/control/links.go
@@ -17,6 +17,10 @@
 	renewalWait = time.Second
 	// renewalRetryDelay is the delay after a failed renewal.
 	renewalRetryDelay = 100 * time.Millisecond
+	// doubtfulRenewalWait replaces renewalWait for doubtPeriod after a call to the worker that got no answer. Ended runs are
+	// noticed only by the renewal after one without an answer, so that one must time out sooner.
+	doubtfulRenewalWait = 150 * time.Millisecond
+	doubtPeriod         = 5 * time.Second
 	// ackTimeout is how long a link waits for the records of ended runs to become durable before its next renewal.
 	ackTimeout = 250 * time.Millisecond
 )
@@ -39,7 +43,8 @@
 	// renew it.
 	expiresAt  time.Time
 	expired    bool
-	leaseCalls int // number of calls in flight that carry a lease
+	leaseCalls int       // number of calls in flight that carry a lease
+	doubtUntil time.Time // a call without an answer is recent until then
 }
 
 // clockSample is a reading of a worker's monotonic clock and the local time at which it was received.
@@ -106,13 +111,13 @@
 			continue
 		}
 		requestSequence := l.s.core.OrderSequence()
-		maxWait := renewalWait
+		maxWait := l.maxWait()
 		if first {
 			maxWait = 0
 		}
-		r, expiry := l.nextRenewal(maxWait)
-		reply, err := l.s.carriers.Renew(ctx, l.ref, r)
-		l.endLeaseCall(expiry, err)
+		reply, err := hedge(l.s.spawn, maxWait+l.s.latency.hedgeDelay(), func(second bool) (port.RenewalReply, error) {
+			return l.renew(ctx, maxWait, second)
+		})
 		if err != nil {
 			l.handleFailure(ctx, err)
 			if !wait.For(ctx, renewalRetryDelay) {
@@ -126,6 +131,28 @@
 	}
 }
 
+// renew renews the lease once. A second call while the first has no answer carries no acknowledgment, because the worker
+// may have restarted meanwhile.
+func (l *workerLink) renew(ctx context.Context, maxWait time.Duration, second bool) (port.RenewalReply, error) {
+	r, expiry := l.nextRenewal(maxWait)
+	if second {
+		r.Ack = 0
+	}
+	reply, err := l.s.carriers.Renew(ctx, l.ref, r)
+	l.endLeaseCall(expiry, err)
+	return reply, err
+}
+
+// maxWait returns how long the next renewal may wait for a run to end.
+func (l *workerLink) maxWait() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if time.Now().Before(l.doubtUntil) {
+		return doubtfulRenewalWait
+	}
+	return renewalWait
+}
+
 // nextRenewal returns the next renewal and the time at which its lease has expired for certain. The renewal extends the
 // lease only if the worker's clock is known. The caller must report the outcome to endLeaseCall.
 func (l *workerLink) nextRenewal(maxWait time.Duration) (port.Renewal, time.Time) {
@@ -163,6 +190,9 @@
 	if sent && expiry.After(l.expiresAt) {
 		l.expiresAt = expiry
 	}
+	if errors.Is(err, port.ErrUnknownOutcome) {
+		l.doubtUntil = time.Now().Add(doubtPeriod)
+	}
 	if !sent || errors.Is(err, port.ErrUnknownOutcome) {
 		// The worker may have restarted under the same name, and numbers its ended runs from 1 again.
 		l.sameInstance = false
@@ -274,7 +304,7 @@
 	began := time.Now()
 	switch o.Kind {
 	case cell.OrderStart:
-		err = l.start(o)
+		_, err = hedge(l.s.spawn, l.s.latency.hedgeDelay(), func(bool) (struct{}, error) { return struct{}{}, l.start(o) })
 	case cell.OrderPace:
 		err = l.s.carriers.Pace(l.s.ctx, l.ref, o.Run, o.Pace, l.s.term.number)
 	default:
@@ -296,7 +326,11 @@
 	l.mu.Unlock()
 	err := errors.Wrap(port.ErrUnavailable, "worker clock not known yet")
 	if leaseEndMS != 0 {
+		began := time.Now()
 		_, err = l.s.carriers.Start(l.s.ctx, l.ref, port.Start{Order: o, Token: l.s.term.number, LeaseEndMS: leaseEndMS})
+		if !errors.Is(err, port.ErrUnknownOutcome) {
+			l.s.latency.observe(time.Since(began))
+		}
 	}
 	l.endLeaseCall(expiry, err)
 	return err
--- a/internal/control/scheduling.go
+++ b/internal/control/scheduling.go
@@ -30,6 +30,7 @@
 	committer     *committer
 	members       *members
 	carriers      *carriers
+	latency       orderLatency
 	recordWaiters recordWaiters
 	began         time.Time
 	loaded        atomic.Bool // the state is loaded; events are queued until then
