control: carriers of lost members are dropped, second calls take another path

Change: when a member's heartbeats stop, its carrier ends with it. A hedged call takes the worker's next path.

Tests: TestCallsOfAGoneCarrierEndAtOnce, TestSecondCallTakesAnotherPath.

--- a/internal/control/carriers.go
+++ b/internal/control/carriers.go
@@ -36,7 +36,8 @@
 	carrierPause = 2 * time.Second
 )
 
-// carriers passes calls to workers on to members. It implements port.LeasedWorkers for the links of a term.
+// carriers passes the calls of a term to workers on to members. Its methods correspond to those of port.LeasedWorkers. A
+// detour takes another path than the worker's usual one, for a call that is made again while the first has no answer.
 type carriers struct {
 	direct port.LeasedWorkers
 
@@ -52,8 +53,9 @@
 	name, zone  string
 	hash        uint64
 	out         chan *cellpb.CarriedCall
-	gone        chan struct{} // closed when the member's stream has ended
-	pausedUntil time.Time     // guarded by carriers.mu
+	gone        chan struct{} // closed when the member is lost or its stream has ended
+	goneOnce    sync.Once
+	pausedUntil time.Time // guarded by carriers.mu
 
 	mu      sync.Mutex
 	pending map[int64]chan *cellpb.CarriedReply
@@ -77,16 +79,35 @@
 	}
 }
 
+// lose ends a carrier: no more calls go to it, and those that wait for its replies end.
+func (x *carrier) lose() { x.goneOnce.Do(func() { close(x.gone) }) }
+
+// loseMember ends the carrier of a member that is lost. Its stream may stay open without a sign of that.
+func (c *carriers) loseMember(name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.list = slices.DeleteFunc(c.list, func(x *carrier) bool {
+		if x.name == name {
+			x.lose()
+		}
+		return x.name == name
+	})
+}
+
 // choose returns the carrier for the next call to a worker, or nil if the call is to be made directly. A worker keeps
 // its carrier as long as that one stays and reaches it.
-func (c *carriers) choose(w port.WorkerRef) *carrier {
+func (c *carriers) choose(w port.WorkerRef, detour bool) *carrier {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.spreading.update(len(c.list)) {
 		return nil
 	}
 	paths := c.candidates(w)
-	i := c.paths[w.ID] % (len(paths) + 1)
+	i := c.paths[w.ID]
+	if detour {
+		i++
+	}
+	i %= len(paths) + 1
 	if i == len(paths) {
 		return nil
 	}
@@ -204,8 +225,8 @@
 }
 
 // call makes a call through the worker's carrier. ok is false if there is none, so that the call has to be made directly.
-func (c *carriers) call(ctx context.Context, w port.WorkerRef, call *cellpb.CarriedCall, timeout time.Duration) (reply *cellpb.CarriedReply, err error, ok bool) {
-	x := c.choose(w)
+func (c *carriers) call(ctx context.Context, w port.WorkerRef, detour bool, call *cellpb.CarriedCall, timeout time.Duration) (reply *cellpb.CarriedReply, err error, ok bool) {
+	x := c.choose(w, detour)
 	if x == nil {
 		return nil, nil, false
 	}
@@ -220,12 +241,12 @@
 	return reply, err, true
 }
 
-// Renew implements port.LeasedWorkers. If the carrier is lost, the renewal takes another path at once: it may be repeated.
-func (c *carriers) Renew(ctx context.Context, w port.WorkerRef, r port.Renewal) (port.RenewalReply, error) {
+// Renew renews a worker's lease. If the carrier is lost, the renewal takes another path at once: it may be repeated.
+func (c *carriers) Renew(ctx context.Context, w port.WorkerRef, r port.Renewal, detour bool) (port.RenewalReply, error) {
 	for range maxCarriersOfWorker {
 		call := &cellpb.CarriedCall{Token: r.Token, Call: &cellpb.CarriedCall_Renew{Renew: &cellpb.CarriedRenewal{LeaseEndMs: r.LeaseEndMS,
 			Ack: r.Ack, WaitMs: r.Wait.Milliseconds()}}}
-		reply, err, ok := c.call(ctx, w, call, renewalOverhead+r.Wait)
+		reply, err, ok := c.call(ctx, w, detour, call, renewalOverhead+r.Wait)
 		if !ok {
 			break
 		}
@@ -239,31 +260,31 @@
 	return c.direct.Renew(ctx, w, r)
 }
 
-// Start implements port.LeasedWorkers.
-func (c *carriers) Start(ctx context.Context, w port.WorkerRef, s port.Start) (int64, error) {
+// Start sends a start order.
+func (c *carriers) Start(ctx context.Context, w port.WorkerRef, s port.Start, detour bool) (int64, error) {
 	call := &cellpb.CarriedCall{Token: s.Token, Call: &cellpb.CarriedCall_Start{Start: &cellpb.CarriedStart{Run: runMessage(s.Order.Run),
 		Spec: s.Order.Spec, Ticket: s.Order.Ticket, Checkpoint: s.Order.Checkpoint, LeaseEndMs: s.LeaseEndMS}}}
-	if reply, err, ok := c.call(ctx, w, call, orderDuration); ok {
+	if reply, err, ok := c.call(ctx, w, detour, call, orderDuration); ok {
 		return reply.GetClockMs(), err
 	}
 	defer c.tryCarriersAgain(w)
 	return c.direct.Start(ctx, w, s)
 }
 
-// Stop implements port.LeasedWorkers.
+// Stop sends a stop order.
 func (c *carriers) Stop(ctx context.Context, w port.WorkerRef, r cell.RunID, token int64) (int64, error) {
 	call := &cellpb.CarriedCall{Token: token, Call: &cellpb.CarriedCall_Stop{Stop: runMessage(r)}}
-	if reply, err, ok := c.call(ctx, w, call, orderDuration); ok {
+	if reply, err, ok := c.call(ctx, w, false, call, orderDuration); ok {
 		return reply.GetClockMs(), err
 	}
 	defer c.tryCarriersAgain(w)
 	return c.direct.Stop(ctx, w, r, token)
 }
 
-// Pace implements port.LeasedWorkers.
+// Pace sets the pace of a run.
 func (c *carriers) Pace(ctx context.Context, w port.WorkerRef, r cell.RunID, percent int, token int64) error {
 	call := &cellpb.CarriedCall{Token: token, Call: &cellpb.CarriedCall_Pace{Pace: &cellpb.CarriedPace{Run: runMessage(r), Percent: int32(percent)}}}
-	if _, err, ok := c.call(ctx, w, call, orderDuration); ok {
+	if _, err, ok := c.call(ctx, w, false, call, orderDuration); ok {
 		return err
 	}
 	defer c.tryCarriersAgain(w)
--- a/internal/control/carriers_test.go
+++ b/internal/control/carriers_test.go
@@ -81,7 +81,7 @@
 	workers := refs(480)
 	before, share := map[cell.WorkerID]string{}, map[string]int{}
 	for _, w := range workers {
-		x := c.choose(w)
+		x := c.choose(w, false)
 		assert.Assert(t, x != nil)
 		assert.Equal(t, x.zone, w.Zone)
 		before[w.ID] = x.name
@@ -92,7 +92,7 @@
 	}
 	leave[0]()
 	for _, w := range workers {
-		if x := c.choose(w); before[w.ID] != "node-0" {
+		if x := c.choose(w, false); before[w.ID] != "node-0" {
 			assert.Equal(t, x.name, before[w.ID])
 		} else {
 			assert.Equal(t, x.zone, w.Zone)
@@ -103,7 +103,7 @@
 // Guards against spreading the calls of a small cell, where it only adds a hop.
 func TestSmallCellCallsDirectly(t *testing.T) {
 	c, direct, _ := newTestCarriers(t, minSpreadMembers-1)
-	_, err := c.Renew(t.Context(), refs(1)[0], port.Renewal{})
+	_, err := c.Renew(t.Context(), refs(1)[0], port.Renewal{}, false)
 	assert.NilError(t, err)
 	assert.Equal(t, direct.renewals.Load(), int64(1))
 }
@@ -112,13 +112,13 @@
 // nodes.
 func TestLargeCellStaysSpreadWithoutManyNodes(t *testing.T) {
 	c, _, leave := newTestCarriers(t, minSpreadMembers)
-	assert.Assert(t, c.choose(refs(1)[0]) != nil)
+	assert.Assert(t, c.choose(refs(1)[0], false) != nil)
 	for _, left := range leave[:minSpreadMembers-keepSpreadMembers] {
 		left()
 	}
-	assert.Assert(t, c.choose(refs(1)[0]) != nil)
+	assert.Assert(t, c.choose(refs(1)[0], false) != nil)
 	leave[minSpreadMembers-1]()
-	assert.Assert(t, c.choose(refs(1)[0]) == nil)
+	assert.Assert(t, c.choose(refs(1)[0], false) == nil)
 }
 
 // Guards against a lease that isn't renewed, or a start that is taken for not sent, because the carrier was lost.
@@ -126,13 +126,13 @@
 	c, direct, _ := newTestCarriers(t, 24)
 	lost := port.WorkerRef{ID: "lost", Address: "a", Zone: "zone-1"}
 	began := time.Now()
-	reply, err := c.Renew(t.Context(), lost, port.Renewal{Token: 1, LeaseEndMS: 5, Ack: 3})
+	reply, err := c.Renew(t.Context(), lost, port.Renewal{Token: 1, LeaseEndMS: 5, Ack: 3}, false)
 	assert.NilError(t, err)
 	assert.Equal(t, reply.ClockMS, int64(7), "made directly after two carriers")
 	assert.Equal(t, direct.renewals.Load(), int64(1))
 	assert.Assert(t, time.Since(began) < 3*time.Second)
 	c.paths["lost"] = 0
-	_, err = c.Start(t.Context(), lost, port.Start{})
+	_, err = c.Start(t.Context(), lost, port.Start{}, false)
 	assert.ErrorIs(t, err, port.ErrUnknownOutcome)
 	assert.Assert(t, !errors.Is(err, port.ErrUnavailable))
 	assert.Equal(t, direct.starts.Load(), int64(0), "the carrier may still execute the start, so the scheduler decides")
@@ -146,27 +146,35 @@
 	for _, x := range c.list {
 		c.suspend(x)
 	}
-	assert.Assert(t, c.choose(w) != nil)
+	assert.Assert(t, c.choose(w, false) != nil)
 	c.reroute(w)
 	c.reroute(w)
-	assert.Assert(t, c.choose(w) == nil)
-	_, err := c.Start(t.Context(), w, port.Start{})
+	assert.Assert(t, c.choose(w, false) == nil)
+	_, err := c.Start(t.Context(), w, port.Start{}, false)
 	assert.NilError(t, err)
-	assert.Assert(t, c.choose(w) != nil)
+	assert.Assert(t, c.choose(w, false) != nil)
 }
 
 // Guards against calls that wait for a carrier whose stream has ended.
 func TestCallsOfAGoneCarrierEndAtOnce(t *testing.T) {
-	c, _, leave := newTestCarriers(t, 24)
+	c, _, _ := newTestCarriers(t, 24)
 	lost := port.WorkerRef{ID: "lost", Address: "a", Zone: "zone-2"}
-	x := c.choose(lost)
-	time.AfterFunc(20*time.Millisecond, func() { leave[0](); close(x.gone) })
+	x := c.choose(lost, false)
+	time.AfterFunc(20*time.Millisecond, func() { c.loseMember(x.name) })
 	began := time.Now()
-	_, err := c.Start(t.Context(), lost, port.Start{})
+	_, err := c.Start(t.Context(), lost, port.Start{}, false)
 	assert.ErrorIs(t, err, port.ErrUnknownOutcome)
 	assert.Assert(t, time.Since(began) < orderDuration)
 }
 
+// Guards against a call that is made again on the path on which the first has no answer.
+func TestSecondCallTakesAnotherPath(t *testing.T) {
+	c, _, _ := newTestCarriers(t, 24)
+	for _, w := range refs(40) {
+		assert.Assert(t, c.choose(w, true) != c.choose(w, false))
+	}
+}
+
 // Guards against outcomes that change their meaning on the way: a start that wasn't executed must not become one that
 // may have been, nor the other way round.
 func TestOutcomesSurviveTheWire(t *testing.T) {
--- a/internal/control/carry.go
+++ b/internal/control/carry.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/sourcegraph/conc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	"sequoiastall/internal/contain"
 	"sequoiastall/internal/core/cell"
@@ -24,7 +26,7 @@
 		return err
 	}
 	x, leave := s.carriers.join(first.Node, first.Zone)
-	defer close(x.gone)
+	defer x.lose()
 	defer leave()
 	received := make(chan error, 1)
 	go func() { received <- x.receive(stream, leave) }()
@@ -36,6 +38,8 @@
 			}
 		case err := <-received:
 			return err
+		case <-x.gone:
+			return status.Error(codes.DeadlineExceeded, "the member is lost")
 		case <-s.ctx.Done():
 			return errNotScheduling
 		}
--- a/internal/control/links.go
+++ b/internal/control/links.go
@@ -138,7 +138,7 @@
 	if second {
 		r.Ack = 0
 	}
-	reply, err := l.s.carriers.Renew(ctx, l.ref, r)
+	reply, err := l.s.carriers.Renew(ctx, l.ref, r, second)
 	l.endLeaseCall(expiry, err)
 	return reply, err
 }
@@ -304,7 +304,7 @@
 	began := time.Now()
 	switch o.Kind {
 	case cell.OrderStart:
-		_, err = hedge(l.s.spawn, l.s.latency.hedgeDelay(), func(bool) (struct{}, error) { return struct{}{}, l.start(o) })
+		_, err = hedge(l.s.spawn, l.s.latency.hedgeDelay(), func(second bool) (struct{}, error) { return struct{}{}, l.start(o, second) })
 	case cell.OrderPace:
 		err = l.s.carriers.Pace(l.s.ctx, l.ref, o.Run, o.Pace, l.s.term.number)
 	default:
@@ -320,14 +320,14 @@
 	return outcome
 }
 
-func (l *workerLink) start(o cell.Order) error {
+func (l *workerLink) start(o cell.Order, second bool) error {
 	l.mu.Lock()
 	leaseEndMS, expiry := l.beginLeaseCall(time.Now())
 	l.mu.Unlock()
 	err := errors.Wrap(port.ErrUnavailable, "worker clock not known yet")
 	if leaseEndMS != 0 {
 		began := time.Now()
-		_, err = l.s.carriers.Start(l.s.ctx, l.ref, port.Start{Order: o, Token: l.s.term.number, LeaseEndMS: leaseEndMS})
+		_, err = l.s.carriers.Start(l.s.ctx, l.ref, port.Start{Order: o, Token: l.s.term.number, LeaseEndMS: leaseEndMS}, second)
 		if !errors.Is(err, port.ErrUnknownOutcome) {
 			l.s.latency.observe(time.Since(began))
 		}
