--- a/internal/control/carry.go
+++ b/internal/control/carry.go
@@ -172,6 +172,7 @@
 				reply := &cellpb.CarriedReply{} // an unknown outcome, unless the call ends without a panic
 				contain.Panics(n.options.Log, "carrying a call", func() { reply = n.execute(ctx, call) })
 				reply.Id = call.Id
+				n.metrics.count("carried_calls_total", kindOf(call), reply.Outcome.String())
 				select {
 				case replies <- reply:
 				case <-ctx.Done():
@@ -199,6 +200,21 @@
 	}
 }
 
+// kindOf names the kind of a call.
+func kindOf(m *cellpb.CarriedCall) string {
+	switch m.Call.(type) {
+	case *cellpb.CarriedCall_Renew:
+		return "renewal"
+	case *cellpb.CarriedCall_Start:
+		return string(cell.OrderStart)
+	case *cellpb.CarriedCall_Stop:
+		return string(cell.OrderStop)
+	case *cellpb.CarriedCall_Pace:
+		return string(cell.OrderPace)
+	}
+	return "unknown"
+}
+
 // execute makes a call to a worker.
 func (n *Node) execute(ctx context.Context, m *cellpb.CarriedCall) *cellpb.CarriedReply {
 	w := port.WorkerRef{ID: cell.WorkerID(m.Worker), Address: m.Address}
--- a/internal/core/cell/model_test.go
+++ b/internal/core/cell/model_test.go
@@ -131,6 +131,7 @@
 		Team: "team", Service: "pool", AcceptedMS: m.now.UnixMilli()}
 	first := tasks(rapid.IntRange(1, 3).Draw(m.t, "count"), rapid.Int64Range(500, 3000).Draw(m.t, "cpu"))
 	first.Gang = rapid.Bool().Draw(m.t, "gang")
+	first.LongRunning = rapid.SampledFrom([]bool{false, false, false, true}).Draw(m.t, "service")
 	second := tasks(1, 1000)
 	second.After = []int{0}
 	j.Steps = []Step{first, second}
@@ -406,8 +407,10 @@
 	for len(w.ended) > 0 && w.ended[0].Number <= cursor {
 		e := w.ended[0]
 		w.ended = w.ended[1:]
-		gang := m.jobs[e.Run.Task.Job].Steps[e.Run.Task.Step].Gang
+		spec := m.jobs[e.Run.Task.Job].Steps[e.Run.Task.Step]
+		gang := spec.Gang
 		switch {
+		case spec.LongRunning: // starts again, however often it ends
 		case e.Kind == EndDone:
 			m.ackedDone[e.Run.Task] = true
 		case e.Kind == EndFailed && !gang:
@@ -424,6 +427,9 @@
 		return
 	}
 	id := ids[rapid.IntRange(0, len(ids)-1).Draw(m.t, "task")]
+	if m.recovered && m.jobs[id.Job].Steps[id.Step].LongRunning {
+		return
+	}
 	kind := EndDone
 	if !m.recovered && rapid.SampledFrom([]bool{true, false, false}).Draw(m.t, "fails") {
 		kind = EndFailed
@@ -492,22 +498,68 @@
 			m.boot(w)
 		}
 	}
-	for range 400 {
+	service := m.keepOneService()
+	m.finishRuns(200)
+	m.checkService(service)
+	if service != "" {
+		m.s.CancelJob(service)
+	}
+	m.finishRuns(400)
+	for _, id := range m.jobIDs() {
+		if !m.final[id] {
+			m.t.Fatalf("job %s hasn't ended: %s", id, m.describe(id))
+		}
+	}
+}
+
+// keepOneService cancels all jobs with a long-running step but the first, which may need all capacity for itself. It
+// returns that one, or "" if there is none.
+func (m *model) keepOneService() JobID {
+	kept := JobID("")
+	for _, id := range m.jobIDs() {
+		if m.final[id] || !m.jobs[id].Steps[0].LongRunning {
+			continue
+		}
+		if j := m.s.jobs[id]; kept == "" && j != nil && !j.cancelRequested && !j.phase.Final() {
+			kept = id
+		} else {
+			m.s.CancelJob(id)
+		}
+	}
+	return kept
+}
+
+// checkService checks that all tasks of a long-running job run.
+func (m *model) checkService(id JobID) {
+	if id == "" {
+		return
+	}
+	running := map[TaskID]bool{}
+	for _, w := range m.workers {
+		for task := range w.runs {
+			running[task] = true
+		}
+	}
+	for n := range m.jobs[id].Steps[0].Count {
+		if !running[TaskID{id, 0, n}] {
+			m.t.Fatalf("task %d of service %s doesn't run: %s", n, id, m.describe(id))
+		}
+	}
+}
+
+// finishRuns moves the clock and lets all runs succeed except those of services.
+func (m *model) finishRuns(ticks int) {
+	for range ticks {
 		m.tick()
 		for _, w := range m.workers {
 			for _, id := range sortedTasks(w.runs) {
-				if _, exists := w.runs[id]; exists {
+				if _, exists := w.runs[id]; exists && !m.jobs[id.Job].Steps[id.Step].LongRunning {
 					m.endTaskOrGang(id, w, EndDone)
 				}
 			}
 		}
 		m.checkInvariants(m.t)
 	}
-	for _, id := range m.jobIDs() {
-		if !m.final[id] {
-			m.t.Fatalf("job %s hasn't ended: %s", id, m.describe(id))
-		}
-	}
 }
 
 // describe returns a job's state for a failure message.
