control: a member attaches anew without waiting for the calls that it carries

Every member was late that way after a takeover.

Change: carried calls end on their own.

Test: TestTakeoverDoesNotWaitForCarriedCalls (hung before).

--- a/internal/control/carriers_test.go
+++ b/internal/control/carriers_test.go
@@ -262,6 +262,56 @@
 	}
 }
 
+// Guards against a member that takes over only when the calls that it carries have ended, which may take more than a
+// second: the cell would be without a scheduling node until then.
+func TestTakeoverDoesNotWaitForCarriedCalls(t *testing.T) {
+	m := newMemberCell(t, 0)
+	s := m.s
+	s.carriers = newCarriers(&recordingWorkers{}, spreading{})
+	s.node.activeTerm.Store(s)
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server := grpc.NewServer(serverOptions(s.node.options.Log)...)
+	cellpb.RegisterCellServer(server, &peerServer{node: s.node})
+	go func() { _ = server.Serve(listener) }() // ends with Stop
+	defer server.Stop()
+
+	member, _, _ := newIsolatedNode()
+	defer member.peers.close()
+	workers := &blockedWorkers{renewing: make(chan struct{}), released: make(chan struct{})}
+	member.options.Workers = workers
+	attached := make(chan bool, 1)
+	go func() {
+		takeOver, _ := member.attach(t.Context(), &holder{Address: listener.Addr().String(), Term: s.term.number})
+		attached <- takeOver
+	}()
+	stopHeartbeats := make(chan struct{})
+	defer close(stopHeartbeats)
+	go func() {
+		for {
+			select {
+			case <-stopHeartbeats:
+				return
+			case <-time.After(heartbeatInterval / 4):
+				m.sendHeartbeats()
+			}
+		}
+	}()
+	waitUntil(t, func() bool { return s.carriers.count() == 1 })
+	go func() { // its outcome isn't known: the carrier ends
+		_, _ = s.carriers.exchange(t.Context(), s.carriers.list[0], &cellpb.CarriedCall{Call: &cellpb.CarriedCall_Renew{Renew: &cellpb.CarriedRenewal{}}}, time.Minute)
+	}()
+	<-workers.renewing
+	m.mu.Lock()
+	resign := m.message()
+	resign.Resign = true
+	m.list[0].send(resign)
+	m.mu.Unlock()
+	assert.Assert(t, <-attached, "the member was asked to take over")
+	close(workers.released)
+	member.endedTerms.Wait()
+}
+
 // waitUntil polls a condition. The result doesn't depend on how long it takes.
 func waitUntil(t *testing.T, condition func() bool) {
 	t.Helper()
--- a/internal/control/member.go
+++ b/internal/control/member.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/sourcegraph/conc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
@@ -149,9 +148,6 @@
 	intervals := make(chan time.Duration, 1)
 	go func() { sent <- n.sendMessages(ctx, stream, advice, intervals) }()
 	defer func() { cancel(); <-sent }()
-	var carrying conc.WaitGroup
-	defer carrying.Wait()
-	defer cancel()
 	first := true
 	for {
 		m, err := stream.Recv()
@@ -169,7 +165,8 @@
 		if first {
 			first = false
 			n.options.Log.Info("dependency regained", "dependency", "scheduling node", "node", m.Node, "term", m.Term)
-			carrying.Go(func() { n.keepCarrying(ctx, h.Address) })
+			// Calls that are being carried may take a second; this node must be able to follow the next holder before.
+			n.endedTerms.Go(func() { n.keepCarrying(ctx, h.Address) })
 		}
 		n.handleSchedulerMessage(h, m)
 		if m.Advice != nil {
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -39,7 +39,7 @@
 	outbox          chan *cellpb.MemberMessage // messages to the scheduling node
 	malformedConfig string                     // last logged error of a configuration that can't be decoded; used only by pollConfig
 	fetchingConfig  atomic.Bool                // a configuration is being fetched from another node
-	endedTerms      conc.WaitGroup             // ended terms of this node whose calls are still in flight
+	endedTerms      conc.WaitGroup             // calls in flight of this node's ended terms, and calls carried for others
 }
 
 type activeConfig struct {
