control: takeovers don't wait for members that were lost too, nor for the own turn

Change: half of the asked members confirm the loss; a waiting node looks for a new holder every 150 ms.

Tests: TestHalfOfTheMembersConfirmTheLoss, TestNewHolderIsFollowedBeforeTheOwnTurn.

--- a/internal/control/member.go
+++ b/internal/control/member.go
@@ -42,12 +42,28 @@
 		// the store lease decides.
 		return
 	}
-	if !wait.For(ctx, n.candidacyDelay()) {
-		return
+	if n.awaitCandidacy(ctx, h) {
+		n.campaign(ctx, h.revision, "no node receives heartbeats from the scheduling node")
 	}
-	n.campaign(ctx, h.revision, "no node receives heartbeats from the scheduling node")
 }
 
+// awaitCandidacy waits until it is this node's turn to take over from a lost holder. It returns false if another node has
+// taken over meanwhile, which this node then follows.
+func (n *Node) awaitCandidacy(ctx context.Context, lost *holder) bool {
+	for left := n.candidacyDelay(); left > 0; left -= holderCheckInterval {
+		if !wait.For(ctx, min(left, holderCheckInterval)) {
+			return false
+		}
+		if h, err := readHolder(ctx, n.store); err == nil && h != nil && h.revision != lost.revision {
+			return false
+		}
+	}
+	return ctx.Err() == nil
+}
+
+// holderCheckInterval is the interval between two checks for a new holder while a node waits for its turn.
+const holderCheckInterval = 150 * time.Millisecond
+
 // followLastKnown follows the last known scheduling node while the store doesn't answer.
 func (n *Node) followLastKnown(ctx context.Context) {
 	m := n.membership.Load()
@@ -95,11 +111,7 @@
 	if m == nil {
 		return false, false
 	}
-	type answer struct {
-		reply *cellpb.HearsReply
-		err   error
-	}
-	answers := make(chan answer, len(m.members))
+	answers := make(chan hearsAnswer, len(m.members))
 	asked := 0
 	call, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
@@ -111,19 +123,34 @@
 		client := n.peers.client(address)
 		go func() {
 			reply, err := client.Hears(call, &cellpb.HearsRequest{Term: h.Term})
-			answers <- answer{reply, err}
+			answers <- hearsAnswer{reply, err}
 		}()
 	}
+	return evaluateAnswers(answers, asked, h.Term)
+}
+
+// hearsAnswer is a member's answer to the question when it last received a heartbeat.
+type hearsAnswer struct {
+	reply *cellpb.HearsReply
+	err   error
+}
+
+// evaluateAnswers reports whether the scheduling node is alive, and whether any member has answered or none was asked. It
+// returns as soon as half of the members have confirmed the loss: others may have been lost at the same time and don't
+// answer at all.
+func evaluateAnswers(answers <-chan hearsAnswer, asked int, term int64) (alive, answered bool) {
 	confirmed := 0
 	for range asked {
 		a := <-answers
 		if a.err != nil {
 			continue
 		}
-		if a.reply.Term > h.Term || a.reply.Term == h.Term && a.reply.SilenceMs < heartbeatTimeout.Milliseconds()/2 {
+		if a.reply.Term > term || a.reply.Term == term && a.reply.SilenceMs < heartbeatTimeout.Milliseconds()/2 {
 			return true, true
 		}
-		confirmed++
+		if confirmed++; 2*confirmed >= asked {
+			return false, true
+		}
 	}
 	return false, confirmed > 0 || asked == 0
 }
--- a/internal/control/members_test.go
+++ b/internal/control/members_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"google.golang.org/grpc"
@@ -104,3 +105,64 @@
 	close(workers.released)
 	n.endedTerms.Wait()
 }
+
+// Guards against a takeover that waits for the timeouts of members that were lost together with the scheduling node.
+func TestHalfOfTheMembersConfirmTheLoss(t *testing.T) {
+	lost := hearsAnswer{reply: &cellpb.HearsReply{Term: 4, SilenceMs: 700}}
+	heard := hearsAnswer{reply: &cellpb.HearsReply{Term: 4, SilenceMs: 80}}
+	failed := hearsAnswer{err: errTermLost}
+	for _, test := range []struct {
+		answers         []hearsAnswer // the other members never answer
+		asked           int
+		alive, answered bool
+	}{
+		{[]hearsAnswer{lost, lost}, 4, false, true},
+		{[]hearsAnswer{failed, lost, lost, lost, lost}, 8, false, true},
+		{[]hearsAnswer{lost, heard}, 8, true, true},
+		{[]hearsAnswer{failed, failed}, 2, false, false},
+		{[]hearsAnswer{failed, lost, failed}, 3, false, true},
+		{nil, 0, false, true},
+	} {
+		answers := make(chan hearsAnswer, len(test.answers))
+		for _, a := range test.answers {
+			answers <- a
+		}
+		alive, answered := evaluateAnswers(answers, test.asked, 4)
+		assert.Equal(t, alive, test.alive)
+		assert.Equal(t, answered, test.answered)
+	}
+}
+
+// holderStore has a record of the scheduling node.
+type holderStore struct {
+	port.TxnStore
+	revision int64
+}
+
+func (s *holderStore) Get(context.Context, string) (port.Entry, error) {
+	return port.Entry{Key: schedulerKey, Value: []byte(`{"v":1,"node":"b","address":"127.0.0.1:2","term":5}`), Revision: s.revision}, nil
+}
+
+// Guards against nodes far down in the succession that follow a new scheduling node only after their own turn to take over
+// would have come, seconds later in a large cell.
+func TestNewHolderIsFollowedBeforeTheOwnTurn(t *testing.T) {
+	for _, test := range []struct {
+		revision int64
+		turn     bool
+	}{{8, false}, {7, true}} {
+		synctest.Test(t, func(t *testing.T) {
+			n, _, _ := newIsolatedNode()
+			n.store.TxnStore = &holderStore{revision: test.revision}
+			members := make([]string, maxSuccession)
+			members[maxSuccession-1] = n.options.Address
+			n.membership.Store(&membership{term: 4, members: members})
+			began := time.Now()
+			assert.Equal(t, n.awaitCandidacy(t.Context(), &holder{revision: 7}), test.turn)
+			if test.turn {
+				assert.Equal(t, time.Since(began), (maxSuccession-1)*candidacyStep)
+			} else {
+				assert.Equal(t, time.Since(began), holderCheckInterval)
+			}
+		})
+	}
+}
