--- a/internal/cli/load.go
+++ b/internal/cli/load.go
@@ -45,9 +45,9 @@
 	}
 	f := c.Flags()
 	f.BoolVar(&asJSON, "json", false, "print the result as JSON")
-	f.BoolVar(&capacitySeries, "slopes", false, "run the measurement series of docs/CAPACITY.md and print its tables")
+	f.BoolVar(&capacitySeries, "slopes", false, "run the measurement series of docs/capacity-partitions.md and print its tables")
 	f.StringSliceVar(&only, "only", nil, "measurements of --slopes to run, all by default")
-	f.StringVar(&tables, "tables", "", "print the tables of docs/CAPACITY.md from the results of --slopes in this directory")
+	f.StringVar(&tables, "tables", "", "print the tables of docs/capacity-partitions.md from the results of --slopes in this directory")
 	f.StringVar(&o.Platform, "platform", "", "address of a running cell's platform, IP:port; empty starts a cell")
 	f.StringSliceVar(&o.Addresses, "node", nil, "HTTP addresses of the running cell's nodes, all registered ones by default")
 	f.StringVar(&o.Secret, "secret", "", "secret of a key of the running cell")
--- a/internal/load/slopes.go
+++ b/internal/load/slopes.go
@@ -14,7 +14,7 @@
 	"github.com/pkg/errors"
 )
 
-// measurement is one run of the series from which the tables of docs/CAPACITY.md are made.
+// measurement is one run of the series from which the tables of docs/capacity-partitions.md are made.
 type measurement struct {
 	name      string
 	configure func(*Options)
@@ -202,7 +202,7 @@
 	}
 }
 
-// WriteTables writes the tables of docs/CAPACITY.md from the results in a directory.
+// WriteTables writes the tables of docs/capacity-partitions.md from the results in a directory.
 func WriteTables(w io.Writer, directory string) error {
 	results, err := readSeries(directory)
 	if err != nil {
--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Measures the overhead of the control plane and updates the tables in docs/CAPACITY.md.
+# Measures the overhead of the control plane and updates the tables in docs/capacity-partitions.md.
 # Usage: scripts/capacity.sh [DIRECTORY [NAMES]]
 # The results are written to DIRECTORY (by default a new temporary directory). NAMES is a comma-separated list of the
 # measurements to run, by default all. With "none", no measurement runs and the tables are made from existing results.
@@ -17,5 +17,5 @@
 awk -v tables="$directory/tables.md" '
 /^<!-- tables begin -->/ { print; while ((getline line < tables) > 0) print line; skip = 1 }
 /^<!-- tables end -->/ { skip = 0 }
-!skip { print }' docs/CAPACITY.md >"$directory/page.md"
-cp "$directory/page.md" docs/CAPACITY.md
+!skip { print }' docs/capacity-partitions.md >"$directory/page.md"
+cp "$directory/page.md" docs/capacity-partitions.md
