Soak: services, malformed messages, cells large enough for carriers

Services run until the soak cancels them, each port gets random bytes, and no node may end by itself; -soak.nodes 18 makes the members carry the calls to workers.

--- a/internal/proof/soak_cell_test.go
+++ b/internal/proof/soak_cell_test.go
@@ -19,7 +19,6 @@
 )
 
 const (
-	soakNodes   = 4
 	soakWorkers = 6
 	soakTaskCPU = 1000
 	soakHost    = "jobs.example"
@@ -72,7 +71,7 @@
 		c.register(w, "ready")
 	}
 	c.configure()
-	for i := range soakNodes {
+	for i := range *soakNodes {
 		n := &soakNode{settingsPath: filepath.Join(c.dir, fmt.Sprint("boot-", i, ".toml")), client: &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{}}}
 		n.settings = leased.NodeSettings{Name: fmt.Sprint("node-", i), IP: ip, CallersPort: 7500 + i, ReadyPort: 7600 + i, PeersPort: 7400 + i,
 			Store: c.addRelay(ip, c.store.Address()).address(), Advice: c.addRelay(ip, strings.TrimPrefix(advice.URL, "http://")).address()}
--- a/internal/proof/soak_test.go
+++ b/internal/proof/soak_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -17,6 +18,7 @@
 var (
 	soakSeeds   = flag.Int("soak.seeds", 0, "number of additional seeds to run, starting with soak.first")
 	soakFirst   = flag.Uint64("soak.first", 1000, "first of the additional seeds")
+	soakNodes   = flag.Int("soak.nodes", 4, "number of nodes; from 17 on, members carry the calls to workers")
 	soakSeconds = flag.Int("soak.seconds", 5, "seconds of fault injection for each seed")
 )
 
@@ -29,9 +31,10 @@
 	1026,
 }
 
-// TestSoak guards against guarantees that break under overlapping faults: nodes are killed, stopped and paused; links
-// are delayed, reset, silenced and cut in one direction; the store fails; workers crash, drain and lose responses.
-// Accepted jobs must run once and end, refused jobs must never run, and a job that is shown as completed must be done.
+// TestSoak guards against guarantees that break under overlapping faults: nodes are killed, stopped and paused, and get
+// malformed messages; links are delayed, reset, silenced and cut in one direction; the store fails; workers crash, drain
+// and lose responses. Accepted jobs must run once and end, refused jobs must never run, a job that is shown as completed
+// must be done, services must run until they are canceled, and no node may end by itself.
 func TestSoak(t *testing.T) {
 	seeds := regressionSeeds
 	for i := range *soakSeeds {
@@ -47,16 +50,30 @@
 	c.awaitReady()
 	done := make(chan struct{})
 	var clients, faults sync.WaitGroup
-	jobs := make([][]*soakJob, 4)
-	for i := range jobs {
+	// Each client and each source of faults has its own random numbers, so that a seed keeps its meaning when another kind
+	// is added.
+	const ordinaryClients = 4
+	jobs := make([][]*soakJob, ordinaryClients+1)
+	for i := range ordinaryClients {
 		clients.Go(func() { jobs[i] = c.submitUntil(done, rand.New(rand.NewPCG(seed, uint64(i+1))), i) })
 	}
+	clients.Go(func() {
+		jobs[ordinaryClients] = c.submitServices(done, rand.New(rand.NewPCG(seed, 100)), ordinaryClients)
+	})
 	faults.Go(func() { c.injectFaults(done, rand.New(rand.NewPCG(seed, 0))) })
+	faults.Go(func() { c.sendMalformedUntil(done, rand.New(rand.NewPCG(seed, 101))) })
 	time.Sleep(time.Duration(*soakSeconds) * time.Second)
 	close(done)
 	faults.Wait()
 	clients.Wait()
 	c.clearFaults()
+	for _, n := range c.nodes {
+		select {
+		case <-n.process.done:
+			t.Errorf("%s has ended by itself", n.settings.Name)
+		default:
+		}
+	}
 	for _, list := range jobs {
 		for _, j := range list {
 			c.checkOutcome(j)
@@ -91,6 +108,7 @@
 type soakJob struct {
 	id, path, body string
 	tasks          []string
+	service        bool // runs until it is canceled
 	accepted       bool // a node responded with 200
 	unknown        bool // an attempt got no response, or one that leaves open whether the job runs
 	canceled       bool
@@ -105,11 +123,35 @@
 		j.tasks = append(j.tasks, fmt.Sprintf("%s.0.0.%d", j.id, i))
 	}
 	j.tasks = append(j.tasks, j.id+".0.1.0")
-	step := fmt.Sprintf(`"cpu":%d,"mem_mb":100,"estimate_ms":300`, soakTaskCPU)
+	step := soakTask()
 	j.body = fmt.Sprintf(`{"spec":"s","steps":[{"count":%d,%s},{"count":1,%s,"after":[0]}]}`, count, step, step)
 	return j
 }
 
+// soakTask returns the fields of a step that all tasks of the soak share.
+func soakTask() string { return fmt.Sprintf(`"cpu":%d,"mem_mb":100,"estimate_ms":300`, soakTaskCPU) }
+
+// maxServices bounds the services, which must leave most of the capacity free.
+const maxServices = 4
+
+// submitServices submits services, which are canceled only by checkOutcome, until done is closed.
+func (c *soakCell) submitServices(done <-chan struct{}, rng *rand.Rand, client int) []*soakJob {
+	var jobs []*soakJob
+	for len(jobs) < maxServices {
+		select {
+		case <-done:
+			return jobs
+		case <-time.After(time.Duration(rng.IntN(1500)) * time.Millisecond):
+		}
+		id := fmt.Sprintf("%08x%08x", client+1, len(jobs))
+		j := &soakJob{id: id, path: "/advised/" + id, service: true, tasks: []string{id + ".0.0.0"}}
+		j.body = fmt.Sprintf(`{"spec":"%s","steps":[{"count":1,"long_running":true,"max_unavailable":1,%s}]}`, leased.ServiceSpec, soakTask())
+		c.submit(j, rng)
+		jobs = append(jobs, j)
+	}
+	return jobs
+}
+
 // submitUntil submits jobs, queries their states and cancels some of them, until done is closed.
 func (c *soakCell) submitUntil(done <-chan struct{}, rng *rand.Rand, client int) []*soakJob {
 	var jobs []*soakJob
@@ -121,15 +163,7 @@
 		}
 		j := newSoakJob(rng, client, number)
 		jobs = append(jobs, j)
-		for attempt := 0; attempt < 4 && !j.accepted; attempt++ {
-			switch status, _ := c.call(c.nodes[rng.IntN(len(c.nodes))], http.MethodPost, j.path, j.body); status {
-			case http.StatusOK:
-				j.accepted = true
-			case http.StatusServiceUnavailable, http.StatusTooManyRequests:
-			default:
-				j.unknown = true
-			}
-		}
+		c.submit(j, rng)
 		sampled := jobs[rng.IntN(len(jobs))]
 		c.checkState(sampled, c.nodes[rng.IntN(len(c.nodes))])
 		if sampled.accepted && !sampled.canceled && rng.IntN(10) == 0 {
@@ -139,6 +173,19 @@
 	}
 }
 
+// submit submits a job, up to four times until it is accepted.
+func (c *soakCell) submit(j *soakJob, rng *rand.Rand) {
+	for attempt := 0; attempt < 4 && !j.accepted; attempt++ {
+		switch status, _ := c.call(c.nodes[rng.IntN(len(c.nodes))], http.MethodPost, j.path, j.body); status {
+		case http.StatusOK:
+			j.accepted = true
+		case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		default:
+			j.unknown = true
+		}
+	}
+}
+
 // checkState compares the state that a node reports for a job with what the workers ran. It returns whether the job has
 // ended.
 func (c *soakCell) checkState(j *soakJob, n *soakNode) bool {
@@ -172,6 +219,14 @@
 		}
 		return
 	}
+	if j.service && !j.canceled {
+		c.eventually(j.id+" runs", func() bool { return c.checker.IsRunning(j.tasks[0]) })
+		c.eventually(j.id+" is canceled", func() bool {
+			status, _ := c.call(c.nodes[0], http.MethodDelete, j.path, "")
+			return status == http.StatusOK
+		})
+		j.canceled = true
+	}
 	c.eventually(j.id+" ends", func() bool { return c.checkState(j, c.nodes[0]) && c.checkState(j, c.nodes[len(c.nodes)-1]) })
 }
 
@@ -270,6 +325,36 @@
 	})
 }
 
+// sendMalformedUntil sends malformed messages to all nodes in turn until done is closed.
+func (c *soakCell) sendMalformedUntil(done <-chan struct{}, rng *rand.Rand) {
+	for i := 0; ; i++ {
+		select {
+		case <-done:
+			return
+		case <-time.After(time.Duration(100+rng.IntN(300)) * time.Millisecond):
+			c.sendMalformed(c.nodes[i%len(c.nodes)], rng)
+		}
+	}
+}
+
+// sendMalformed sends random bytes, or a request that begins like a valid one, to each port of a node.
+func (c *soakCell) sendMalformed(n *soakNode, rng *rand.Rand) {
+	message := make([]byte, 200)
+	for i := range message {
+		message[i] = byte(rng.IntN(256))
+	}
+	starts := []string{"", "POST /plain/5c0e7a21d94b36f8 HTTP/1.1\r\nHost: " + soakHost + "\r\nContent-Length: 200\r\n\r\n", "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"}
+	message = append([]byte(starts[rng.IntN(len(starts))]), message...)
+	for _, port := range []int{n.settings.CallersPort, n.settings.ReadyPort, n.settings.PeersPort} {
+		conn, err := net.DialTimeout("tcp4", fmt.Sprintf("%s:%d", n.settings.IP, port), time.Second)
+		if err != nil {
+			continue // the node is down
+		}
+		_, _ = conn.Write(message) // the node may have closed the connection
+		conn.Close()
+	}
+}
+
 // injectWorkerFault crashes and restarts a worker (8), or drains it and loses the responses to three starts (9).
 func (c *soakCell) injectWorkerFault(w *soakWorker, kind int, duration time.Duration) {
 	if kind == 8 {
--- a/internal/standin/leased/worker.go
+++ b/internal/standin/leased/worker.go
@@ -33,6 +33,14 @@
 	return c.everCompleted[task]
 }
 
+// IsRunning reports whether a task runs on a worker now.
+func (c *RunChecker) IsRunning(task string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, running := c.running[task]
+	return running
+}
+
 // HasStarted reports whether a task of the job has ever started.
 func (c *RunChecker) HasStarted(job string) bool {
 	c.mu.Lock()
@@ -91,7 +99,14 @@
 	c.violations = append(c.violations, text)
 }
 
-// Worker is a stand-in for a worker. Every task that it runs takes taskDuration.
+// ServiceSpec is the specification of tasks that run until they are stopped.
+const ServiceSpec = "service"
+
+// serviceDuration is longer than any test.
+const serviceDuration = 24 * time.Hour
+
+// Worker is a stand-in for a worker. Every task that it runs takes taskDuration, except those of ServiceSpec, which are at
+// work after that time.
 type Worker struct {
 	ID              string
 	server          *httptest.Server
@@ -212,6 +227,7 @@
 type request struct {
 	Task         string `json:"task"`
 	Run          int    `json:"run"`
+	Spec         string `json:"spec"`
 	DueMS        int64  `json:"due_ms"`
 	FencingToken int64  `json:"fencing_token"`
 	AckCursor    int64  `json:"ack_cursor"`
@@ -294,7 +310,11 @@
 
 func (w *Worker) startRun(req request) {
 	newRun := &run{number: req.Run, started: time.Now()}
-	newRun.timer = time.AfterFunc(w.taskDuration, func() {
+	duration := w.taskDuration
+	if req.Spec == ServiceSpec {
+		duration = serviceDuration
+	}
+	newRun.timer = time.AfterFunc(duration, func() {
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		w.endLapsedRuns()
@@ -351,7 +371,7 @@
 	defer w.mu.Unlock()
 	running := [][]any{}
 	for task, current := range w.runs {
-		running = append(running, []any{task, current.number, "", int64(100 * time.Since(current.started) / w.taskDuration), 0})
+		running = append(running, []any{task, current.number, "", min(100, int64(100*time.Since(current.started)/w.taskDuration)), 0})
 	}
 	writeJSON(out, http.StatusOK, map[string]any{"clock_ms": w.clockMS(), "born": w.startedAt.UnixMilli(), "running": running,
 		"ended_runs": append([][]any{}, w.endedRuns...)})
