--- a/internal/control/carriers.go
+++ b/internal/control/carriers.go
@@ -79,16 +79,16 @@
 	}
 }
 
-// lose ends a carrier: no more calls go to it, and those that wait for its replies end.
-func (x *carrier) lose() { x.goneOnce.Do(func() { close(x.gone) }) }
+// markLost ends a carrier: no more calls go to it, and those that wait for its replies end.
+func (x *carrier) markLost() { x.goneOnce.Do(func() { close(x.gone) }) }
 
-// loseMember ends the carrier of a member that is lost. Its stream may stay open without a sign of that.
-func (c *carriers) loseMember(name string) {
+// memberLost ends the carrier of a member that is lost. Its stream may stay open without a sign of that.
+func (c *carriers) memberLost(name string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.list = slices.DeleteFunc(c.list, func(x *carrier) bool {
 		if x.name == name {
-			x.lose()
+			x.markLost()
 		}
 		return x.name == name
 	})
--- a/internal/control/carriers_test.go
+++ b/internal/control/carriers_test.go
@@ -160,7 +160,7 @@
 	c, _, _ := newTestCarriers(t, 24)
 	lost := port.WorkerRef{ID: "lost", Address: "a", Zone: "zone-2"}
 	x := c.choose(lost, false)
-	time.AfterFunc(20*time.Millisecond, func() { c.loseMember(x.name) })
+	time.AfterFunc(20*time.Millisecond, func() { c.memberLost(x.name) })
 	began := time.Now()
 	_, err := c.Start(t.Context(), lost, port.Start{}, false)
 	assert.ErrorIs(t, err, port.ErrUnknownOutcome)
--- a/internal/control/carry.go
+++ b/internal/control/carry.go
@@ -26,7 +26,7 @@
 		return err
 	}
 	x, leave := s.carriers.join(first.Node, first.Zone)
-	defer x.lose()
+	defer x.markLost()
 	defer leave()
 	received := make(chan error, 1)
 	go func() { received <- x.receive(stream, leave) }()
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -36,8 +36,8 @@
 	leaving           bool
 	cores             float64
 	handoverRequested bool // was asked to take over
-	// beat is the number of heartbeat intervals between two heartbeats.
-	beat int
+	// heartbeatEvery is the number of heartbeat intervals between two heartbeats.
+	heartbeatEvery int
 }
 
 // memberBuffer bounds the messages queued for a member's stream. A member that falls behind misses heartbeats.
@@ -80,14 +80,14 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	toAll = m.addSuccession(message) || toAll
-	m.fill(message)
+	m.setCommonFields(message)
 	m.ticks++
 	for i, x := range m.list {
-		beat := heartbeatsBetween(i, len(m.list))
-		if beat != x.beat {
-			x.beat = beat
+		every := heartbeatsBetween(i, len(m.list))
+		if every != x.heartbeatEvery {
+			x.heartbeatEvery = every
 			x.send(m.greeting(x))
-		} else if toAll || m.ticks%beat == 0 {
+		} else if toAll || m.ticks%every == 0 {
 			x.send(message)
 		}
 	}
@@ -124,7 +124,7 @@
 func (m *members) greeting(x *member) *cellpb.SchedulerMessage {
 	message := m.message()
 	message.Node, message.Members = m.s.node.options.Name, m.announced
-	message.HeartbeatMs = (time.Duration(x.beat) * heartbeatInterval).Milliseconds()
+	message.HeartbeatMs = (time.Duration(x.heartbeatEvery) * heartbeatInterval).Milliseconds()
 	return message
 }
 
@@ -153,12 +153,12 @@
 // message returns a message with the common fields set. The caller must hold mu.
 func (m *members) message() *cellpb.SchedulerMessage {
 	message := &cellpb.SchedulerMessage{}
-	m.fill(message)
+	m.setCommonFields(message)
 	return message
 }
 
-// fill sets the common fields of a message. The caller must hold mu.
-func (m *members) fill(message *cellpb.SchedulerMessage) {
+// setCommonFields sets the common fields of a message. The caller must hold mu.
+func (m *members) setCommonFields(message *cellpb.SchedulerMessage) {
 	age := m.s.node.storeAge()
 	for _, x := range m.list {
 		age = min(age, x.storeAge)
@@ -272,7 +272,7 @@
 func (m *members) silenceTimeout(x *member) time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return missedHeartbeats * time.Duration(x.beat) * heartbeatInterval
+	return missedHeartbeats * time.Duration(x.heartbeatEvery) * heartbeatInterval
 }
 
 func (x *member) send(m *cellpb.SchedulerMessage) bool {
@@ -286,7 +286,7 @@
 
 // join adds the node that has sent the first message of a stream. The returned function removes it.
 func (m *members) join(first *cellpb.MemberMessage) (*member, func()) {
-	x := &member{name: first.Node, address: first.Address, cores: first.Strength, beat: 1, out: make(chan *cellpb.SchedulerMessage, memberBuffer)}
+	x := &member{name: first.Node, address: first.Address, cores: first.Strength, heartbeatEvery: 1, out: make(chan *cellpb.SchedulerMessage, memberBuffer)}
 	a := &adviceNode{name: x.name, send: func(id int64, r cell.AdviceRequest) bool {
 		m.mu.Lock()
 		message := m.message()
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -34,7 +34,7 @@
 	}
 	x, leave := s.members.join(first)
 	defer leave()
-	defer s.carriers.loseMember(x.name)
+	defer s.carriers.memberLost(x.name)
 	s.members.handleMessage(x, first)
 	received := make(chan error, 1)
 	heartbeat := make(chan struct{}, 1)
