--- a/internal/control/carriers.go
+++ b/internal/control/carriers.go
@@ -1,13 +1,13 @@
 package control
 
 import (
-	"cmp"
 	"context"
-	"hash/fnv"
+	"encoding/binary"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"sequoiastall/internal/core/cell"
@@ -51,7 +51,7 @@
 // carrier is a member that executes calls.
 type carrier struct {
 	name, zone  string
-	hash        uint64
+	hash        uint64 // of the name
 	out         chan *cellpb.CarriedCall
 	gone        chan struct{} // closed when the member is lost or its stream has ended
 	goneOnce    sync.Once
@@ -67,7 +67,7 @@
 
 // join adds a member as a carrier. The returned function keeps further calls from it.
 func (c *carriers) join(name, zone string) (*carrier, func()) {
-	x := &carrier{name: name, zone: zone, hash: hashOf(name), out: make(chan *cellpb.CarriedCall, carrierQueue), gone: make(chan struct{}),
+	x := &carrier{name: name, zone: zone, hash: xxhash.Sum64String(name), out: make(chan *cellpb.CarriedCall, carrierQueue), gone: make(chan struct{}),
 		pending: map[int64]chan *cellpb.CarriedReply{}}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -125,7 +125,7 @@
 // order that differs from worker to worker, so that each carrier gets an equal share and a carrier that leaves moves
 // only its own workers.
 func (c *carriers) candidates(w port.WorkerRef) []*carrier {
-	now, id, paused := time.Now(), hashOf(string(w.ID)), 0
+	now, id, paused := time.Now(), xxhash.Sum64String(string(w.ID)), 0
 	for _, x := range c.list {
 		if now.Before(x.pausedUntil) {
 			paused++
@@ -153,22 +153,14 @@
 	if (a.zone == zone) != (b.zone == zone) {
 		return a.zone == zone
 	}
-	return cmp.Compare(mix(a.hash^worker), mix(b.hash^worker)) > 0
+	return weight(a.hash, worker) > weight(b.hash, worker)
 }
 
-func hashOf(s string) uint64 {
-	f := fnv.New64a()
-	f.Write([]byte(s))
-	return f.Sum64()
-}
-
-// mix spreads the bits of a hash, so that the order of two carriers differs from worker to worker.
-func mix(h uint64) uint64 {
-	h ^= h >> 33
-	h *= 0xff51afd7ed558ccd
-	h ^= h >> 33
-	h *= 0xc4ceb9fe1a85ec53
-	return h ^ h>>33
+// weight is the weight of a carrier for a worker in rendezvous hashing.
+func weight(carrier, worker uint64) uint64 {
+	var both [8]byte
+	binary.LittleEndian.PutUint64(both[:], carrier^worker)
+	return xxhash.Sum64(both[:])
 }
 
 // reroute makes the next call to a worker take another path, after one that didn't reach the worker.
--- a/internal/control/relay.go
+++ b/internal/control/relay.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"sequoiastall/internal/port"
@@ -83,7 +84,7 @@
 	if len(members) < minSpreadMembers {
 		return append([]string{m.address}, members...)
 	}
-	first := int(hashOf(r.node.options.Name) % uint64(len(members)))
+	first := int(xxhash.Sum64String(r.node.options.Name) % uint64(len(members)))
 	return append(append(members[first:len(members):len(members)], members[:first]...), m.address)
 }
 
--- a/internal/proof/relay_test.go
+++ b/internal/proof/relay_test.go
@@ -22,6 +22,30 @@
 
 	delay         atomic.Int64 // nanoseconds to wait before forwarding the data of each read
 	dropResponses atomic.Bool  // drop what the target sends
+	link          sharedLink
+}
+
+// sharedLink limits the rate of all connections of a relay together.
+type sharedLink struct {
+	bytesPerSecond atomic.Int64 // 0: no limit
+	mu             sync.Mutex
+	freeAt         time.Time // when what was already taken in has been sent
+}
+
+// transmit waits until n bytes have been sent over the link.
+func (l *sharedLink) transmit(n int) {
+	rate := l.bytesPerSecond.Load()
+	if rate == 0 {
+		return
+	}
+	l.mu.Lock()
+	if now := time.Now(); l.freeAt.Before(now) {
+		l.freeAt = now
+	}
+	l.freeAt = l.freeAt.Add(time.Duration(n) * time.Second / time.Duration(rate))
+	until := l.freeAt
+	l.mu.Unlock()
+	time.Sleep(time.Until(until))
 }
 
 // relayedConn is a client's connection together with the relay's own connection to the target.
@@ -89,6 +113,7 @@
 		if delay := r.delay.Load(); delay > 0 {
 			time.Sleep(time.Duration(delay))
 		}
+		r.link.transmit(n)
 		if n > 0 && !c.silent.Load() && !(r.dropResponses.Load() && from == c.server) {
 			if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
 				err = writeErr
--- a/internal/proof/soak_cell_test.go
+++ b/internal/proof/soak_cell_test.go
@@ -137,6 +137,7 @@
 	c.store.SetFault(nil)
 	for _, r := range c.relays {
 		r.delay.Store(0)
+		r.link.bytesPerSecond.Store(0)
 		r.dropResponses.Store(false)
 		r.disconnect(false)
 	}
--- a/internal/proof/soak_test.go
+++ b/internal/proof/soak_test.go
@@ -32,7 +32,7 @@
 }
 
 // TestSoak guards against guarantees that break under overlapping faults: nodes are killed, stopped and paused, and get
-// malformed messages; links are delayed, reset, silenced and cut in one direction; the store fails; workers crash, drain
+// malformed messages; links are delayed, limited in rate, reset, silenced and cut in one direction; the store fails; workers crash, drain
 // and lose responses. Accepted jobs must run once and end, refused jobs must never run, a job that is shown as completed
 // must be done, services must run until they are canceled, and no node may end by itself.
 func TestSoak(t *testing.T) {
@@ -62,6 +62,7 @@
 	})
 	faults.Go(func() { c.injectFaults(done, rand.New(rand.NewPCG(seed, 0))) })
 	faults.Go(func() { c.sendMalformedUntil(done, rand.New(rand.NewPCG(seed, 101))) })
+	faults.Go(func() { c.slowLinksUntil(done, rand.New(rand.NewPCG(seed, 102))) })
 	time.Sleep(time.Duration(*soakSeconds) * time.Second)
 	close(done)
 	faults.Wait()
@@ -325,6 +326,20 @@
 	})
 }
 
+// slowLinksUntil limits the rate of one link after the other until done is closed.
+func (c *soakCell) slowLinksUntil(done <-chan struct{}, rng *rand.Rand) {
+	for {
+		r := c.relays[rng.IntN(len(c.relays))]
+		r.link.bytesPerSecond.Store(int64(4000 + rng.IntN(60000)))
+		select {
+		case <-done:
+			return
+		case <-time.After(time.Duration(200+rng.IntN(1200)) * time.Millisecond):
+		}
+		r.link.bytesPerSecond.Store(0)
+	}
+}
+
 // sendMalformedUntil sends malformed messages to all nodes in turn until done is closed.
 func (c *soakCell) sendMalformedUntil(done <-chan struct{}, rng *rand.Rand) {
 	for i := 0; ; i++ {
