control: a budget for second calls and short renewals

By reading: after the loss of a tenth of the nodes, the workers of hundreds of lost carriers count as in doubt at once, and each renews 5 times a second; that many calls keep the scheduling node from others.

Change: calls that are made only because others have no answer come from a budget of 250 a second and term.

--- a/internal/control/hedge.go
+++ b/internal/control/hedge.go
@@ -22,6 +22,38 @@
 	latencyWeight = 0.05
 )
 
+// retryBudget bounds the calls that are made only because others have no answer: second calls, and renewals with a short
+// wait. A large cell may have thousands of calls without an answer at once, after the loss of a node, and must not answer
+// that with many times as many. It is safe for concurrent use.
+type retryBudget struct {
+	mu     sync.Mutex
+	tokens float64
+	last   time.Time
+}
+
+const (
+	// retriesPerSecond is the rate of such calls, and maxRetryBurst how many may be made at once.
+	retriesPerSecond = 250
+	maxRetryBurst    = 250
+)
+
+// allow takes a call from the budget and reports whether there was one left.
+func (b *retryBudget) allow(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.last.IsZero() {
+		b.tokens = maxRetryBurst
+	} else {
+		b.tokens = min(maxRetryBurst, b.tokens+retriesPerSecond*now.Sub(b.last).Seconds())
+	}
+	b.last = now
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
 // orderLatency tracks how long the answers to orders usually take. It is safe for concurrent use.
 type orderLatency struct {
 	mu    sync.Mutex
@@ -46,10 +78,10 @@
 	return max(minHedgeDelay, hedgeFactor*l.usual)
 }
 
-// hedge calls attempt, and calls it a second time if it hasn't returned after delay; second tells the calls apart. spawn
-// runs a function in the background. hedge returns the first success. Without one it waits for both calls, and the outcome
+// hedge calls attempt, and calls it a second time if it hasn't returned after delay and allow permits it; second tells the
+// calls apart. spawn runs a function in the background. hedge returns the first success. Without one it waits for both calls, and the outcome
 // is unknown if that of either is, because a refusal of one doesn't show that the other has no effect.
-func hedge[T any](spawn func(func()), delay time.Duration, attempt func(second bool) (T, error)) (T, error) {
+func hedge[T any](spawn func(func()), delay time.Duration, allow func() bool, attempt func(second bool) (T, error)) (T, error) {
 	type result struct {
 		value T
 		err   error
@@ -70,6 +102,10 @@
 		return r.value, r.err
 	case <-timer.C:
 	}
+	if !allow() {
+		r := <-results
+		return r.value, r.err
+	}
 	start(true)
 	first := <-results
 	if first.err == nil || decidesBoth(first.err) {
--- a/internal/control/links.go
+++ b/internal/control/links.go
@@ -115,7 +115,7 @@
 		if first {
 			maxWait = 0
 		}
-		reply, err := hedge(l.s.spawn, maxWait+l.s.latency.hedgeDelay(), func(second bool) (port.RenewalReply, error) {
+		reply, err := hedge(l.s.spawn, maxWait+l.s.latency.hedgeDelay(), l.s.mayRetry, func(second bool) (port.RenewalReply, error) {
 			return l.renew(ctx, maxWait, second)
 		})
 		if err != nil {
@@ -143,11 +143,14 @@
 	return reply, err
 }
 
+// mayRetry takes a call from the term's budget for calls that are made because others have no answer.
+func (s *activeTerm) mayRetry() bool { return s.retries.allow(time.Now()) }
+
 // maxWait returns how long the next renewal may wait for a run to end.
 func (l *workerLink) maxWait() time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if time.Now().Before(l.doubtUntil) {
+	if time.Now().Before(l.doubtUntil) && l.s.mayRetry() {
 		return doubtfulRenewalWait
 	}
 	return renewalWait
@@ -304,7 +307,7 @@
 	began := time.Now()
 	switch o.Kind {
 	case cell.OrderStart:
-		_, err = hedge(l.s.spawn, l.s.latency.hedgeDelay(), func(second bool) (struct{}, error) { return struct{}{}, l.start(o, second) })
+		_, err = hedge(l.s.spawn, l.s.latency.hedgeDelay(), l.s.mayRetry, func(second bool) (struct{}, error) { return struct{}{}, l.start(o, second) })
 	case cell.OrderPace:
 		err = l.s.carriers.Pace(l.s.ctx, l.ref, o.Run, o.Pace, l.s.term.number)
 	default:
--- a/internal/control/scheduling.go
+++ b/internal/control/scheduling.go
@@ -31,6 +31,7 @@
 	members       *members
 	carriers      *carriers
 	latency       orderLatency
+	retries       retryBudget
 	recordWaiters recordWaiters
 	began         time.Time
 	loaded        atomic.Bool // the state is loaded; events are queued until then
