--- a/internal/control/delegate.go
+++ b/internal/control/delegate.go
@@ -62,21 +62,34 @@
 	m.s.node.options.Log.Warn("dependency lost", "dependency", "delegate", "address", address, "error", err.Error())
 }
 
-// workersSince returns what has changed in the registry after a revision, from the delegate or from the store itself.
-func (s *activeTerm) workersSince(revision int64) (workerChanges, error) {
+// askDelegate calls the delegate, or the next one if that fails. ok is false if none has answered, so that the scheduling
+// node has to read the store itself.
+func askDelegate[T any](s *activeTerm, call func(context.Context, cellpb.CellClient) (T, error)) (reply T, ok bool) {
 	for range delegateAttempts {
 		address := s.members.delegate()
-		if address == "" || revision < 0 {
+		if address == "" {
 			break
 		}
 		ctx, cancel := context.WithTimeout(s.ctx, delegateTimeout)
-		reply, err := s.node.peers.client(address).Workers(ctx, &cellpb.WorkersRequest{After: revision})
+		reply, err := call(ctx, s.node.peers.client(address))
 		cancel()
 		if err == nil {
-			return workerChangesFrom(reply), nil
+			return reply, true
 		}
 		s.members.delegateFailed(address, err)
 	}
+	return reply, false
+}
+
+// workersSince returns what has changed in the registry after a revision, from the delegate or from the store itself.
+func (s *activeTerm) workersSince(revision int64) (workerChanges, error) {
+	if revision >= 0 {
+		if reply, ok := askDelegate(s, func(ctx context.Context, c cellpb.CellClient) (*cellpb.WorkersReply, error) {
+			return c.Workers(ctx, &cellpb.WorkersRequest{After: revision})
+		}); ok {
+			return workerChangesFrom(reply), nil
+		}
+	}
 	c, err := s.node.registry.since(s.ctx, revision)
 	if err == nil {
 		s.node.storeAnswered()
@@ -146,24 +159,16 @@
 // jobChanges returns the records of accepted and canceled jobs that were written after a revision, except for jobs that
 // the scheduler knows. It fails with port.ErrCompacted if the store no longer has changes that old.
 func (s *activeTerm) jobChanges(after int64) ([]port.Entry, int64, error) {
-	for range delegateAttempts {
-		address := s.members.delegate()
-		if address == "" {
-			break
-		}
-		ctx, cancel := context.WithTimeout(s.ctx, delegateTimeout)
-		reply, err := s.node.peers.client(address).Jobs(ctx, &cellpb.JobsRequest{After: after})
-		cancel()
-		switch {
-		case err != nil:
-			s.members.delegateFailed(address, err)
-		case reply.Compacted:
-			return nil, after, port.ErrCompacted
-		default:
-			return s.resolveJobs(reply, after)
-		}
+	reply, ok := askDelegate(s, func(ctx context.Context, c cellpb.CellClient) (*cellpb.JobsReply, error) {
+		return c.Jobs(ctx, &cellpb.JobsRequest{After: after})
+	})
+	switch {
+	case !ok:
+		return s.readJobChanges(after)
+	case reply.Compacted:
+		return nil, after, port.ErrCompacted
 	}
-	return s.readJobChanges(after)
+	return s.resolveJobs(reply, after)
 }
 
 // readJobChanges reads the records of accepted and canceled jobs that were written after a revision from the store.
--- a/internal/core/cell/order.go
+++ b/internal/core/cell/order.go
@@ -89,7 +89,7 @@
 // urgency classifies a job by its objective and its earliest possible end as of the current pass.
 func (s *Scheduler) urgency(j *job) urgency {
 	switch {
-	case j.isService():
+	case j.service:
 		return serviceUrgency(j)
 	case j.earliestEnd.After(j.expiresAt):
 		return expired
@@ -119,7 +119,7 @@
 
 // isLate reports whether the job misses its objective although its result still has value.
 func (j *job) isLate() bool {
-	return !j.overRate && !j.isService() && j.earliestEnd.After(j.deadline) && !j.earliestEnd.After(j.expiresAt)
+	return !j.overRate && !j.service && j.earliestEnd.After(j.deadline) && !j.earliestEnd.After(j.expiresAt)
 }
 
 // waitingTasks returns the number of the job's waiting tasks.
--- a/internal/core/cell/services.go
+++ b/internal/core/cell/services.go
@@ -19,9 +19,6 @@
 	maxAvoidedByService = 3
 )
 
-// isService reports whether a step of the job is long-running.
-func (j *job) isService() bool { return j.service }
-
 // available reports whether a service task is at work.
 func (t *task) available() bool { return t.phase == taskRunning && t.percent >= fullProgress }
 
