--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -96,7 +96,10 @@
 
 // addWaitingJobs adds the numbers of waiting jobs if they are due, and reports whether it did.
 func (m *members) addWaitingJobs(message *cellpb.SchedulerMessage) bool {
-	if time.Since(m.countedAt) < countInterval {
+	m.mu.Lock()
+	large := len(m.list) > promptMembers
+	m.mu.Unlock()
+	if large && time.Since(m.countedAt) < countInterval {
 		return false
 	}
 	message.Counted = m.s.query(m.s.ctx, func() {
@@ -137,7 +140,8 @@
 	membersPerBeat = 64
 	// maxSuccession bounds the succession that is sent to the members.
 	maxSuccession = 24
-	// countInterval is the interval at which the members are told how many jobs wait.
+	// countInterval is the interval at which the members are told how many jobs wait if there are more than promptMembers.
+	// Otherwise every heartbeat says so.
 	countInterval = 500 * time.Millisecond
 )
 
