cell: log when placement is suspended because no record becomes durable

Callers reported work that was accepted and then lost. One suspect is a cell whose placement stands still although the store answers. The scheduling node now logs when that begins and ends, with the number of jobs whose changes are unwritten.

--- a/internal/core/cell/pass.go
+++ b/internal/core/cell/pass.go
@@ -60,7 +60,7 @@
 // place runs a placement pass if one is due. The pass decides which waiting tasks start on which workers.
 func (s *Scheduler) place() {
 	since := s.now.Sub(s.pass.startedAt)
-	if s.writesStalled() || since < s.pass.minInterval() || !s.changed && since < idlePassInterval {
+	if s.suspended() || since < s.pass.minInterval() || !s.changed && since < idlePassInterval {
 		return
 	}
 	s.changed = false
@@ -145,6 +145,20 @@
 	return st.fullScanAt.IsZero() || s.now.Sub(st.fullScanAt) >= interval && s.pass.workerChecks < maxWorkerChecks
 }
 
+// suspended reports whether placement is suspended because writes stall, and logs when that begins and ends.
+func (s *Scheduler) suspended() bool {
+	stalled := s.writesStalled()
+	switch {
+	case stalled && !s.placementSuspended:
+		s.events.LogDecision("placement", "suspended", "reason", "no record becomes durable", "unwritten", len(s.dirty),
+			"waiting_ms", s.now.Sub(s.unrecordedSince).Milliseconds())
+	case !stalled && s.placementSuspended:
+		s.events.LogDecision("placement", "resumed", "unwritten", len(s.dirty))
+	}
+	s.placementSuspended = stalled
+	return stalled
+}
+
 // writesStalled reports whether records have waited for writeStallTimeout without one becoming durable. The tickets of new
 // intents would only expire in that state.
 func (s *Scheduler) writesStalled() bool {
--- a/internal/core/cell/scheduler.go
+++ b/internal/core/cell/scheduler.go
@@ -36,9 +36,10 @@
 	lastOrders    time.Time
 	lastSweep     time.Time
 	// unrecordedSince is when a record first waited to become durable, reset when a write completes; zero if none waits.
-	unrecordedSince time.Time
-	buckets         map[string]*tokenBucket // by team
-	unacked         map[WorkerID]bool       // workers with ends whose records weren't durable when last checked
+	unrecordedSince    time.Time
+	placementSuspended bool                    // placement was suspended at the last attempt, because writes stall
+	buckets            map[string]*tokenBucket // by team
+	unacked            map[WorkerID]bool       // workers with ends whose records weren't durable when last checked
 }
 
 // Events receives scheduling decisions for logging and metrics. Its methods must not block.
