cell: a forgotten job's unwritten changes are dropped

What callers see: accepted jobs that don't start although workers are free, and whose state stays pending. It ends with the next takeover.

Cause: when news of an accepted job arrive after the job has ended in an earlier term, the first record of the job conflicts and the scheduler forgets the job. If the job had changed again while that record was being written (a further intent, a ticket that lapsed, a cancellation), it stayed in the list of changed jobs as one whose write is in progress. Nothing ended that write, so the list was never empty again, and placement was suspended 0.4 s after each last commit. A busy cell hides that, because each commit allows placement again; a cell that drains doesn't start its last jobs, in particular gangs that need a second call for advice. If no write was in progress, the forgotten job was recorded again, without its job record.

Forget now removes the job from the list of changed jobs.

Evidence: reading; both tests failed before: TestForgottenJobWithUnwrittenChangeDoesNotBlockPlacement: assertion failed: 0 (int) != 1 (int) TestForgottenJobIsNotRecordedAgain: assertion failed: 1 (len(h.records) + len(h.finals) int) != 0 (int) Ruled out: a job that is forgotten without such a change (TestForgottenJobDoesNotBlockPlacement passed before).

--- a/internal/core/cell/faults_test.go
+++ b/internal/core/cell/faults_test.go
@@ -134,6 +134,37 @@
 	assert.Equal(t, len(h.takeStarts()), 1)
 }
 
+// Guards against a job that is forgotten while it has a further unwritten change, which then blocks placement for good.
+func TestForgottenJobWithUnwrittenChangeDoesNotBlockPlacement(t *testing.T) {
+	h := newHarness(t, 1)
+	h.addJob(Job{ID: "ended", Steps: []Step{tasks(1, 1000)}})
+	h.now = h.now.Add(minPassInterval)
+	h.collect(h.s.Advance(h.now))
+	assert.Equal(t, len(h.s.TakeWrites(31)), 1)
+	h.s.CancelJob("ended") // a change while the write of the job's intent is in progress
+	h.s.Forget("ended", "test")
+	for range 3 {
+		h.advance(writeStallTimeout)
+	}
+	h.addJob(Job{ID: "next", Steps: []Step{tasks(1, 4000)}})
+	h.advance(0)
+	assert.Equal(t, len(h.takeStarts()), 1)
+	_, recorded := h.records["ended"]
+	assert.Assert(t, !recorded, "a forgotten job must not be recorded again")
+}
+
+// Guards against a forgotten job that is recorded again, because of a change that was unwritten when it was forgotten.
+func TestForgottenJobIsNotRecordedAgain(t *testing.T) {
+	h := newHarness(t, 1)
+	h.addJob(Job{ID: "ended", Steps: []Step{tasks(1, 1000)}})
+	h.now = h.now.Add(minPassInterval)
+	h.collect(h.s.Advance(h.now))
+	h.s.Forget("ended", "test")
+	h.advance(writeStallTimeout)
+	assert.Equal(t, len(h.records)+len(h.finals), 0)
+	assert.Equal(t, h.s.UnwrittenJobs(), 0)
+}
+
 // Guards against starting the next run of a task while an unanswered order may still start the previous one, which has to
 // be stopped first.
 func TestUnansweredStartIsStoppedBeforeTheNextRun(t *testing.T) {
--- a/internal/core/cell/writes.go
+++ b/internal/core/cell/writes.go
@@ -135,7 +135,8 @@
 	}
 }
 
-// Forget removes a job for which no run was ever recorded by this scheduler.
+// Forget removes a job for which no run was ever recorded by this scheduler. Its unwritten changes are dropped: they would
+// never be written, and placement would be suspended while it waits for them.
 func (s *Scheduler) Forget(id JobID, reason string) {
 	s.unrecordedSince = time.Time{}
 	j := s.jobs[id]
@@ -149,6 +150,7 @@
 		}
 	}
 	j.cancelRequested, j.archived, j.endedAt = true, true, s.now
+	s.dirty = slices.DeleteFunc(s.dirty, func(d *job) bool { return d == j })
 	delete(s.jobs, id)
 }
 
