control: the lease of an unanswered start lapses although an idle one has lapsed before

What callers would see: a task that never runs (LOST).

Cause: a worker's link tells the scheduler once that the worker's lease has expired, and only an answered renewal allowed it to do so again. If the lease expired while the worker had no runs, its address refused connections and the registry still listed it, the worker stayed usable. A start order whose outcome was unknown (a carrier was lost, or a second attempt was refused while the first had no answer) then began a new lease, whose expiry was never reported. The task waited for a worker that was gone until that worker answered again or the term ended.

Now every call that may have extended the lease makes its expiry due for a report again. An expiry without runs is reported more often, and changes nothing.

Evidence: the test failed before: links_test.go:102: assertion failed: 1 (s.core.WorkersInUse()[0].Runs int) != 0 (int)

--- a/internal/control/links.go
+++ b/internal/control/links.go
@@ -44,7 +44,7 @@
 	// expiresAt is when all runs on the worker have ended for certain unless the lease is renewed. Calls in flight may
 	// renew it.
 	expiresAt  time.Time
-	expired    bool
+	expired    bool      // the scheduler knows that the lease until expiresAt has expired
 	leaseCalls int       // number of calls in flight that carry a lease
 	idle       bool      // the last inventory was empty
 	doubtUntil time.Time // a call without an answer is recent until then
@@ -203,7 +203,7 @@
 	l.leaseCalls--
 	sent := !errors.Is(err, port.ErrUnavailable) && !errors.Is(err, port.ErrConnectionRefused)
 	if sent && expiry.After(l.expiresAt) {
-		l.expiresAt = expiry
+		l.expiresAt, l.expired = expiry, false
 	}
 	if errors.Is(err, port.ErrUnknownOutcome) {
 		l.doubtUntil = time.Now().Add(doubtPeriod)
@@ -277,7 +277,8 @@
 	}
 }
 
-// checkExpiry informs the scheduler, once, that all runs on the worker have ended because its lease has expired.
+// checkExpiry informs the scheduler, once for each lease, that all runs on the worker have ended because its lease has
+// expired.
 func (l *workerLink) checkExpiry() {
 	l.mu.Lock()
 	expired := !l.expired && l.leaseCalls == 0 && time.Now().After(l.expiresAt)
--- a/internal/control/links_test.go
+++ b/internal/control/links_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"sequoiastall/internal/core/cell"
+	"sequoiastall/internal/core/resource"
 	"sequoiastall/internal/port"
 )
 
@@ -67,6 +68,40 @@
 	assert.Equal(t, r.Ack, int64(0))
 }
 
+// Guards against a task that stays on a lost worker for good: the worker's lease lapsed while it had no runs, and then a
+// start order to it got no answer.
+func TestLeaseOfUnansweredStartLapsesAfterAnIdleLease(t *testing.T) {
+	s := &activeTerm{node: newTestNode("a", 1), term: &term{number: 3}, events: make(chan func(), 8), ctx: t.Context(),
+		core: cell.New(cell.Options{}, discardEvents{})}
+	each := resource.Vector{MilliCPU: 1000, MemoryMB: 100}
+	s.core.SetConfig(cell.NewConfig(cell.Config{Version: 1, Queues: []cell.Queue{{Name: "q", Service: "pool", MaxAttempts: 2, Stretch: 3}}}))
+	s.core.SetWorkers([]cell.WorkerReport{{ID: "w", Address: "a", Service: "pool", Capacity: each, StartMS: 1}}, time.Now())
+	l := &workerLink{s: s, ref: port.WorkerRef{ID: "w", Address: "a"}, acked: make(chan struct{}, 1)}
+	l.handleRenewal(t.Context(), port.RenewalReply{ClockMS: 1000, Inventory: cell.Inventory{Worker: "w", StartMS: 1}})
+	s.drainEvents()
+	lapse := func() {
+		l.expiresAt = time.Now().Add(-time.Millisecond)
+		l.handleFailure(t.Context(), port.ErrConnectionRefused)
+		s.drainEvents()
+	}
+	lapse()
+
+	assert.NilError(t, s.core.AddJob(cell.Job{ID: "j", Queue: "q", Service: "pool", Steps: []cell.Step{{Count: 1, Each: each}}}, nil, time.Now()))
+	s.core.Advance(time.Now())
+	for _, w := range s.core.TakeWrites(entriesPerTxn) {
+		s.core.WriteCommitted(w)
+	}
+	orders := s.core.Advance(time.Now()).Orders
+	assert.Equal(t, len(orders), 1)
+	_, expiry := l.beginLeaseCall(time.Now())
+	l.endLeaseCall(expiry, port.ErrUnknownOutcome)
+	s.core.ApplyOrderOutcome(orders[0], cell.OrderUnanswered, time.Now())
+	assert.Equal(t, s.core.WorkersInUse()[0].Runs, 1)
+
+	lapse()
+	assert.Equal(t, s.core.WorkersInUse()[0].Runs, 0)
+}
+
 // A node with few cores must not win the first term before a node with enough cores tries.
 func TestNodesWithMoreCoresCampaignFirst(t *testing.T) {
 	for _, name := range []string{"a", "b", "c"} {
