node: request allowance that is smaller than the partition's slack

Callers saw jobs that stayed "pending: team red is at its limit" for good, although other partitions had unused allowance of the team. TestLostAnswers failed with it.

Cause: the partition's machine reports what a job lacks beyond the slack, and the owner subtracted the slack a second time. A gang of 22 slots in a partition with 16 unused slots lacks 6; 6 less 16 is nothing, so no partition was ever asked, and the gang moved between partitions without end. It depends on how the earlier moves of allowance have divided the limit, so it was rare. The machine now also reports which resources hold work back, and the owner requests all of these. Of the others it requests what it did before, because more would be passed back and forth.

Ruled out: requesting only the resources that hold work back.

--- a/internal/core/partition/cycle.go
+++ b/internal/core/partition/cycle.go
@@ -23,13 +23,13 @@
 	// infeasible holds requests that no worker had room for in this cycle. They stay infeasible, because a cycle frees
 	// no capacity.
 	infeasible    []infeasibleRequest
-	blocked       map[job.ID]bool            // jobs that aren't tried again in this cycle
-	cursor        map[job.ID]int32           // by job, index from which the next startable task is searched
-	nextJob       map[string]int             // by team, index of the first queued job that may still start in this cycle
-	needs         map[string]resource.Vector // by team, allowance that is lacking
-	urgentAtLimit []*job.State               // urgent jobs whose team is at its limit
-	victimCount   int                        // tasks preempted in this cycle
-	unplaced      []*job.State               // jobs that found no worker with room, in the order in which they were tried
+	blocked       map[job.ID]bool          // jobs that aren't tried again in this cycle
+	cursor        map[job.ID]int32         // by job, index from which the next startable task is searched
+	nextJob       map[string]int           // by team, index of the first queued job that may still start in this cycle
+	needs         map[string]AllowanceNeed // by team
+	urgentAtLimit []*job.State             // urgent jobs whose team is at its limit
+	victimCount   int                      // tasks preempted in this cycle
+	unplaced      []*job.State             // jobs that found no worker with room, in the order in which they were tried
 }
 
 // infeasibleRequest is a request that no worker has room for, of a task without workers on which it failed before. A
@@ -44,6 +44,28 @@
 // maxInfeasible bounds the linear search. In a full cell a few small requests cover nearly all work.
 const maxInfeasible = 16
 
+// addNeed records the allowance that a job lacks for total, the resources of its pending tasks. unit is what has to fit
+// into the slack at once: one task, or a whole gang.
+func (c *cycle) addNeed(team string, total, unit, slack resource.Vector) {
+	lacking := total.Sub(slack).Max(resource.Vector{})
+	n := c.needs[team]
+	n.Amount = n.Amount.Add(lacking)
+	if unit.Slots <= slack.Slots {
+		lacking.Slots = 0
+	}
+	if unit.MilliCPU <= slack.MilliCPU {
+		lacking.MilliCPU = 0
+	}
+	if unit.MemoryMB <= slack.MemoryMB {
+		lacking.MemoryMB = 0
+	}
+	if unit.Accelerators <= slack.Accelerators {
+		lacking.Accelerators = 0
+	}
+	n.Blocking = n.Blocking.Add(lacking)
+	c.needs[team] = n
+}
+
 // findInfeasible returns the failure of a recorded request whose failure implies that of the given one, if there is one.
 func (c *cycle) findInfeasible(need resource.Vector, pool string, avoidsReserved bool) (placementFailure, bool) {
 	for i := range c.infeasible {
@@ -87,7 +109,7 @@
 		m.stopUnmanagedTasks(now)
 	}
 	c := &cycle{now: now, blocked: map[job.ID]bool{},
-		cursor: map[job.ID]int32{}, nextJob: map[string]int{}, needs: map[string]resource.Vector{}}
+		cursor: map[job.ID]int32{}, nextJob: map[string]int{}, needs: map[string]AllowanceNeed{}}
 	if m.mayStart {
 		clear(m.lacksAllowance)
 		m.refreshReservation(c)
@@ -99,7 +121,9 @@
 	}
 	report := Report{Decisions: m.decisions, Ended: m.collectEnded(now)}
 	for _, team := range slices.Sorted(maps.Keys(c.needs)) {
-		report.AllowanceNeeds = append(report.AllowanceNeeds, AllowanceNeed{Team: team, Amount: c.needs[team]})
+		need := c.needs[team]
+		need.Team = team
+		report.AllowanceNeeds = append(report.AllowanceNeeds, need)
 	}
 	m.decisions = nil
 	return report
@@ -221,7 +245,7 @@
 	spec := &s.Record.Spec
 	t.Reserved = m.sizes.Reservation(statsKey(s), spec.Resources)
 	if slack := m.AllowanceSlack(spec.Team); !t.Reserved.Fits(slack) {
-		c.needs[spec.Team] = c.needs[spec.Team].Add(t.Reserved.Scale(int64(s.Count(job.TaskPending))).Sub(slack).Max(resource.Vector{}))
+		c.addNeed(spec.Team, t.Reserved.Scale(int64(s.Count(job.TaskPending))), t.Reserved, slack)
 		if spec.Urgent {
 			c.urgentAtLimit = append(c.urgentAtLimit, s)
 			m.lacksAllowance[spec.Team] = true
--- a/internal/core/partition/gang.go
+++ b/internal/core/partition/gang.go
@@ -6,7 +6,6 @@
 
 	"sequoiastall/internal/core/job"
 	"sequoiastall/internal/core/placement"
-	"sequoiastall/internal/core/resource"
 )
 
 // reservation keeps workers free for the waiting gang that is next, until the time at which it is expected to fit.
@@ -80,7 +79,7 @@
 	team := s.Record.Spec.Team
 	all := reserved.Scale(int64(len(indexes)))
 	if slack := m.AllowanceSlack(team); !all.Fits(slack) {
-		c.needs[team] = c.needs[team].Add(all.Sub(slack).Max(resource.Vector{}))
+		c.addNeed(team, all, all, slack)
 		m.lacksAllowance[team] = true
 		m.waitReasons[s.Record.ID] = "team " + team + " is at its limit"
 		return false
--- a/internal/core/partition/options.go
+++ b/internal/core/partition/options.go
@@ -90,10 +90,13 @@
 	Waited     time.Duration // since submission or the last requeue
 }
 
-// AllowanceNeed is additional allowance without which a partition can't start work.
+// AllowanceNeed is allowance that a partition needs in addition to its slack to start all work that waits for some.
 type AllowanceNeed struct {
 	Team   string
 	Amount resource.Vector
+	// Blocking is the part of Amount in the resources of which the slack has no room for a job's next task or for a
+	// whole gang.
+	Blocking resource.Vector
 }
 
 // Report is the result of a cycle that the caller has to act on.
--- a/internal/core/partition/policy_test.go
+++ b/internal/core/partition/policy_test.go
@@ -223,6 +223,42 @@
 	}
 }
 
+// TestAllowanceNeeds guards against work that waits for allowance that nobody requests, and against moves of allowance
+// that a partition can't use because it lacks another resource.
+func TestAllowanceNeeds(t *testing.T) {
+	gang := func(s *job.Spec) { s.Class = job.Gang }
+	wide := func(s *job.Spec) { s.Resources = slots(4) }
+	for _, test := range []struct {
+		name      string
+		allowance resource.Vector
+		tasks     int32
+		change    func(*job.Spec)
+		blocking  resource.Vector
+	}{
+		{"a gang lacks less than the slack", slots(16), 22, gang, slots(6)},
+		{"a gang lacks more than the slack", slots(8), 22, gang, slots(14)},
+		{"a gang lacks slots only", resource.Vector{Slots: 16, MilliCPU: 2200, MemoryMB: 2200}, 22, gang, resource.Vector{Slots: 6}},
+		{"a task lacks less than the slack", slots(3), 1, wide, slots(1)},
+		{"there is no slack", resource.Vector{}, 5, nil, slots(5)},
+		{"there is room for tasks in all but the slots", resource.Vector{MilliCPU: 400, MemoryMB: 1 << 40}, 59, nil, resource.Vector{Slots: 59}},
+	} {
+		b := newHarness(8, map[string]float64{"t": 1})
+		b.SetAllowance("t", test.allowance)
+		b.add("j", "t", test.tasks, test.change)
+		needs := b.Cycle(b.now).AllowanceNeeds
+		assert.Equal(t, len(needs), 1, test.name)
+		assert.Equal(t, needs[0].Blocking, test.blocking, test.name)
+		assert.Assert(t, test.blocking.Fits(needs[0].Amount), test.name)
+		b.SetAllowance("t", test.allowance.Add(test.blocking))
+		b.advance(time.Second)
+		assert.Assert(t, b.running("j") > 0, test.name)
+	}
+	b := newHarness(8, map[string]float64{"t": 1})
+	b.SetAllowance("t", slots(22))
+	b.add("j", "t", 22, gang)
+	assert.Equal(t, len(b.Cycle(b.now).AllowanceNeeds), 0, "the slack covers the gang")
+}
+
 // TestPartitionWithRoom guards against moves to partitions without room, and against leaving capacity unused because of
 // a backlog that can't use it.
 func TestPartitionWithRoom(t *testing.T) {
--- a/internal/node/allowance.go
+++ b/internal/node/allowance.go
@@ -76,11 +76,13 @@
 	return allowance
 }
 
-// requestAllowance records the part of a need that the partition's slack doesn't cover. If it recorded the whole need,
-// partitions whose slots are at the limit would transfer CPU and memory that none of them can use back and forth, which
-// caused 80 store writes a second for one team.
+// requestAllowance records the part of a need that is to be obtained from other partitions: all of the resources that
+// hold work back, and of the others what exceeds the slack once more. If it recorded the whole need, partitions whose
+// slots are at the limit would transfer CPU and memory that none of them can use back and forth, which caused 80 store
+// writes a second for one team.
 func (o *owner) requestAllowance(need partition.AllowanceNeed) {
-	if need.Amount = shortfall(need.Amount, o.machine.AllowanceSlack(need.Team)); !need.Amount.IsZero() {
+	need.Amount = need.Blocking.Max(shortfall(need.Amount, o.machine.AllowanceSlack(need.Team)))
+	if !need.Amount.IsZero() {
 		o.node.recordAllowanceNeed(o.partition, need)
 	}
 }
