node: return allowance that is granted after its requester gave up

Callers would see a team held below its limit until the donor's owner restarts.

Cause: an owner reserves the allowance that it grants when it handles the request, and the goroutine of the call releases or moves it. If the call has ended by then, because the owner's loop or the call's goroutine was delayed for more than 1 s, nobody received the grant, and it stayed reserved. The requester asked again and each late request reserved more.

--- a/internal/node/allowance.go
+++ b/internal/node/allowance.go
@@ -107,7 +107,9 @@
 // transferAllowance moves allowance from a partition of this node to another partition. The owner stops using it before
 // the record is written.
 func (n *Node) transferAllowance(ctx context.Context, o *owner, r quota.AllowanceRequest) (quota.AllowanceReply, error) {
-	reply, err := queryOwner(ctx, o, func(c chan allowanceReply) event { return allowanceQuery{r, c} })
+	// A grant whose requester has stopped waiting isn't written, so the owner may use it again.
+	release := func(late allowanceReply) { o.send(grantSettled{late.granted}) }
+	reply, err := queryOwner(ctx, o, func(c chan allowanceReply) event { return allowanceQuery{r, c} }, release)
 	if err != nil || reply.granted.amount.IsZero() {
 		return quota.AllowanceReply{}, err
 	}
--- a/internal/node/handler.go
+++ b/internal/node/handler.go
@@ -42,7 +42,7 @@
 	if o == nil {
 		return routing.EndpointSet{}, port.ErrNotFound
 	}
-	reply, err := queryOwner(ctx, o, func(c chan endpointsReply) event { return endpointsQuery{r, c} })
+	reply, err := queryOwner(ctx, o, func(c chan endpointsReply) event { return endpointsQuery{r, c} }, nil)
 	if err != nil {
 		return routing.EndpointSet{}, err
 	}
@@ -81,7 +81,7 @@
 	if o == nil {
 		return job.Status{}, port.ErrNotFound
 	}
-	reply, err := queryOwner(ctx, o, func(c chan statusReply) event { return statusQuery{id, c} })
+	reply, err := queryOwner(ctx, o, func(c chan statusReply) event { return statusQuery{id, c} }, nil)
 	if err != nil {
 		return job.Status{}, err
 	}
@@ -91,8 +91,9 @@
 	return reply.status, nil
 }
 
-// queryOwner sends a query to an owner's loop and waits for the reply.
-func queryOwner[R any](ctx context.Context, o *owner, query func(chan R) event) (R, error) {
+// queryOwner sends a query to an owner's loop and waits for the reply. If ctx ends first, late gets the reply that the
+// loop gives afterwards, unless late is nil or the owner stops.
+func queryOwner[R any](ctx context.Context, o *owner, query func(chan R) event, late func(R)) (R, error) {
 	var none R
 	reply := make(chan R, 1)
 	o.send(query(reply))
@@ -102,6 +103,15 @@
 	case <-o.done:
 		return none, port.ErrNotFound
 	case <-ctx.Done():
-		return none, errors.Wrap(port.ErrUnavailable, "the owner's loop didn't answer in time")
 	}
+	if late != nil {
+		go func() {
+			select {
+			case r := <-reply:
+				late(r)
+			case <-o.done:
+			}
+		}()
+	}
+	return none, errors.Wrap(port.ErrUnavailable, "the owner's loop didn't answer in time")
 }
