node: apply a move of allowance once if other writes follow it

A team could run more than its limit, and its parts drifted from what owners had granted to one another.

Cause: after a write whose answer was lost, a node recognised its own write only if it was still the record's last one. If another write had followed within the 0.1 s before the repetition, the node took its move for not executed and applied it again. The donor had stopped using the amount once, so it and the receiver could use the same slots. The record now lists the writers of the last 16 writes before the last one. If more have followed, the outcome counts as unknown, as if the store hadn't answered.

--- a/internal/core/quota/allowance.go
+++ b/internal/core/quota/allowance.go
@@ -32,6 +32,36 @@
 	Limit  resource.Vector            `json:"limit"`
 	Parts  map[string]resource.Vector `json:"parts"`            // by partition
 	Writer string                     `json:"writer,omitempty"` // node and sequence number of the last write, to detect a write whose answer was lost
+	// Earlier are the writers of the writes before the last one, newest first. A write whose answer was lost may have
+	// been followed by others before its writer sees the record again.
+	Earlier []string `json:"earlier,omitempty"`
+}
+
+// maxEarlier bounds Earlier. A lost answer is noticed after 0.1 s, and a busy team's record is written some 20 times a
+// second.
+const maxEarlier = 16
+
+// WrittenBy returns the record as the given writer's next write.
+func (r Record) WrittenBy(writer string) Record {
+	if r.Writer != "" {
+		r.Earlier = append([]string{r.Writer}, r.Earlier...)
+		r.Earlier = r.Earlier[:min(len(r.Earlier), maxEarlier)]
+	}
+	r.Writer = writer
+	return r
+}
+
+// Includes reports whether the record includes a writer's write that was based on the record base. It is unknown if
+// there were too many writes after base.
+func (r Record) Includes(writer string, base Record) (included, known bool) {
+	writers := append([]string{r.Writer}, r.Earlier...)
+	if slices.Contains(writers, writer) {
+		return true, true
+	}
+	if base.Writer == "" {
+		return false, len(r.Earlier) < maxEarlier
+	}
+	return false, slices.Contains(writers, base.Writer)
 }
 
 // MoveError reports that an allowance can't be moved as requested; the record is unchanged.
--- a/internal/core/quota/allowance_test.go
+++ b/internal/core/quota/allowance_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"fmt"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -182,3 +183,34 @@
 	y, _ := json.Marshal(b)
 	return string(x) == string(y)
 }
+
+// Guards against taking a write that was followed by others for one that had no effect, or for one that is certain
+// although it may have been dropped from the record.
+func TestIncludesRecognisesFollowedWrites(t *testing.T) {
+	base := Record{Team: "t", Writer: "base"}
+	for _, test := range []struct {
+		name            string
+		record          Record
+		included, known bool
+	}{
+		{"the last write", base.WrittenBy("own"), true, true},
+		{"followed by another", base.WrittenBy("own").WrittenBy("x"), true, true},
+		{"not written", base.WrittenBy("x").WrittenBy("y"), false, true},
+		{"many writes", writtenTimes(base, maxEarlier+1), false, false},
+	} {
+		included, known := test.record.Includes("own", base)
+		assert.Equal(t, included, test.included, test.name)
+		assert.Equal(t, known, test.known, test.name)
+	}
+	_, known := writtenTimes(Record{}, maxEarlier).Includes("own", Record{})
+	assert.Assert(t, known, "all writes since the record was created are listed")
+	_, known = writtenTimes(Record{}, maxEarlier+1).Includes("own", Record{})
+	assert.Assert(t, !known)
+}
+
+func writtenTimes(r Record, n int) Record {
+	for i := range n {
+		r = r.WrittenBy(fmt.Sprint("x", i))
+	}
+	return r
+}
--- a/internal/node/allowance.go
+++ b/internal/node/allowance.go
@@ -140,7 +140,8 @@
 }
 
 // updateAllowance changes a team's record by compare-and-swap. After an unknown outcome it repeats the same write,
-// which can succeed at most once, until the store has answered.
+// which can succeed at most once, until the store has answered. It must not change the record again if that write has
+// succeeded and others have followed it: a move would be applied twice.
 func (n *Node) updateAllowance(ctx context.Context, team string,
 	change func(quota.Record) (quota.Record, error)) (int64, error) {
 	entry, found := n.state.allowance(team)
@@ -153,10 +154,12 @@
 		if err != nil {
 			return 0, err
 		}
-		next.Writer = n.nextWriterID()
+		next = next.WrittenBy(n.nextWriterID())
 		var revision int64
 		var current *allowanceEntry
+		attempts := 0
 		err = repeatUntilDecided(ctx, syncRetry, func() (err error) {
+			attempts++
 			revision, current, err = n.putAllowance(ctx, next, condition, entry.revision)
 			return err
 		})
@@ -164,12 +167,16 @@
 		case err == nil:
 			n.cacheAllowance(next, revision)
 			return revision, nil
-		case current != nil && current.record.Writer == next.Writer:
-			n.cacheAllowance(current.record, current.revision)
-			return current.revision, nil
 		case current != nil:
-			entry, found = *current, true
 			n.cacheAllowance(current.record, current.revision)
+			included, known := current.record.Includes(next.Writer, record)
+			if included {
+				return current.revision, nil
+			}
+			if !known && attempts > 1 {
+				return 0, errors.Wrapf(port.ErrUnknownOutcome, "allowance of team %s: too many writes followed", team)
+			}
+			entry, found = *current, true
 			conflicts++
 		default:
 			return 0, err
--- a/internal/node/allowance_test.go
+++ b/internal/node/allowance_test.go
@@ -74,3 +74,41 @@
 		assert.DeepEqual(t, entry.record.Parts["z/0"], redAllowance)
 	})
 }
+
+// Guards against a move that is applied twice: the store has applied it, its answer is lost, and another write follows
+// before the node writes again. The receiving partition would use allowance that the donor uses as well.
+func TestMoveFollowedByAnotherWriteIsAppliedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &scriptedStore{countingStore: newCountingStore(), answers: []error{nil, port.ErrUnknownOutcome}}
+		n, o := newDonor(t, store)
+		otherMove := func() {
+			entry, err := store.Get(t.Context(), port.AllowancePrefix+"red")
+			assert.NilError(t, err)
+			var record quota.Record
+			assert.NilError(t, json.Unmarshal(entry.Value, &record))
+			record, err = record.Move("z/1", "z/0", resource.Vector{Slots: 1})
+			assert.NilError(t, err)
+			value, err := json.Marshal(record.WrittenBy("other"))
+			assert.NilError(t, err)
+			_, err = store.countingStore.Put(t.Context(), port.Write{Key: port.AllowancePrefix + "red", Value: value})
+			assert.NilError(t, err)
+		}
+		go func() {
+			time.Sleep(syncRetry / 2)
+			otherMove()
+		}()
+		go func() {
+			synctest.Wait()
+			applyQueued(o)
+		}()
+		ctx, cancel := context.WithTimeout(t.Context(), n.options.Timing.PeerTimeout)
+		defer cancel()
+		reply, err := n.transferAllowance(ctx, o, quota.AllowanceRequest{Team: "red", From: "z/0", To: "z/1", Amount: resource.Vector{Slots: 5}})
+		assert.NilError(t, err)
+		assert.Equal(t, reply.Moved, resource.Vector{Slots: 5})
+		entry, _ := n.state.allowance("red")
+		assert.Equal(t, entry.record.Parts["z/0"].Slots, redAllowance.Slots-5+1)
+		applyQueued(o)
+		assert.DeepEqual(t, o.pendingGrants["red"], resource.Vector{})
+	})
+}
--- a/internal/node/undecided_test.go
+++ b/internal/node/undecided_test.go
@@ -30,7 +30,9 @@
 	if scripted == port.ErrUnavailable { // the write isn't executed
 		return 0, scripted
 	}
+	s.mu.Lock()
 	current, exists := s.entries[w.Key]
+	s.mu.Unlock()
 	if w.Condition == port.IfRevision && (!exists || current.Revision != w.Revision) {
 		return 0, &port.ConflictError{Current: &current}
 	}
