cell: log changes of a worker's capacity

A worker's capacity may shrink and grow while tasks run on it. Nothing in the logs showed that, nor whether the worker was overcommitted. The log line has each resource: now, before and in use. No behavior changes.

Test: TestChangeOfCapacityIsLogged.

--- a/internal/core/cell/workers.go
+++ b/internal/core/cell/workers.go
@@ -50,9 +50,7 @@
 		s.events.LogDecision(string(r.ID), "worker listed", "draining", r.Draining, "zone", r.Zone, "rack", r.Rack, "born_ms", r.StartMS)
 		s.changed = true
 	}
-	if w.Capacity != r.Capacity {
-		w.free = w.free.Add(r.Capacity).Sub(w.Capacity)
-	}
+	s.setCapacity(w, r.Capacity)
 	if w.Address != "" && r.StartMS > w.StartMS && w.StartMS != 0 {
 		s.workerRestarted(w, r.StartMS)
 		w.reached = false
