cell: use a worker's capacity at once when it has grown

Callers saw nothing of this yet: capacity that grows again stays unused for up to 100 ms. Steps that found no room check only workers with freed capacity until the next full check, and a change of capacity in the registry neither counted as freed capacity nor made a pass due.

Evidence, before the change: --- FAIL: TestGrownCapacityIsUsedAtOnce capacity_test.go:96: assertion failed: 0 (int) != 2 (int) --- FAIL: TestJobThatFitsNoWorkerNowStaysPending capacity_test.go:318: assertion failed: 0 (int) != 1 (int) The second test also checks that a job that no worker can hold for a while stays pending and holds nobody up; that part held before.

--- a/internal/core/cell/capacity.go
+++ b/internal/core/cell/capacity.go
@@ -11,7 +11,7 @@
 		return
 	}
 	used := w.Capacity.Sub(w.free)
-	w.free = capacity.Sub(used)
+	w.free, w.freed, s.changed = capacity.Sub(used), true, true
 	if w.Address == "" {
 		return // the worker's first report
 	}
--- a/internal/core/cell/capacity_test.go
+++ b/internal/core/cell/capacity_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -25,6 +26,13 @@
 	h.s.SetWorkers(reports, h.now)
 }
 
+// decide advances the clock to the next pass and returns the start orders, without making any record durable.
+func (h *harness) decide() []Order {
+	h.now = h.now.Add(minPassInterval)
+	h.collect(h.s.Advance(h.now))
+	return h.takeStarts()
+}
+
 // decisionLog records the attributes of the decisions of one kind.
 type decisionLog struct {
 	discardEvents
@@ -62,3 +70,34 @@
 	assert.Equal(t, len(log.lines), 2)
 	assert.Equal(t, log.lines[1]["overcommitted"], false)
 }
+
+// Guards against capacity that has grown again and stays unused until the next full check of all workers.
+func TestGrownCapacityIsUsedAtOnce(t *testing.T) {
+	h := newHarness(t, 1)
+	h.setCapacities(0)
+	h.addJob(Job{ID: "a", Steps: []Step{tasks(2, 1000)}})
+	h.advance(0)
+	assert.Equal(t, len(h.takeStarts()), 0)
+	h.advance(10 * time.Millisecond)
+	h.setCapacities(4000)
+	h.decide()
+	h.commitRecords()
+	assert.Equal(t, len(h.decide()), 2)
+}
+
+// Guards against a job that ends, or that holds up others, because no worker can hold it for a while.
+func TestJobThatFitsNoWorkerNowStaysPending(t *testing.T) {
+	h := newHarness(t, 2)
+	h.setCapacities(1000, 500)
+	h.addJob(Job{ID: "large", Queue: urgentQueue, Steps: []Step{tasks(1, 3000)}})
+	h.addJob(Job{ID: "small", Steps: []Step{tasks(1, 1000)}})
+	h.advance(0)
+	orders := h.takeStarts()
+	assert.Equal(t, len(orders), 1)
+	assert.Equal(t, orders[0].Run.Task.Job, JobID("small"))
+	h.advance(10 * time.Second)
+	assert.Equal(t, h.s.State("large").Phase, Pending)
+	h.setCapacities(1000, 4000)
+	h.advance(10 * time.Millisecond)
+	assert.Equal(t, len(h.takeStarts()), 1)
+}
