cell: revoke decided starts that no longer fit after a worker's capacity has shrunk

Callers' rule: no start may bring a worker that doesn't guard its capacity over it, and what is being stopped still counts. A change of capacity adjusted the free amount and so kept new work away, but starts that had been decided were sent all the same: those whose record was being written, those whose order was due, reservations whose ticket arrived later, and repetitions of unanswered orders.

Change: while a worker is overcommitted, each check for due orders revokes decided starts there until the rest fits: first reservations, then unrecorded and unsent starts, the least urgent first. A gang is revoked as a whole before any member is sent. An order without an answer may be carried out, so that run is stopped instead of repeated, and keeps its capacity until it is known to be gone. A member of an aborted gang whose start was never sent waits again at once and needs no stop order.

The model's workers now change their capacity at random. The bound of 4,000 for all workers stays, and each start is checked against the highest capacity that its worker had since the order was issued.

Ruled out, by tests that passed before too: new work on an overcommitted worker, runs that stop counting while they are being stopped (TestOvercommittedWorkerGetsNoWorkUntilItsRunsAreGone), and a successor that learns of the capacity after the records (TestSuccessorCountsRecordedRunsAgainstSmallerCapacity). The CPU of best-effort tasks is still reserved like that of others, so they can't exceed a capacity.

--- a/internal/core/cell/model_test.go
+++ b/internal/core/cell/model_test.go
@@ -13,17 +13,22 @@
 
 // The model drives a scheduler against simulated workers that follow the protocol. Answers are lost, orders are carried
 // out late, workers crash, restart under the same name or are cut off, and new lease holders take over from the records.
-// After each action, the model checks that no task runs twice, no task that is acknowledged as done starts again, no
-// worker exceeds its capacity and no task exceeds its attempts. At the end, it ends all faults and checks that all jobs
+// The capacity of workers shrinks and grows while tasks run, and no worker refuses what doesn't fit. After each action, the
+// model checks that no task runs twice, no task that is acknowledged as done starts again, no start that was ordered after
+// the registry showed a smaller capacity exceeds it, and no task exceeds its attempts. At the end, it ends all faults and checks that all jobs
 // end.
 
-const modelLease = 4 * time.Second
+const (
+	modelLease    = 4 * time.Second
+	modelCapacity = 4000 // of a worker, unless it has shrunk; thousandths of a core
+)
 
 type simOrder struct {
 	Order
 	token     int
 	leaseEnd  time.Time
 	executeAt time.Time // when a delayed order is carried out
+	capacity  int64     // highest capacity of the worker since the order was issued, in thousandths of a core
 }
 
 type simRun struct {
@@ -35,6 +40,7 @@
 	id             WorkerID
 	startMS        int64
 	up, isolated   bool
+	capacity       int64 // thousandths of a core
 	token          int
 	leaseEnd       time.Time
 	runs           map[TaskID]simRun
@@ -71,7 +77,7 @@
 	m := &model{t: t, now: start, jobs: map[JobID]Job{}, records: map[JobID][]byte{}, final: map[JobID]bool{}, ackedDone: map[TaskID]bool{}, ackedFailures: map[TaskID]int{},
 		failures: map[StepID]map[int]bool{}}
 	for i := range 3 {
-		w := &simWorker{id: workerID(i)}
+		w := &simWorker{id: workerID(i), capacity: modelCapacity}
 		m.boot(w)
 		m.workers = append(m.workers, w)
 	}
@@ -119,7 +125,7 @@
 	var reports []WorkerReport
 	for _, w := range m.workers {
 		if w.up {
-			reports = append(reports, WorkerReport{ID: w.id, Address: "a", Service: "pool", Capacity: resource.Vector{MilliCPU: 4000, MemoryMB: 8000}, StartMS: w.startMS})
+			reports = append(reports, WorkerReport{ID: w.id, Address: "a", Service: "pool", Capacity: resource.Vector{MilliCPU: w.capacity, MemoryMB: 8000}, StartMS: w.startMS})
 		}
 	}
 	m.s.SetWorkers(reports, m.now)
@@ -220,7 +226,7 @@
 // send delivers an order to its worker, loses the order or its answer, or delays the order.
 func (m *model) send(o Order) {
 	w := m.worker(o.Worker)
-	order := simOrder{Order: o, token: m.token, leaseEnd: m.now.Add(modelLease)}
+	order := simOrder{Order: o, token: m.token, leaseEnd: m.now.Add(modelLease), capacity: w.capacity}
 	result := rapid.SampledFrom([]deliveryResult{orderAnswered, orderAnswered, orderAnswered, answerLost, orderLost, orderDelayed}).Draw(m.t, "luck")
 	switch {
 	case !w.up || w.isolated:
@@ -292,12 +298,40 @@
 		m.t.Fatalf("%v starts after two failures", o.Run)
 	}
 	w.runs[o.Run.Task] = simRun{o.Run.Run, m.jobs[o.Run.Task.Job].Steps[o.Run.Task.Step].Each}
+	if used := w.usedCPU(); used > o.capacity {
+		m.t.Fatalf("%v brings %s to %d of %d thousandths of a core", o.Run, w.id, used, o.capacity)
+	}
 	if o.leaseEnd.After(w.leaseEnd) {
 		w.leaseEnd = o.leaseEnd
 	}
 	return OrderDone
 }
 
+// usedCPU returns what runs on a worker, in thousandths of a core.
+func (w *simWorker) usedCPU() int64 {
+	used := int64(0)
+	for _, r := range w.runs {
+		used += r.need.MilliCPU
+	}
+	return used
+}
+
+// changeCapacity changes the capacity of a random worker. The registry shows it from the next tick on.
+func (m *model) changeCapacity() {
+	m.setCapacity(m.randomWorker(), rapid.SampledFrom([]int64{0, 1000, 2500, modelCapacity}).Draw(m.t, "capacity"))
+}
+
+// setCapacity changes a worker's capacity. A delayed order may be carried out up to the highest capacity since it was
+// issued.
+func (m *model) setCapacity(w *simWorker, milliCPU int64) {
+	w.capacity = milliCPU
+	for i := range m.delayedOrders {
+		if o := &m.delayedOrders[i]; o.Worker == w.id {
+			o.capacity = max(o.capacity, milliCPU)
+		}
+	}
+}
+
 func (m *model) endRun(w *simWorker, r RunID, kind EndKind) {
 	delete(w.runs, r.Task)
 	w.refusedThrough[r.Task] = max(w.refusedThrough[r.Task], r.Run)
@@ -472,7 +506,6 @@
 func (m *model) checkInvariants(t *rapid.T) {
 	running := map[TaskID]WorkerID{}
 	for _, w := range m.workers {
-		used := resource.Vector{}
 		for _, id := range sortedTasks(w.runs) {
 			if !w.up {
 				continue
@@ -481,10 +514,9 @@
 				t.Fatalf("%v runs on %s and %s", id, other, w.id)
 			}
 			running[id] = w.id
-			used = used.Add(w.runs[id].need)
 		}
-		if used.MilliCPU > 4000 {
-			t.Fatalf("%s runs %d of 4000 thousandths of a core", w.id, used.MilliCPU)
+		if used := w.usedCPU(); w.up && used > modelCapacity {
+			t.Fatalf("%s runs %d of %d thousandths of a core", w.id, used, modelCapacity)
 		}
 	}
 }
@@ -494,6 +526,7 @@
 	m.recovered, m.storeDown = true, false
 	for _, w := range m.workers {
 		w.isolated = false
+		m.setCapacity(w, modelCapacity)
 		if !w.up {
 			m.boot(w)
 		}
@@ -600,6 +633,7 @@
 			"takeover": func(t *rapid.T) { m.t = t; m.takeOver() },
 			"store":    func(t *rapid.T) { m.t = t; m.storeDown = !m.storeDown },
 			"cancel":   func(t *rapid.T) { m.t = t; m.cancel() },
+			"capacity": func(t *rapid.T) { m.t = t; m.changeCapacity() },
 			"":         m.checkInvariants,
 		})
 		m.t = t
--- a/internal/core/cell/orders.go
+++ b/internal/core/cell/orders.go
@@ -52,6 +52,7 @@
 
 // dueOrders returns the orders that are due for sending.
 func (s *Scheduler) dueOrders() []Order {
+	s.revokeExcessStarts()
 	var orders []Order
 	for _, j := range s.active {
 		if j.allocatedTasks == 0 {
--- a/internal/core/cell/scheduler.go
+++ b/internal/core/cell/scheduler.go
@@ -39,6 +39,7 @@
 	unrecordedSince time.Time
 	buckets         map[string]*tokenBucket // by team
 	unacked         map[WorkerID]bool       // workers with ends whose records weren't durable when last checked
+	overcommitted   map[*worker]bool        // workers whose capacity has shrunk below what they hold
 }
 
 // Events receives scheduling decisions for logging and metrics. Its methods must not block.
@@ -52,7 +53,7 @@
 // New returns a scheduler without jobs, workers or configuration.
 func New(o Options, e Events) *Scheduler {
 	return &Scheduler{options: o, events: e, jobs: map[JobID]*job{}, workers: map[WorkerID]*worker{}, usage: map[string]resource.Vector{},
-		buckets: map[string]*tokenBucket{}, unacked: map[WorkerID]bool{}, config: NewConfig(Config{})}
+		buckets: map[string]*tokenBucket{}, unacked: map[WorkerID]bool{}, overcommitted: map[*worker]bool{}, config: NewConfig(Config{})}
 }
 
 // SetConfig applies a configuration.
@@ -153,12 +154,14 @@
 	}
 }
 
-// cancelRun requeues a task whose start order isn't due yet, or requests the stop of its run.
+// cancelRun requeues a task whose start order wasn't sent yet, or requests the stop of its run.
 func (s *Scheduler) cancelRun(t *task) {
-	switch t.phase {
-	case taskReserved, taskPlaced:
+	switch t.startRevocability() {
+	case awaitsTicket, awaitsRecord, neverSent:
 		s.requeue(t)
-	case taskStarting, taskRunning:
+		return
+	}
+	if t.phase == taskStarting || t.phase == taskRunning {
 		s.requestStop(t)
 	}
 }
