Stand-in: workers whose capacity shrinks and grows while they run

A stand-in worker now changes its capacity while it runs; it starts whatever it is told to, and a start that brings it over its capacity later than an allowed lag after the change is a violation.

The product needed no change for these tests.

--- a/internal/control/registry_test.go
+++ b/internal/control/registry_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"sequoiastall/internal/core/cell"
+	"sequoiastall/internal/core/resource"
 	"sequoiastall/internal/port"
 )
 
@@ -71,6 +72,25 @@
 	assert.Equal(t, source.lists, 2)
 }
 
+// Guards against a worker's smaller capacity that doesn't reach the scheduling node, because nothing else in the entry has
+// changed.
+func TestChangeOfCapacityAloneIsPassedOn(t *testing.T) {
+	source := &changingRegistry{}
+	r := &registry{source: source}
+	first, err := r.since(t.Context(), -1)
+	assert.NilError(t, err)
+	smaller := cell.WorkerReport{ID: "w1", Capacity: resource.Vector{MilliCPU: 1000}}
+	source.changes = []port.WorkerChange{{ID: "w1", Report: &smaller}}
+	second, err := r.since(t.Context(), first.revision)
+	assert.NilError(t, err)
+	got := workerChangesFrom(workersReply(second))
+	assert.Assert(t, !got.empty())
+	assert.DeepEqual(t, got.reports, []cell.WorkerReport{smaller})
+	again, err := r.since(t.Context(), second.revision)
+	assert.NilError(t, err)
+	assert.Assert(t, again.empty())
+}
+
 // Guards against a fallback that reads all that workers have written since the copy was last in use, many times the whole
 // list, over a link that is short of capacity.
 func TestOldCopyOfTheRegistryIsReadAnew(t *testing.T) {
--- a/internal/standin/leased/worker.go
+++ b/internal/standin/leased/worker.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -113,9 +114,10 @@
 	checker         *RunChecker
 	startedAt       time.Time
 	taskDuration    time.Duration
-	cpuCapacity     int64
 	taskCPU         int64
 	mu              sync.Mutex
+	cpuCapacity     int64
+	formerCapacity  []capacityPeriod // capacities that may still count
 	fencingToken    int64
 	leaseUntilMS    int64 // end of the lease in terms of clockMS
 	runs            map[string]*run
@@ -127,6 +129,12 @@
 	leaseTimer      *time.Timer
 }
 
+// capacityPeriod is a former capacity and the time until which it counts.
+type capacityPeriod struct {
+	cpu   int64
+	until time.Time
+}
+
 type run struct {
 	number  int
 	started time.Time
@@ -198,6 +206,27 @@
 	w.server.Close()
 }
 
+// SetCapacity changes the worker's capacity in thousandths of a core while it runs. The worker doesn't guard it: it starts
+// whatever it is told to. A start that brings it over its capacity is a violation, but the former capacity counts for lag
+// longer, in which the scheduler learns of the change. The caller must write the worker's new entry to the registry.
+func (w *Worker) SetCapacity(cpu int64, lag time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.formerCapacity = append(w.formerCapacity, capacityPeriod{w.cpuCapacity, time.Now().Add(lag)})
+	w.cpuCapacity = cpu
+}
+
+// allowedCPU returns the highest capacity that counts now. The caller holds mu.
+func (w *Worker) allowedCPU() int64 {
+	now := time.Now()
+	w.formerCapacity = slices.DeleteFunc(w.formerCapacity, func(p capacityPeriod) bool { return now.After(p.until) })
+	allowed := w.cpuCapacity
+	for _, p := range w.formerCapacity {
+		allowed = max(allowed, p.cpu)
+	}
+	return allowed
+}
+
 // LoseStartResponses makes the next n starts take effect without a response.
 func (w *Worker) LoseStartResponses(n int) {
 	w.mu.Lock()
@@ -324,8 +353,8 @@
 	})
 	w.runs[req.Task] = newRun
 	w.checker.taskStarted(req.Task, w.ID)
-	if used := int64(len(w.runs)) * w.taskCPU; used > w.cpuCapacity {
-		w.checker.addViolation(fmt.Sprintf("%s runs %d of %d thousandths of a core", w.ID, used, w.cpuCapacity))
+	if used, allowed := int64(len(w.runs))*w.taskCPU, w.allowedCPU(); used > allowed {
+		w.checker.addViolation(fmt.Sprintf("%s brings %s to %d of %d thousandths of a core", req.Task, w.ID, used, allowed))
 	}
 }
 
