--- a/internal/core/cell/scheduler.go
+++ b/internal/core/cell/scheduler.go
@@ -11,6 +11,8 @@
 type Options struct {
 	// EndedRetention is how long the state of an ended job stays in memory.
 	EndedRetention time.Duration
+	// MaxRegistryAge is the age of the last reading of the worker registry from which no start is sent, 0 for no limit.
+	MaxRegistryAge time.Duration
 }
 
 // Scheduler is the state machine that schedules the jobs of a cell. It holds the state of the jobs, workers and teams on
@@ -40,6 +42,9 @@
 	placementSuspended bool                    // placement was suspended at the last attempt, because writes stall
 	buckets            map[string]*tokenBucket // by team
 	unacked            map[WorkerID]bool       // workers with ends whose records weren't durable when last checked
+	overcommitted      map[*worker]bool        // workers whose capacity has shrunk below what they hold
+	registryReadAt     time.Time               // when the reading of the registry began that was applied last
+	startsHeld         bool                    // no start is sent, because that reading is too old
 }
 
 // Events receives scheduling decisions for logging and metrics. Its methods must not block.
@@ -53,7 +58,7 @@
 // New returns a scheduler without jobs, workers or configuration.
 func New(o Options, e Events) *Scheduler {
 	return &Scheduler{options: o, events: e, jobs: map[JobID]*job{}, workers: map[WorkerID]*worker{}, usage: map[string]resource.Vector{},
-		buckets: map[string]*tokenBucket{}, unacked: map[WorkerID]bool{}, config: NewConfig(Config{})}
+		buckets: map[string]*tokenBucket{}, unacked: map[WorkerID]bool{}, overcommitted: map[*worker]bool{}, config: NewConfig(Config{})}
 }
 
 // SetConfig applies a configuration.
@@ -154,12 +159,14 @@
 	}
 }
 
-// cancelRun requeues a task whose start order isn't due yet, or requests the stop of its run.
+// cancelRun requeues a task whose start order wasn't sent yet, or requests the stop of its run.
 func (s *Scheduler) cancelRun(t *task) {
-	switch t.phase {
-	case taskReserved, taskPlaced:
+	switch t.startRevocability() {
+	case awaitsTicket, awaitsRecord, neverSent:
 		s.requeue(t)
-	case taskStarting, taskRunning:
+		return
+	}
+	if t.phase == taskStarting || t.phase == taskRunning {
 		s.requestStop(t)
 	}
 }
