cell: a worker's restart releases the reservations of the whole gang

Seen by callers: a job whose gang waits for good, with room for it.

Cause: a gang holds capacity while advice on its workers is on its way. When one of these workers restarted, only the member reserved there was queued again. The answer then finds a gang that isn't reserved as a whole and does nothing, and the next pass finds one that isn't waiting as a whole.

Evidence: TestReservedGangIsReleasedWhenAWorkerRestarts failed before with "faults_test.go:312: assertion failed: 0 (int) != 2 (int)". Ruled out: the end of a worker's instance, which releases the whole gang through runLost.

--- a/internal/core/cell/faults_test.go
+++ b/internal/core/cell/faults_test.go
@@ -286,3 +286,28 @@
 	assert.Equal(t, early.faults.streak, 0)
 	assert.Equal(t, late.faults.streak, 1)
 }
+
+// Guards against a gang that waits for good: one of its members was reserved on a worker that restarted while the advice was
+// on its way, and the others kept their reservations.
+func TestReservedGangIsReleasedWhenAWorkerRestarts(t *testing.T) {
+	h := newHarness(t, 2)
+	gang := tasks(2, 3000)
+	gang.Gang = true
+	blockers := h.startService("blocker", plainQueue, tasks(2, 4000))
+	h.addJob(Job{ID: "a", Queue: advisedQueue, Steps: []Step{gang}})
+	h.advance(0)
+	h.answerAdvice()
+	h.advance(2 * ticketValidity) // the tickets have expired
+	h.advice = nil
+	for _, o := range blockers {
+		h.renew(indexOf(o.Worker), nil, []EndedRow{{Number: 1, Run: o.Run, Kind: EndDone}})
+	}
+	h.advance(50 * time.Millisecond) // there is capacity, and new tickets are requested
+	assert.Assert(t, len(h.advice) > 0)
+	h.s.ApplyInventory(Inventory{Worker: workerID(0), StartMS: 2, RequestSequence: h.s.OrderSequence()}, h.now)
+	for range 10 {
+		h.answerAdvice()
+		h.advance(50 * time.Millisecond)
+	}
+	assert.Equal(t, len(h.takeStarts()), 2)
+}
--- a/internal/core/cell/inventory.go
+++ b/internal/core/cell/inventory.go
@@ -73,6 +73,9 @@
 			// The new instance's inventory shows whether the run exists.
 		case taskReserved:
 			s.requeue(t)
+			if t.step.spec.Gang {
+				s.releaseReserved(t.step)
+			}
 		default:
 			s.abortRun(t, "the worker restarted")
 		}
