cell: a task that crashes its workers is given up after two of them

Cause: the end of a worker's instance queued its runs again without any count.

Fix (crashes.go): a crash counts against the runs on the worker that no inventory has shown at work for 0.2 s after their confirmation. Evidence is another instance at the address, a restart under the ID, or a lease that lapsed while the address refused connections; draining workers don't count. A task with a crash under a confirmed run, or with two of any kind, is on probation: it holds its next worker alone, one where least is lost, and such workers are at most a fifth of the cell. An inventory that shows it at work clears it and resets the count. Two crashes under confirmed runs, or four in all, end the job as failed. The count is in the progress record, for a gang in that of its step.

A run that a successor takes over may never have been started and isn't counted: a takeover hides one crash at most, and the limits leave room for that.

--- /dev/null
+++ b/internal/core/cell/crashes_test.go
@@ -0,0 +1,342 @@
+package cell
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// crash reports that another instance answers at a worker's address, and replaces the worker by a new one.
+func (h *harness) crash(id WorkerID) {
+	h.s.WorkerTerminated(id, 1, h.now)
+	h.replacements++
+	next := h.workerReport(100 + h.replacements)
+	for i, r := range h.reports {
+		if r.ID == id {
+			h.reports[i] = next
+		}
+	}
+	h.s.SetWorkers(h.reports, h.now)
+	h.renew(100+h.replacements, nil, nil)
+}
+
+// confirm applies the workers' positive answers to start orders.
+func (h *harness) confirm(orders ...Order) {
+	for _, o := range orders {
+		h.s.ApplyOrderOutcome(o, OrderDone, h.now)
+	}
+}
+
+// showAtWork delivers inventories that list the runs of the orders as running.
+func (h *harness) showAtWork(orders ...Order) {
+	rows := map[WorkerID][]RunningRow{}
+	for _, o := range orders {
+		rows[o.Worker] = append(rows[o.Worker], RunningRow{Run: o.Run, Percent: 10})
+	}
+	for id, running := range rows {
+		h.renew(indexOf(id), running, nil)
+	}
+}
+
+// nextStarts returns the start orders of the next second.
+func (h *harness) nextStarts() []Order {
+	for range 10 {
+		h.advance(100 * time.Millisecond)
+	}
+	return h.takeStarts()
+}
+
+// Guards against a task that crashes every worker that starts it and is started for ever.
+func TestTaskThatCrashesItsWorkersIsGivenUp(t *testing.T) {
+	for name, step := range map[string]Step{"task": tasks(1, 1000), "service": service(1, 1000)} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, 6)
+			h.addJob(Job{ID: "a", Steps: []Step{step}})
+			for range 2 {
+				orders := h.nextStarts()
+				assert.Equal(t, len(orders), 1)
+				h.confirm(orders...)
+				h.crash(orders[0].Worker)
+			}
+			assert.Equal(t, len(h.nextStarts()), 0)
+			assert.Equal(t, h.s.State("a").Phase, Failed)
+			assert.Assert(t, strings.Contains(h.finals["a"].Reason, "a.0.0"), h.finals["a"].Reason)
+		})
+	}
+}
+
+// Guards against unlimited starts of a task whose workers crash before their answers arrive.
+func TestUnansweredStartsThatCrashTheirWorkersAreBounded(t *testing.T) {
+	h := newHarness(t, 6)
+	h.addJob(Job{ID: "a", Steps: []Step{tasks(1, 1000)}})
+	for range maxCrashes {
+		h.advance(100 * time.Millisecond)
+		orders := h.takeStarts()
+		assert.Equal(t, len(orders), 1)
+		h.s.ApplyOrderOutcome(orders[0], OrderUnanswered, h.now)
+		h.crash(orders[0].Worker)
+	}
+	assert.Equal(t, len(h.nextStarts()), 0)
+	assert.Equal(t, h.s.State("a").Phase, Failed)
+}
+
+// Guards against unlimited starts of a task that crashes its workers while they restart under their names.
+func TestCrashesOfRestartedWorkersCount(t *testing.T) {
+	h := newHarness(t, 3)
+	h.addJob(Job{ID: "a", Steps: []Step{tasks(1, 1000)}})
+	for crash := range 2 {
+		orders := h.nextStarts()
+		assert.Equal(t, len(orders), 1)
+		h.confirm(orders...)
+		restarted := Inventory{Worker: orders[0].Worker, StartMS: int64(2 + crash), RequestSequence: h.s.OrderSequence()}
+		h.s.ApplyInventory(restarted, h.now)
+		h.advance(20 * time.Millisecond)
+		for _, o := range h.takeStops() {
+			h.s.ApplyOrderOutcome(o, OrderDone, h.now)
+		}
+		restarted.RequestSequence = h.s.OrderSequence()
+		h.s.ApplyInventory(restarted, h.now)
+	}
+	assert.Equal(t, len(h.nextStarts()), 0)
+	assert.Equal(t, h.s.State("a").Phase, Failed)
+}
+
+// Guards against a successor that doesn't know of the crashes and starts such a task again and again.
+func TestCrashCountSurvivesTakeover(t *testing.T) {
+	for _, gang := range []bool{false, true} {
+		h := newHarness(t, 6)
+		step := tasks(2, 3000)
+		step.Gang = gang
+		job := Job{ID: "a", Queue: plainQueue, Team: "team", Service: "pool", Steps: []Step{step}, AcceptedMS: start.UnixMilli()}
+		h.addJob(job)
+		orders := h.nextStarts()
+		assert.Equal(t, len(orders), 2)
+		h.confirm(orders...)
+		h.crash(orders[0].Worker)
+		h.stopAll()
+		h.commitRecords()
+
+		h.s = h.newScheduler()
+		assert.NilError(t, h.s.AddJob(job, h.records["a"], h.now))
+		h.s.SetWorkers(h.reports, h.now)
+		h.renewIdle(orders[1])
+		orders = h.nextStarts()
+		assert.Assert(t, len(orders) > 0)
+		h.confirm(orders...)
+		h.crash(orders[0].Worker)
+		h.stopAll()
+		assert.Equal(t, h.s.State("a").Phase, Failed, "gang: %t", gang)
+	}
+}
+
+// Guards against a job that fails because its task stood beside one that crashes its workers.
+func TestTaskBesideOneThatCrashesItsWorkerCompletes(t *testing.T) {
+	h := newHarness(t, 10)
+	h.addJob(Job{ID: "bad", Steps: []Step{tasks(1, 1000)}})
+	h.addJob(Job{ID: "good", Steps: []Step{tasks(1, 1000)}})
+	crashes := map[WorkerID]bool{}
+	for range 4 {
+		orders := h.nextStarts()
+		h.confirm(orders...)
+		perWorker := map[WorkerID][]JobID{}
+		for _, o := range orders {
+			perWorker[o.Worker] = append(perWorker[o.Worker], o.Run.Task.Job)
+			if o.Run.Task.Job == "bad" {
+				crashes[o.Worker] = true
+				h.crash(o.Worker)
+			}
+		}
+		for _, o := range orders {
+			if !crashes[o.Worker] {
+				h.renew(indexOf(o.Worker), nil, []EndedRow{{Number: 1, Run: o.Run, Kind: EndDone}})
+			}
+		}
+		assert.Assert(t, len(crashes) < 2 || len(perWorker) == 0 || len(perWorker) == len(orders), "two on one worker after a crash")
+	}
+	h.nextStarts()
+	assert.Equal(t, h.s.State("good").Phase, Completed)
+	assert.Equal(t, h.s.State("bad").Phase, Failed)
+	assert.Equal(t, len(crashes), 2)
+}
+
+// Guards against counting the loss of contact with a worker, or the end of a draining one, as a crash.
+func TestOnlyCrashesCount(t *testing.T) {
+	losses := map[string]func(*harness, WorkerID){
+		"cut off": func(h *harness, id WorkerID) {
+			h.s.WorkerUnresponsive(id, h.now)
+			h.s.WorkerLeaseExpired(id, h.now)
+		},
+		"refused, then silent": func(h *harness, id WorkerID) {
+			h.s.WorkerConnectionRefused(id, h.now)
+			h.s.WorkerUnresponsive(id, h.now)
+			h.s.WorkerLeaseExpired(id, h.now)
+		},
+		"refused, then back": func(h *harness, id WorkerID) {
+			h.s.WorkerConnectionRefused(id, h.now)
+			h.renew(indexOf(id), nil, nil)
+		},
+		"drained": func(h *harness, id WorkerID) {
+			for i := range h.reports {
+				h.reports[i].Draining = h.reports[i].ID == id
+			}
+			h.s.SetWorkers(h.reports, h.now)
+			h.crash(id)
+		},
+	}
+	for name, lose := range losses {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, 6)
+			h.addJob(Job{ID: "a", Steps: []Step{tasks(1, 1000)}})
+			for range 4 {
+				orders := h.nextStarts()
+				assert.Equal(t, len(orders), 1)
+				h.confirm(orders...)
+				lose(h, orders[0].Worker)
+				for _, r := range h.reports {
+					h.renew(indexOf(r.ID), nil, nil)
+				}
+			}
+			assert.Equal(t, h.s.State("a").Phase, Running)
+		})
+	}
+}
+
+// Guards against failing jobs of which no run was at work when a lease lapsed, although its worker refuses connections.
+func TestLapseOfRefusingWorkerCounts(t *testing.T) {
+	h := newHarness(t, 6)
+	h.addJob(Job{ID: "a", Steps: []Step{tasks(1, 1000)}})
+	for range 2 {
+		orders := h.nextStarts()
+		assert.Equal(t, len(orders), 1)
+		h.confirm(orders...)
+		h.s.WorkerConnectionRefused(orders[0].Worker, h.now)
+		h.s.WorkerLeaseExpired(orders[0].Worker, h.now)
+	}
+	h.nextStarts()
+	assert.Equal(t, h.s.State("a").Phase, Failed)
+}
+
+// Guards against failing all jobs that had started on a rack shortly before all of its workers crashed.
+func TestCrashOfARackFailsNoJob(t *testing.T) {
+	h := newHarness(t, 8)
+	for i := range 8 {
+		h.addJob(Job{ID: JobID(fmt.Sprint("j", i)), Steps: []Step{tasks(1, 3000)}})
+	}
+	orders := h.nextStarts()
+	assert.Equal(t, len(orders), 8)
+	h.confirm(orders...)
+	for _, o := range orders {
+		h.crash(o.Worker)
+	}
+	for range 12 {
+		orders = h.nextStarts()
+		h.confirm(orders...)
+		for _, o := range orders {
+			h.renew(indexOf(o.Worker), nil, []EndedRow{{Number: h.nextEnd(), Run: o.Run, Kind: EndDone}})
+		}
+	}
+	for i := range 8 {
+		assert.Equal(t, h.s.State(JobID(fmt.Sprint("j", i))).Phase, Completed)
+	}
+}
+
+// Guards against counting a crash against a run that has been at work for some time, or whose order was never sent.
+func TestRunsAtWorkAndUnsentOrdersAreNoSuspects(t *testing.T) {
+	h := newHarness(t, 6)
+	h.addJob(Job{ID: "a", Steps: []Step{tasks(1, 1000)}})
+	for range 3 {
+		orders := h.nextStarts()
+		assert.Equal(t, len(orders), 1)
+		h.confirm(orders...)
+		h.now = h.now.Add(time.Second)
+		h.showAtWork(orders...)
+		h.crash(orders[0].Worker)
+	}
+	for range 3 {
+		orders := h.nextStarts()
+		assert.Equal(t, len(orders), 1)
+		h.s.ApplyOrderOutcome(orders[0], OrderNotSent, h.now)
+		h.crash(orders[0].Worker)
+	}
+	assert.Equal(t, h.s.State("a").Phase, Running)
+	assert.Equal(t, len(h.nextStarts()), 1)
+}
+
+// Guards against losing other tasks with the next worker of a task under which one has crashed: the task is alone there
+// until an inventory shows it at work, and shares the worker after that.
+func TestTaskOnProbationIsAloneUntilCleared(t *testing.T) {
+	h := newHarness(t, 1)
+	h.addJob(Job{ID: "suspect", Steps: []Step{tasks(1, 1000)}})
+	orders := h.nextStarts()
+	h.confirm(orders...)
+	h.crash(orders[0].Worker)
+	orders = h.nextStarts()
+	assert.Equal(t, len(orders), 1)
+	h.confirm(orders...)
+	h.addJob(Job{ID: "other", Steps: []Step{tasks(1, 1000)}})
+	assert.Equal(t, len(h.nextStarts()), 0)
+	h.showAtWork(orders...)
+	others := h.nextStarts()
+	assert.Equal(t, len(others), 1)
+	h.confirm(others...)
+	h.showAtWork(append(orders, others...)...)
+	h.crash(orders[0].Worker)
+	h.nextStarts()
+	assert.Equal(t, h.s.State("suspect").Phase, Running, "the earlier crash doesn't count any more")
+}
+
+// Guards against tasks on probation that take all workers from other work.
+func TestProbationLeavesWorkersToOthers(t *testing.T) {
+	h := newHarness(t, 10)
+	h.addJob(Job{ID: "suspects", Steps: []Step{tasks(10, 3000)}})
+	orders := h.nextStarts()
+	assert.Equal(t, len(orders), 10)
+	h.confirm(orders...)
+	for _, o := range orders {
+		h.crash(o.Worker)
+	}
+	assert.Equal(t, len(h.nextStarts()), 10/probationDivisor)
+	h.addJob(Job{ID: "others", Steps: []Step{tasks(8, 3000)}})
+	assert.Equal(t, len(h.nextStarts()), 8)
+}
+
+// Guards against counting each member of a gang that loses several workers at once.
+func TestCrashCountsOnceForAGang(t *testing.T) {
+	h := newHarness(t, 20)
+	gang := tasks(4, 3000)
+	gang.Gang = true
+	h.addJob(Job{ID: "a", Steps: []Step{gang}})
+	orders := h.nextStarts()
+	assert.Equal(t, len(orders), 4)
+	h.confirm(orders...)
+	for _, o := range orders {
+		h.crash(o.Worker)
+	}
+	orders = h.nextStarts()
+	assert.Equal(t, len(orders), 4)
+	h.confirm(orders...)
+	h.now = h.now.Add(time.Second)
+	h.showAtWork(orders...)
+	h.crash(orders[0].Worker)
+	h.stopAll()
+	for _, o := range orders[1:] {
+		h.renew(indexOf(o.Worker), nil, []EndedRow{{Number: 1, Run: o.Run, Kind: EndStopped}})
+	}
+	assert.Equal(t, h.s.State("a").Phase, Running)
+	assert.Equal(t, len(h.nextStarts()), 4)
+}
+
+// Guards against a build that can't read the records of earlier ones, which hold no crashes.
+func TestRecordWithoutCrashesIsRead(t *testing.T) {
+	h := newHarness(t, 1)
+	job := Job{ID: "a", Queue: plainQueue, Team: "team", Service: "pool", Steps: []Step{tasks(1, 1000)}, AcceptedMS: start.UnixMilli()}
+	old := `{"v":1,"phase":"running","began":true,"steps":[{"tasks":[{"i":0,"r":3,"f":1,"fr":2,"w":"w0"}]}]}`
+	assert.NilError(t, h.s.AddJob(job, []byte(old), h.now))
+	h.renew(0, nil, nil)
+	orders := h.nextStarts()
+	assert.Equal(t, len(orders), 1)
+	assert.Equal(t, orders[0].Run.Run, 4)
+}
--- a/internal/core/cell/inventory.go
+++ b/internal/core/cell/inventory.go
@@ -30,7 +30,7 @@
 	if w.StartMS != 0 && inv.StartMS != 0 && inv.StartMS != w.StartMS {
 		s.workerRestarted(w, inv.StartMS)
 	}
-	w.lastInventoryAt = now
+	w.lastInventoryAt, w.refusing = now, false
 	if w.unresponsive {
 		w.unresponsive, s.changed = false, true
 		s.events.LogDecision(string(w.ID), "worker answers again", "runs", len(w.tasks))
@@ -64,6 +64,7 @@
 // orders must not be carried out by the new one, so each run is stopped first.
 func (s *Scheduler) workerRestarted(w *worker, startMS int64) {
 	s.events.LogDecision(string(w.ID), "worker restarted", "runs", len(w.tasks), "born_ms", startMS, "before_ms", w.StartMS)
+	s.countCrash(w, "the worker restarted")
 	w.StartMS, w.lastEndNumber, w.ackCursor, w.pendingEnds, w.terminated = startMS, 0, 0, nil, false
 	w.faults = faults{}
 	for t := range w.tasks {
@@ -102,6 +103,7 @@
 	case taskDone:
 		return t // a member of a gang whose end isn't listed yet
 	}
+	s.clearIfAtWork(t)
 	if row.Percent > t.percent || t.progressAt.IsZero() {
 		t.percent, t.progressAt = row.Percent, s.now
 	}
--- a/internal/core/cell/orders.go
+++ b/internal/core/cell/orders.go
@@ -233,7 +233,9 @@
 	t.pace = fullPace
 	if t.phase == taskUnresolved {
 		t.pace = unknownPace
+		t.cleared = len(t.crashes().workers) == 0 // it is older than this term
 	}
+	t.confirmedAt = s.now
 	t.phase, t.percent, t.progressAt, t.paceInFlight = taskRunning, 0, s.now, false
 	j := t.step.job
 	if !j.started {
--- a/internal/core/cell/pass.go
+++ b/internal/core/cell/pass.go
@@ -110,7 +110,7 @@
 	s.pass.maxCapacity = resource.Vector{}
 	s.pass.freeCPU, s.pass.turnoverCPU, s.pass.withholdableCPU, s.pass.claimableCPU, s.pass.lateWorkLimit, s.pass.workerChecks = 0, 0, 0, 0, 0, 0
 	for _, w := range s.workers {
-		if w.usable(s.now) {
+		if w.usable(s.now) && w.heldBy == nil {
 			w.withheld = resource.Vector{}
 			s.pass.usable = append(s.pass.usable, w)
 			s.pass.freeCPU += max(0, w.free.MilliCPU)
--- a/internal/core/cell/place.go
+++ b/internal/core/cell/place.go
@@ -1,6 +1,9 @@
 package cell
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // placeStep places as many of a step's waiting tasks as possible and requests missing advice.
 func (s *Scheduler) placeStep(st *step, q *Queue) {
@@ -23,7 +26,7 @@
 	allWorkers := len(workers) == len(s.pass.usable)
 	var toAsk []WorkerID
 	for _, t := range st.tasks {
-		if t.phase != taskWaiting || s.now.Before(t.restartAt) {
+		if t.phase != taskWaiting || s.now.Before(t.restartAt) || s.probationDelayed(t) {
 			continue
 		}
 		if s.pass.freeCPU < st.spec.Each.MilliCPU {
@@ -34,6 +37,9 @@
 			return
 		}
 		w := s.bestWorker(t, q, workers)
+		if w == nil && t.onProbation() {
+			continue // the step's other tasks may share a worker
+		}
 		if w == nil {
 			s.withholdFor(st, q)
 			break
@@ -57,6 +63,9 @@
 	if st.waiting < len(st.tasks) || slices.ContainsFunc(st.tasks, func(t *task) bool { return s.now.Before(t.restartAt) }) {
 		return
 	}
+	if s.probationDelayed(st.tasks[0]) {
+		return
+	}
 	if !s.fullScanDue(st, gangRescanInterval) {
 		s.withholdFor(st, q)
 		return
@@ -135,9 +144,10 @@
 func (s *Scheduler) queueIntent(t *task) {
 	t.ticket, _ = t.step.advice.validTicket(t.worker.ID, s.now)
 	t.phase, t.answered, t.orderInFlight, t.startUncertain, t.ordersSent = taskPlaced, false, false, false, 0
+	t.confirmedAt, t.cleared = time.Time{}, false
 	t.intentVersion = s.scheduleUrgentWrite(t.step.job)
 	s.events.LogDecision(t.id.String(), "placed", "run", t.run, "worker", t.worker.ID, "free_mcpu", t.worker.free.MilliCPU,
-		"waited_ms", s.now.UnixMilli()-t.step.job.AcceptedMS)
+		"waited_ms", s.now.UnixMilli()-t.step.job.AcceptedMS, "crashes", len(t.crashes().workers))
 }
 
 // eligible reports whether the step may ever run on the worker.
@@ -182,16 +192,19 @@
 	if !s.mayRun(st, w, q) || slices.Contains(t.avoid, w.ID) && len(t.avoid) < len(s.pass.usable)/2 {
 		return false
 	}
-	return st.spec.Each.Fits(w.free.Sub(w.withheld))
+	return !w.heldAgainst(t) && st.spec.Each.Fits(w.free.Sub(w.withheld))
 }
 
 // score rates a worker for a task; higher is better. It prefers tight fits, which leave capacity for large tasks on other
-// workers. The fit counts for at most 1, and each other criterion for at least as much: a valid ticket, the rack of the
+// workers. A task on probation goes where a crash would lose least. The fit counts for at most 1, and each other criterion for at least as much: a valid ticket, the rack of the
 // step's data, the rack of the step's first placed task if SameRack is set, no best-effort tasks beside tasks with a
 // latency target, and no failed or stalled run since the worker's last success.
 func (s *Scheduler) score(t *task, w *worker, q *Queue) float64 {
 	left := w.free.Sub(t.step.spec.Each)
 	score := -left.DominantShare(w.Capacity)
+	if t.onProbation() {
+		score = -w.expectedLoss()
+	}
 	if q != nil && q.Advice != nil {
 		if _, ok := t.step.advice.validTicket(w.ID, s.now); ok {
 			score++
--- a/internal/core/cell/room.go
+++ b/internal/core/cell/room.go
@@ -26,7 +26,7 @@
 	s.pass.workerChecks += len(s.pass.usable)
 	members := 0
 	for _, w := range s.pass.usable {
-		if !s.mayRun(st, w, q) {
+		if !s.mayRun(st, w, q) || w.heldAgainst(st.tasks[0]) {
 			continue
 		}
 		for left := w.free.Sub(w.withheld); st.spec.Each.Fits(left) && members < len(st.tasks); left = left.Sub(st.spec.Each) {
--- a/internal/core/cell/scheduler.go
+++ b/internal/core/cell/scheduler.go
@@ -39,6 +39,7 @@
 	unrecordedSince time.Time
 	buckets         map[string]*tokenBucket // by team
 	unacked         map[WorkerID]bool       // workers with ends whose records weren't durable when last checked
+	heldWorkers     int                     // workers that are held by tasks on probation
 }
 
 // Events receives scheduling decisions for logging and metrics. Its methods must not block.
--- a/internal/core/cell/state.go
+++ b/internal/core/cell/state.go
@@ -44,6 +44,11 @@
 	// after it; only one requested at checkAfter or later that doesn't list the run shows that the run is gone.
 	answered bool
 
+	confirmedAt  time.Time // when the worker confirmed the current run, zero before that
+	cleared      bool      // an inventory has shown the current run at work for clearingTime
+	holds        bool      // on probation: no other task is started on its worker
+	crashHistory crashHistory
+
 	percent    float64
 	progressAt time.Time // when the percentage last rose
 
@@ -65,6 +70,7 @@
 	gangRun        int // last run of a gang
 	gangFailures   int
 	lastFailedRun  int // last gang run that was counted as failed
+	gangCrashes    crashHistory
 	tasksPerWorker map[WorkerID]int
 	advice         stepAdvice
 	fullScanAt     time.Time // when all workers were last checked without success, zero if a check is due
@@ -116,6 +122,10 @@
 	ackCursor       int64 // ends up to this number are durable
 	faults          faults
 	bestEffort      paceControl
+	// refusing is set while the worker's address refuses connections.
+	refusing bool
+	heldBy   *step // step of the tasks on probation that hold the worker, nil if there are none
+	holders  int   // number of these tasks
 }
 
 // pendingEnd is an ended run with the version of the job's record that makes its end durable.
@@ -227,6 +237,7 @@
 	t.step.tasksPerWorker[w.ID]++
 	t.step.job.allocatedTasks++
 	s.usage[t.step.job.Team] = s.usage[t.step.job.Team].Add(each)
+	s.hold(t)
 }
 
 // deallocate frees the resources of a task. A worker that has left the registry and holds no task any more is deleted by
@@ -236,6 +247,7 @@
 	if w == nil {
 		return
 	}
+	s.releaseHold(t)
 	t.worker = nil
 	delete(w.tasks, t)
 	w.free, w.freed = w.free.Add(each), true
--- a/internal/core/cell/workers.go
+++ b/internal/core/cell/workers.go
@@ -66,6 +66,9 @@
 func (s *Scheduler) WorkerLeaseExpired(id WorkerID, now time.Time) {
 	s.now = now
 	if w := s.workers[id]; w != nil && len(w.tasks) > 0 {
+		if w.refusing {
+			s.countCrash(w, "the worker's lease lapsed while its address refused connections")
+		}
 		s.releaseRuns(w, "the worker's lease lapsed")
 	}
 }
@@ -74,6 +77,7 @@
 func (s *Scheduler) WorkerUnresponsive(id WorkerID, now time.Time) {
 	s.now = now
 	if w := s.workers[id]; w != nil {
+		w.refusing = false
 		s.markUnresponsive(w)
 	}
 }
@@ -98,7 +102,12 @@
 // this is taken as the worker's end only if it was draining and has left the registry.
 func (s *Scheduler) WorkerConnectionRefused(id WorkerID, now time.Time) {
 	s.now = now
-	if w := s.workers[id]; w != nil && w.Draining && !w.registered {
+	w := s.workers[id]
+	if w == nil {
+		return
+	}
+	w.refusing = true
+	if w.Draining && !w.registered {
 		s.workerTerminated(w, "it has left")
 	}
 }
@@ -110,6 +119,7 @@
 		return
 	}
 	w.terminated = true
+	s.countCrash(w, reason)
 	s.releaseRuns(w, reason)
 }
 
