cell: only the newest runs of a crashed worker are suspects

Cause: every run that had started since the worker's last inventory, which is up to a second old, was a suspect: 938 in 203 crashes. Each holds a worker alone, at most a fifth of the cell at a time, and so do the tasks that crash it, for some 3 s: at 45 s, 288 of 493 open jobs had tasks that waited for that. They asked for advice on each new worker meanwhile: 616 of 649 calls in 10 s were for their queue, and other jobs got no advice.

Fix: a worker confirms nothing after its crash, and such tasks crash it within some milliseconds of their start, so the cause is among the runs confirmed within 60 ms of its newest one. A step whose tasks all wait for probation asks for no advice.

--- a/internal/core/cell/crashes.go
+++ b/internal/core/cell/crashes.go
@@ -7,9 +7,9 @@
 	"time"
 )
 
-// A task may crash every worker that starts it, together with everything else that runs there. The runs that a crashed
-// worker had started since its last inventory are suspects. A suspect is on probation from then on: it holds its next
-// worker alone until an inventory shows its run at work, and its job fails when workers have crashed under it again.
+// A task may crash every worker that starts it, together with everything else that runs there. The newest runs of a crashed
+// worker are suspects, unless an inventory has shown them at work. A suspect is on probation from then on: it holds its
+// next worker alone until an inventory shows its run at work, and its job fails when workers have crashed under it again.
 
 const (
 	// maxConfirmedCrashes is the number of crashes, each under a run that its worker had confirmed, after which a task is
@@ -22,6 +22,9 @@
 	// clearingTime is how long after the confirmation of a run an inventory that lists it shows that the run hasn't crashed
 	// its worker. Tasks that crash their workers do so within a few milliseconds of their start.
 	clearingTime = 200 * time.Millisecond
+	// crashSpread is how long before the newest run of a crashed worker another one may have been confirmed to be a suspect
+	// too. A worker confirms nothing after its crash, so the cause is among the newest.
+	crashSpread = 60 * time.Millisecond
 	// probationDivisor bounds the workers that are held by tasks on probation, or were lost with one, to this fraction (1/n)
 	// of the usable workers, but one step may always hold workers.
 	probationDivisor = 5
@@ -81,14 +84,27 @@
 	return n
 }
 
+// newestConfirmation returns when the worker confirmed its newest run.
+func (w *worker) newestConfirmation() time.Time {
+	var newest time.Time
+	for t := range w.tasks {
+		if t.confirmedAt.After(newest) {
+			newest = t.confirmedAt
+		}
+	}
+	return newest
+}
+
 // countCrash counts the crash of a worker against the suspects on it. The end of a worker that was draining isn't a crash.
 func (s *Scheduler) countCrash(w *worker, reason string) {
 	if w.Draining {
 		return
 	}
 	var suspects []*task
+	newest := w.newestConfirmation()
 	for t := range w.tasks {
-		if t.suspect() && !t.step.job.phase.Final() {
+		ruledOut := t.confirmed() && newest.Sub(t.confirmedAt) > crashSpread
+		if t.suspect() && !ruledOut && !t.step.job.phase.Final() {
 			suspects = append(suspects, t)
 		}
 	}
--- a/internal/core/cell/crashes_test.go
+++ b/internal/core/cell/crashes_test.go
@@ -340,3 +340,51 @@
 	assert.Equal(t, len(orders), 1)
 	assert.Equal(t, orders[0].Run.Run, 4)
 }
+
+// Guards against suspecting every run that started within a second of a crash. Each suspect holds a worker alone, so the
+// tasks that crash their workers and all others wait for one another.
+func TestOnlyTheNewestRunsOfACrashedWorkerAreSuspects(t *testing.T) {
+	h := newHarness(t, 1)
+	h.addJob(Job{ID: "early", Steps: []Step{tasks(1, 1000)}})
+	early := h.nextStarts()
+	h.confirm(early...)
+	h.addJob(Job{ID: "late", Steps: []Step{tasks(1, 1000)}})
+	late := h.nextStarts()
+	assert.Equal(t, len(late), 1)
+	h.confirm(late...)
+	h.crash(early[0].Worker)
+	h.s.CancelJob("late")
+	early = h.nextStarts()
+	assert.Equal(t, len(early), 1)
+	h.confirm(early...)
+	h.addJob(Job{ID: "other", Steps: []Step{tasks(1, 1000)}})
+	assert.Equal(t, len(h.nextStarts()), 1, "a task that isn't on probation shares its worker")
+}
+
+// Guards against calls for advice on behalf of tasks that may not start yet. They take the advice service from jobs that
+// may, which then wait although there is room.
+func TestDelayedProbationAsksForNoAdvice(t *testing.T) {
+	h := newHarness(t, 10)
+	h.addJob(Job{ID: "suspects", Queue: advisedQueue, Steps: []Step{tasks(10, 3000)}})
+	h.advance(0)
+	h.answerAdvice()
+	orders := h.nextStarts()
+	assert.Equal(t, len(orders), 10)
+	h.confirm(orders...)
+	for _, o := range orders {
+		h.crash(o.Worker)
+	}
+	for range 10 {
+		h.answerAdvice()
+		h.advance(50 * time.Millisecond)
+	}
+	orders = h.takeStarts()
+	assert.Equal(t, len(orders), 10/probationDivisor)
+	h.confirm(orders...)
+	h.answerAdvice()
+	h.reports = append(h.reports, h.workerReport(500))
+	h.s.SetWorkers(h.reports, h.now)
+	h.renew(500, nil, nil)
+	h.nextStarts()
+	assert.Equal(t, len(h.advice), 0)
+}
--- a/internal/core/cell/place.go
+++ b/internal/core/cell/place.go
@@ -25,8 +25,13 @@
 	workers := s.candidates(st)
 	allWorkers := len(workers) == len(s.pass.usable)
 	var toAsk []WorkerID
+	delayed := 0
 	for _, t := range st.tasks {
-		if t.phase != taskWaiting || s.now.Before(t.restartAt) || s.probationDelayed(t) {
+		if t.phase != taskWaiting || s.now.Before(t.restartAt) {
+			continue
+		}
+		if s.probationDelayed(t) {
+			delayed++
 			continue
 		}
 		if s.pass.freeCPU < st.spec.Each.MilliCPU {
@@ -50,7 +55,7 @@
 			toAsk = append(toAsk, w.ID)
 		}
 	}
-	if len(toAsk) == 0 && st.waiting > 0 && allWorkers {
+	if len(toAsk) == 0 && st.waiting > delayed && allWorkers {
 		st.fullScanAt = s.now
 		toAsk = s.workersToAsk(st, q)
 	}
