--- a/internal/core/cell/scheduler.go
+++ b/internal/core/cell/scheduler.go
@@ -45,6 +45,7 @@
 	overcommitted      map[*worker]bool        // workers whose capacity has shrunk below what they hold
 	registryReadAt     time.Time               // when the reading of the registry began that was applied last
 	startsHeld         bool                    // no start is sent, because that reading is too old
+	heldWorkers        int                     // workers that are held by tasks on probation
 }
 
 // Events receives scheduling decisions for logging and metrics. Its methods must not block.
