--- a/internal/core/cell/crashes_test.go
+++ b/internal/core/cell/crashes_test.go
@@ -204,7 +204,7 @@
 	}
 }
 
-// Guards against failing jobs of which no run was at work when a lease lapsed, although its worker refuses connections.
+// Guards against unlimited starts of a task whose workers crash and don't come back: their leases lapse instead.
 func TestLapseOfRefusingWorkerCounts(t *testing.T) {
 	h := newHarness(t, 6)
 	h.addJob(Job{ID: "a", Steps: []Step{tasks(1, 1000)}})
--- a/internal/standin/leased/worker.go
+++ b/internal/standin/leased/worker.go
@@ -14,6 +14,7 @@
 type RunChecker struct {
 	mu            sync.Mutex
 	running       map[string]string // worker ID by task
+	starts        map[string]int    // by task
 	completions   map[string]int    // number of completions by task, without those that a worker lost before they were acknowledged
 	everCompleted map[string]bool   // tasks that have ever completed
 	startedJobs   map[string]bool   // jobs of which a task has ever started
@@ -22,7 +23,7 @@
 
 // NewRunChecker returns a checker without any runs.
 func NewRunChecker() *RunChecker {
-	return &RunChecker{running: map[string]string{}, completions: map[string]int{}, everCompleted: map[string]bool{},
+	return &RunChecker{running: map[string]string{}, starts: map[string]int{}, completions: map[string]int{}, everCompleted: map[string]bool{},
 		startedJobs: map[string]bool{}}
 }
 
@@ -41,6 +42,13 @@
 	return running
 }
 
+// StartCount returns how often a task, given as JOB.OCCURRENCE.STEP.INDEX, has started.
+func (c *RunChecker) StartCount(task string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.starts[task]
+}
+
 // HasStarted reports whether a task of the job has ever started.
 func (c *RunChecker) HasStarted(job string) bool {
 	c.mu.Lock()
@@ -79,6 +87,7 @@
 		c.violations = append(c.violations, task+" starts after it was done")
 	}
 	c.running[task] = worker
+	c.starts[task]++
 	job, _, _ := strings.Cut(task, ".")
 	c.startedJobs[job] = true
 }
@@ -102,6 +111,11 @@
 // ServiceSpec is the specification of tasks that run until they are stopped.
 const ServiceSpec = "service"
 
+// CrashingSpec is the specification of tasks that crash every worker that starts them, crashDelay after their start.
+const CrashingSpec = "crash"
+
+const crashDelay = 10 * time.Millisecond
+
 // serviceDuration is longer than any test.
 const serviceDuration = 24 * time.Hour
 
@@ -323,6 +337,9 @@
 		}
 	})
 	w.runs[req.Task] = newRun
+	if req.Spec == CrashingSpec {
+		time.AfterFunc(crashDelay, w.Crash)
+	}
 	w.checker.taskStarted(req.Task, w.ID)
 	if used := int64(len(w.runs)) * w.taskCPU; used > w.cpuCapacity {
 		w.checker.addViolation(fmt.Sprintf("%s runs %d of %d thousandths of a core", w.ID, used, w.cpuCapacity))
