control: a lease that a later start has begun expires too

What callers would see: a task that never starts again, until the worker answers or another node takes over, if its worker is lost for good right after it was sent the task.

Cause: the link to a worker tells the scheduler once that the worker's lease has expired, and again only after a renewal was answered. A worker that refuses connections isn't taken for unresponsive, so that an idle one may get a start after its lease has expired. If that start gets no answer, it counts as a new lease, whose expiry was never told.

A call that may have begun a new lease now makes its expiry due again.

--- a/internal/control/links.go
+++ b/internal/control/links.go
@@ -44,7 +44,7 @@
 	// expiresAt is when all runs on the worker have ended for certain unless the lease is renewed. Calls in flight may
 	// renew it.
 	expiresAt  time.Time
-	expired    bool
+	expired    bool      // the scheduler has been informed that the lease until expiresAt has expired
 	leaseCalls int       // number of calls in flight that carry a lease
 	idle       bool      // the last inventory was empty
 	doubtUntil time.Time // a call without an answer is recent until then
@@ -203,7 +203,7 @@
 	l.leaseCalls--
 	sent := !errors.Is(err, port.ErrUnavailable) && !errors.Is(err, port.ErrConnectionRefused)
 	if sent && expiry.After(l.expiresAt) {
-		l.expiresAt = expiry
+		l.expiresAt, l.expired = expiry, false
 	}
 	if errors.Is(err, port.ErrUnknownOutcome) {
 		l.doubtUntil = time.Now().Add(doubtPeriod)
--- a/internal/control/links_test.go
+++ b/internal/control/links_test.go
@@ -32,6 +32,24 @@
 	}
 }
 
+// A start that is sent after the lease has expired begins a new lease, which must expire too. Otherwise the task of that
+// start waits forever if the worker is gone.
+func TestLeaseExpiresAgainAfterALaterStart(t *testing.T) {
+	now := time.Now()
+	s := &activeTerm{node: newTestNode("a", 1), term: &term{number: 3}, events: make(chan func(), 8), ctx: t.Context()}
+	l := &workerLink{s: s, ref: port.WorkerRef{ID: "w"}, clock: clockSample{1000, now}, expiresAt: now.Add(-time.Second)}
+	l.checkExpiry()
+	l.checkExpiry()
+	assert.Equal(t, len(s.events), 1, "one lease expires once")
+	_, expiry := l.beginLeaseCall(now)
+	l.endLeaseCall(expiry, port.ErrUnknownOutcome)
+	l.checkExpiry()
+	assert.Equal(t, len(s.events), 1, "the new lease lasts")
+	l.expiresAt = now.Add(-time.Second)
+	l.checkExpiry()
+	assert.Equal(t, len(s.events), 2)
+}
+
 // The lease must not be considered expired before the worker's clock, which may run slow, has reached its end.
 func TestLeaseExpiryAllowsForSlowClock(t *testing.T) {
 	now := time.Now()
