Starts wait until the registry is current

Seen with the stand-in (capacity shrinks as the store fails, for longer than the bound, while the leases last): after the outage, starts that had been decided before go out as soon as their records are durable, up to 0.4 s before the registry is read again and shows the smaller capacity. The same holds for a scheduling node that can reach the workers but not the registry.

Change: no start is sent while the last reading of the registry began more than 3 s ago. It is sent, or revoked, after the next reading. A log line shows when this begins and ends. 3 s leave 1.5 s of the platform's bound to a start that is under way.

Without the check in dueOrder: --- FAIL: TestStartsWaitForACurrentRegistry capacity_test.go:345: assertion failed: 4 (int) != 0 (int)

--- a/internal/control/options.go
+++ b/internal/control/options.go
@@ -49,7 +49,10 @@
 
 	configPollInterval   = 600 * time.Millisecond
 	registryPollInterval = 400 * time.Millisecond
-	changesPollInterval  = 500 * time.Millisecond
+	// maxRegistryAge is the age of the last reading of the registry from which no start is sent. Callers count a smaller
+	// capacity of a worker 4.5 s after its entry shows it; a start may be under way for a second of that.
+	maxRegistryAge      = 3 * time.Second
+	changesPollInterval = 500 * time.Millisecond
 	// maxReadyAge is the maximum age of the last message from the store or the scheduling node for a node that reports
 	// itself ready.
 	maxReadyAge = 2 * time.Second
--- a/internal/control/registry.go
+++ b/internal/control/registry.go
@@ -110,11 +110,12 @@
 func (s *activeTerm) pollRegistry() {
 	known, revision := map[cell.WorkerID]cell.WorkerReport{}, int64(-1)
 	for {
+		began := time.Now()
 		c, err := s.workersSince(revision)
 		switch {
 		case err == nil:
 			revision = c.revision
-			s.postWorkers(known, c)
+			s.postWorkers(known, c, began)
 		case s.ctx.Err() == nil:
 			s.node.options.Log.Warn("registry not read", "error", err.Error())
 		}
@@ -124,8 +125,8 @@
 	}
 }
 
-// postWorkers applies changes to the known workers and passes them to the scheduler.
-func (s *activeTerm) postWorkers(known map[cell.WorkerID]cell.WorkerReport, c workerChanges) {
+// postWorkers applies changes to the known workers and passes them to the scheduler. The registry was read at asOf or later.
+func (s *activeTerm) postWorkers(known map[cell.WorkerID]cell.WorkerReport, c workerChanges, asOf time.Time) {
 	if c.full {
 		clear(known)
 	}
@@ -146,6 +147,7 @@
 		if !c.empty() {
 			s.core.SetWorkers(reports, time.Now())
 		}
+		s.core.RegistryRead(asOf)
 		s.core.ForgetIdleWorkers()
 		s.updateLinks()
 	})
--- a/internal/control/scheduling.go
+++ b/internal/control/scheduling.go
@@ -51,7 +51,7 @@
 	defer end(nil)
 	s := &activeTerm{node: n, term: t, events: make(chan func(), eventBuffer), ctx: termCtx, end: end, links: map[cell.WorkerID]*workerLink{},
 		recordWaiters: recordWaiters{}, began: began}
-	s.core = cell.New(cell.Options{EndedRetention: n.options.EndedRetention}, decisionLog{n.options.Log, n.metrics})
+	s.core = cell.New(cell.Options{EndedRetention: n.options.EndedRetention, MaxRegistryAge: maxRegistryAge}, decisionLog{n.options.Log, n.metrics})
 	s.advice = newAdvicePool(s)
 	s.committer = newCommitter(s)
 	s.members = newMembers(s)
--- a/internal/core/cell/capacity.go
+++ b/internal/core/cell/capacity.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"sequoiastall/internal/core/resource"
 )
@@ -106,3 +107,24 @@
 		s.startRejected(t, reason)
 	}
 }
+
+// RegistryRead reports that the contents of the worker registry as of the given time have been applied.
+func (s *Scheduler) RegistryRead(asOf time.Time) {
+	s.registryReadAt = asOf
+	s.ordersPending = s.ordersPending || s.startsHeld
+}
+
+// holdStarts decides whether starts have to wait until the registry has been read again. While it can't be read, the
+// capacity of workers may have shrunk below what was decided.
+func (s *Scheduler) holdStarts() {
+	limit, age := s.options.MaxRegistryAge, s.now.Sub(s.registryReadAt)
+	hold := limit > 0 && age > limit
+	if hold == s.startsHeld {
+		return
+	}
+	s.startsHeld = hold
+	if hold && s.registryReadAt.IsZero() {
+		return // before the first reading there is no worker to start on
+	}
+	s.events.LogDecision("registry", "starts held", "held", hold, "age_ms", age.Milliseconds())
+}
--- a/internal/core/cell/capacity_test.go
+++ b/internal/core/cell/capacity_test.go
@@ -331,3 +331,20 @@
 	h.commitRecords()
 	assert.Equal(t, len(h.decide()), 1)
 }
+
+// Guards against starts that were decided before the registry became unreadable and go out when their records become
+// durable again, although the capacity of their worker may have shrunk in the meantime.
+func TestStartsWaitForACurrentRegistry(t *testing.T) {
+	h := newHarness(t, 1)
+	h.s.options.MaxRegistryAge = 3 * time.Second
+	h.s.RegistryRead(h.now)
+	h.addJob(Job{ID: "a", Steps: []Step{tasks(4, 1000)}})
+	h.decide()
+	h.now = h.now.Add(5 * time.Second)
+	h.commitRecords()
+	assert.Equal(t, len(h.decide()), 0)
+	h.setCapacities(1000)
+	h.s.RegistryRead(h.now)
+	assert.Equal(t, len(h.decide()), 1)
+	assert.Equal(t, len(h.takeStops()), 0)
+}
--- a/internal/core/cell/orders.go
+++ b/internal/core/cell/orders.go
@@ -52,6 +52,7 @@
 
 // dueOrders returns the orders that are due for sending.
 func (s *Scheduler) dueOrders() []Order {
+	s.holdStarts()
 	s.revokeExcessStarts()
 	var orders []Order
 	for _, j := range s.active {
@@ -80,6 +81,9 @@
 			s.startRejected(t, "the worker drains")
 			return Order{}, false
 		}
+		if s.startsHeld {
+			return Order{}, false
+		}
 		o.Kind, o.Spec, o.Ticket, o.Checkpoint = OrderStart, t.step.job.Spec, t.ticket, t.checkpoint
 	case taskStopping:
 		if t.worker.terminated {
--- a/internal/core/cell/scheduler.go
+++ b/internal/core/cell/scheduler.go
@@ -11,6 +11,8 @@
 type Options struct {
 	// EndedRetention is how long the state of an ended job stays in memory.
 	EndedRetention time.Duration
+	// MaxRegistryAge is the age of the last reading of the worker registry from which no start is sent, 0 for no limit.
+	MaxRegistryAge time.Duration
 }
 
 // Scheduler is the state machine that schedules the jobs of a cell. It holds the state of the jobs, workers and teams on
@@ -40,6 +42,8 @@
 	buckets         map[string]*tokenBucket // by team
 	unacked         map[WorkerID]bool       // workers with ends whose records weren't durable when last checked
 	overcommitted   map[*worker]bool        // workers whose capacity has shrunk below what they hold
+	registryReadAt  time.Time               // when the reading of the registry began that was applied last
+	startsHeld      bool                    // no start is sent, because that reading is too old
 }
 
 // Events receives scheduling decisions for logging and metrics. Its methods must not block.
