partition: count running tasks of an unknown team against each limit

Cause: a successor books the tasks that workers report to the team of their job. If the job isn't known, for instance because the service has left the configuration since, the task held room on its worker but counted for no team. The successor started other work of the team within the whole limit in the same batches that stopped the old instances, and a real instance drains for up to 30 s. What such tasks hold is now subtracted from the slack of every team until they have ended.

TestTasksOfUnknownTeamUseTheLimit failed before: [team a runs {6 6000 6000 0} of {5 5000 5000 0} team a runs {7 7000 7000 0} ...

--- a/internal/core/partition/machine.go
+++ b/internal/core/partition/machine.go
@@ -41,7 +41,7 @@
 	mayStart         bool
 	requeueUncertain bool // set while tasks are requeued that another owner may have restarted
 	anyUncertain     bool // some requeued task is uncertain
-	hasUnmanaged     bool // a worker may run a task that isn't booked; updated by each cycle
+	hasUnmanaged     bool // a worker may run a task that isn't booked; cleared by the next cycle if none does
 	announcedWorkers int  // number of workers that a previous owner announced
 	claimedElsewhere bool
 
@@ -111,7 +111,7 @@
 // AllowanceSlack returns the part of a team's allowance that its tasks may still use or that another partition may
 // receive.
 func (m *Machine) AllowanceSlack(team string) resource.Vector {
-	return m.ledger.Slack(team).Sub(m.unreportedUsage(team)).Max(resource.Vector{})
+	return m.ledger.Slack(team).Sub(m.unreportedUsage(team)).Sub(m.unattributedUsage()).Max(resource.Vector{})
 }
 
 // unreportedUsage returns the resources that a team's tasks may hold on workers that haven't reported. Until the
--- a/internal/core/partition/rules_test.go
+++ b/internal/core/partition/rules_test.go
@@ -195,6 +195,26 @@
 	c.assertNoViolations(t)
 }
 
+// Guards against a team above its limit after a takeover: the instances of a service that has left the configuration use
+// the limit until they have stopped, although their team isn't known.
+func TestTasksOfUnknownTeamUseTheLimit(t *testing.T) {
+	c, o := smallCell(3)
+	c.teams["a"] = slot.Scale(5)
+	c.limits["a"] = c.teams["a"]
+	c.setService("p", "v1", 2)
+	c.run(2)
+	assert.Equal(t, o.m.Used("a"), slot.Scale(4))
+	c.kill(o)
+	c.services["p"] = nil
+	id := c.submit("p", batch(5))
+	o = c.startOwner("p", len(c.log))
+	c.run(40)
+	c.assertNoViolations(t)
+	assert.Equal(t, o.m.Used("a"), slot.Scale(5))
+	status, _ := o.m.Status(id)
+	assert.Equal(t, status.Running, int32(5))
+}
+
 // Guards against a broken worker that attracts all work because its tasks fail quickly, and against one that stays
 // quarantined after it has recovered. Only one task at a time probes it.
 func TestQuarantineAndProbe(t *testing.T) {
--- a/internal/core/partition/unmanaged.go
+++ b/internal/core/partition/unmanaged.go
@@ -6,6 +6,7 @@
 
 	"sequoiastall/internal/core/job"
 	"sequoiastall/internal/core/placement"
+	"sequoiastall/internal/core/resource"
 	"sequoiastall/internal/port"
 )
 
@@ -15,6 +16,24 @@
 	request := placement.Request{Job: r.Task.Job, Resources: r.Reserved}
 	w.unmanaged[r.Task] = unmanagedTask{request: request, attempt: r.Attempt, address: r.Address,
 		reserved: m.cluster.Reserve(w.host.ID, request) == nil}
+	m.hasUnmanaged = true
+}
+
+// unattributedUsage returns the resources of running tasks whose team isn't known. A previous owner may have started them
+// for any team, for instance for a service that has left the configuration since.
+func (m *Machine) unattributedUsage() resource.Vector {
+	var sum resource.Vector
+	if !m.hasUnmanaged {
+		return sum
+	}
+	for _, w := range m.workers {
+		for _, x := range w.unmanaged {
+			if x.team == "" {
+				sum = sum.Add(x.request.Resources)
+			}
+		}
+	}
+	return sum
 }
 
 func (m *Machine) anyUnmanaged() bool {
