--- a/internal/proof/store_test.go
+++ b/internal/proof/store_test.go
@@ -32,8 +32,7 @@
 	return job.NewID("red", key), err
 }
 
-// TestStoreDownAndKilledNode guards against work that stops because the store is down when a node is killed, and
-// against
+// TestStoreDownAndKilledNode guards against work that stops because the store is down when a node is killed, and against
 // submissions that are accepted although they can't be stored.
 func TestStoreDownAndKilledNode(t *testing.T) {
 	t.Parallel()
