cell: jobs that leave memory don't block acknowledgments

What callers would see: a worker whose ends are listed again and again, and beyond 500 of them work whose end isn't noticed.

Cause: the cursor of a worker's acknowledged ends stops at an end whose job's record isn't durable. Forget left the record of the job behind its version for good. The cleanup of ended jobs deleted one whose changed record was being written, so that the write's completion found no job. Now a forgotten job counts as recorded, and an ended job stays until its last record is durable.

--- a/internal/core/cell/faults_test.go
+++ b/internal/core/cell/faults_test.go
@@ -342,3 +342,43 @@
 	}
 	assert.Equal(t, len(h.takeStarts()), 2)
 }
+
+// Guards against a forgotten job that keeps its workers' ends from being acknowledged for good.
+func TestForgottenJobDoesNotBlockAcknowledgments(t *testing.T) {
+	h := newHarness(t, 1)
+	h.addJob(Job{ID: "late", Steps: []Step{tasks(1, 9000)}})
+	h.renew(0, nil, []EndedRow{{Number: 1, Run: RunID{TaskID{"late", 0, 0}, 3}, Kind: EndStopped}})
+	h.now = h.now.Add(2 * writeDelay)
+	h.s.Advance(h.now)
+	assert.Equal(t, len(h.s.TakeWrites(31)), 1)
+	h.s.Forget("late", "ended")
+	cursor, pending := h.s.AckCursor(workerID(0))
+	assert.Equal(t, cursor, int64(1))
+	assert.Assert(t, !pending)
+}
+
+// Guards against ends that are never acknowledged because their job was deleted while its record was being written.
+func TestDeletedJobDoesNotBlockAcknowledgments(t *testing.T) {
+	h := newHarness(t, 2)
+	h.addJob(Job{ID: "a", Steps: []Step{tasks(1, 1000)}})
+	h.advance(0)
+	o := h.takeStarts()[0]
+	h.s.ApplyOrderOutcome(o, OrderDone, h.now)
+	h.renew(indexOf(o.Worker), nil, []EndedRow{{Number: 1, Run: o.Run, Kind: EndDone}})
+	for range 5 {
+		h.advance(2 * writeDelay)
+	}
+	assert.Equal(t, h.s.State("a").Phase, Completed)
+	h.now = h.now.Add(h.s.options.EndedRetention - time.Second)
+	other := 1 - indexOf(o.Worker)
+	h.renew(other, nil, []EndedRow{{Number: 1, Run: RunID{o.Run.Task, 0}, Kind: EndLapsed}})
+	h.now = h.now.Add(2 * writeDelay)
+	h.s.Advance(h.now)
+	writes := h.s.TakeWrites(31)
+	assert.Equal(t, len(writes), 1)
+	h.now = h.now.Add(2 * time.Second) // the store answers after the end of the retention
+	h.s.Advance(h.now)
+	h.s.WriteCommitted(writes[0])
+	cursor, _ := h.s.AckCursor(workerID(other))
+	assert.Equal(t, cursor, int64(1))
+}
--- a/internal/core/cell/scheduler.go
+++ b/internal/core/cell/scheduler.go
@@ -299,7 +299,7 @@
 	}
 	s.lastCleanup = s.now
 	for id, j := range s.jobs {
-		if j.archived && j.allocatedTasks == 0 && s.now.Sub(j.endedAt) > s.options.EndedRetention {
+		if j.archived && j.recorded >= j.version && j.allocatedTasks == 0 && s.now.Sub(j.endedAt) > s.options.EndedRetention {
 			delete(s.jobs, id)
 		}
 	}
--- a/internal/core/cell/writes.go
+++ b/internal/core/cell/writes.go
@@ -150,6 +150,7 @@
 		}
 	}
 	j.cancelRequested, j.archived, j.endedAt = true, true, s.now
+	j.recorded = j.version // no record will follow, so the job's ends may be acknowledged
 	s.dirty = slices.DeleteFunc(s.dirty, func(d *job) bool { return d == j })
 	delete(s.jobs, id)
 }
