--- a/internal/core/cell/crashes_test.go
+++ b/internal/core/cell/crashes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -388,3 +389,30 @@
 	h.nextStarts()
 	assert.Equal(t, len(h.advice), 0)
 }
+
+// Guards against a job that is shown as failed because one worker, which restarts again and again, gets its task twice.
+func TestTaskOnProbationAvoidsTheCrashedWorker(t *testing.T) {
+	h := newHarness(t, 6)
+	h.startService("load", plainQueue, tasks(4, 1000))
+	h.addJob(Job{ID: "a", Steps: []Step{tasks(1, 1000)}})
+	for crash := range 2 {
+		orders := h.nextStarts()
+		assert.Assert(t, len(orders) > 0)
+		o := orders[len(orders)-1]
+		h.confirm(orders...)
+		if crash == 1 {
+			break
+		}
+		restarted := Inventory{Worker: o.Worker, StartMS: 2, RequestSequence: h.s.OrderSequence()}
+		h.s.ApplyInventory(restarted, h.now)
+		h.advance(20 * time.Millisecond)
+		for _, stop := range h.takeStops() {
+			h.s.ApplyOrderOutcome(stop, OrderDone, h.now)
+		}
+		restarted.RequestSequence = h.s.OrderSequence()
+		h.s.ApplyInventory(restarted, h.now)
+		assert.Assert(t, slices.Contains(h.s.jobs["a"].steps[0].tasks[0].avoid, o.Worker))
+	}
+	a := h.s.jobs["a"].steps[0].tasks[0]
+	assert.Assert(t, a.worker != nil && !slices.Contains(a.avoid, a.worker.ID))
+}
