cell: capacity is withheld for a large task on probation

What callers would see: a job that never starts in a busy cell (LOST), once a worker has crashed under one of its tasks that needs a quarter of a worker or more.

Cause: placeTasks went on to the step's next task when one on probation fitted on no worker, and so never withheld capacity for it. Small tasks took each gap.

Evidence: TestCapacityIsWithheldForLargeTaskOnProbation failed before: crashes_test.go:445: the large task hasn't started, but 6713 small ones have

--- a/internal/core/cell/crashes_test.go
+++ b/internal/core/cell/crashes_test.go
@@ -416,3 +416,58 @@
 	a := h.s.jobs["a"].steps[0].tasks[0]
 	assert.Assert(t, a.worker != nil && !slices.Contains(a.avoid, a.worker.ID))
 }
+
+// Guards against small tasks that take all capacity before a large task on probation.
+func TestCapacityIsWithheldForLargeTaskOnProbation(t *testing.T) {
+	const workers, waitingSmall, passes = 20, 60, 600
+	h := newHarness(t, workers)
+	ends := map[Order]time.Time{}
+	started := 0
+	for pass := range passes {
+		for range waitingSmall - min(waitingSmall, h.waitingTasks()) {
+			h.addJob(Job{ID: JobID(fmt.Sprint("small", len(h.s.jobs))), Steps: []Step{tasks(1, 700)}})
+		}
+		if pass == workers {
+			h.addJob(Job{ID: "large", Queue: urgentQueue, Steps: []Step{tasks(1, 4000)}})
+			h.s.jobs["large"].steps[0].tasks[0].crashHistory = crashHistory{workers: []WorkerID{"x"}, confirmed: 1}
+		}
+		h.advance(20 * time.Millisecond)
+		for _, o := range h.takeStarts() {
+			if o.Run.Task.Job == "large" {
+				return
+			}
+			h.confirm(o)
+			started++
+			ends[o] = h.now.Add(time.Duration(100+37*(started%7)) * time.Millisecond)
+		}
+		h.reportRuns(workers, ends)
+	}
+	t.Errorf("the large task hasn't started, but %d small ones have", started)
+}
+
+func (h *harness) waitingTasks() int {
+	n := 0
+	for _, j := range h.s.active {
+		if !j.phase.Final() {
+			n += j.waitingTasks()
+		}
+	}
+	return n
+}
+
+// reportRuns delivers an inventory of each worker. Runs whose end has come are done and removed from ends.
+func (h *harness) reportRuns(workers int, ends map[Order]time.Time) {
+	running, ended := map[int][]RunningRow{}, map[int][]EndedRow{}
+	for o, end := range ends {
+		w := indexOf(o.Worker)
+		if h.now.After(end) {
+			ended[w] = append(ended[w], EndedRow{Number: h.nextEnd(), Run: o.Run, Kind: EndDone})
+			delete(ends, o)
+		} else {
+			running[w] = append(running[w], RunningRow{Run: o.Run, Percent: 1})
+		}
+	}
+	for w := range workers {
+		h.renew(w, running[w], ended[w])
+	}
+}
--- a/internal/core/cell/place.go
+++ b/internal/core/cell/place.go
@@ -25,7 +25,7 @@
 	workers := s.candidates(st)
 	allWorkers := len(workers) == len(s.pass.usable)
 	var toAsk []WorkerID
-	delayed := 0
+	delayed, unplaced := 0, false
 	for _, t := range st.tasks {
 		if t.phase != taskWaiting || s.now.Before(t.restartAt) {
 			continue
@@ -43,6 +43,7 @@
 		}
 		w := s.bestWorker(t, q, workers)
 		if w == nil && t.onProbation() {
+			unplaced = true
 			continue // the step's other tasks may share a worker
 		}
 		if w == nil {
@@ -55,6 +56,9 @@
 			toAsk = append(toAsk, w.ID)
 		}
 	}
+	if unplaced {
+		s.withholdFor(st, q)
+	}
 	if len(toAsk) == 0 && st.waiting > delayed && allWorkers {
 		st.fullScanAt = s.now
 		toAsk = s.workersToAsk(st, q)
@@ -201,9 +205,10 @@
 }
 
 // score rates a worker for a task; higher is better. It prefers tight fits, which leave capacity for large tasks on other
-// workers. A task on probation goes where a crash would lose least. The fit counts for at most 1, and each other criterion for at least as much: a valid ticket, the rack of the
+// workers. The fit counts for at most 1, and each other criterion for at least as much: a valid ticket, the rack of the
 // step's data, the rack of the step's first placed task if SameRack is set, no best-effort tasks beside tasks with a
-// latency target, and no failed or stalled run since the worker's last success.
+// latency target, and no failed or stalled run since the worker's last success. For a task on probation, what a crash
+// would lose replaces the fit and counts most.
 func (s *Scheduler) score(t *task, w *worker, q *Queue) float64 {
 	left := w.free.Sub(t.step.spec.Each)
 	score := -left.DominantShare(w.Capacity)
