cell: repeated stop orders don't outdate an idle worker's inventories

What callers saw: LOST at full size.

Timeline: in second 28.97 the start of one member is dropped because its worker drains, and the gang is aborted. Members on workers with other work are released within 1.4 s. Members 13 to 30, alone on idle workers, have no further line until the end, and no further work is placed on these workers.

Cause: a run that was stopped is released by an inventory that was requested after the stop order was answered and doesn't list it. The order is repeated every 2 s, and each answer moved that point. The renewal of an idle worker waits 2 s as well, so each of its inventories had been requested before the latest answer. The run kept its worker, and its gang, for good. Orders that are answered as stale had the same fault.

Fix: the first answer in a phase sets the point; answers to repetitions leave it. It is safe because the worker refuses the run from the first answered stop on.

Evidence: TestRepeatedStopOrdersDoNotOutdateInventories failed before: faults_test.go:402: assertion failed: 1 (h.s.WorkersInUse()[0].Runs int) != 0 (int) Ruled out by the log: unanswered stops (none is logged for these members), a lost worker, a suspended placement (other jobs were placed until the end).

--- a/internal/core/cell/faults_test.go
+++ b/internal/core/cell/faults_test.go
@@ -382,3 +382,22 @@
 	cursor, _ := h.s.AckCursor(workerID(other))
 	assert.Equal(t, cursor, int64(1))
 }
+
+// Guards against a stopped run that holds its worker for good, because each inventory of an idle worker was requested
+// before the latest answer to the repeated stop order.
+func TestRepeatedStopOrdersDoNotOutdateInventories(t *testing.T) {
+	h := newHarness(t, 1)
+	h.addJob(Job{ID: "a", Steps: []Step{tasks(1, 4000)}})
+	h.advance(0)
+	h.s.ApplyOrderOutcome(h.takeStarts()[0], OrderUnanswered, h.now)
+	h.s.CancelJob("a")
+	for range 5 {
+		requested := h.s.OrderSequence()
+		h.advance(answeredRetryInterval)
+		for _, stop := range h.takeStops() {
+			h.s.ApplyOrderOutcome(stop, OrderDone, h.now)
+		}
+		h.s.ApplyInventory(Inventory{Worker: workerID(0), StartMS: 1, RequestSequence: requested}, h.now)
+	}
+	assert.Equal(t, h.s.WorkersInUse()[0].Runs, 0)
+}
--- a/internal/core/cell/orders.go
+++ b/internal/core/cell/orders.go
@@ -149,11 +149,20 @@
 		t.nextOrderAt = s.now.Add(t.retryInterval())
 		return
 	}
-	t.checkAfter = s.orderSequence.Add(1)
-	t.answered = true
+	s.awaitInventory(t)
 	t.nextOrderAt = s.now.Add(answeredRetryInterval)
 }
 
+// awaitInventory makes an inventory that is requested from now on decide whether the run still exists. Answers to
+// repeated orders don't move that point: an idle worker returns inventories no more often than orders are repeated, so
+// each one would be too old.
+func (s *Scheduler) awaitInventory(t *task) {
+	if !t.awaitsInventory {
+		t.awaitsInventory, t.checkAfter = true, s.orderSequence.Add(1)
+	}
+	t.answered = true
+}
+
 // applyStartOutcome applies the outcome of a start order. If the run is to be stopped by now, its stop order becomes due,
 // which had to wait for this outcome.
 func (s *Scheduler) applyStartOutcome(t *task, outcome OrderOutcome) {
@@ -177,8 +186,7 @@
 			s.abortRun(t, "the worker doesn't answer")
 		}
 	case OrderStale:
-		t.checkAfter = s.orderSequence.Add(1)
-		t.answered = true
+		s.awaitInventory(t)
 		t.nextOrderAt = s.now.Add(answeredRetryInterval)
 	case OrderNoTicket:
 		delete(t.step.advice.tickets, t.worker.ID)
--- a/internal/core/cell/scheduler.go
+++ b/internal/core/cell/scheduler.go
@@ -174,7 +174,7 @@
 
 // requestStop makes the order to stop a run due now.
 func (s *Scheduler) requestStop(t *task) {
-	t.phase, t.nextOrderAt, t.ordersSent = taskStopping, s.now, 0
+	t.phase, t.nextOrderAt, t.ordersSent, t.awaitsInventory = taskStopping, s.now, 0, false
 	s.ordersPending = true
 }
 
--- a/internal/core/cell/state.go
+++ b/internal/core/cell/state.go
@@ -43,6 +43,8 @@
 	// answered is set once the worker has answered an order of the run. An inventory requested before that answer may arrive
 	// after it; only one requested at checkAfter or later that doesn't list the run shows that the run is gone.
 	answered bool
+	// awaitsInventory is set once an answer in the current phase has set checkAfter.
+	awaitsInventory bool
 
 	confirmedAt  time.Time // when the worker confirmed the current run, zero before that
 	cleared      bool      // an inventory has shown the current run at work for clearingTime
