--- a/internal/control/options.go
+++ b/internal/control/options.go
@@ -49,8 +49,9 @@
 
 	configPollInterval   = 600 * time.Millisecond
 	registryPollInterval = 400 * time.Millisecond
-	// maxRegistryAge is the age of the last reading of the registry from which no start is sent. Callers count a smaller
-	// capacity of a worker 4.5 s after its entry shows it; a start may be under way for a second of that.
+	// maxRegistryAge is the age of the last reading of the registry from which no start is sent, because the capacity of
+	// workers may have shrunk since. Starts must respect a smaller capacity 4.5 s after the registry shows it, and one may
+	// be under way for more than a second.
 	maxRegistryAge      = 3 * time.Second
 	changesPollInterval = 500 * time.Millisecond
 	// maxReadyAge is the maximum age of the last message from the store or the scheduling node for a node that reports
--- a/internal/core/cell/crashes.go
+++ b/internal/core/cell/crashes.go
@@ -16,11 +16,11 @@
 	// given up.
 	maxConfirmedCrashes = 2
 	// maxCrashes is the same for all crashes. A start order without an answer may not have reached its worker before the
-	// crash, so it takes more of them. A takeover may hide one more crash; after three crashes and three further starts, a
-	// task counts as started for ever.
+	// crash, so it takes more of them. A takeover may hide one more crash, and a task must not be started three times more
+	// after three crashes.
 	maxCrashes = 4
 	// clearingTime is how long after the confirmation of a run an inventory that lists it shows that the run hasn't crashed
-	// its worker. Tasks that crash their workers do so within a few milliseconds of their start.
+	// its worker. A task that crashes its worker later than that isn't recognized.
 	clearingTime = 200 * time.Millisecond
 	// crashSpread is how long before the newest run of a crashed worker another one may have been confirmed to be a suspect
 	// too. A worker confirms nothing after its crash, so the cause is among the newest.
