--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -295,3 +295,42 @@
 func final(state string) bool {
 	return state == "completed" || state == "failed" || state == "canceled"
 }
+
+// otherKind: a worker crashes under tasks that need its label, and starts again under its ID as one of another kind.
+func otherKind(w *world, trouble bool) verdict {
+	c, err := newCell(w, plainQueue)
+	defer c.close(keepLogs())
+	if err != nil {
+		return failed("%v", err)
+	}
+	const job = "bbbbbbbbbbbbbbbb"
+	k := c.workers[workers-1]
+	label := k.label
+	if err := c.submit(job, plainQueue, step{count: 3, cpu: 2000, label: label, duration: 5 * time.Second}); err != nil {
+		return failed("%v", err)
+	}
+	if !await(5*time.Second, func() bool { k.mu.Lock(); defer k.mu.Unlock(); return len(k.runs) == 3 }) {
+		return failed("the tasks don't run")
+	}
+	time.Sleep(2 * time.Second)
+	if trouble {
+		k.crash()
+		k.mu.Lock()
+		k.label = "a"
+		k.mu.Unlock()
+		time.Sleep(time.Second)
+		k.restart(k.id)
+		w.note("worker %s is of kind %s from now on", k.id, k.label)
+	}
+	time.Sleep(8 * time.Second)
+	c.state(job, plainQueue)
+	for n := range 3 {
+		for _, s := range w.spansOf(fmt.Sprintf("%s.0.0.%d", job, n)) {
+			if s.begun.After(k.born) && k.label != label {
+				return verdict{broken: fmt.Sprintf("ROUTE: %s run %d, which needs the label %s, starts on %s, whose labels are %s and %s; %d ms after the worker's start", s.task, s.number,
+					label, s.worker, k.label, k.rack, s.begun.Sub(k.born).Milliseconds())}
+			}
+		}
+	}
+	return verdict{}
+}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -25,6 +25,7 @@
 	"gang-crashes":      gangCrashes,
 	"route-removed":     routeRemoved,
 	"only-worker":       onlyWorker,
+	"other-kind":        otherKind,
 }
 
 func main() { os.Exit(execute()) }
