--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -334,3 +334,45 @@
 	}
 	return verdict{}
 }
+
+// lateCrash: a task crashes each worker that starts it, some seconds after its start. The workers are back a second later.
+func lateCrash(w *world, trouble bool) verdict {
+	c, err := newCell(w, plainQueue)
+	defer c.close(keepLogs())
+	if err != nil {
+		return failed("%v", err)
+	}
+	const job = "bbbbbbbbbbbbbbbb"
+	if err := c.submit(job, plainQueue, step{count: 1, cpu: 2000, duration: 8 * time.Second}); err != nil {
+		return failed("%v", err)
+	}
+	task, crashes := job+".0.0.0", 0
+	for end := time.Now().Add(60 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		spans := w.spansOf(task)
+		if len(spans) >= crashes+1 && crashes >= 3+3 {
+			return verdict{broken: fmt.Sprintf("BUDGET: after three workers had crashed under it, the task was started %d times more", len(spans)-3)}
+		}
+		k := c.runner(task)
+		if k == nil || !trouble || time.Since(spans[len(spans)-1].begun) < 2500*time.Millisecond {
+			if len(spans) > 0 && spans[len(spans)-1].how == "done" || final(c.quietState(job)) {
+				break
+			}
+			continue
+		}
+		k.crash()
+		crashes++
+		id := fmt.Sprintf("i-%010x", 0x100+crashes)
+		time.AfterFunc(time.Second, func() { k.restart(id) })
+	}
+	c.state(job, plainQueue)
+	return verdict{}
+}
+
+// quietState asks for a job's state at most twice a second.
+func (c *cell) quietState(id string) string {
+	if time.Since(c.asked) < 500*time.Millisecond {
+		return ""
+	}
+	c.asked = time.Now()
+	return c.state(id, plainQueue)
+}
--- a/review/standin/cell.go
+++ b/review/standin/cell.go
@@ -27,6 +27,7 @@
 	ip    string // first three numbers of the addresses
 	nodes []*node
 	next  int // node of the next attempt of a client
+	asked time.Time
 }
 
 type node struct {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -26,6 +26,7 @@
 	"route-removed":     routeRemoved,
 	"only-worker":       onlyWorker,
 	"other-kind":        otherKind,
+	"late-crash":        lateCrash,
 }
 
 func main() { os.Exit(execute()) }
