--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -169,7 +169,7 @@
 	for n := range 2 {
 		for _, s := range w.spansOf(fmt.Sprintf("%s.0.%d.0", job, n)) {
 			late := s.begun.Sub(cancelled)
-			if late > cancelMS && s.begun.Sub(calm) > stableMS {
+			if late > cancelTime && s.begun.Sub(calm) > stableTime {
 				return verdict{broken: fmt.Sprintf("UNASKED: %s run %d starts on %s %.1f s after the cancel was acknowledged, %.1f s after the end of the disruption",
 					s.task, s.number, s.worker, late.Seconds(), s.begun.Sub(calm).Seconds())}
 			}
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -14,8 +14,8 @@
 	serviceName = "gatecare"
 	holdMax     = 10 * time.Second // hold_max_ms of kgs-kyushu
 	gangWait    = 3 * time.Second  // gang_wait_ms
-	cancelMS    = 3 * time.Second  // cancel_ms
-	stableMS    = 3 * time.Second  // stable_ms
+	cancelTime  = 3 * time.Second  // cancel_ms
+	stableTime  = 3 * time.Second  // stable_ms
 	finishS     = 14 * time.Second // finish_s
 	workers     = 16
 	workerCPU   = 16000
