control: no lease on the clock of a worker's earlier life

What callers saw: TWICE.

Cause: the end of a lease is a time on the worker's clock, derived from the last clock reading. That reading outlived calls without an answer, so the first renewal of the new life carried an end on the old clock.

Related paths with the same cause: a renewal repeated through the next carrier; a hedged renewal; a restart that the registry lists first; an answer of another life to a call that granted a lease; a takeover shortly after a restart, whose earlier holder may have granted the longest lease.

Fix: leaseTracker keeps the reckoning without I/O and grants a lease only on the clock of the life that listens. After a call that failed or had no answer, and after a restart in the registry, the next renewal grants none and reads the clock at once; a start reads it first. Repeated and hedged renewals grant none. If another life may have taken a lease, the longest lease is reckoned with, also for workers younger than 20 s after a takeover.

Tests changed: links_test.go uses the new type with the same assertions; the test of lost carriers also checks the repeated renewal's lease.

--- a/internal/control/carriers.go
+++ b/internal/control/carriers.go
@@ -245,8 +245,8 @@
 		if !errors.Is(err, errCarrierLost) || ctx.Err() != nil {
 			return renewalReplyFrom(w.ID, reply), err
 		}
-		// The worker may have restarted since its last answer, and numbers its ended runs anew.
-		r.Ack, r.Wait = 0, 0
+		// The worker may have restarted since its last answer. Its clock and the numbers of its ended runs start anew.
+		r.LeaseEndMS, r.Ack, r.Wait = 0, 0, 0
 	}
 	defer c.tryCarriersAgain(w)
 	return c.direct.Renew(ctx, w, r)
--- a/internal/control/carriers_test.go
+++ b/internal/control/carriers_test.go
@@ -21,11 +21,13 @@
 type recordingWorkers struct {
 	port.LeasedWorkers
 	renewals, starts atomic.Int64
+	last             atomic.Pointer[port.Renewal]
 	err              error
 }
 
-func (r *recordingWorkers) Renew(_ context.Context, w port.WorkerRef, _ port.Renewal) (port.RenewalReply, error) {
+func (r *recordingWorkers) Renew(_ context.Context, w port.WorkerRef, renewal port.Renewal) (port.RenewalReply, error) {
 	r.renewals.Add(1)
+	r.last.Store(&renewal)
 	return port.RenewalReply{ClockMS: 7, Inventory: cell.Inventory{Worker: w.ID, StartMS: 3}}, r.err
 }
 
@@ -121,7 +123,7 @@
 	assert.Assert(t, c.choose(refs(1)[0], false) == nil)
 }
 
-// Guards against a lease that isn't renewed, or a start that is taken for not sent, because the carrier was lost.
+// Guards against a lease that isn't renewed, one on the clock of the worker's earlier life, or a start that is taken for not sent, because the carrier was lost.
 func TestLostCarrierLosesNoLease(t *testing.T) {
 	c, direct, _ := newTestCarriers(t, 24)
 	lost := port.WorkerRef{ID: "lost", Address: "a", Zone: "zone-1"}
@@ -130,6 +132,7 @@
 	assert.NilError(t, err)
 	assert.Equal(t, reply.ClockMS, int64(7), "made directly after two carriers")
 	assert.Equal(t, direct.renewals.Load(), int64(1))
+	assert.Equal(t, direct.last.Load().LeaseEndMS, int64(0), "the worker may have restarted by then, and its clock starts anew")
 	assert.Assert(t, time.Since(began) < 3*time.Second)
 	c.paths["lost"] = 0
 	_, err = c.Start(t.Context(), lost, port.Start{}, false)
--- /dev/null
+++ b/internal/control/lease.go
@@ -0,0 +1,166 @@
+package control
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+
+	"sequoiastall/internal/port"
+)
+
+// leaseTracker reckons until when the runs of a worker may last. It has no I/O.
+//
+// The end of a lease is a time on the worker's clock, which starts anew with each life of the worker. An end that was
+// derived from the clock of an earlier life lies far ahead on the new clock, so that the worker takes the longest lease
+// there is. No lease is granted therefore until the life that listens has shown its clock, and if another life may have
+// taken a lease nevertheless, the longest lease is reckoned with.
+type leaseTracker struct {
+	duration time.Duration // of the leases that are granted
+	longest  time.Duration // the longest lease that a worker keeps
+	// startMS is the start of the life that answered last, or of a later one that the registry lists.
+	startMS int64
+	// clock is the clock of the life that listens. It is zero from a call without an answer until the next answer, because
+	// the worker may have restarted.
+	clock clockSample
+	// expiresAt is when all runs on the worker have ended for certain unless the lease is renewed. Calls in flight may
+	// renew it.
+	expiresAt time.Time
+	expired   bool // the scheduler knows that the lease until expiresAt has expired
+	calls     int  // number of calls in flight that may renew the lease
+	reached   bool // the worker has answered this holder
+}
+
+// newLeaseTracker returns the lease of a worker at the beginning of a term: an earlier holder may have renewed it.
+func newLeaseTracker(o Options, startMS int64, termBegan time.Time) leaseTracker {
+	l := leaseTracker{duration: o.workerLeaseDuration(), longest: o.MaxLease, startMS: startMS}
+	l.expiresAt = termBegan.Add(orphanTimeout(l.earlierLease(startMS, termBegan)))
+	return l
+}
+
+// orphanTimeout returns how long after the start of a term the runs of an unreachable worker have ended for certain, if
+// the holder of the earlier term granted leases of the given duration until it noticed that the store doesn't answer.
+// The result is the sum of maxStoreSilence, the extended lease, and one second.
+func orphanTimeout(lease time.Duration) time.Duration {
+	return maxStoreSilence + extended(lease) + time.Second
+}
+
+// clockSample is a reading of a worker's monotonic clock and the local time at which it was received.
+type clockSample struct {
+	ms int64
+	at time.Time
+}
+
+func (c clockSample) known() bool { return !c.at.IsZero() }
+
+// leaseCall is a call that may renew a lease.
+type leaseCall struct {
+	endMS   int64     // the end of the lease on the worker's clock, 0 if the call grants none
+	expiry  time.Time // when that lease has expired for certain
+	startMS int64     // the life on whose clock endMS is
+	clockMS int64     // the least that this clock shows when the call arrives
+}
+
+// clockTolerance is by how much a worker's clock may be behind the reckoned one without being that of another life.
+const clockTolerance = 50 * time.Millisecond
+
+// extended returns a duration on a worker's clock as the longest that it may take on the local clock. It allows for twice
+// maxClockDrift and one more millisecond.
+func extended(d time.Duration) time.Duration {
+	return time.Duration(float64(d)*(1+2*maxClockDrift)) + time.Millisecond
+}
+
+// begin starts a call. It grants a lease only if the worker's clock is known.
+func (l *leaseTracker) begin(now time.Time) leaseCall {
+	if !l.clock.known() {
+		return l.beginUngranted()
+	}
+	l.calls++
+	since := now.Sub(l.clock.at)
+	return leaseCall{
+		endMS:   l.clock.ms + (since + l.duration).Milliseconds(),
+		expiry:  l.clock.at.Add(extended(since + l.duration)),
+		startMS: l.startMS,
+		clockMS: l.clock.ms + time.Duration(float64(since)*(1-2*maxClockDrift)).Milliseconds() - clockTolerance.Milliseconds(),
+	}
+}
+
+// beginUngranted starts a call that grants no lease, for a worker that may have restarted since the clock was read.
+func (l *leaseTracker) beginUngranted() leaseCall {
+	l.calls++
+	return leaseCall{}
+}
+
+// finish ends a call. startMS and clockMS are what the answer says of the worker, 0 if it doesn't. A call that wasn't sent
+// hasn't renewed the lease.
+func (l *leaseTracker) finish(c leaseCall, startMS, clockMS int64, err error, now time.Time) {
+	l.calls--
+	sent := !errors.Is(err, port.ErrUnavailable) && !errors.Is(err, port.ErrConnectionRefused)
+	if !sent || errors.Is(err, port.ErrUnknownOutcome) {
+		l.clock = clockSample{}
+	}
+	if !sent || c.endMS == 0 {
+		return
+	}
+	l.extend(c.expiry)
+	otherLife := startMS != 0 && startMS != c.startMS || clockMS != 0 && clockMS < c.clockMS
+	if otherLife {
+		l.clock = clockSample{}
+	}
+	if otherLife || l.startMS != c.startMS {
+		l.extendToLongest(now)
+	}
+}
+
+// answered applies an answer with the worker's start and clock.
+func (l *leaseTracker) answered(startMS, clockMS int64, now time.Time) {
+	switch {
+	case !l.reached:
+		// From now on the worker refuses renewals of an earlier holder.
+		l.expiresAt = now.Add(extended(l.earlierLease(startMS, now)))
+	case startMS != l.startMS:
+		l.extendToLongest(now)
+	}
+	l.startMS, l.clock, l.expired, l.reached = startMS, clockSample{clockMS, now}, false, true
+}
+
+// restarted applies the start of a life that the registry lists.
+func (l *leaseTracker) restarted(startMS int64, now time.Time) {
+	if l.startMS == 0 || startMS <= l.startMS {
+		return
+	}
+	l.startMS, l.clock = startMS, clockSample{}
+	l.extendToLongest(now)
+}
+
+// earlierLease returns the longest lease that an earlier holder may have granted. That holder may not have known yet of a
+// life that began a short while ago.
+func (l *leaseTracker) earlierLease(startMS int64, now time.Time) time.Duration {
+	if now.Sub(time.UnixMilli(startMS)) < 2*l.longest {
+		return l.longest
+	}
+	return l.duration
+}
+
+// extend moves the time at which the lease has expired for certain to a later one.
+func (l *leaseTracker) extend(expiry time.Time) {
+	if expiry.After(l.expiresAt) {
+		l.expiresAt, l.expired = expiry, false
+	}
+}
+
+// lateCallMargin is how much later than its end a call may be executed, because a carrier or the worker was paused.
+const lateCallMargin = 2 * time.Second
+
+// extendToLongest reckons with the longest lease, granted by calls that were sent before a restart was noticed.
+func (l *leaseTracker) extendToLongest(now time.Time) {
+	l.extend(now.Add(lateCallMargin + extended(l.longest)))
+}
+
+// expire reports, once for each lease, that all runs on the worker have ended because its lease has expired.
+func (l *leaseTracker) expire(now time.Time) bool {
+	if l.expired || l.calls > 0 || !now.After(l.expiresAt) {
+		return false
+	}
+	l.expired = true
+	return true
+}
--- a/internal/control/links.go
+++ b/internal/control/links.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sync/singleflight"
 
 	"sequoiastall/internal/core/cell"
 	"sequoiastall/internal/port"
@@ -34,26 +35,12 @@
 	cancel context.CancelFunc
 	acked  chan struct{} // signals that ack has changed
 
-	mu              sync.Mutex
-	ack             int64
-	instanceStartMS int64
-	// sameInstance is set while the last renewal was answered, so that ack refers to the ended runs of the worker instance
-	// that listens now.
-	sameInstance bool
-	clock        clockSample
-	// expiresAt is when all runs on the worker have ended for certain unless the lease is renewed. Calls in flight may
-	// renew it.
-	expiresAt  time.Time
-	expired    bool      // the scheduler knows that the lease until expiresAt has expired
-	leaseCalls int       // number of calls in flight that carry a lease
+	mu         sync.Mutex
+	lease      leaseTracker
+	ack        int64
 	idle       bool      // the last inventory was empty
 	doubtUntil time.Time // a call without an answer is recent until then
-}
-
-// clockSample is a reading of a worker's monotonic clock and the local time at which it was received.
-type clockSample struct {
-	ms int64
-	at time.Time
+	probes     singleflight.Group
 }
 
 // updateLinks creates a link for each worker in use and closes the links of all others.
@@ -63,13 +50,14 @@
 		inUse[w.ID] = true
 		if l := s.links[w.ID]; l != nil {
 			if l.ref.Address == w.Address || w.Address == "" {
+				l.applyRegistered(w.StartMS)
 				continue
 			}
 			l.cancel()
 		}
 		ctx, cancel := context.WithCancel(s.ctx)
-		l := &workerLink{s: s, ref: port.WorkerRef{ID: w.ID, Address: w.Address, Zone: w.Zone}, cancel: cancel, acked: make(chan struct{}, 1), instanceStartMS: w.StartMS,
-			expiresAt: s.began.Add(s.node.options.orphanTimeout())}
+		l := &workerLink{s: s, ref: port.WorkerRef{ID: w.ID, Address: w.Address, Zone: w.Zone}, cancel: cancel, acked: make(chan struct{}, 1),
+			lease: newLeaseTracker(s.node.options, w.StartMS, s.began)}
 		s.links[w.ID] = l
 		s.spawn(func() { l.run(ctx) })
 	}
@@ -106,7 +94,6 @@
 
 // run renews the lease until the link is closed.
 func (l *workerLink) run(ctx context.Context) {
-	first := true
 	for ctx.Err() == nil {
 		if l.ref.Address == "" {
 			if !wait.For(ctx, renewalRetryDelay) {
@@ -115,11 +102,7 @@
 			l.checkExpiry()
 			continue
 		}
-		requestSequence := l.s.core.OrderSequence()
-		maxWait := l.maxWait()
-		if first {
-			maxWait = 0
-		}
+		requestSequence, maxWait := l.s.core.OrderSequence(), l.maxWait()
 		reply, err := hedge(l.s.spawn, maxWait+l.s.latency.hedgeDelay(), l.s.mayRetry, func(second bool) (port.RenewalReply, error) {
 			return l.renew(ctx, maxWait, second)
 		})
@@ -130,21 +113,24 @@
 			}
 			continue
 		}
-		first = false
 		reply.Inventory.RequestSequence = requestSequence
 		l.handleRenewal(ctx, reply)
 	}
 }
 
-// renew renews the lease once. A second call while the first has no answer carries no acknowledgment, because the worker
-// may have restarted meanwhile.
+// applyRegistered applies the start of the worker's life that the registry lists.
+func (l *workerLink) applyRegistered(startMS int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lease.restarted(startMS, time.Now())
+}
+
+// renew renews the lease once. A second call while the first has no answer carries neither a lease nor an acknowledgment,
+// because the worker may have restarted meanwhile.
 func (l *workerLink) renew(ctx context.Context, maxWait time.Duration, second bool) (port.RenewalReply, error) {
-	r, expiry := l.nextRenewal(maxWait)
-	if second {
-		r.Ack = 0
-	}
+	r, call := l.nextRenewal(maxWait, second)
 	reply, err := l.s.carriers.Renew(ctx, l.ref, r, second)
-	l.endLeaseCall(expiry, err)
+	l.finishLeaseCall(call, reply.Inventory.StartMS, reply.ClockMS, err)
 	return reply, err
 }
 
@@ -155,10 +141,14 @@
 	return now.UnixNano() >= s.busyUntil.Load() && s.retries.allow(now)
 }
 
-// maxWait returns how long the next renewal may wait for a run to end.
+// maxWait returns how long the next renewal may wait for a run to end. One that grants no lease doesn't wait, so that the
+// next one can grant it.
 func (l *workerLink) maxWait() time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if !l.lease.clock.known() {
+		return 0
+	}
 	if time.Now().Before(l.doubtUntil) && l.s.mayRetry() {
 		return doubtfulRenewalWait
 	}
@@ -168,66 +158,41 @@
 	return renewalWait
 }
 
-// nextRenewal returns the next renewal and the time at which its lease has expired for certain. The renewal extends the
-// lease only if the worker's clock is known. The caller must report the outcome to endLeaseCall.
-func (l *workerLink) nextRenewal(maxWait time.Duration) (port.Renewal, time.Time) {
+// nextRenewal returns the next renewal and the call to pass to finishLeaseCall with its outcome.
+func (l *workerLink) nextRenewal(maxWait time.Duration, second bool) (port.Renewal, leaseCall) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	leaseEndMS, expiry := l.beginLeaseCall(time.Now())
-	r := port.Renewal{Token: l.s.term.number, LeaseEndMS: leaseEndMS, Wait: maxWait}
-	if l.sameInstance {
-		r.Ack = l.ack
+	r := port.Renewal{Token: l.s.term.number, Wait: maxWait}
+	if second {
+		return r, l.lease.beginUngranted()
 	}
-	return r, expiry
-}
-
-// beginLeaseCall starts a call that carries a lease. It returns the end of the lease on the worker's clock, 0 if that
-// clock isn't known, and the local time at which the lease has expired for certain. That time allows for twice
-// maxClockDrift and one more millisecond. The caller must hold mu.
-func (l *workerLink) beginLeaseCall(now time.Time) (int64, time.Time) {
-	l.leaseCalls++
-	if l.clock.at.IsZero() {
-		return 0, time.Time{}
+	call := l.lease.begin(time.Now())
+	r.LeaseEndMS = call.endMS
+	if l.lease.clock.known() { // the ack refers to the ended runs of the life with that clock
+		r.Ack = l.ack
 	}
-	lease := l.s.node.options.workerLeaseDuration()
-	since := now.Sub(l.clock.at)
-	leaseEndMS := l.clock.ms + (since + lease).Milliseconds()
-	expiry := l.clock.at.Add(time.Duration(float64(since+lease)*(1+2*maxClockDrift)) + time.Millisecond)
-	return leaseEndMS, expiry
+	return r, call
 }
 
-// endLeaseCall finishes a call that carried a lease. A call that wasn't sent hasn't renewed the lease.
-func (l *workerLink) endLeaseCall(expiry time.Time, err error) {
+// finishLeaseCall ends a call that may have renewed the lease.
+func (l *workerLink) finishLeaseCall(c leaseCall, startMS, clockMS int64, err error) {
+	now := time.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.leaseCalls--
-	sent := !errors.Is(err, port.ErrUnavailable) && !errors.Is(err, port.ErrConnectionRefused)
-	if sent && expiry.After(l.expiresAt) {
-		l.expiresAt, l.expired = expiry, false
-	}
+	l.lease.finish(c, startMS, clockMS, err, now)
 	if errors.Is(err, port.ErrUnknownOutcome) {
-		l.doubtUntil = time.Now().Add(doubtPeriod)
-	}
-	if !sent || errors.Is(err, port.ErrUnknownOutcome) {
-		// The worker may have restarted under the same name, and numbers its ended runs from 1 again.
-		l.sameInstance = false
+		l.doubtUntil = now.Add(doubtPeriod)
 	}
 }
 
-// handleRenewal passes a worker's answer to the scheduler, and waits at most ackTimeout until its ended runs are
-// durable.
-func (l *workerLink) handleRenewal(ctx context.Context, r port.RenewalReply) {
-	now := time.Now()
+// applyRenewal passes a worker's answer to the scheduler.
+func (l *workerLink) applyRenewal(ctx context.Context, r port.RenewalReply) {
 	l.mu.Lock()
-	if r.Inventory.StartMS != l.instanceStartMS {
+	if r.Inventory.StartMS != l.lease.startMS {
 		l.ack = 0
 	}
-	if l.clock.at.IsZero() {
-		// From now on the worker refuses renewals of an earlier holder.
-		l.expiresAt = now.Add(time.Duration(float64(l.s.node.options.workerLeaseDuration()) * (1 + 2*maxClockDrift)))
-	}
 	l.idle = len(r.Inventory.Running) == 0 && len(r.Inventory.Ended) == 0
-	l.instanceStartMS, l.clock, l.expired, l.sameInstance = r.Inventory.StartMS, clockSample{r.ClockMS, now}, false, true
+	l.lease.answered(r.Inventory.StartMS, r.ClockMS, time.Now())
 	l.mu.Unlock()
 	l.s.post(ctx, func() {
 		for _, o := range l.s.core.ApplyInventory(r.Inventory, time.Now()) {
@@ -236,6 +201,12 @@
 		cursor, _ := l.s.core.AckCursor(l.ref.ID)
 		l.setAck(cursor)
 	})
+}
+
+// handleRenewal passes a worker's answer to the scheduler, and waits at most ackTimeout until its ended runs are
+// durable.
+func (l *workerLink) handleRenewal(ctx context.Context, r port.RenewalReply) {
+	l.applyRenewal(ctx, r)
 	if len(r.Inventory.Ended) == 0 {
 		return
 	}
@@ -265,7 +236,7 @@
 		l.s.end(errors.Wrapf(errTermLost, "worker %s has accepted a higher fencing token", l.ref.ID))
 	case errors.Is(err, port.ErrInstanceChanged):
 		l.mu.Lock()
-		startMS := l.instanceStartMS
+		startMS := l.lease.startMS
 		l.mu.Unlock()
 		l.s.post(ctx, func() { l.s.core.WorkerTerminated(l.ref.ID, startMS, time.Now()) })
 	case errors.Is(err, port.ErrConnectionRefused):
@@ -277,12 +248,10 @@
 	}
 }
 
-// checkExpiry informs the scheduler, once for each lease, that all runs on the worker have ended because its lease has
-// expired.
+// checkExpiry informs the scheduler when all runs on the worker have ended because its lease has expired.
 func (l *workerLink) checkExpiry() {
 	l.mu.Lock()
-	expired := !l.expired && l.leaseCalls == 0 && time.Now().After(l.expiresAt)
-	l.expired = l.expired || expired
+	expired := l.lease.expire(time.Now())
 	l.mu.Unlock()
 	if expired {
 		l.s.post(l.s.ctx, func() { l.s.core.WorkerLeaseExpired(l.ref.ID, time.Now()) })
@@ -337,19 +306,46 @@
 	return outcome
 }
 
+// start sends a start order, which always grants a lease. The worker's clock is read first if it isn't known.
 func (l *workerLink) start(o cell.Order, second bool) error {
+	if err := l.readClock(); err != nil {
+		if decidesBoth(err) {
+			return err
+		}
+		return errors.Wrapf(port.ErrUnavailable, "worker clock not known: %v", err)
+	}
 	l.mu.Lock()
-	leaseEndMS, expiry := l.beginLeaseCall(time.Now())
+	call := l.lease.begin(time.Now())
 	l.mu.Unlock()
-	err := errors.Wrap(port.ErrUnavailable, "worker clock not known yet")
-	if leaseEndMS != 0 {
+	clockMS, err := int64(0), errors.Wrap(port.ErrUnavailable, "worker clock not known")
+	if call.endMS != 0 {
 		began := time.Now()
-		_, err = l.s.carriers.Start(l.s.ctx, l.ref, port.Start{Order: o, Token: l.s.term.number, LeaseEndMS: leaseEndMS}, second)
+		clockMS, err = l.s.carriers.Start(l.s.ctx, l.ref, port.Start{Order: o, Token: l.s.term.number, LeaseEndMS: call.endMS}, second)
 		if !errors.Is(err, port.ErrUnknownOutcome) {
 			l.s.latency.observe(time.Since(began))
 		}
 	}
-	l.endLeaseCall(expiry, err)
+	l.finishLeaseCall(call, 0, clockMS, err)
+	return err
+}
+
+// readClock makes a renewal without a lease unless the worker's clock is known. Callers at the same time share it.
+func (l *workerLink) readClock() error {
+	l.mu.Lock()
+	known := l.lease.clock.known()
+	l.mu.Unlock()
+	if known {
+		return nil
+	}
+	_, err, _ := l.probes.Do("", func() (any, error) {
+		requestSequence := l.s.core.OrderSequence()
+		reply, err := l.renew(l.s.ctx, 0, false)
+		if err == nil {
+			reply.Inventory.RequestSequence = requestSequence
+			l.applyRenewal(l.s.ctx, reply)
+		}
+		return nil, err
+	})
 	return err
 }
 
--- a/internal/control/links_test.go
+++ b/internal/control/links_test.go
@@ -15,21 +15,28 @@
 	return &Node{options: Options{Name: name, Cores: cores, MaxLease: 10 * time.Second}}
 }
 
+// newTestLink returns a link to worker w in a term that began at the given time.
+func newTestLink(t *testing.T, termBegan time.Time) *workerLink {
+	node := newTestNode("a", 1)
+	s := &activeTerm{node: node, term: &term{number: 3}, events: make(chan func(), 8), ctx: t.Context(), core: cell.New(cell.Options{}, discardEvents{})}
+	return &workerLink{s: s, ref: port.WorkerRef{ID: "w", Address: "a"}, acked: make(chan struct{}, 1), lease: newLeaseTracker(node.options, 0, termBegan)}
+}
+
 // Calls that were never sent renew nothing, so they must not postpone the expiry of the lease. Otherwise the tasks of
 // an unreachable worker wait forever.
 func TestUnsentCallsDoNotExtendLease(t *testing.T) {
 	now := time.Now()
-	l := &workerLink{s: &activeTerm{node: newTestNode("a", 1), term: &term{number: 3}}, clock: clockSample{1000, now}, expiresAt: now}
+	l := newTestLink(t, now)
 	for _, c := range []struct {
 		err   error
 		moves bool
 	}{{port.ErrUnavailable, false}, {port.ErrConnectionRefused, false}, {port.ErrUnknownOutcome, true}, {nil, true}} {
-		l.expiresAt = now
-		_, expiry := l.nextRenewal(0)
-		assert.Equal(t, l.leaseCalls, 1)
-		l.endLeaseCall(expiry, c.err)
-		assert.Equal(t, l.leaseCalls, 0)
-		assert.Equal(t, l.expiresAt.After(now), c.moves, "%v", c.err)
+		l.lease.clock, l.lease.expiresAt = clockSample{1000, now}, now
+		_, call := l.nextRenewal(0, false)
+		assert.Equal(t, l.lease.calls, 1)
+		l.finishLeaseCall(call, 0, 0, c.err)
+		assert.Equal(t, l.lease.calls, 0)
+		assert.Equal(t, l.lease.expiresAt.After(now), c.moves, "%v", c.err)
 	}
 }
 
@@ -37,68 +44,66 @@
 // start waits forever if the worker is gone.
 func TestLeaseExpiresAgainAfterALaterStart(t *testing.T) {
 	now := time.Now()
-	s := &activeTerm{node: newTestNode("a", 1), term: &term{number: 3}, events: make(chan func(), 8), ctx: t.Context()}
-	l := &workerLink{s: s, ref: port.WorkerRef{ID: "w"}, clock: clockSample{1000, now}, expiresAt: now.Add(-time.Second)}
+	l := newTestLink(t, now)
+	l.lease.clock, l.lease.expiresAt = clockSample{1000, now}, now.Add(-time.Second)
 	l.checkExpiry()
 	l.checkExpiry()
-	assert.Equal(t, len(s.events), 1, "one lease expires once")
-	_, expiry := l.beginLeaseCall(now)
-	l.endLeaseCall(expiry, port.ErrUnknownOutcome)
+	assert.Equal(t, len(l.s.events), 1, "one lease expires once")
+	l.finishLeaseCall(l.lease.begin(now), 0, 0, port.ErrUnknownOutcome)
 	l.checkExpiry()
-	assert.Equal(t, len(s.events), 1, "the new lease lasts")
-	l.expiresAt = now.Add(-time.Second)
+	assert.Equal(t, len(l.s.events), 1, "the new lease lasts")
+	l.lease.expiresAt = now.Add(-time.Second)
 	l.checkExpiry()
-	assert.Equal(t, len(s.events), 2)
+	assert.Equal(t, len(l.s.events), 2)
 }
 
 // The lease must not be considered expired before the worker's clock, which may run slow, has reached its end.
 func TestLeaseExpiryAllowsForSlowClock(t *testing.T) {
 	now := time.Now()
-	l := &workerLink{s: &activeTerm{node: newTestNode("a", 1), term: &term{number: 3}}, clock: clockSample{1000, now}}
-	leaseEndMS, expiry := l.beginLeaseCall(now)
-	assert.Equal(t, leaseEndMS, 1000+workerLease.Milliseconds())
-	slow := time.Duration(float64(expiry.Sub(now)) * (1 - maxClockDrift))
+	l := newTestLink(t, now)
+	l.lease.clock = clockSample{1000, now}
+	call := l.lease.begin(now)
+	assert.Equal(t, call.endMS, 1000+workerLease.Milliseconds())
+	slow := time.Duration(float64(call.expiry.Sub(now)) * (1 - maxClockDrift))
 	assert.Assert(t, slow > workerLease)
 }
 
 // A restarted worker numbers its ended runs from 1 again. An acknowledgement meant for its earlier instance would make
 // it discard ended runs that the scheduler hasn't seen.
 func TestAckIsSentOnlyToInstanceThatAnswered(t *testing.T) {
-	s := &activeTerm{node: newTestNode("a", 1), term: &term{number: 3}, events: make(chan func(), 8), ctx: t.Context()}
-	l := &workerLink{s: s, ref: port.WorkerRef{ID: "w"}, acked: make(chan struct{}, 1)}
+	l := newTestLink(t, time.Now())
 	answered := func(startMS int64) {
 		l.handleRenewal(t.Context(), port.RenewalReply{ClockMS: 1000, Inventory: cell.Inventory{Worker: "w", StartMS: startMS}})
 	}
 	answered(1)
 	l.setAck(57)
-	r, expiry := l.nextRenewal(0)
+	r, call := l.nextRenewal(0, false)
 	assert.Equal(t, r.Ack, int64(57))
-	l.endLeaseCall(expiry, port.ErrUnknownOutcome)
+	l.finishLeaseCall(call, 0, 0, port.ErrUnknownOutcome)
 	l.setAck(58)
-	r, expiry = l.nextRenewal(0)
+	r, call = l.nextRenewal(0, false)
 	assert.Equal(t, r.Ack, int64(0))
-	l.endLeaseCall(expiry, nil)
+	l.finishLeaseCall(call, 1, 1000, nil)
 	answered(1)
-	r, _ = l.nextRenewal(0)
+	r, _ = l.nextRenewal(0, false)
 	assert.Equal(t, r.Ack, int64(58))
 	answered(2)
-	r, _ = l.nextRenewal(0)
+	r, _ = l.nextRenewal(0, false)
 	assert.Equal(t, r.Ack, int64(0))
 }
 
 // Guards against a task that stays on a lost worker for good: the worker's lease lapsed while it had no runs, and then a
 // start order to it got no answer.
 func TestLeaseOfUnansweredStartLapsesAfterAnIdleLease(t *testing.T) {
-	s := &activeTerm{node: newTestNode("a", 1), term: &term{number: 3}, events: make(chan func(), 8), ctx: t.Context(),
-		core: cell.New(cell.Options{}, discardEvents{})}
+	l := newTestLink(t, time.Now())
+	s := l.s
 	each := resource.Vector{MilliCPU: 1000, MemoryMB: 100}
 	s.core.SetConfig(cell.NewConfig(cell.Config{Version: 1, Queues: []cell.Queue{{Name: "q", Service: "pool", MaxAttempts: 2, Stretch: 3}}}))
 	s.core.SetWorkers([]cell.WorkerReport{{ID: "w", Address: "a", Service: "pool", Capacity: each, StartMS: 1}}, time.Now())
-	l := &workerLink{s: s, ref: port.WorkerRef{ID: "w", Address: "a"}, acked: make(chan struct{}, 1)}
 	l.handleRenewal(t.Context(), port.RenewalReply{ClockMS: 1000, Inventory: cell.Inventory{Worker: "w", StartMS: 1}})
 	s.drainEvents()
 	lapse := func() {
-		l.expiresAt = time.Now().Add(-time.Millisecond)
+		l.lease.expiresAt = time.Now().Add(-time.Millisecond)
 		l.handleFailure(t.Context(), port.ErrConnectionRefused)
 		s.drainEvents()
 	}
@@ -111,8 +116,7 @@
 	}
 	orders := s.core.Advance(time.Now()).Orders
 	assert.Equal(t, len(orders), 1)
-	_, expiry := l.beginLeaseCall(time.Now())
-	l.endLeaseCall(expiry, port.ErrUnknownOutcome)
+	l.finishLeaseCall(l.lease.begin(time.Now()), 0, 0, port.ErrUnknownOutcome)
 	s.core.ApplyOrderOutcome(orders[0], cell.OrderUnanswered, time.Now())
 	assert.Equal(t, s.core.WorkersInUse()[0].Runs, 1)
 
--- a/internal/control/options.go
+++ b/internal/control/options.go
@@ -70,10 +70,3 @@
 
 // workerLeaseDuration returns the duration of the workers' leases.
 func (o Options) workerLeaseDuration() time.Duration { return min(workerLease, o.MaxLease) }
-
-// orphanTimeout returns how long after the start of a term the runs of an unreachable worker have ended for certain.
-// The holder of the earlier term may have renewed them until it noticed that the store doesn't answer.
-// The result is the sum of maxStoreSilence, the lease extended by twice maxClockDrift, and one second.
-func (o Options) orphanTimeout() time.Duration {
-	return maxStoreSilence + time.Duration(float64(o.workerLeaseDuration())*(1+2*maxClockDrift)) + time.Second
-}
