cell: a cancellation that comes before its job counts

What callers saw: UNASKED.

Cause: the scheduler dropped the cancellation of a job that it didn't know. After a lost answer of the store the accepting node sends no message about the job, so a prompt cancel comes first. When the store then forgets its history, all records are read in the order of their keys, in/cancel/ID before in/job/ID: the cancellation is dropped once more, and the job is added without it.

Fix: the scheduler keeps the cancellation of an unknown job for a minute, and AddJob applies it, whatever the path. Loading now shares the loop of applyEntries.

--- a/internal/control/delegate_test.go
+++ b/internal/control/delegate_test.go
@@ -76,7 +76,7 @@
 	assert.NilError(t, err)
 	states := map[string]cell.JobState{}
 	s.query(t.Context(), func() {
-		s.applyEntries(entries)
+		s.applyEntries(entries, nil)
 		for _, id := range []string{"a", "b"} {
 			states[id] = s.core.State(cell.JobID(id))
 		}
@@ -84,3 +84,31 @@
 	assert.Equal(t, states["a"].Phase, cell.Pending)
 	assert.Equal(t, states["b"].Phase, cell.Canceled)
 }
+
+// Guards against a job that runs although its cancellation was acknowledged: after the store has discarded its history, the
+// scheduling node reads all records, and a cancellation's key comes before that of its job.
+func TestCancellationsReadBeforeTheirJobsCount(t *testing.T) {
+	m := newMemberCell(t, 0)
+	s := m.s
+	s.committer = newCommitter(s)
+	var state cell.JobState
+	s.query(t.Context(), func() {
+		s.applyEntries([]port.Entry{{Key: cancelKey("a")}, jobEntry("a")}, nil)
+		state = s.core.State("a")
+	})
+	assert.Equal(t, state.Phase, cell.Canceled)
+}
+
+// Guards against the same where the messages of two nodes arrive in the other order: one has accepted the job, the other
+// has acknowledged its cancellation.
+func TestCancellationReportedBeforeItsJobCounts(t *testing.T) {
+	m := newMemberCell(t, 0)
+	s := m.s
+	s.committer = newCommitter(s)
+	accepted := jobEntry("a")
+	s.members.handleMessage(&member{}, &cellpb.MemberMessage{CanceledJob: "a"})
+	s.members.handleMessage(&member{}, &cellpb.MemberMessage{AcceptedJob: accepted.Value, Revision: accepted.Revision})
+	var state cell.JobState
+	s.query(t.Context(), func() { state = s.core.State("a") })
+	assert.Equal(t, state.Phase, cell.Canceled)
+}
--- a/internal/control/scheduling.go
+++ b/internal/control/scheduling.go
@@ -193,17 +193,7 @@
 			s.committer.progressRevisions[id] = e.Revision
 		}
 	}
-	var canceled []cell.JobID
-	for _, e := range in {
-		if id, ok := idIn(e.Key, cancelPrefix); ok {
-			canceled = append(canceled, id)
-			continue
-		}
-		s.addJob(e, byJob)
-	}
-	for _, id := range canceled {
-		s.core.CancelJob(id)
-	}
+	s.applyEntries(in, byJob)
 	s.node.options.Log.Info("decision", "subject", s.node.options.Name, "decision", "state loaded", "term", s.term.number, "jobs", len(in),
 		"progress", len(progress), "took_ms", time.Since(now).Milliseconds())
 	return revision, nil
@@ -259,12 +249,12 @@
 			s.node.options.Log.Warn("changes of the store are gone, reading all jobs", "after", after)
 			if entries, at, err = s.readAll(inPrefix); err == nil {
 				after = at
-				s.post(s.ctx, func() { s.applyEntries(entries) })
+				s.post(s.ctx, func() { s.applyEntries(entries, nil) })
 			}
 		case err == nil:
 			after = at
 			if len(entries) > 0 {
-				s.post(s.ctx, func() { s.applyEntries(entries) })
+				s.post(s.ctx, func() { s.applyEntries(entries, nil) })
 			}
 		}
 		if !s.pause(changesPollInterval) {
@@ -273,15 +263,15 @@
 	}
 }
 
-// applyEntries adds the jobs and cancellations in entries. Jobs that ended during this term are known and stay
-// unchanged.
-func (s *activeTerm) applyEntries(entries []port.Entry) {
+// applyEntries adds the jobs and cancellations in entries, in any order. Jobs that ended during this term are known and
+// stay unchanged. progress holds the progress records of the jobs that may have one.
+func (s *activeTerm) applyEntries(entries []port.Entry, progress map[cell.JobID][]byte) {
 	for _, e := range entries {
 		if id, ok := idIn(e.Key, cancelPrefix); ok {
 			s.core.CancelJob(id)
 			continue
 		}
-		s.addJob(e, nil)
+		s.addJob(e, progress)
 	}
 }
 
--- a/internal/core/cell/scheduler.go
+++ b/internal/core/cell/scheduler.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"maps"
 	"sync/atomic"
 	"time"
 
@@ -46,6 +47,7 @@
 	registryReadAt     time.Time               // when the reading of the registry began that was applied last
 	startsHeld         bool                    // no start is sent, because that reading is too old
 	heldWorkers        int                     // workers that are held by tasks on probation
+	earlyCancels       map[JobID]time.Time     // cancellations of jobs that aren't known yet, with the time of each
 }
 
 // Events receives scheduling decisions for logging and metrics. Its methods must not block.
@@ -59,7 +61,8 @@
 // New returns a scheduler without jobs, workers or configuration.
 func New(o Options, e Events) *Scheduler {
 	return &Scheduler{options: o, events: e, jobs: map[JobID]*job{}, workers: map[WorkerID]*worker{}, usage: map[string]resource.Vector{},
-		buckets: map[string]*tokenBucket{}, unacked: map[WorkerID]bool{}, overcommitted: map[*worker]bool{}, config: NewConfig(Config{})}
+		buckets: map[string]*tokenBucket{}, unacked: map[WorkerID]bool{}, overcommitted: map[*worker]bool{}, earlyCancels: map[JobID]time.Time{},
+		config: NewConfig(Config{})}
 }
 
 // SetConfig applies a configuration.
@@ -68,7 +71,8 @@
 	s.changed = true
 }
 
-// AddJob adds an accepted job with its progress record, which is nil for a new job. A known job is left unchanged.
+// AddJob adds an accepted job with its progress record, which is nil for a new job. A known job is left unchanged. A job
+// whose cancellation came first is canceled.
 func (s *Scheduler) AddJob(j Job, progress []byte, now time.Time) error {
 	if s.jobs[j.ID] != nil {
 		return nil
@@ -93,6 +97,10 @@
 	if added.phase.Final() {
 		s.scheduleWrite(added)
 	}
+	if _, canceled := s.earlyCancels[j.ID]; canceled {
+		delete(s.earlyCancels, j.ID)
+		s.CancelJob(j.ID)
+	}
 	return nil
 }
 
@@ -135,10 +143,17 @@
 // Knows reports whether the scheduler has the job.
 func (s *Scheduler) Knows(id JobID) bool { return s.jobs[id] != nil }
 
-// CancelJob cancels a job and reports whether the job is known. A job that has ended is left unchanged.
+// earlyCancelRetention is how long the cancellation of an unknown job is kept. The job's record or the message about it
+// arrives within seconds, unless the job has ended long ago.
+const earlyCancelRetention = time.Minute
+
+// CancelJob cancels a job and reports whether the job is known. A job that has ended is left unchanged. A cancellation may
+// arrive before its job, whose record is read later or whose message takes another path.
 func (s *Scheduler) CancelJob(id JobID) bool {
 	j := s.jobs[id]
 	if j == nil {
+		s.earlyCancels[id] = s.now
+		s.events.LogDecision(string(id), "cancel kept", "reason", "the job isn't known yet")
 		return false
 	}
 	j.cancelRequested = true
@@ -298,6 +313,7 @@
 		return
 	}
 	s.lastCleanup = s.now
+	maps.DeleteFunc(s.earlyCancels, func(_ JobID, at time.Time) bool { return s.now.Sub(at) > earlyCancelRetention })
 	for id, j := range s.jobs {
 		if j.archived && j.recorded >= j.version && j.allocatedTasks == 0 && s.now.Sub(j.endedAt) > s.options.EndedRetention {
 			delete(s.jobs, id)
