cell: a task returns to the only worker that may run it

What callers saw: LOST. A job of one task needed a label that one of 16 idle workers had.

Cause: the list of workers that a task avoids was ignored only once it was as long as half of all usable workers. Which of them may run the task (label, service, room, advice, tasks of the step on one worker) wasn't asked, and nothing ended the avoidance.

Related paths: gangs, services, advised steps and tasks that need a large worker shared the list; so did tasks whose other workers stay full. Workers that are set aside after failures, for up to 16 s, were excluded for tasks that no other worker may run.

Fix (avoid.go): a task avoids a worker for 2 s, and for 4 s while another worker may run it; after that the worker scores lower. A worker that is set aside is the last resort after 2 s, for steps that no usable worker may run. The former bound of half the workers stays, so nothing waits longer than before. A new log line, `returns to a worker`.

--- a/internal/core/cell/advice.go
+++ b/internal/core/cell/advice.go
@@ -103,10 +103,11 @@
 	if q == nil || q.Advice == nil {
 		return nil
 	}
-	s.pass.workerChecks += len(s.pass.usable)
+	workers := s.workersFor(st, q)
+	s.pass.workerChecks += len(workers)
 	askedBefore, fitsNow := st.advice.allowed != nil && !st.spec.Gang, false
 	var candidates []*worker
-	for _, w := range s.pass.usable {
+	for _, w := range workers {
 		if _, known := st.advice.allowed[w.ID]; known || !s.eligible(st, w) || !st.spec.Each.Fits(w.Capacity) {
 			continue
 		}
--- /dev/null
+++ b/internal/core/cell/avoid.go
@@ -0,0 +1,97 @@
+package cell
+
+import (
+	"slices"
+	"time"
+)
+
+// A task avoids the workers on which its runs failed, stalled or crashed the worker, and no task is placed on a worker that
+// is set aside. Neither may keep a task waiting for good: few workers may have the label, the room or the ticket that it
+// needs.
+
+const (
+	// minAvoidance is how long a task avoids a worker in any case. A worker that fails everything may be sound again then,
+	// and the attempts of a job are few.
+	minAvoidance = 2 * time.Second
+	// maxAvoidance is how long a task avoids a worker while others may run it. They may be full or out of reach all that
+	// time, and a service must be back within seconds.
+	maxAvoidance = 4 * time.Second
+)
+
+// avoidWorker makes a task avoid a worker.
+func (s *Scheduler) avoidWorker(t *task, w *worker) {
+	t.avoidedAt = s.now
+	if !slices.Contains(t.avoid, w.ID) {
+		t.avoid = append(t.avoid, w.ID)
+	}
+}
+
+// avoids reports whether the task isn't placed on the worker now because of an earlier run there. A task that would avoid
+// half of the usable workers avoids none.
+func (s *Scheduler) avoids(t *task, w *worker, q *Queue) bool {
+	if !slices.Contains(t.avoid, w.ID) || len(t.avoid) >= len(s.pass.usable)/2 {
+		return false
+	}
+	since := s.now.Sub(t.avoidedAt)
+	return since < minAvoidance || since < maxAvoidance && s.hasAlternative(t, q)
+}
+
+// hasAlternative reports whether a worker that the task doesn't avoid may run it, once that worker has capacity.
+func (s *Scheduler) hasAlternative(t *task, q *Queue) bool {
+	for id, w := range s.workers {
+		s.pass.workerChecks++
+		if w.registered && !w.Draining && !w.terminated && !slices.Contains(t.avoid, id) && s.mayEverRun(t.step, w, q) {
+			return true
+		}
+	}
+	return false
+}
+
+// mayEverRun reports whether the step may run another task on the worker once it has capacity. A worker on which there is no
+// advice yet counts.
+func (s *Scheduler) mayEverRun(st *step, w *worker, q *Queue) bool {
+	if !s.eligible(st, w) || !st.belowMaxPerWorker(w) || !st.spec.Each.Fits(w.Capacity) {
+		return false
+	}
+	if q == nil || q.Advice == nil {
+		return true
+	}
+	allowed, known := st.advice.allowed[w.ID]
+	return allowed || !known
+}
+
+// lastResort returns the workers that are set aside if no other worker may run the step.
+func (s *Scheduler) lastResort(st *step, q *Queue) []*worker {
+	if len(s.pass.setAside) == 0 {
+		return nil
+	}
+	for _, w := range s.pass.usable {
+		s.pass.workerChecks++
+		if s.mayEverRun(st, w, q) {
+			return nil
+		}
+	}
+	return s.pass.setAside
+}
+
+// workersFor returns the workers to consider for a step: the usable ones, or the last resort.
+func (s *Scheduler) workersFor(st *step, q *Queue) []*worker {
+	if last := s.lastResort(st, q); last != nil {
+		return last
+	}
+	return s.pass.usable
+}
+
+// logReturn logs that a task is placed on a worker that it avoided, or that is set aside.
+func (s *Scheduler) logReturn(t *task) {
+	avoided, setAside := slices.Contains(t.avoid, t.worker.ID), s.now.Before(t.worker.faults.until)
+	if !avoided && !setAside {
+		return
+	}
+	avoidedFor := time.Duration(0)
+	if avoided {
+		avoidedFor = s.now.Sub(t.avoidedAt)
+	}
+	s.events.LogDecision(t.id.String(), "returns to a worker", "run", t.run, "worker", t.worker.ID, "set_aside", setAside,
+		"avoided_ms", avoidedFor.Milliseconds(), "streak", t.worker.faults.streak)
+}
--- a/internal/core/cell/crashes.go
+++ b/internal/core/cell/crashes.go
@@ -130,7 +130,7 @@
 		return
 	}
 	h.lastRun = t.run
-	t.avoid = append(t.avoid, w.ID)
+	s.avoidWorker(t, w)
 	h.workers = append(h.workers, w.ID)
 	confirmed := t.confirmed()
 	if confirmed {
--- a/internal/core/cell/inventory.go
+++ b/internal/core/cell/inventory.go
@@ -184,7 +184,7 @@
 	}
 	jobFailed := false
 	if row.Kind == EndFailed {
-		t.avoid = append(t.avoid, w.ID)
+		s.avoidWorker(t, w)
 		s.recordFault(w, "a run failed")
 		if !t.startedAt.IsZero() {
 			st.job.extendObjective(s.now.Sub(t.startedAt))
@@ -324,7 +324,7 @@
 
 // handleStall stops a run that makes no progress and counts a fault against its worker.
 func (s *Scheduler) handleStall(t *task) {
-	t.avoid = append(t.avoid, t.worker.ID)
+	s.avoidWorker(t, t.worker)
 	s.recordFault(t.worker, "a run stands still")
 	s.events.LogDecision(t.id.String(), "stands still", "run", t.run, "worker", t.worker.ID, "percent", t.percent, "gang", t.step.spec.Gang,
 		"still_ms", s.now.Sub(t.progressAt).Milliseconds(), "ran_ms", s.now.Sub(t.startedAt).Milliseconds())
--- a/internal/core/cell/pass.go
+++ b/internal/core/cell/pass.go
@@ -39,9 +39,10 @@
 
 // placementPass is the state of one pass over the waiting steps.
 type placementPass struct {
-	startedAt       time.Time // of the last pass
-	expiredPassAt   time.Time // of the last pass that included expired jobs
-	usable          []*worker
+	startedAt       time.Time       // of the last pass
+	expiredPassAt   time.Time       // of the last pass that included expired jobs
+	usable          []*worker       // if there is none, those that are set aside
+	setAside        []*worker       // workers that would be usable but for their faults, see lastResort
 	freeCPU         int64           // thousandths of a core that are free for the remaining steps
 	turnoverCPU     int64           // thousandths of a core that are expected to come free soon
 	maxFree         resource.Vector // maximum free amount of each resource on any worker
@@ -106,23 +107,36 @@
 }
 
 func (s *Scheduler) collectUsableWorkers() {
-	s.pass.usable, s.pass.freed, s.pass.maxFree = s.pass.usable[:0], s.pass.freed[:0], resource.Vector{}
+	s.pass.usable, s.pass.freed, s.pass.setAside = s.pass.usable[:0], s.pass.freed[:0], s.pass.setAside[:0]
+	s.pass.maxFree = resource.Vector{}
 	s.pass.maxCapacity = resource.Vector{}
 	s.pass.freeCPU, s.pass.turnoverCPU, s.pass.withholdableCPU, s.pass.claimableCPU, s.pass.lateWorkLimit, s.pass.workerChecks = 0, 0, 0, 0, 0, 0
 	for _, w := range s.workers {
-		if w.usable(s.now) && w.heldBy == nil {
-			w.withheld = resource.Vector{}
+		w.withheld = resource.Vector{}
+		switch {
+		case w.heldBy != nil:
+		case w.usable(s.now):
 			s.pass.usable = append(s.pass.usable, w)
-			s.pass.freeCPU += max(0, w.free.MilliCPU)
-			s.pass.turnoverCPU += w.Capacity.MilliCPU / turnoverDivisor
-			s.pass.withholdableCPU += w.Capacity.MilliCPU / withheldDivisor
-			s.pass.lateWorkLimit += w.Capacity.MilliCPU * lateWorkTime.Milliseconds()
-			s.pass.claimableCPU += w.Capacity.MilliCPU / claimedDivisor
+		case w.setAside(s.now):
+			s.pass.setAside = append(s.pass.setAside, w)
 			s.pass.maxFree = s.pass.maxFree.Max(w.free)
-			s.pass.maxCapacity = s.pass.maxCapacity.Max(w.Capacity)
 		}
 	}
-	slices.SortFunc(s.pass.usable, func(a, b *worker) int { return cmp.Compare(a.ID, b.ID) })
+	if len(s.pass.usable) == 0 {
+		s.pass.usable, s.pass.setAside = s.pass.setAside, s.pass.usable
+	}
+	for _, w := range s.pass.usable {
+		s.pass.freeCPU += max(0, w.free.MilliCPU)
+		s.pass.turnoverCPU += w.Capacity.MilliCPU / turnoverDivisor
+		s.pass.withholdableCPU += w.Capacity.MilliCPU / withheldDivisor
+		s.pass.lateWorkLimit += w.Capacity.MilliCPU * lateWorkTime.Milliseconds()
+		s.pass.claimableCPU += w.Capacity.MilliCPU / claimedDivisor
+		s.pass.maxFree = s.pass.maxFree.Max(w.free)
+		s.pass.maxCapacity = s.pass.maxCapacity.Max(w.Capacity)
+	}
+	byID := func(a, b *worker) int { return cmp.Compare(a.ID, b.ID) }
+	slices.SortFunc(s.pass.usable, byID)
+	slices.SortFunc(s.pass.setAside, byID)
 	for _, w := range s.pass.usable {
 		if w.freed {
 			w.freed = false
--- a/internal/core/cell/place.go
+++ b/internal/core/cell/place.go
@@ -157,6 +157,7 @@
 	t.intentVersion = s.scheduleUrgentWrite(t.step.job)
 	s.events.LogDecision(t.id.String(), "placed", "run", t.run, "worker", t.worker.ID, "free_mcpu", t.worker.free.MilliCPU,
 		"waited_ms", s.now.UnixMilli()-t.step.job.AcceptedMS, "crashes", len(t.crashes().workers))
+	s.logReturn(t)
 }
 
 // eligible reports whether the step may ever run on the worker.
@@ -167,11 +168,19 @@
 	return st.spec.RequiredLabel == "" || slices.Contains(w.Labels, st.spec.RequiredLabel)
 }
 
-// bestWorker returns the given worker with the highest score for a task, or nil if the task fits on none.
+// bestWorker returns the given worker with the highest score for a task, or nil if the task fits on none. Workers that are
+// set aside are a last resort.
 func (s *Scheduler) bestWorker(t *task, q *Queue, workers []*worker) *worker {
 	if !s.withinLimit(t.step, 1) {
 		return nil
 	}
+	if best := s.bestOf(t, q, workers); best != nil {
+		return best
+	}
+	return s.bestOf(t, q, s.lastResort(t.step, q))
+}
+
+func (s *Scheduler) bestOf(t *task, q *Queue, workers []*worker) *worker {
 	s.pass.workerChecks += len(workers)
 	var best *worker
 	bestScore := 0.0
@@ -191,23 +200,23 @@
 	if !s.eligible(st, w) || q != nil && q.Advice != nil && !st.advice.allowed[w.ID] {
 		return false
 	}
+	return st.belowMaxPerWorker(w)
+}
+
+// belowMaxPerWorker reports whether the step's limit of tasks on one worker allows another one.
+func (st *step) belowMaxPerWorker(w *worker) bool {
 	return st.spec.MaxPerWorker == 0 || st.tasksPerWorker[w.ID] < st.spec.MaxPerWorker
 }
 
-// fits reports whether the task may be placed on the worker now. The workers in task.avoid are excluded only while that
-// list is shorter than half of the usable workers, so that it can't exclude most of them.
+// fits reports whether the task may be placed on the worker now.
 func (s *Scheduler) fits(t *task, w *worker, q *Queue) bool {
-	st := t.step
-	if !s.mayRun(st, w, q) || slices.Contains(t.avoid, w.ID) && len(t.avoid) < len(s.pass.usable)/2 {
-		return false
-	}
-	return !w.heldAgainst(t) && st.spec.Each.Fits(w.free.Sub(w.withheld))
+	return s.mayRun(t.step, w, q) && !w.heldAgainst(t) && t.step.spec.Each.Fits(w.free.Sub(w.withheld)) && !s.avoids(t, w, q)
 }
 
 // score rates a worker for a task; higher is better. It prefers tight fits, which leave capacity for large tasks on other
 // workers. The fit counts for at most 1, and each other criterion for at least as much: a valid ticket, the rack of the
 // step's data, the rack of the step's first placed task if SameRack is set, no best-effort tasks beside tasks with a
-// latency target, and no failed or stalled run since the worker's last success. For a task on probation, what a crash
+// latency target, no failed or stalled run since the worker's last success, and none of the task itself there. For a task on probation, what a crash
 // would lose replaces the fit and counts most.
 func (s *Scheduler) score(t *task, w *worker, q *Queue) float64 {
 	left := w.free.Sub(t.step.spec.Each)
@@ -226,6 +235,9 @@
 	if w.faults.streak > 0 {
 		score -= 3
 	}
+	if slices.Contains(t.avoid, w.ID) {
+		score -= 3
+	}
 	if t.step.interferes(w) {
 		score -= 1.5
 	}
--- a/internal/core/cell/room.go
+++ b/internal/core/cell/room.go
@@ -23,9 +23,10 @@
 	if !s.withinLimit(st, len(st.tasks)) || s.pass.freeCPU < int64(len(st.tasks))*st.spec.Each.MilliCPU {
 		return false
 	}
-	s.pass.workerChecks += len(s.pass.usable)
+	workers := s.workersFor(st, q)
+	s.pass.workerChecks += len(workers)
 	members := 0
-	for _, w := range s.pass.usable {
+	for _, w := range workers {
 		if !s.mayRun(st, w, q) || w.heldAgainst(st.tasks[0]) {
 			continue
 		}
--- a/internal/core/cell/services.go
+++ b/internal/core/cell/services.go
@@ -26,7 +26,7 @@
 func (s *Scheduler) restartService(t *task, row EndedRow) {
 	w, wasAtWork := t.worker, t.percent >= fullProgress
 	if row.Kind == EndFailed && !wasAtWork {
-		t.avoid = append(t.avoid, w.ID)
+		s.avoidWorker(t, w)
 		t.avoid = t.avoid[max(0, len(t.avoid)-maxAvoidedByService):]
 		s.recordFault(w, "a run failed")
 	}
--- a/internal/core/cell/state.go
+++ b/internal/core/cell/state.go
@@ -30,7 +30,8 @@
 	failures      int // runs that ended as failed
 	lastFailedRun int // last run that was counted as failed
 	checkpoint    string
-	avoid         []WorkerID // workers on which a run failed or stalled
+	avoid         []WorkerID // workers on which a run failed, stalled or crashed the worker
+	avoidedAt     time.Time  // when one was last added or added again
 
 	intentVersion  uint64    // version of the job's record that holds the intent
 	ticket         string    // of the current run
@@ -145,8 +146,17 @@
 }
 
 // usable reports whether tasks may be placed on the worker now.
-func (w *worker) usable(now time.Time) bool {
-	return w.registered && w.reached && !w.terminated && !w.unresponsive && !w.Draining && !now.Before(w.faults.until)
+func (w *worker) usable(now time.Time) bool { return w.available() && !now.Before(w.faults.until) }
+
+// available reports whether the worker is in service and answers.
+func (w *worker) available() bool {
+	return w.registered && w.reached && !w.terminated && !w.unresponsive && !w.Draining
+}
+
+// setAside reports whether the worker gets no new work because of faults, and has had none for minFaultPause.
+func (w *worker) setAside(now time.Time) bool {
+	f := w.faults
+	return w.available() && now.Before(f.until) && f.backoff > 0 && !now.Before(f.until.Add(minFaultPause-f.backoff))
 }
 
 // newJob creates the state of an accepted job.
