control: a refusal after a lost carrier leaves the outcome unknown

What callers could see: TWICE in a large cell.

Cause: a renewal whose carrier is lost is repeated through another path. If that one was refused or not sent, the whole renewal counted as not sent, although the lost carrier may have renewed the lease, which was then taken for expired up to a second too early.

Fix: after a lost carrier, such an error of a later path leaves the outcome unknown.

Evidence: TestRefusalAfterALostCarrierLeavesTheOutcomeUnknown failed before: error is "the address refuses connections", not "outcome unknown"

--- a/internal/control/carriers.go
+++ b/internal/control/carriers.go
@@ -233,8 +233,10 @@
 	return reply, err, true
 }
 
-// Renew renews a worker's lease. If the carrier is lost, the renewal takes another path at once: it may be repeated.
+// Renew renews a worker's lease. If the carrier is lost, the renewal takes another path at once: it may be repeated. If that
+// path doesn't reach the worker, the outcome of the first one stays unknown.
 func (c *carriers) Renew(ctx context.Context, w port.WorkerRef, r port.Renewal, detour bool) (port.RenewalReply, error) {
+	lost := false
 	for range maxCarriersOfWorker {
 		call := &cellpb.CarriedCall{Token: r.Token, Call: &cellpb.CarriedCall_Renew{Renew: &cellpb.CarriedRenewal{LeaseEndMs: r.LeaseEndMS,
 			Ack: r.Ack, WaitMs: r.Wait.Milliseconds()}}}
@@ -243,13 +245,24 @@
 			break
 		}
 		if !errors.Is(err, errCarrierLost) || ctx.Err() != nil {
-			return renewalReplyFrom(w.ID, reply), err
+			return renewalReplyFrom(w.ID, reply), afterLostCarrier(lost, err)
 		}
+		lost = true
 		// The worker may have restarted since its last answer. Its clock and the numbers of its ended runs start anew.
 		r.LeaseEndMS, r.Ack, r.Wait = 0, 0, 0
 	}
 	defer c.tryCarriersAgain(w)
-	return c.direct.Renew(ctx, w, r)
+	reply, err := c.direct.Renew(ctx, w, r)
+	return reply, afterLostCarrier(lost, err)
+}
+
+// afterLostCarrier returns the error of a call that was repeated after its carrier was lost. That the repeated call wasn't
+// sent doesn't show that the first one wasn't.
+func afterLostCarrier(lost bool, err error) error {
+	if lost && (errors.Is(err, port.ErrUnavailable) || errors.Is(err, port.ErrConnectionRefused)) {
+		return errors.Wrap(errCarrierLost, err.Error())
+	}
+	return err
 }
 
 // Start sends a start order.
--- a/internal/control/carriers_test.go
+++ b/internal/control/carriers_test.go
@@ -141,6 +141,20 @@
 	assert.Equal(t, direct.starts.Load(), int64(0), "the carrier may still execute the start, so the scheduler decides")
 }
 
+// Guards against a lease that is reckoned too short: the carrier that was lost may have renewed it, although the repeated
+// call was refused.
+func TestRefusalAfterALostCarrierLeavesTheOutcomeUnknown(t *testing.T) {
+	for _, refusal := range []error{port.ErrConnectionRefused, port.ErrUnavailable} {
+		c, direct, _ := newTestCarriers(t, 24)
+		direct.err = refusal
+		lost := port.WorkerRef{ID: "lost", Address: "a", Zone: "zone-1"}
+		_, err := c.Renew(t.Context(), lost, port.Renewal{Token: 1, LeaseEndMS: 5}, false)
+		assert.ErrorIs(t, err, port.ErrUnknownOutcome)
+		assert.Assert(t, !errors.Is(err, refusal))
+		assert.Equal(t, direct.renewals.Load(), int64(1))
+	}
+}
+
 // Guards against moving the calls to the scheduling node's own link when that link is what makes the carriers' replies
 // late, and against workers that stay on direct calls after a short disruption.
 func TestSlowOwnLinkDoesNotMoveCallsToIt(t *testing.T) {
