control: a worker's clock that has gone back is that of another life

A second sign of a restart for the reckoning of leases, for workers whose answers don't say when they started: the readings of one life never go back. The longest lease is reckoned with then, and after a takeover if the clock shows less than 20 s. For a worker that has left the registry nothing changes, so that the tasks of lost workers don't wait longer.

--- a/internal/control/lease.go
+++ b/internal/control/lease.go
@@ -19,8 +19,8 @@
 	longest  time.Duration // the longest lease that a worker keeps
 	// startMS is the start of the life that answered last, or of a later one that the registry lists.
 	startMS int64
-	// clock is the clock of the life that listens. It is zero from a call without an answer until the next answer, because
-	// the worker may have restarted.
+	// clock is the clock of the life that answered last. It is unknown from a call without an answer until the next answer,
+	// because the worker may have restarted.
 	clock clockSample
 	// expiresAt is when all runs on the worker have ended for certain unless the lease is renewed. Calls in flight may
 	// renew it.
@@ -30,10 +30,15 @@
 	reached   bool // the worker has answered this holder
 }
 
-// newLeaseTracker returns the lease of a worker at the beginning of a term: an earlier holder may have renewed it.
+// newLeaseTracker returns the lease of a worker at the beginning of a term: an earlier holder may have renewed it. startMS
+// is 0 for a worker that has left the registry.
 func newLeaseTracker(o Options, startMS int64, termBegan time.Time) leaseTracker {
 	l := leaseTracker{duration: o.workerLeaseDuration(), longest: o.MaxLease, startMS: startMS}
-	l.expiresAt = termBegan.Add(orphanTimeout(l.earlierLease(startMS, termBegan)))
+	earlier := l.duration
+	if startMS != 0 {
+		earlier = l.earlierLease(lifeAge(startMS, 0, termBegan))
+	}
+	l.expiresAt = termBegan.Add(orphanTimeout(earlier))
 	return l
 }
 
@@ -44,7 +49,8 @@
 	return maxStoreSilence + extended(lease) + time.Second
 }
 
-// clockSample is a reading of a worker's monotonic clock and the local time at which it was received.
+// clockSample is a reading of a worker's monotonic clock and the local time at which it was received, which is zero if the
+// clock isn't known any more.
 type clockSample struct {
 	ms int64
 	at time.Time
@@ -52,6 +58,9 @@
 
 func (c clockSample) known() bool { return !c.at.IsZero() }
 
+// forgetClock keeps the reading, which later ones of the same life can't be behind.
+func (l *leaseTracker) forgetClock() { l.clock.at = time.Time{} }
+
 // leaseCall is a call that may renew a lease.
 type leaseCall struct {
 	endMS   int64     // the end of the lease on the worker's clock, 0 if the call grants none
@@ -96,7 +105,7 @@
 	l.calls--
 	sent := !errors.Is(err, port.ErrUnavailable) && !errors.Is(err, port.ErrConnectionRefused)
 	if !sent || errors.Is(err, port.ErrUnknownOutcome) {
-		l.clock = clockSample{}
+		l.forgetClock()
 	}
 	if !sent || c.endMS == 0 {
 		return
@@ -104,7 +113,7 @@
 	l.extend(c.expiry)
 	otherLife := startMS != 0 && startMS != c.startMS || clockMS != 0 && clockMS < c.clockMS
 	if otherLife {
-		l.clock = clockSample{}
+		l.forgetClock()
 	}
 	if otherLife || l.startMS != c.startMS {
 		l.extendToLongest(now)
@@ -116,8 +125,8 @@
 	switch {
 	case !l.reached:
 		// From now on the worker refuses renewals of an earlier holder.
-		l.expiresAt = now.Add(extended(l.earlierLease(startMS, now)))
-	case startMS != l.startMS:
+		l.expiresAt = now.Add(extended(l.earlierLease(lifeAge(startMS, clockMS, now))))
+	case startMS != l.startMS || clockMS < l.clock.ms:
 		l.extendToLongest(now)
 	}
 	l.startMS, l.clock, l.expired, l.reached = startMS, clockSample{clockMS, now}, false, true
@@ -128,19 +137,28 @@
 	if l.startMS == 0 || startMS <= l.startMS {
 		return
 	}
-	l.startMS, l.clock = startMS, clockSample{}
+	l.startMS = startMS
+	l.forgetClock()
 	l.extendToLongest(now)
 }
 
 // earlierLease returns the longest lease that an earlier holder may have granted. That holder may not have known yet of a
 // life that began a short while ago.
-func (l *leaseTracker) earlierLease(startMS int64, now time.Time) time.Duration {
-	if now.Sub(time.UnixMilli(startMS)) < 2*l.longest {
+func (l *leaseTracker) earlierLease(age time.Duration) time.Duration {
+	if age < 2*l.longest {
 		return l.longest
 	}
 	return l.duration
 }
 
+// lifeAge returns how long ago a worker's life began. If its start isn't stated, the clock tells, which starts with it.
+func lifeAge(startMS, clockMS int64, now time.Time) time.Duration {
+	if startMS == 0 {
+		return time.Duration(clockMS) * time.Millisecond
+	}
+	return now.Sub(time.UnixMilli(startMS))
+}
+
 // extend moves the time at which the lease has expired for certain to a later one.
 func (l *leaseTracker) extend(expiry time.Time) {
 	if expiry.After(l.expiresAt) {
--- a/internal/control/lease_test.go
+++ b/internal/control/lease_test.go
@@ -140,6 +140,21 @@
 	}
 }
 
+// Guards against the same where the answers don't say when the worker started: its clock has gone back.
+func TestClockThatHasGoneBackIsThatOfAnotherLife(t *testing.T) {
+	now := time.Now()
+	l := newTestLink(t, now).lease
+	l.answered(0, 30_000, now)
+	l.finish(l.begin(now), 0, 0, port.ErrUnknownOutcome, now)
+	l.answered(0, 30_500, now.Add(500*time.Millisecond))
+	assert.Assert(t, l.expiresAt.Before(now.Add(longestLease)))
+
+	l.finish(l.begin(now), 0, 0, port.ErrUnknownOutcome, now)
+	l.answered(0, 100, now.Add(time.Second))
+	assert.Assert(t, l.expiresAt.After(now.Add(longestLease)))
+	assert.Equal(t, l.begin(now.Add(time.Second)).endMS, 100+workerLease.Milliseconds())
+}
+
 // Guards against the same where the restart shows in the registry first, while a call has no answer.
 func TestRestartInRegistryEndsLeasesOnTheEarlierClock(t *testing.T) {
 	now := time.Now()
@@ -165,6 +180,8 @@
 // it knew of the restart.
 func TestTakeoverReckonsWithLeasesOfYoungWorkers(t *testing.T) {
 	now := time.Now()
+	unlisted := newLeaseTracker(newTestNode("a", 1).options, 0, now)
+	assert.Assert(t, unlisted.expiresAt.Before(now.Add(maxStoreSilence+longestLease)), "the tasks of lost workers don't wait longer")
 	for _, c := range []struct {
 		age     time.Duration
 		longest bool
