cell: crashes count for each member of a gang

What callers saw: LOST.

Cause: a job is given up when two workers have crashed under a task, and the members of a gang shared one crash history.

Fix: each member has its own history, kept in its row of the record. A gang is on probation while a member is. The history of a whole gang in records of earlier builds isn't read.

TestCrashesUnderDifferentMembersDoNotEndAGang failed before: crashes_test.go:341: assertion failed: h.s.State("a").Phase is Failed Its last step shows that a member under which two workers crash still ends the job.

--- a/internal/core/cell/crashes.go
+++ b/internal/core/cell/crashes.go
@@ -1,7 +1,6 @@
 package cell
 
 import (
-	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -36,27 +35,38 @@
 	suspectWeight = 0.25
 )
 
-// crashHistory holds the crashes of workers under a task, or under the runs of a gang, since an inventory last showed it at
-// work.
+// crashHistory holds the crashes of workers under a task since an inventory last showed it at work. Each member of a gang has
+// its own, because workers that crash by themselves rarely do so under the same member twice.
 type crashHistory struct {
 	workers   []WorkerID // one for each crash
 	confirmed int        // crashes under a run that its worker had confirmed
 	lastRun   int        // last run that was counted; run numbers keep a crash from being counted twice
 }
 
-// crashes returns the history to which crashes under the task count. The members of a gang share one.
-func (t *task) crashes() *crashHistory {
+// suspicious reports whether a task with this history is on probation. One crash under a run that its worker hadn't confirmed
+// isn't enough: many orders are under way to a worker when another task crashes it.
+func (h crashHistory) suspicious() bool { return h.confirmed > 0 || len(h.workers) > 1 }
+
+// onProbation reports whether a worker has crashed under the task, or under a member of its gang, and no inventory has
+// cleared it since.
+func (t *task) onProbation() bool {
 	if t.step.spec.Gang {
-		return &t.step.gangCrashes
+		return t.step.onProbation
 	}
-	return &t.crashHistory
+	return t.crashes.suspicious()
 }
 
-// onProbation reports whether a worker has crashed under the task and no inventory has cleared it since. One crash under a
-// run that its worker hadn't confirmed isn't enough: many orders are under way to a worker when another task crashes it.
-func (t *task) onProbation() bool {
-	h := t.crashes()
-	return h.confirmed > 0 || len(h.workers) > 1
+// updateProbation derives whether a gang is on probation from the crashes under its members.
+func (st *step) updateProbation() {
+	st.onProbation = st.spec.Gang && slices.ContainsFunc(st.tasks, func(t *task) bool { return t.crashes.suspicious() })
+}
+
+// hasCrashes reports whether crashes under the task, or under a member of its gang, count.
+func (t *task) hasCrashes() bool {
+	if !t.step.spec.Gang {
+		return len(t.crashes.workers) > 0
+	}
+	return slices.ContainsFunc(t.step.tasks, func(m *task) bool { return len(m.crashes.workers) > 0 })
 }
 
 // confirmed reports whether the worker has confirmed the task's current run.
@@ -108,24 +118,15 @@
 			suspects = append(suspects, t)
 		}
 	}
-	slices.SortFunc(suspects, func(a, b *task) int { // a gang counts one member only, a confirmed one if there is any
-		return cmp.Or(cmp.Compare(confirmedFirst(a), confirmedFirst(b)), strings.Compare(a.id.String(), b.id.String()))
-	})
+	slices.SortFunc(suspects, func(a, b *task) int { return strings.Compare(a.id.String(), b.id.String()) })
 	for _, t := range suspects {
 		s.countCrashOf(t, w, reason)
 	}
 }
 
-func confirmedFirst(t *task) int {
-	if t.confirmed() {
-		return 0
-	}
-	return 1
-}
-
 // countCrashOf counts a crash against one suspect, and gives up its job if there were too many.
 func (s *Scheduler) countCrashOf(t *task, w *worker, reason string) {
-	h := t.crashes()
+	h := &t.crashes
 	if t.run <= h.lastRun {
 		return
 	}
@@ -136,6 +137,7 @@
 	if confirmed {
 		h.confirmed++
 	}
+	t.step.updateProbation()
 	s.scheduleWrite(t.step.job)
 	s.events.LogDecision(t.id.String(), "crash counted", "run", t.run, "worker", w.ID, "crashes", len(h.workers),
 		"confirmed", h.confirmed, "this_confirmed", confirmed, "reason", reason)
@@ -159,7 +161,7 @@
 		return
 	}
 	t.cleared = true
-	if len(t.crashes().workers) == 0 {
+	if !t.hasCrashes() {
 		return
 	}
 	for _, other := range t.step.tasks {
@@ -172,15 +174,17 @@
 
 // endProbation forgets the crashes under a task and gives its worker, or those of its gang, back to others.
 func (s *Scheduler) endProbation(t *task) {
-	s.events.LogDecision(t.id.String(), "cleared", "run", t.run, "worker", t.worker.ID, "crashes", len(t.crashes().workers))
-	t.crashes().workers, t.crashes().confirmed = nil, 0
+	s.events.LogDecision(t.id.String(), "cleared", "run", t.run, "worker", t.worker.ID, "crashes", len(t.crashes.workers))
 	s.scheduleWrite(t.step.job)
-	s.releaseHold(t)
+	members := []*task{t}
 	if t.step.spec.Gang {
-		for _, m := range t.step.tasks {
-			s.releaseHold(m)
-		}
+		members = t.step.tasks
+	}
+	for _, m := range members {
+		m.crashes.workers, m.crashes.confirmed = nil, 0
+		s.releaseHold(m)
 	}
+	t.step.updateProbation()
 }
 
 // hold reserves the worker of a task on probation for this task, or for the members of its gang.
--- a/internal/core/cell/orders.go
+++ b/internal/core/cell/orders.go
@@ -246,7 +246,7 @@
 	t.pace = fullPace
 	if t.phase == taskUnresolved {
 		t.pace = unknownPace
-		t.cleared = len(t.crashes().workers) == 0 // it is older than this term
+		t.cleared = !t.hasCrashes() // it is older than this term
 	}
 	t.confirmedAt = s.now
 	t.phase, t.percent, t.progressAt, t.paceInFlight = taskRunning, 0, s.now, false
--- a/internal/core/cell/place.go
+++ b/internal/core/cell/place.go
@@ -156,7 +156,7 @@
 	t.confirmedAt, t.cleared, t.awaitsInventory = time.Time{}, false, false
 	t.intentVersion = s.scheduleUrgentWrite(t.step.job)
 	s.events.LogDecision(t.id.String(), "placed", "run", t.run, "worker", t.worker.ID, "free_mcpu", t.worker.free.MilliCPU,
-		"waited_ms", s.now.UnixMilli()-t.step.job.AcceptedMS, "crashes", len(t.crashes().workers))
+		"waited_ms", s.now.UnixMilli()-t.step.job.AcceptedMS, "crashes", len(t.crashes.workers))
 	s.logReturn(t)
 }
 
--- a/internal/core/cell/record.go
+++ b/internal/core/cell/record.go
@@ -34,8 +34,6 @@
 	GangRun      int            `json:"gang_run,omitempty"`
 	GangFailures int            `json:"gang_failed,omitempty"`
 	FailedRun    int            `json:"failed_run,omitempty"` // last run of the gang that was counted in gang_failed
-	Crashes      []WorkerID     `json:"crashed,omitempty"`    // workers that crashed under the gang
-	Confirmed    int            `json:"crash_runs,omitempty"` // crashes under a run that its worker had confirmed
 }
 
 // taskProgress is a task that was placed and isn't done.
@@ -128,8 +126,7 @@
 }
 
 func (st *step) progress() stepProgress {
-	p := stepProgress{GangRun: st.gangRun, GangFailures: st.gangFailures, FailedRun: st.lastFailedRun,
-		Crashes: st.gangCrashes.workers, Confirmed: st.gangCrashes.confirmed}
+	p := stepProgress{GangRun: st.gangRun, GangFailures: st.gangFailures, FailedRun: st.lastFailedRun}
 	for n, t := range st.tasks {
 		if t.phase == taskDone {
 			p.Done = append(p.Done, n)
@@ -139,7 +136,7 @@
 			continue
 		}
 		row := taskProgress{Task: n, Run: t.run, Failed: t.failures, FailedRun: t.lastFailedRun, Checkpoint: t.checkpoint,
-			Crashes: t.crashHistory.workers, Confirmed: t.crashHistory.confirmed}
+			Crashes: t.crashes.workers, Confirmed: t.crashes.confirmed}
 		if t.worker != nil && t.phase != taskReserved {
 			row.Worker = t.worker.ID
 		}
@@ -183,7 +180,6 @@
 // capacity until it is known that the run doesn't exist.
 func (s *Scheduler) restoreStep(st *step, p stepProgress) {
 	st.gangRun, st.gangFailures, st.lastFailedRun = p.GangRun, p.GangFailures, p.FailedRun
-	st.gangCrashes = crashHistory{workers: p.Crashes, confirmed: p.Confirmed}
 	for _, n := range p.Done {
 		if n >= 0 && n < len(st.tasks) && st.tasks[n].phase != taskDone {
 			st.tasks[n].phase = taskDone
@@ -198,13 +194,14 @@
 		}
 		t := st.tasks[row.Task]
 		t.run, t.failures, t.lastFailedRun, t.checkpoint = row.Run, row.Failed, row.FailedRun, row.Checkpoint
-		t.crashHistory = crashHistory{workers: row.Crashes, confirmed: row.Confirmed}
+		t.crashes = crashHistory{workers: row.Crashes, confirmed: row.Confirmed}
 		if row.Worker != "" && t.phase == taskWaiting {
 			s.allocate(t, s.workerOf(row.Worker))
 			t.phase = taskUnresolved
 			st.waiting--
 		}
 	}
+	st.updateProbation()
 }
 
 // finalRecord returns the encoded FinalRecord of a job that has ended.
--- a/internal/core/cell/state.go
+++ b/internal/core/cell/state.go
@@ -47,10 +47,10 @@
 	// awaitsInventory is set once an answer in the current phase has set checkAfter.
 	awaitsInventory bool
 
-	confirmedAt  time.Time // when the worker confirmed the current run, zero before that
-	cleared      bool      // an inventory has shown the current run at work for clearingTime
-	holds        bool      // on probation: no other task is started on its worker
-	crashHistory crashHistory
+	confirmedAt time.Time // when the worker confirmed the current run, zero before that
+	cleared     bool      // an inventory has shown the current run at work for clearingTime
+	holds       bool      // on probation: no other task is started on its worker
+	crashes     crashHistory
 
 	percent    float64
 	progressAt time.Time // when the percentage last rose
@@ -72,8 +72,8 @@
 	waiting        int // tasks in taskWaiting
 	gangRun        int // last run of a gang
 	gangFailures   int
-	lastFailedRun  int // last gang run that was counted as failed
-	gangCrashes    crashHistory
+	lastFailedRun  int  // last gang run that was counted as failed
+	onProbation    bool // of a gang: a member is
 	tasksPerWorker map[WorkerID]int
 	advice         stepAdvice
 	fullScanAt     time.Time // when all workers were last checked without success, zero if a check is due
