cell: the model accepts a service that was given up for its crashes

The trace: the job had failed with "workers crashed when they started task j11.0.1: w1, w1", two crashes under one task, after the faults had ended. The users' rule allows to give such a task up, and checkFinal checks that reason with each final record. checkService asked for the service's runs all the same. It now leaves out a service whose job has failed with a final record, and nothing else.

--- a/internal/core/cell/model_test.go
+++ b/internal/core/cell/model_test.go
@@ -635,9 +635,10 @@
 	return kept
 }
 
-// checkService checks that all tasks of a long-running job run.
+// checkService checks that all tasks of a long-running job run, unless the job was given up: checkFinal has checked the
+// reason then.
 func (m *model) checkService(id JobID) {
-	if id == "" {
+	if j := m.s.jobs[id]; id == "" || m.final[id] && j != nil && j.phase == Failed {
 		return
 	}
 	running := map[TaskID]bool{}
