--- /dev/null
+++ b/internal/core/cell/model_workers_test.go
@@ -0,0 +1,359 @@
+package cell
+
+import (
+	"slices"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"sequoiastall/internal/core/resource"
+)
+
+type simOrder struct {
+	Order
+	token     int
+	leaseEnd  time.Time
+	executeAt time.Time // when a delayed order is carried out
+	capacity  int64     // highest capacity of the worker since the order was issued, in thousandths of a core
+}
+
+type simRun struct {
+	run  int
+	need resource.Vector
+}
+
+type simWorker struct {
+	id             WorkerID
+	startMS        int64
+	up, isolated   bool
+	capacity       int64 // thousandths of a core
+	token          int
+	leaseEnd       time.Time
+	runs           map[TaskID]simRun
+	refusedThrough map[TaskID]int // start orders for runs up to this number are refused
+	ended          []EndedRow
+	ordered        map[TaskID]bool // tasks whose start was ordered; true for those that it started
+	lastEndNumber  int64
+	ack            int64
+	lapsesAt       time.Time // when the scheduling node considers the lease expired
+	notified       bool
+}
+
+// boot starts a new instance of a worker without any state. Delayed orders for the earlier instance are dropped.
+func (m *model) boot(w *simWorker) {
+	m.delayedOrders = slices.DeleteFunc(m.delayedOrders, func(o simOrder) bool { return o.Worker == w.id })
+	w.startMS++
+	w.up, w.token, w.leaseEnd, w.lastEndNumber, w.ack = true, 0, time.Time{}, 0, 0
+	w.runs, w.refusedThrough, w.ended, w.ordered = map[TaskID]simRun{}, map[TaskID]int{}, nil, map[TaskID]bool{}
+}
+
+// deliveryResult is what happens to an order on its way to the worker and back.
+type deliveryResult int
+
+// send delivers an order to its worker, loses the order or its answer, or delays the order.
+func (m *model) send(o Order) {
+	w := m.worker(o.Worker)
+	if o.Kind == OrderStart {
+		w.ordered[o.Run.Task] = w.ordered[o.Run.Task] || false
+	}
+	order := simOrder{Order: o, token: m.token, leaseEnd: m.now.Add(modelLease), capacity: w.capacity}
+	result := rapid.SampledFrom([]deliveryResult{orderAnswered, orderAnswered, orderAnswered, answerLost, orderLost, orderDelayed}).Draw(m.t, "luck")
+	switch {
+	case !w.up || w.isolated:
+		m.s.ApplyOrderOutcome(o, OrderNotSent, m.now)
+	case m.recovered || result == orderAnswered:
+		m.noteLease(w, order)
+		m.s.ApplyOrderOutcome(o, m.execute(w, order), m.now)
+	case result == answerLost:
+		m.noteLease(w, order)
+		m.execute(w, order)
+		m.s.ApplyOrderOutcome(o, OrderUnanswered, m.now)
+	case result == orderLost:
+		m.noteLease(w, order)
+		m.s.ApplyOrderOutcome(o, OrderUnanswered, m.now)
+	default:
+		m.noteLease(w, order)
+		order.executeAt = m.now.Add(rapid.SampledFrom([]time.Duration{100, 500, 2000, 6000}).Draw(m.t, "late") * time.Millisecond)
+		m.delayedOrders = append(m.delayedOrders, order)
+		m.s.ApplyOrderOutcome(o, OrderUnanswered, m.now)
+	}
+}
+
+// noteLease postpones the time at which the scheduling node considers a worker's lease expired, if a start order may have
+// extended the lease.
+func (m *model) noteLease(w *simWorker, o simOrder) {
+	if o.Kind == OrderStart && o.leaseEnd.After(w.lapsesAt) {
+		w.lapsesAt = o.leaseEnd
+	}
+}
+
+func (m *model) executeDelayed() {
+	kept := m.delayedOrders[:0]
+	for _, o := range m.delayedOrders {
+		if o.executeAt.After(m.now) {
+			kept = append(kept, o)
+		} else if w := m.worker(o.Worker); w.up {
+			m.execute(w, o)
+		}
+	}
+	m.delayedOrders = kept
+}
+
+// execute applies an order on the worker's side.
+func (m *model) execute(w *simWorker, o simOrder) OrderOutcome {
+	if o.token < w.token {
+		return OrderFenced
+	}
+	w.token = o.token
+	current, exists := w.runs[o.Run.Task]
+	if o.Kind == OrderStop {
+		w.refusedThrough[o.Run.Task] = max(w.refusedThrough[o.Run.Task], o.Run.Run)
+		if exists && current.run <= o.Run.Run {
+			m.endRun(w, RunID{o.Run.Task, current.run}, EndStopped)
+		}
+		return OrderDone
+	}
+	switch {
+	case exists && current.run == o.Run.Run:
+		return OrderDone
+	case exists || o.Run.Run <= w.refusedThrough[o.Run.Task]:
+		return OrderStale
+	case o.leaseEnd.Before(m.now):
+		return OrderRefused
+	}
+	if m.ackedDone[o.Run.Task] {
+		m.t.Fatalf("%v starts again although the task was acknowledged as done", o.Run)
+	}
+	if m.ackedFailures[o.Run.Task] >= 2 {
+		m.t.Fatalf("%v starts after two failures", o.Run)
+	}
+	w.ordered[o.Run.Task] = true
+	w.runs[o.Run.Task] = simRun{o.Run.Run, m.jobs[o.Run.Task.Job].Steps[o.Run.Task.Step].Each}
+	if used := w.usedCPU(); used > o.capacity {
+		m.t.Fatalf("%v brings %s to %d of %d thousandths of a core", o.Run, w.id, used, o.capacity)
+	}
+	if o.leaseEnd.After(w.leaseEnd) {
+		w.leaseEnd = o.leaseEnd
+	}
+	if m.crashing[o.Run.Task] {
+		m.crashUnder(w, o)
+	}
+	return OrderDone
+}
+
+// usedCPU returns what runs on a worker, in thousandths of a core.
+func (w *simWorker) usedCPU() int64 {
+	used := int64(0)
+	for _, r := range w.runs {
+		used += r.need.MilliCPU
+	}
+	return used
+}
+
+// changeCapacity changes the capacity of a random worker. The registry shows it from the next tick on.
+func (m *model) changeCapacity() {
+	m.setCapacity(m.randomWorker(), rapid.SampledFrom([]int64{0, 1000, 2500, modelCapacity}).Draw(m.t, "capacity"))
+}
+
+// setCapacity changes a worker's capacity. A delayed order may be carried out up to the highest capacity since it was
+// issued.
+func (m *model) setCapacity(w *simWorker, milliCPU int64) {
+	w.capacity = milliCPU
+	for i := range m.delayedOrders {
+		if o := &m.delayedOrders[i]; o.Worker == w.id {
+			o.capacity = max(o.capacity, milliCPU)
+		}
+	}
+}
+
+// crashUnder crashes a worker that has started a task which crashes its workers.
+func (m *model) crashUnder(w *simWorker, o simOrder) {
+	task := o.Run.Task
+	if last, ok := m.crashedStart[task]; ok && last.token == m.token {
+		m.countedCrashes[task]++
+	}
+	if m.countedCrashes[task] >= maxCrashes {
+		m.t.Fatalf("%v starts after %d crashes", o.Run, m.countedCrashes[task])
+	}
+	delete(m.crashedStart, task)
+	if o.token == m.token && !w.isolated {
+		m.crashedStart[task] = modelCrash{w.id, m.token}
+	}
+	m.crash(w)
+}
+
+func (m *model) crash(w *simWorker) {
+	if !w.up {
+		return
+	}
+	w.up = false
+	for task, started := range w.ordered {
+		m.orderedCrashes[task]++
+		if started {
+			m.startedCrashes[task]++
+		}
+	}
+}
+
+// hideCrash forgets the crashes on a worker that the scheduler can't tell from a network partition.
+func (m *model) hideCrash(w *simWorker) {
+	for task, c := range m.crashedStart {
+		if c.worker == w.id {
+			delete(m.crashedStart, task)
+		}
+	}
+}
+
+func (m *model) endRun(w *simWorker, r RunID, kind EndKind) {
+	delete(w.runs, r.Task)
+	w.refusedThrough[r.Task] = max(w.refusedThrough[r.Task], r.Run)
+	if kind == EndFailed {
+		step := StepID{r.Task.Job, r.Task.Step}
+		if m.failures[step] == nil {
+			m.failures[step] = map[int]bool{}
+		}
+		m.failures[step][failureKey(r)] = true
+	}
+	w.lastEndNumber++
+	w.ended = append(w.ended, EndedRow{Number: w.lastEndNumber, Run: r, Kind: kind})
+}
+
+func (m *model) expireLease(w *simWorker) {
+	if w.up && m.now.After(w.leaseEnd) {
+		for _, id := range sortedTasks(w.runs) {
+			m.endRun(w, RunID{id, w.runs[id].run}, EndLapsed)
+		}
+	}
+	if (w.isolated || !w.up) && !w.notified && m.now.After(w.lapsesAt) {
+		w.notified = true
+		if w.isolated {
+			m.hideCrash(w)
+		}
+		m.s.WorkerLeaseExpired(w.id, m.now)
+	}
+}
+
+func sortedTasks(runs map[TaskID]simRun) []TaskID {
+	var ids []TaskID
+	for id := range runs {
+		ids = append(ids, id)
+	}
+	slices.SortFunc(ids, func(a, b TaskID) int { return slices.Compare([]byte(a.String()), []byte(b.String())) })
+	return ids
+}
+
+// renew extends a worker's lease and delivers its inventory, delays it or loses it.
+func (m *model) renew(w *simWorker) {
+	switch {
+	case w.isolated:
+		m.s.WorkerUnresponsive(w.id, m.now)
+		return
+	case !w.up:
+		m.s.WorkerConnectionRefused(w.id, m.now)
+		return
+	}
+	requestSequence := m.s.OrderSequence()
+	cursor, _ := m.s.AckCursor(w.id)
+	w.token = m.token
+	w.leaseEnd = m.now.Add(modelLease)
+	w.lapsesAt, w.notified = w.leaseEnd, false
+	m.acknowledge(w, cursor)
+	if !m.recovered && rapid.SampledFrom([]bool{true, false, false, false}).Draw(m.t, "lost answer") {
+		return
+	}
+	inv := Inventory{Worker: w.id, StartMS: w.startMS, RequestSequence: requestSequence, Ended: slices.Clone(w.ended)}
+	for _, id := range sortedTasks(w.runs) {
+		inv.Running = append(inv.Running, RunningRow{Run: RunID{id, w.runs[id].run}, Percent: 100})
+	}
+	if !m.recovered && rapid.SampledFrom([]bool{true, false, false}).Draw(m.t, "delayed") {
+		m.delayedInventories = append(m.delayedInventories, inv)
+		return
+	}
+	m.deliver(inv)
+}
+
+// deliver passes an inventory to the scheduler. The stop orders that it returns are always delivered.
+func (m *model) deliver(inv Inventory) {
+	w := m.worker(inv.Worker)
+	for _, o := range m.s.ApplyInventory(inv, m.now) {
+		if w.up && w.startMS == inv.StartMS {
+			m.execute(w, simOrder{Order: o, token: m.token})
+		}
+	}
+}
+
+func (m *model) acknowledge(w *simWorker, cursor int64) {
+	for len(w.ended) > 0 && w.ended[0].Number <= cursor {
+		e := w.ended[0]
+		w.ended = w.ended[1:]
+		spec := m.jobs[e.Run.Task.Job].Steps[e.Run.Task.Step]
+		gang := spec.Gang
+		switch {
+		case spec.LongRunning: // starts again, however often it ends
+		case e.Kind == EndDone:
+			m.ackedDone[e.Run.Task] = true
+		case e.Kind == EndFailed && !gang:
+			m.ackedFailures[e.Run.Task]++
+		}
+	}
+}
+
+// endRandomRun ends a random run. The runs of a gang end as done only if all of its members run.
+func (m *model) endRandomRun() {
+	w := m.workers[rapid.IntRange(0, len(m.workers)-1).Draw(m.t, "worker")]
+	ids := sortedTasks(w.runs)
+	if !w.up || len(ids) == 0 {
+		return
+	}
+	id := ids[rapid.IntRange(0, len(ids)-1).Draw(m.t, "task")]
+	if m.recovered && m.jobs[id.Job].Steps[id.Step].LongRunning {
+		return
+	}
+	kind := EndDone
+	if !m.recovered && rapid.SampledFrom([]bool{true, false, false}).Draw(m.t, "fails") {
+		kind = EndFailed
+	}
+	m.endTaskOrGang(id, w, kind)
+}
+
+func (m *model) endTaskOrGang(id TaskID, w *simWorker, kind EndKind) {
+	spec := m.jobs[id.Job].Steps[id.Step]
+	run := w.runs[id].run
+	if !spec.Gang {
+		m.endRun(w, RunID{id, run}, kind)
+		return
+	}
+	members := m.members(id, run)
+	if kind == EndDone && len(members) < spec.Count {
+		return
+	}
+	for member, at := range members {
+		memberKind := kind
+		if kind == EndFailed && member != id {
+			memberKind = EndGangAborted
+		}
+		m.endRun(at, RunID{member, run}, memberKind)
+	}
+}
+
+func (m *model) members(id TaskID, run int) map[TaskID]*simWorker {
+	found := map[TaskID]*simWorker{}
+	for _, w := range m.workers {
+		for other, r := range w.runs {
+			if w.up && other.Job == id.Job && other.Step == id.Step && r.run == run {
+				found[other] = w
+			}
+		}
+	}
+	return found
+}
+
+func (m *model) randomWorker() *simWorker {
+	return m.workers[rapid.IntRange(0, len(m.workers)-1).Draw(m.t, "worker")]
+}
+
+func (m *model) restart(w *simWorker) {
+	if !w.up {
+		m.boot(w)
+	}
+}
