control: leases speak of a worker's instances, as the rest of the code does

Comments, tests and two local names said "life" for what the code calls an instance, and "reckon" for track, expect and assume. No change of behaviour.

--- a/internal/control/carriers_test.go
+++ b/internal/control/carriers_test.go
@@ -123,7 +123,8 @@
 	assert.Assert(t, c.choose(refs(1)[0], false) == nil)
 }
 
-// Guards against a lease that isn't renewed, one on the clock of the worker's earlier life, or a start that is taken for not sent, because the carrier was lost.
+// Guards against a lease that isn't renewed, one on the clock of the worker's earlier instance, or a start that is taken for
+// not sent, because the carrier was lost.
 func TestLostCarrierLosesNoLease(t *testing.T) {
 	c, direct, _ := newTestCarriers(t, 24)
 	lost := port.WorkerRef{ID: "lost", Address: "a", Zone: "zone-1"}
@@ -141,7 +142,7 @@
 	assert.Equal(t, direct.starts.Load(), int64(0), "the carrier may still execute the start, so the scheduler decides")
 }
 
-// Guards against a lease that is reckoned too short: the carrier that was lost may have renewed it, although the repeated
+// Guards against a lease that is taken for expired too early: the carrier that was lost may have renewed it, although the repeated
 // call was refused.
 func TestRefusalAfterALostCarrierLeavesTheOutcomeUnknown(t *testing.T) {
 	for _, refusal := range []error{port.ErrConnectionRefused, port.ErrUnavailable} {
--- a/internal/control/lease.go
+++ b/internal/control/lease.go
@@ -8,19 +8,19 @@
 	"sequoiastall/internal/port"
 )
 
-// leaseTracker reckons until when the runs of a worker may last. It has no I/O.
+// leaseTracker tracks until when the runs of a worker may last. It has no I/O.
 //
-// The end of a lease is a time on the worker's clock, which starts anew with each life of the worker. An end that was
-// derived from the clock of an earlier life lies far ahead on the new clock, so that the worker takes the longest lease
-// there is. No lease is granted therefore until the life that listens has shown its clock, and if another life may have
-// taken a lease nevertheless, the longest lease is reckoned with.
+// The end of a lease is a time on the worker's clock, which restarts with each instance of the worker. An end on the clock
+// of an earlier instance lies far ahead on the new clock, and the worker then takes the longest lease that it allows.
+// Therefore no lease is granted until the current instance has reported its clock. If another instance may have taken a
+// lease nevertheless, the longest lease is assumed.
 type leaseTracker struct {
 	duration time.Duration // of the leases that are granted
 	longest  time.Duration // the longest lease that a worker keeps
-	// startMS is the start of the life that answered last, or of a later one that the registry lists.
+	// startMS is the start of the instance that answered last, or of a later one that the registry lists.
 	startMS int64
-	// clock is the clock of the life that answered last. It is unknown from a call without an answer until the next answer,
-	// because the worker may have restarted.
+	// clock is the clock of the instance that answered last. It is unknown from a call without an answer until the next
+	// answer, because the worker may have restarted.
 	clock clockSample
 	// expiresAt is when all runs on the worker have ended for certain unless the lease is renewed. Calls in flight may
 	// renew it.
@@ -36,7 +36,7 @@
 	l := leaseTracker{duration: o.workerLeaseDuration(), longest: o.MaxLease, startMS: startMS}
 	earlier := l.duration
 	if startMS != 0 {
-		earlier = l.earlierLease(lifeAge(startMS, 0, termBegan))
+		earlier = l.earlierLease(instanceAge(startMS, 0, termBegan))
 	}
 	l.expiresAt = termBegan.Add(orphanTimeout(earlier))
 	return l
@@ -58,18 +58,18 @@
 
 func (c clockSample) known() bool { return !c.at.IsZero() }
 
-// forgetClock keeps the reading, which later ones of the same life can't be behind.
+// forgetClock marks the clock as unknown. It keeps the reading, because readings of one instance never go back.
 func (l *leaseTracker) forgetClock() { l.clock.at = time.Time{} }
 
 // leaseCall is a call that may renew a lease.
 type leaseCall struct {
 	endMS   int64     // the end of the lease on the worker's clock, 0 if the call grants none
 	expiry  time.Time // when that lease has expired for certain
-	startMS int64     // the life on whose clock endMS is
+	startMS int64     // the instance on whose clock endMS is
 	clockMS int64     // the least that this clock shows when the call arrives
 }
 
-// clockTolerance is by how much a worker's clock may be behind the reckoned one without being that of another life.
+// clockTolerance is by how much a worker's clock may be behind the expected one without being that of another instance.
 const clockTolerance = 50 * time.Millisecond
 
 // extended returns a duration on a worker's clock as the longest that it may take on the local clock. It allows for twice
@@ -111,11 +111,11 @@
 		return
 	}
 	l.extend(c.expiry)
-	otherLife := startMS != 0 && startMS != c.startMS || clockMS != 0 && clockMS < c.clockMS
-	if otherLife {
+	otherInstance := startMS != 0 && startMS != c.startMS || clockMS != 0 && clockMS < c.clockMS
+	if otherInstance {
 		l.forgetClock()
 	}
-	if otherLife || l.startMS != c.startMS {
+	if otherInstance || l.startMS != c.startMS {
 		l.extendToLongest(now)
 	}
 }
@@ -125,14 +125,14 @@
 	switch {
 	case !l.reached:
 		// From now on the worker refuses renewals of an earlier holder.
-		l.expiresAt = now.Add(extended(l.earlierLease(lifeAge(startMS, clockMS, now))))
+		l.expiresAt = now.Add(extended(l.earlierLease(instanceAge(startMS, clockMS, now))))
 	case startMS != l.startMS || clockMS < l.clock.ms:
 		l.extendToLongest(now)
 	}
 	l.startMS, l.clock, l.expired, l.reached = startMS, clockSample{clockMS, now}, false, true
 }
 
-// restarted applies the start of a life that the registry lists.
+// restarted applies the start of an instance that the registry lists.
 func (l *leaseTracker) restarted(startMS int64, now time.Time) {
 	if l.startMS == 0 || startMS <= l.startMS {
 		return
@@ -142,8 +142,8 @@
 	l.extendToLongest(now)
 }
 
-// earlierLease returns the longest lease that an earlier holder may have granted. That holder may not have known yet of a
-// life that began a short while ago.
+// earlierLease returns the longest lease that an earlier holder may have granted to an instance of the given age. That
+// holder may not have noticed a recent restart.
 func (l *leaseTracker) earlierLease(age time.Duration) time.Duration {
 	if age < 2*l.longest {
 		return l.longest
@@ -151,8 +151,8 @@
 	return l.duration
 }
 
-// lifeAge returns how long ago a worker's life began. If its start isn't stated, the clock tells, which starts with it.
-func lifeAge(startMS, clockMS int64, now time.Time) time.Duration {
+// lifeAge returns how long ago an instance started. Without a stated start, this is the reading of its clock.
+func instanceAge(startMS, clockMS int64, now time.Time) time.Duration {
 	if startMS == 0 {
 		return time.Duration(clockMS) * time.Millisecond
 	}
@@ -169,7 +169,7 @@
 // lateCallMargin is how much later than its end a call may be executed, because a carrier or the worker was paused.
 const lateCallMargin = 2 * time.Second
 
-// extendToLongest reckons with the longest lease, granted by calls that were sent before a restart was noticed.
+// extendToLongest assumes that calls which were sent before a restart was noticed have granted the longest lease.
 func (l *leaseTracker) extendToLongest(now time.Time) {
 	l.extend(now.Add(lateCallMargin + extended(l.longest)))
 }
--- a/internal/control/lease_test.go
+++ b/internal/control/lease_test.go
@@ -20,14 +20,14 @@
 
 	mu      sync.Mutex
 	born    time.Time
-	crashed chan struct{} // closed at the end of this life
+	crashed chan struct{} // closed when this instance crashes
 	down    error         // what calls fail with after that
-	longest time.Duration // the longest lease taken in this life
+	longest time.Duration // the longest lease that this instance has taken
 }
 
 const longestLease = 10 * time.Second
 
-// start begins a life of the given age.
+// start starts an instance of the given age.
 func (w *restartingWorker) start(age time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -79,7 +79,7 @@
 	return w.take(s.LeaseEndMS)
 }
 
-// Guards against a task that runs twice: a worker restarted under its ID and took a lease on the clock of its earlier life,
+// Guards against a task that runs twice: a worker restarted under its ID and took a lease on the clock of its earlier instance,
 // so that its runs went on for seconds after the lease was taken for expired.
 func TestRestartedWorkerTakesNoLeaseOnItsEarlierClock(t *testing.T) {
 	for _, down := range []error{port.ErrConnectionRefused, port.ErrUnknownOutcome, port.ErrUnavailable} {
@@ -115,19 +115,19 @@
 	}
 }
 
-// Guards against a lease that is taken for expired too early: it was granted on the clock of one life and taken by the
+// Guards against a lease that is taken for expired too early: it was granted on the clock of one instance and taken by the
 // next one, which shows only in the answer.
-func TestLeaseTakenByAnotherLifeIsReckonedAtItsLongest(t *testing.T) {
+func TestLeaseTakenByAnotherInstanceCountsAsTheLongest(t *testing.T) {
 	now := time.Now()
 	for name, c := range map[string]struct {
 		startMS, clockMS int64
 		longest          bool
 	}{
-		"renewal, same life":    {startMS: 1, clockMS: 30_980},
-		"renewal, another life": {startMS: 2, clockMS: 100, longest: true},
-		"start, same life":      {clockMS: 30_980},
-		"start, another life":   {clockMS: 100, longest: true},
-		"start without a clock": {},
+		"renewal, same instance":    {startMS: 1, clockMS: 30_980},
+		"renewal, another instance": {startMS: 2, clockMS: 100, longest: true},
+		"start, same instance":      {clockMS: 30_980},
+		"start, another instance":   {clockMS: 100, longest: true},
+		"start without a clock":     {},
 	} {
 		t.Run(name, func(t *testing.T) {
 			l := newTestLink(t, now).lease
@@ -135,13 +135,13 @@
 			call, later := l.begin(now.Add(time.Second)), now.Add(1010*time.Millisecond)
 			l.finish(call, c.startMS, c.clockMS, nil, later)
 			assert.Equal(t, l.expiresAt.After(later.Add(longestLease)), c.longest)
-			assert.Equal(t, l.clock.known(), !c.longest, "no lease on the clock of the earlier life")
+			assert.Equal(t, l.clock.known(), !c.longest, "no lease on the clock of the earlier instance")
 		})
 	}
 }
 
 // Guards against the same where the answers don't say when the worker started: its clock has gone back.
-func TestClockThatHasGoneBackIsThatOfAnotherLife(t *testing.T) {
+func TestClockThatHasGoneBackIsThatOfAnotherInstance(t *testing.T) {
 	now := time.Now()
 	l := newTestLink(t, now).lease
 	l.answered(0, 30_000, now)
@@ -172,13 +172,13 @@
 
 	later := now.Add(time.Second)
 	l.lease.finish(call, 0, 0, port.ErrUnknownOutcome, later)
-	assert.Assert(t, l.lease.expiresAt.After(later.Add(longestLease)), "the new life may have taken the lease of the call in flight")
+	assert.Assert(t, l.lease.expiresAt.After(later.Add(longestLease)), "the new instance may have taken the lease of the call in flight")
 	l.lease.finish(other, 2, 5, nil, later)
 }
 
 // Guards against a takeover shortly after a worker's restart: the earlier holder may have granted the longest lease before
 // it knew of the restart.
-func TestTakeoverReckonsWithLeasesOfYoungWorkers(t *testing.T) {
+func TestTakeoverAssumesTheLongestLeaseOfYoungWorkers(t *testing.T) {
 	now := time.Now()
 	unlisted := newLeaseTracker(newTestNode("a", 1).options, 0, now)
 	assert.Assert(t, unlisted.expiresAt.Before(now.Add(maxStoreSilence+longestLease)), "the tasks of lost workers don't wait longer")
--- a/internal/control/links.go
+++ b/internal/control/links.go
@@ -118,7 +118,7 @@
 	}
 }
 
-// applyRegistered applies the start of the worker's life that the registry lists.
+// applyRegistered applies the start of the worker's instance that the registry lists.
 func (l *workerLink) applyRegistered(startMS int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -168,7 +168,7 @@
 	}
 	call := l.lease.begin(time.Now())
 	r.LeaseEndMS = call.endMS
-	if l.lease.clock.known() { // the ack refers to the ended runs of the life with that clock
+	if l.lease.clock.known() { // the ack refers to the ended runs of the instance with that clock
 		r.Ack = l.ack
 	}
 	return r, call
