--- a/internal/control/lease.go
+++ b/internal/control/lease.go
@@ -151,7 +151,7 @@
 	return l.duration
 }
 
-// lifeAge returns how long ago an instance started. Without a stated start, this is the reading of its clock.
+// instanceAge returns how long ago an instance started. Without a stated start, this is the reading of its clock.
 func instanceAge(startMS, clockMS int64, now time.Time) time.Duration {
 	if startMS == 0 {
 		return time.Duration(clockMS) * time.Millisecond
