control: a silent new connection doesn't delay a node's stop

The platform kills it after its grace period.

Cause: the server of the other nodes waits for open handshakes when it stops, and their timeout was the library's default of 120 s. A connection whose data is held or lost never finishes its handshake; the goroutines of a stopping node showed one.

Fix: a handshake may take one second.

--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -22,13 +22,16 @@
 	peerTimeout = 350 * time.Millisecond
 	// maxMessage bounds a message between nodes: a configuration or a job.
 	maxMessage = 4 << 20
+	// handshakeTimeout bounds the time from the acceptance of a connection to the end of its handshake. The server waits for
+	// open handshakes when it stops. Clients give up sooner.
+	handshakeTimeout = time.Second
 	// peerWindow is a fixed flow-control window, which keeps grpc from estimating the bandwidth with each answer.
 	peerWindow = 1 << 20
 )
 
 func serverOptions(log *slog.Logger) []grpc.ServerOption {
 	return []grpc.ServerOption{grpc.UnaryInterceptor(containUnary(log)), grpc.StreamInterceptor(containStream(log)),
-		grpc.MaxRecvMsgSize(maxMessage), grpc.InitialWindowSize(peerWindow), grpc.InitialConnWindowSize(peerWindow),
+		grpc.ConnectionTimeout(handshakeTimeout), grpc.MaxRecvMsgSize(maxMessage), grpc.InitialWindowSize(peerWindow), grpc.InitialConnWindowSize(peerWindow),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: time.Second, PermitWithoutStream: true}),
 		grpc.WriteBufferSize(8 << 10), grpc.ReadBufferSize(8 << 10)}
 }
