control: a worker's lease doesn't expire while a start is pending

Cause: the scheduler decides a start on its own goroutine, but the lease tracker counted the call only when another goroutine sent it, which may first read the worker's clock. A lease that expired in between released the run, and the task was placed elsewhere; the first start was sent nevertheless. The same happened if the expiry had been noticed before the decision and its event was queued behind it.

Fix: a start counts from its decision until the scheduler has applied its outcome, and the expiry is checked again on the scheduler's goroutine.

--- a/internal/control/lease.go
+++ b/internal/control/lease.go
@@ -27,6 +27,7 @@
 	expiresAt time.Time
 	expired   bool // the scheduler knows that the lease until expiresAt has expired
 	calls     int  // number of calls in flight that may renew the lease
+	starts    int  // number of start orders whose outcome the scheduler doesn't know yet; each may renew the lease
 	reached   bool // the worker has answered this holder
 }
 
@@ -176,9 +177,16 @@
 
 // expire reports, once for each lease, that all runs on the worker have ended because its lease has expired.
 func (l *leaseTracker) expire(now time.Time) bool {
-	if l.expired || l.calls > 0 || !now.After(l.expiresAt) {
+	if l.expired || l.calls > 0 || l.starts > 0 || !now.After(l.expiresAt) {
 		return false
 	}
 	l.expired = true
 	return true
 }
+
+// stillExpired reports whether nothing has renewed the lease since expire reported its end, and nothing may do so.
+// Otherwise a later call of expire reports the end.
+func (l *leaseTracker) stillExpired(now time.Time) bool {
+	l.expired = false
+	return l.expire(now)
+}
--- a/internal/control/links.go
+++ b/internal/control/links.go
@@ -254,10 +254,28 @@
 	expired := l.lease.expire(time.Now())
 	l.mu.Unlock()
 	if expired {
-		l.s.post(l.s.ctx, func() { l.s.core.WorkerLeaseExpired(l.ref.ID, time.Now()) })
+		l.s.post(l.s.ctx, l.handleExpiry)
 	}
 }
 
+// handleExpiry releases the runs on the worker, unless the scheduler has decided a start since the expiry was noticed.
+func (l *workerLink) handleExpiry() {
+	l.mu.Lock()
+	expired := l.lease.stillExpired(time.Now())
+	l.mu.Unlock()
+	if expired {
+		l.s.core.WorkerLeaseExpired(l.ref.ID, time.Now())
+	}
+}
+
+// countStarts changes the number of start orders whose outcome the scheduler doesn't know yet. It is called on the
+// scheduler's goroutine, so that the lease can't expire between the decision to send an order and its outcome.
+func (l *workerLink) countStarts(change int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lease.starts += change
+}
+
 // sendOrder sends an order to its worker and passes the outcome to the scheduler.
 func (s *activeTerm) sendOrder(o cell.Order) {
 	l := s.links[o.Worker]
@@ -265,9 +283,15 @@
 		s.core.ApplyOrderOutcome(o, cell.OrderUnanswered, time.Now())
 		return
 	}
+	if o.Kind == cell.OrderStart {
+		l.countStarts(1)
+	}
 	s.spawn(func() {
 		outcome := l.send(o)
 		s.post(s.ctx, func() {
+			if o.Kind == cell.OrderStart {
+				l.countStarts(-1)
+			}
 			if !s.core.ApplyOrderOutcome(o, outcome, time.Now()) {
 				s.end(errors.Wrapf(errTermLost, "worker %s has accepted a higher fencing token", o.Worker))
 			}
--- /dev/null
+++ b/internal/control/orders_test.go
@@ -0,0 +1,124 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"sequoiastall/internal/core/cell"
+	"sequoiastall/internal/core/resource"
+	"sequoiastall/internal/port"
+)
+
+// orderedWorkers records the orders that it carries out. Renewals fail with renewalError.
+type orderedWorkers struct {
+	port.LeasedWorkers
+	renewalError error
+	delay        time.Duration // of starts
+
+	mu            sync.Mutex
+	starts, stops []cell.RunID
+}
+
+func (w *orderedWorkers) Renew(context.Context, port.WorkerRef, port.Renewal) (port.RenewalReply, error) {
+	return port.RenewalReply{}, w.renewalError
+}
+
+func (w *orderedWorkers) Start(_ context.Context, _ port.WorkerRef, s port.Start) (int64, error) {
+	time.Sleep(w.delay)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.starts = append(w.starts, s.Order.Run)
+	return 0, nil
+}
+
+func (w *orderedWorkers) Stop(_ context.Context, _ port.WorkerRef, r cell.RunID, _ int64) (int64, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stops = append(w.stops, r)
+	return 0, nil
+}
+
+func (w *orderedWorkers) counts() (starts, stops int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.starts), len(w.stops)
+}
+
+var oneCore = resource.Vector{MilliCPU: 1000, MemoryMB: 100}
+
+// newOrderingLink returns a link to worker w, which has answered and whose lease ends in a second, and the order to start the
+// task of job j there.
+func newOrderingLink(t *testing.T, workers port.LeasedWorkers) (*workerLink, cell.Order) {
+	now := time.Now()
+	node, _, _ := newIsolatedNode()
+	node.options.MaxLease = longestLease
+	s := &activeTerm{node: node, term: &term{number: 3}, events: make(chan func(), 64), core: cell.New(cell.Options{}, discardEvents{}),
+		links: map[cell.WorkerID]*workerLink{}, carriers: newCarriers(workers, spreading{}), began: now}
+	s.ctx, s.end = context.WithCancelCause(t.Context())
+	t.Cleanup(func() { s.end(nil); s.tasks.Wait() })
+	s.core.SetConfig(cell.NewConfig(cell.Config{Version: 1, Queues: []cell.Queue{{Name: "q", Service: "pool", MaxAttempts: 2, Stretch: 3}}}))
+	s.core.SetWorkers([]cell.WorkerReport{{ID: "w", Address: "a", Service: "pool", Capacity: oneCore, StartMS: 1}}, now)
+	l := &workerLink{s: s, ref: port.WorkerRef{ID: "w", Address: "a"}, cancel: func() {}, acked: make(chan struct{}, 1),
+		lease: newLeaseTracker(node.options, 1, now)}
+	s.links["w"] = l
+	l.applyRenewal(t.Context(), port.RenewalReply{ClockMS: 60_000, Inventory: cell.Inventory{Worker: "w", StartMS: 1}})
+	s.drainEvents()
+	l.lease.expiresAt = now.Add(time.Second)
+	assert.NilError(t, s.core.AddJob(cell.Job{ID: "j", Queue: "q", Service: "pool", Steps: []cell.Step{{Count: 1, Each: oneCore}}}, nil, now))
+	s.core.Advance(now)
+	for _, w := range s.core.TakeWrites(entriesPerTxn) {
+		s.core.WriteCommitted(w)
+	}
+	orders := s.core.Advance(now).Orders
+	assert.Equal(t, len(orders), 1)
+	return l, orders[0]
+}
+
+// runs returns the number of runs that the scheduler expects on the only worker.
+func (s *activeTerm) runs() int { return s.core.WorkersInUse()[0].Runs }
+
+// Guards against a task that runs twice: its start was decided and not sent yet when the worker's lease expired, so it was
+// given up, started elsewhere, and sent after all.
+func TestLeaseDoesNotExpireWhileAStartIsPending(t *testing.T) {
+	for name, expireFirst := range map[string]bool{"expiry noticed after the decision": false, "expiry noticed before the decision": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				workers := &orderedWorkers{renewalError: port.ErrUnavailable}
+				l, order := newOrderingLink(t, workers)
+				clockRead, readClock := context.WithCancel(t.Context())
+				defer readClock()
+				l.lease.forgetClock()
+				go func() { // a reading of the clock, for which the start waits
+					_, _, _ = l.probes.Do("", func() (any, error) { <-clockRead.Done(); return nil, nil })
+				}()
+				synctest.Wait()
+				time.Sleep(2 * time.Second)
+				if expireFirst {
+					l.checkExpiry()
+				}
+				l.s.sendOrder(order)
+				synctest.Wait()
+				l.handleFailure(t.Context(), port.ErrUnavailable)
+				l.s.drainEvents()
+				assert.Equal(t, l.s.runs(), 1, "the start may still be carried out")
+
+				l.lease.answered(1, 62_000, time.Now())
+				readClock()
+				synctest.Wait()
+				l.s.drainEvents()
+				starts, _ := workers.counts()
+				assert.Equal(t, starts, 1)
+				assert.Equal(t, l.s.runs(), 1)
+				time.Sleep(2 * workerLease)
+				l.handleFailure(t.Context(), port.ErrUnavailable)
+				l.s.drainEvents()
+				assert.Equal(t, l.s.runs(), 0, "the lease of the start has expired")
+			})
+		})
+	}
+}
