control: a start that is answered after its run was given up is stopped

Cause: the outcome of a start whose run the scheduler had given up was ignored. If the start was carried out, the run went on until the worker's next inventory listed it, up to 2 s later.

Evidence: TestStartAnsweredAfterItsRunWasGivenUpIsStopped failed on the code before: orders_test.go:141: assertion failed: 0 (stops int) != 1 (int)

Fix: such a run is stopped at once, also if its outcome is unknown: the worker then refuses the start when it comes late. A run that ended before its start was answered isn't stopped; a second test guards that.

--- a/internal/control/links.go
+++ b/internal/control/links.go
@@ -196,7 +196,7 @@
 	l.mu.Unlock()
 	l.s.post(ctx, func() {
 		for _, o := range l.s.core.ApplyInventory(r.Inventory, time.Now()) {
-			l.s.stopUnexpectedRun(o)
+			l.s.stopUnexpectedRun(o.Worker, o.Run)
 		}
 		cursor, _ := l.s.core.AckCursor(l.ref.ID)
 		l.setAck(cursor)
@@ -295,16 +295,24 @@
 			if !s.core.ApplyOrderOutcome(o, outcome, time.Now()) {
 				s.end(errors.Wrapf(errTermLost, "worker %s has accepted a higher fencing token", o.Worker))
 			}
+			if o.Kind == cell.OrderStart && mayBeCarriedOut(outcome) && s.core.Superseded(o) {
+				s.stopUnexpectedRun(o.Worker, o.Run)
+			}
 		})
 	})
 }
 
+// mayBeCarriedOut reports whether an order with the outcome was carried out or still may be.
+func mayBeCarriedOut(o cell.OrderOutcome) bool {
+	return o == cell.OrderDone || o == cell.OrderUnanswered
+}
+
 // stopUnexpectedRun stops a run that the scheduler doesn't expect on its worker. If the order is lost, the worker lists
 // the run again.
-func (s *activeTerm) stopUnexpectedRun(o cell.Order) {
-	s.node.options.Log.Info("decision", "subject", o.Run.Task.String(), "decision", "stray run stopped", "run", o.Run.Run, "worker", o.Worker)
-	if l := s.links[o.Worker]; l != nil && l.ref.Address != "" {
-		s.spawn(func() { l.send(o) })
+func (s *activeTerm) stopUnexpectedRun(worker cell.WorkerID, run cell.RunID) {
+	s.node.options.Log.Info("decision", "subject", run.Task.String(), "decision", "stray run stopped", "run", run.Run, "worker", worker)
+	if l := s.links[worker]; l != nil && l.ref.Address != "" {
+		s.spawn(func() { l.send(cell.Order{Kind: cell.OrderStop, Worker: worker, Run: run}) })
 	}
 }
 
--- a/internal/control/orders_test.go
+++ b/internal/control/orders_test.go
@@ -122,3 +122,39 @@
 		})
 	}
 }
+
+// Guards against a run that goes on beside its successor until the next inventory: its start was answered only after the run had
+// been given up.
+func TestStartAnsweredAfterItsRunWasGivenUpIsStopped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		workers := &orderedWorkers{delay: 50 * time.Millisecond}
+		l, order := newOrderingLink(t, workers)
+		l.s.sendOrder(order)
+		l.s.core.WorkerTerminated("w", 1, time.Now())
+		assert.Equal(t, l.s.runs(), 0)
+		time.Sleep(workers.delay)
+		synctest.Wait()
+		l.s.drainEvents()
+		synctest.Wait()
+		starts, stops := workers.counts()
+		assert.Equal(t, starts, 1)
+		assert.Equal(t, stops, 1)
+	})
+}
+
+// Guards against a stop order for each run whose end is listed before its start is answered.
+func TestStartAnsweredAfterItsRunIsDoneIsNotStopped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		workers := &orderedWorkers{delay: 50 * time.Millisecond}
+		l, order := newOrderingLink(t, workers)
+		l.s.sendOrder(order)
+		l.applyRenewal(t.Context(), port.RenewalReply{ClockMS: 60_020, Inventory: cell.Inventory{Worker: "w", StartMS: 1,
+			Ended: []cell.EndedRow{{Number: 1, Run: order.Run, Kind: cell.EndDone}}}})
+		time.Sleep(workers.delay)
+		synctest.Wait()
+		l.s.drainEvents()
+		synctest.Wait()
+		_, stops := workers.counts()
+		assert.Equal(t, stops, 0)
+	})
+}
--- a/internal/core/cell/orders.go
+++ b/internal/core/cell/orders.go
@@ -128,6 +128,20 @@
 	return true
 }
 
+// Superseded reports whether the run of an order has been given up, so that it must not go on if it was started.
+func (s *Scheduler) Superseded(o Order) bool {
+	t := s.findTask(o.Run.Task)
+	switch {
+	case t == nil:
+		return false
+	case t.run != o.Run.Run:
+		return true
+	case t.worker == nil:
+		return t.phase != taskDone
+	}
+	return t.worker.ID != o.Worker
+}
+
 // retryInterval returns the delay before the task's unanswered order is sent again.
 func (t *task) retryInterval() time.Duration {
 	interval := orderRetryInterval
