control: no lease is granted once the term may be over

Cause: the next holder takes the runs of a worker that it can't reach for ended when a lease that was granted up to maxStoreSilence after the takeover has expired. Nothing enforced that bound on the former holder: - A node that woke from a pause of any length granted leases and sent recorded starts until a call told it that its term was over. A worker that only the new holder couldn't reach took them. - The bound counted from the answer of the keep-alive, which may have lain in a buffer during the pause, and a renewed store lease doesn't show that the scheduler key is still this node's: the store renews the lease also after another node has replaced the key. A node without a record to write stayed holder for good. - The next holder counted from before its campaign.

Fix: a term is confirmed by a committed record, or by a read of the scheduler key when none was committed for a second, as of the sending of that call. Leases and starts need a confirmation of at most maxStoreSilence ago; it is checked after the end of the lease is set. Ages are also measured on the clock that includes suspension of the machine. The next holder counts from after its term was won.

Cost: a read of one key a second while no record is written.

--- a/internal/control/committer.go
+++ b/internal/control/committer.go
@@ -80,12 +80,13 @@
 // commit sends the transaction until its outcome is known or the term ends.
 func (c *committer) commit(writes []cell.Write, t port.Txn) {
 	for attempt := 0; ; attempt++ {
-		began := time.Now()
+		sentAt := currentInstant()
 		revision, err := c.s.node.options.Store.Commit(c.s.ctx, t)
-		recordSince(c.s.node.metrics.commitTime, began)
+		recordSince(c.s.node.metrics.commitTime, sentAt.monotonic)
 		var conflict *port.TxnConflictError
 		switch {
 		case err == nil:
+			c.s.term.confirm(sentAt)
 			c.committed(writes, func(cell.Write) int64 { return revision })
 			return
 		case errors.As(err, &conflict):
--- a/internal/control/election.go
+++ b/internal/control/election.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -43,8 +44,33 @@
 	number   int64
 	revision int64 // of the scheduler key during the term
 	lease    port.LeaseID
+
+	mu sync.Mutex
+	// confirmedAt is when the last call was sent whose answer showed that this node still held the term. The answer itself may
+	// have waited in a buffer while this node was paused.
+	confirmedAt instant
 }
 
+// confirm records that a call sent at the given instant has shown that this node still held the term.
+func (t *term) confirm(sentAt instant) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if sentAt.monotonic.After(t.confirmedAt.monotonic) {
+		t.confirmedAt = sentAt
+	}
+}
+
+// unconfirmedFor returns for how long nothing has shown that this node still holds the term.
+func (t *term) unconfirmedFor() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.confirmedAt.age()
+}
+
+// mayGrantLeases reports whether this node may grant leases. The next holder assumes that none was granted later than
+// maxStoreSilence after the last confirmation.
+func (t *term) mayGrantLeases() bool { return t.unconfirmedFor() <= maxStoreSilence }
+
 // errTermLost means that another node holds the scheduling lease.
 var errTermLost = errors.New("another node holds the scheduling lease")
 
@@ -68,6 +94,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "encode term")
 	}
+	sentAt := currentInstant()
 	t.revision, err = n.options.Store.Commit(ctx, port.Txn{
 		Conditions: []port.Expect{{Key: schedulerKey, Revision: revision}, {Key: termKey, Revision: termRevision}},
 		Puts:       []port.Put{{Key: schedulerKey, Value: record, Lease: lease}, {Key: termKey, Value: number}},
@@ -76,6 +103,9 @@
 	if errors.As(err, &conflict) {
 		return nil, errTermLost
 	}
+	if err == nil {
+		t.confirm(sentAt)
+	}
 	// A commit with an unknown outcome may have made this node the holder. In that case supervise finds a record with this
 	// node's own address and acquires the lease again.
 	return t, err
@@ -98,17 +128,21 @@
 // renewTerm renews the store lease until this node can no longer be sure that it holds the term. It returns the reason.
 func (n *Node) renewTerm(ctx context.Context, t *term) error {
 	interval := max(schedulerLease, n.options.MinStoreLease) / 5
-	last := time.Now()
 	for {
 		err := n.options.Store.KeepAlive(ctx, t.lease)
+		if errors.Is(err, port.ErrLeaseLapsed) {
+			return errors.New("the store lease has lapsed")
+		}
+		if err == nil {
+			err = n.confirmTerm(ctx, t)
+		}
 		switch {
 		case err == nil:
-			last = time.Now()
 			n.storeAnswered()
-		case errors.Is(err, port.ErrLeaseLapsed):
-			return errors.New("the store lease has lapsed")
-		case time.Since(last) > maxStoreSilence:
-			return errors.Wrap(err, "the store doesn't answer")
+		case errors.Is(err, errTermLost):
+			return err
+		case t.unconfirmedFor() > maxStoreSilence:
+			return errors.Wrap(err, "the store doesn't confirm the term")
 		default:
 			n.storeFailed(err)
 		}
@@ -119,3 +153,25 @@
 		}
 	}
 }
+
+// confirmInterval is how long after the last confirmation of a term the scheduler key is read. While records are written,
+// each of them confirms the term.
+const confirmInterval = time.Second
+
+// confirmTerm reads the scheduler key unless the term was confirmed recently. A store lease can be renewed after another
+// node has replaced the key, so its renewal confirms nothing.
+func (n *Node) confirmTerm(ctx context.Context, t *term) error {
+	if t.unconfirmedFor() < confirmInterval {
+		return nil
+	}
+	sentAt := currentInstant()
+	e, err := n.options.Store.Get(ctx, schedulerKey)
+	switch {
+	case errors.Is(err, port.ErrNotFound), err == nil && e.Revision != t.revision:
+		return errTermLost
+	case err != nil:
+		return err
+	}
+	t.confirm(sentAt)
+	return nil
+}
--- a/internal/control/lease.go
+++ b/internal/control/lease.go
@@ -33,18 +33,18 @@
 
 // newLeaseTracker returns the lease of a worker at the beginning of a term: an earlier holder may have renewed it. startMS
 // is 0 for a worker that has left the registry.
-func newLeaseTracker(o Options, startMS int64, termBegan time.Time) leaseTracker {
+func newLeaseTracker(o Options, startMS int64, termWon time.Time) leaseTracker {
 	l := leaseTracker{duration: o.workerLeaseDuration(), longest: o.MaxLease, startMS: startMS}
 	earlier := l.duration
 	if startMS != 0 {
-		earlier = l.earlierLease(instanceAge(startMS, 0, termBegan))
+		earlier = l.earlierLease(instanceAge(startMS, 0, termWon))
 	}
-	l.expiresAt = termBegan.Add(orphanTimeout(earlier))
+	l.expiresAt = termWon.Add(orphanTimeout(earlier))
 	return l
 }
 
 // orphanTimeout returns how long after the start of a term the runs of an unreachable worker have ended for certain, if
-// the holder of the earlier term granted leases of the given duration until it noticed that the store doesn't answer.
+// the holder of the earlier term granted leases of the given duration until maxStoreSilence after its last confirmation.
 // The result is the sum of maxStoreSilence, the extended lease, and one second.
 func orphanTimeout(lease time.Duration) time.Duration {
 	return maxStoreSilence + extended(lease) + time.Second
--- a/internal/control/links.go
+++ b/internal/control/links.go
@@ -57,7 +57,7 @@
 		}
 		ctx, cancel := context.WithCancel(s.ctx)
 		l := &workerLink{s: s, ref: port.WorkerRef{ID: w.ID, Address: w.Address, Zone: w.Zone}, cancel: cancel, acked: make(chan struct{}, 1),
-			lease: newLeaseTracker(s.node.options, w.StartMS, s.began)}
+			lease: newLeaseTracker(s.node.options, w.StartMS, s.wonAt)}
 		s.links[w.ID] = l
 		s.spawn(func() { l.run(ctx) })
 	}
@@ -166,7 +166,7 @@
 	if second {
 		return r, l.lease.beginUngranted()
 	}
-	call := l.lease.begin(time.Now())
+	call := l.beginCall()
 	r.LeaseEndMS = call.endMS
 	if l.lease.clock.known() { // the ack refers to the ended runs of the instance with that clock
 		r.Ack = l.ack
@@ -174,6 +174,16 @@
 	return r, call
 }
 
+// beginCall starts a call that grants a lease if the worker's clock is known and the term was confirmed recently. The term
+// is checked after the lease's end is set, because this node may be paused in between. The caller holds mu.
+func (l *workerLink) beginCall() leaseCall {
+	call := l.lease.begin(time.Now())
+	if !l.s.term.mayGrantLeases() {
+		return leaseCall{}
+	}
+	return call
+}
+
 // finishLeaseCall ends a call that may have renewed the lease.
 func (l *workerLink) finishLeaseCall(c leaseCall, startMS, clockMS int64, err error) {
 	now := time.Now()
@@ -347,9 +357,9 @@
 		return errors.Wrapf(port.ErrUnavailable, "worker clock not known: %v", err)
 	}
 	l.mu.Lock()
-	call := l.lease.begin(time.Now())
+	call := l.beginCall()
 	l.mu.Unlock()
-	clockMS, err := int64(0), errors.Wrap(port.ErrUnavailable, "worker clock not known")
+	clockMS, err := int64(0), errors.Wrap(port.ErrUnavailable, "no lease can be granted")
 	if call.endMS != 0 {
 		began := time.Now()
 		clockMS, err = l.s.carriers.Start(l.s.ctx, l.ref, port.Start{Order: o, Token: l.s.term.number, LeaseEndMS: call.endMS}, second)
--- a/internal/control/links_test.go
+++ b/internal/control/links_test.go
@@ -15,10 +15,17 @@
 	return &Node{options: Options{Name: name, Cores: cores, MaxLease: 10 * time.Second}}
 }
 
+// confirmedTerm returns a term that was just won.
+func confirmedTerm(number int64) *term {
+	t := &term{number: number}
+	t.confirm(currentInstant())
+	return t
+}
+
 // newTestLink returns a link to worker w in a term that began at the given time.
 func newTestLink(t *testing.T, termBegan time.Time) *workerLink {
 	node := newTestNode("a", 1)
-	s := &activeTerm{node: node, term: &term{number: 3}, events: make(chan func(), 8), ctx: t.Context(), core: cell.New(cell.Options{}, discardEvents{})}
+	s := &activeTerm{node: node, term: confirmedTerm(3), events: make(chan func(), 8), ctx: t.Context(), core: cell.New(cell.Options{}, discardEvents{})}
 	return &workerLink{s: s, ref: port.WorkerRef{ID: "w", Address: "a"}, acked: make(chan struct{}, 1), lease: newLeaseTracker(node.options, 0, termBegan)}
 }
 
--- a/internal/control/members_test.go
+++ b/internal/control/members_test.go
@@ -56,6 +56,8 @@
 	return port.Page{Revision: 1}, nil
 }
 
+func (s *endingStore) Get(context.Context, string) (port.Entry, error) { return port.Entry{}, nil }
+
 func (s *endingStore) Changes(context.Context, string, int64, time.Duration) ([]port.WatchEvent, int64, error) {
 	return nil, 1, nil
 }
--- a/internal/control/orders_test.go
+++ b/internal/control/orders_test.go
@@ -57,8 +57,8 @@
 	now := time.Now()
 	node, _, _ := newIsolatedNode()
 	node.options.MaxLease = longestLease
-	s := &activeTerm{node: node, term: &term{number: 3}, events: make(chan func(), 64), core: cell.New(cell.Options{}, discardEvents{}),
-		links: map[cell.WorkerID]*workerLink{}, carriers: newCarriers(workers, spreading{}), began: now}
+	s := &activeTerm{node: node, term: confirmedTerm(3), events: make(chan func(), 64), core: cell.New(cell.Options{}, discardEvents{}),
+		links: map[cell.WorkerID]*workerLink{}, carriers: newCarriers(workers, spreading{}), wonAt: now}
 	s.ctx, s.end = context.WithCancelCause(t.Context())
 	t.Cleanup(func() { s.end(nil); s.tasks.Wait() })
 	s.core.SetConfig(cell.NewConfig(cell.Config{Version: 1, Queues: []cell.Queue{{Name: "q", Service: "pool", MaxAttempts: 2, Stretch: 3}}}))
--- a/internal/control/scheduling.go
+++ b/internal/control/scheduling.go
@@ -34,7 +34,8 @@
 	retries       retryBudget
 	busyUntil     atomic.Int64 // Unix nanoseconds until which this node counts as busy
 	recordWaiters recordWaiters
-	began         time.Time
+	began         time.Time   // when the campaign for the term began
+	wonAt         time.Time   // after the term was won: earlier holders can't confirm their terms any more
 	loaded        atomic.Bool // the state is loaded; events are queued until then
 }
 
@@ -50,7 +51,7 @@
 	termCtx, end := context.WithCancelCause(ctx)
 	defer end(nil)
 	s := &activeTerm{node: n, term: t, events: make(chan func(), eventBuffer), ctx: termCtx, end: end, links: map[cell.WorkerID]*workerLink{},
-		recordWaiters: recordWaiters{}, began: began}
+		recordWaiters: recordWaiters{}, began: began, wonAt: time.Now()}
 	s.core = cell.New(cell.Options{EndedRetention: n.options.EndedRetention, MaxRegistryAge: maxRegistryAge}, decisionLog{n.options.Log, n.metrics})
 	s.advice = newAdvicePool(s)
 	s.committer = newCommitter(s)
