control: a worker's lease outlasts a change of its address

Cause: a worker whose address changes in the registry gets a new link, and that began with a new lease tracker. The tracker assumed the leases of the holder before this term, which have long expired in the middle of a term, and knew nothing of those that this term had granted or of calls in flight to the former address. The first failed renewal therefore released all runs on the worker, and their tasks started elsewhere.

Fix: the lease and the acknowledgement belong to the worker and pass from link to link. Only the clock has to be read again, because another instance may answer at the new address.

--- a/internal/control/links.go
+++ b/internal/control/links.go
@@ -33,14 +33,32 @@
 	s      *activeTerm
 	ref    port.WorkerRef
 	cancel context.CancelFunc
-	acked  chan struct{} // signals that ack has changed
+	probes singleflight.Group
+	*linkState
+}
+
+// linkState is what is known of a worker regardless of its address. A link to another address takes it over, because calls to the
+// former address may still renew the lease.
+type linkState struct {
+	acked chan struct{} // signals that ack has changed
 
 	mu         sync.Mutex
 	lease      leaseTracker
 	ack        int64
 	idle       bool      // the last inventory was empty
 	doubtUntil time.Time // a call without an answer is recent until then
-	probes     singleflight.Group
+}
+
+func newLinkState(l leaseTracker) *linkState {
+	return &linkState{acked: make(chan struct{}, 1), lease: l}
+}
+
+// moved prepares the state for a link to another address, where another instance of the worker may answer.
+func (l *linkState) moved() *linkState {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lease.forgetClock()
+	return l
 }
 
 // updateLinks creates a link for each worker in use and closes the links of all others.
@@ -48,18 +66,12 @@
 	inUse := map[cell.WorkerID]bool{}
 	for _, w := range s.core.WorkersInUse() {
 		inUse[w.ID] = true
-		if l := s.links[w.ID]; l != nil {
-			if l.ref.Address == w.Address || w.Address == "" {
-				l.applyRegistered(w.StartMS)
-				continue
-			}
-			l.cancel()
+		l := s.links[w.ID]
+		if l == nil || l.ref.Address != w.Address && w.Address != "" {
+			s.openLink(w, l)
+			continue
 		}
-		ctx, cancel := context.WithCancel(s.ctx)
-		l := &workerLink{s: s, ref: port.WorkerRef{ID: w.ID, Address: w.Address, Zone: w.Zone}, cancel: cancel, acked: make(chan struct{}, 1),
-			lease: newLeaseTracker(s.node.options, w.StartMS, s.wonAt)}
-		s.links[w.ID] = l
-		s.spawn(func() { l.run(ctx) })
+		l.applyRegistered(w.StartMS)
 	}
 	for id, l := range s.links {
 		if !inUse[id] {
@@ -69,6 +81,23 @@
 	}
 }
 
+// openLink creates a link to a worker and closes the former one, if there is one.
+func (s *activeTerm) openLink(w cell.WorkerInUse, former *workerLink) {
+	ctx, cancel := context.WithCancel(s.ctx)
+	l := &workerLink{s: s, ref: port.WorkerRef{ID: w.ID, Address: w.Address, Zone: w.Zone}, cancel: cancel}
+	if former != nil && former.ref.Address != "" {
+		l.linkState = former.moved()
+		l.applyRegistered(w.StartMS)
+	} else {
+		l.linkState = newLinkState(newLeaseTracker(s.node.options, w.StartMS, s.wonAt))
+	}
+	if former != nil {
+		former.cancel()
+	}
+	s.links[w.ID] = l
+	s.spawn(func() { l.run(ctx) })
+}
+
 // updateAcks informs the links of workers with unacknowledged ends up to which number these are durable.
 func (s *activeTerm) updateAcks() {
 	for _, id := range s.core.TakeUnacked() {
--- a/internal/control/links_test.go
+++ b/internal/control/links_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -26,7 +27,7 @@
 func newTestLink(t *testing.T, termBegan time.Time) *workerLink {
 	node := newTestNode("a", 1)
 	s := &activeTerm{node: node, term: confirmedTerm(3), events: make(chan func(), 8), ctx: t.Context(), core: cell.New(cell.Options{}, discardEvents{})}
-	return &workerLink{s: s, ref: port.WorkerRef{ID: "w", Address: "a"}, acked: make(chan struct{}, 1), lease: newLeaseTracker(node.options, 0, termBegan)}
+	return &workerLink{s: s, ref: port.WorkerRef{ID: "w", Address: "a"}, linkState: newLinkState(newLeaseTracker(node.options, 0, termBegan))}
 }
 
 // Calls that were never sent renew nothing, so they must not postpone the expiry of the lease. Otherwise the tasks of
@@ -131,6 +132,28 @@
 	assert.Equal(t, s.core.WorkersInUse()[0].Runs, 0)
 }
 
+// Guards against a task that runs twice: its worker got another address, and the first failed renewal there released all runs on
+// it, because the lease was taken for one that had ended soon after the beginning of the term.
+func TestLeaseOutlastsAChangeOfTheWorkersAddress(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, order := newOrderingLink(t, &orderedWorkers{renewalError: port.ErrUnavailable})
+		s := l.s
+		time.Sleep(time.Hour)
+		s.term.confirm(currentInstant())
+		l.lease.answered(1, 3_660_000, time.Now())
+		assert.Equal(t, l.send(order), cell.OrderDone)
+		s.core.ApplyOrderOutcome(order, cell.OrderDone, time.Now())
+		s.core.SetWorkers([]cell.WorkerReport{{ID: "w", Address: "b", Service: "pool", Capacity: oneCore, StartMS: 1}}, time.Now())
+		s.updateLinks()
+		time.Sleep(workerLease)
+		s.drainEvents()
+		assert.Equal(t, s.runs(), 1)
+		time.Sleep(time.Second)
+		s.drainEvents()
+		assert.Equal(t, s.runs(), 0, "the lease has expired")
+	})
+}
+
 // A node with few cores must not win the first term before a node with enough cores tries.
 func TestNodesWithMoreCoresCampaignFirst(t *testing.T) {
 	for _, name := range []string{"a", "b", "c"} {
--- a/internal/control/orders_test.go
+++ b/internal/control/orders_test.go
@@ -57,14 +57,14 @@
 	now := time.Now()
 	node, _, _ := newIsolatedNode()
 	node.options.MaxLease = longestLease
-	s := &activeTerm{node: node, term: confirmedTerm(3), events: make(chan func(), 64), core: cell.New(cell.Options{}, discardEvents{}),
+	s := &activeTerm{node: node, term: confirmedTerm(3), events: make(chan func(), eventBuffer), core: cell.New(cell.Options{}, discardEvents{}),
 		links: map[cell.WorkerID]*workerLink{}, carriers: newCarriers(workers, spreading{}), wonAt: now}
 	s.ctx, s.end = context.WithCancelCause(t.Context())
 	t.Cleanup(func() { s.end(nil); s.tasks.Wait() })
 	s.core.SetConfig(cell.NewConfig(cell.Config{Version: 1, Queues: []cell.Queue{{Name: "q", Service: "pool", MaxAttempts: 2, Stretch: 3}}}))
 	s.core.SetWorkers([]cell.WorkerReport{{ID: "w", Address: "a", Service: "pool", Capacity: oneCore, StartMS: 1}}, now)
-	l := &workerLink{s: s, ref: port.WorkerRef{ID: "w", Address: "a"}, cancel: func() {}, acked: make(chan struct{}, 1),
-		lease: newLeaseTracker(node.options, 1, now)}
+	l := &workerLink{s: s, ref: port.WorkerRef{ID: "w", Address: "a"}, cancel: func() {},
+		linkState: newLinkState(newLeaseTracker(node.options, 1, now))}
 	s.links["w"] = l
 	l.applyRenewal(t.Context(), port.RenewalReply{ClockMS: 60_000, Inventory: cell.Inventory{Worker: "w", StartMS: 1}})
 	s.drainEvents()
