control: an answer from a former address doesn't end the worker

Cause: an order or renewal that another instance answers shows that the worker which was expected at that address has ended, and all its runs are released. It wasn't checked that the worker was still expected there: a call to its former address released the runs at its new one. The renewal compared the instance, but as of the answer instead of the call.

Evidence: without the check, TestAnswerFromAFormerAddressDoesNotEndTheWorker failed for both: orders_test.go:183: assertion failed: 0 (int) != 1 (int) orders_test.go:193: assertion failed: 0 (int) != 1 (int)

Fix: such an answer ends the worker only if its link and its instance are still those of the call. Otherwise the order counts as not sent.

--- a/internal/control/links.go
+++ b/internal/control/links.go
@@ -131,12 +131,12 @@
 			l.checkExpiry()
 			continue
 		}
-		requestSequence, maxWait := l.s.core.OrderSequence(), l.maxWait()
+		requestSequence, maxWait, startMS := l.s.core.OrderSequence(), l.maxWait(), l.instance()
 		reply, err := hedge(l.s.spawn, maxWait+l.s.latency.hedgeDelay(), l.s.mayRetry, func(second bool) (port.RenewalReply, error) {
 			return l.renew(ctx, maxWait, second)
 		})
 		if err != nil {
-			l.handleFailure(ctx, err)
+			l.handleFailure(ctx, err, startMS)
 			if !wait.For(ctx, renewalRetryDelay) {
 				return
 			}
@@ -268,16 +268,29 @@
 	}
 }
 
-// handleFailure handles a renewal that returned no inventory.
-func (l *workerLink) handleFailure(ctx context.Context, err error) {
+// instance returns the start of the worker's current instance.
+func (l *workerLink) instance() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.lease.startMS
+}
+
+// leadsTo reports whether the instance is still expected at the link's address. It is called on the scheduler's goroutine.
+func (l *workerLink) leadsTo(startMS int64) bool {
+	return l.s.links[l.ref.ID] == l && l.instance() == startMS
+}
+
+// handleFailure handles a renewal that returned no inventory. startMS is the instance that was expected to answer.
+func (l *workerLink) handleFailure(ctx context.Context, err error, startMS int64) {
 	switch {
 	case errors.Is(err, port.ErrFenced):
 		l.s.end(errors.Wrapf(errTermLost, "worker %s has accepted a higher fencing token", l.ref.ID))
 	case errors.Is(err, port.ErrInstanceChanged):
-		l.mu.Lock()
-		startMS := l.lease.startMS
-		l.mu.Unlock()
-		l.s.post(ctx, func() { l.s.core.WorkerTerminated(l.ref.ID, startMS, time.Now()) })
+		l.s.post(ctx, func() {
+			if l.leadsTo(startMS) {
+				l.s.core.WorkerTerminated(l.ref.ID, startMS, time.Now())
+			}
+		})
 	case errors.Is(err, port.ErrConnectionRefused):
 		l.s.post(ctx, func() { l.s.core.WorkerConnectionRefused(l.ref.ID, time.Now()) })
 		l.checkExpiry()
@@ -325,9 +338,13 @@
 	if o.Kind == cell.OrderStart {
 		l.countStarts(1)
 	}
+	startMS := l.instance()
 	s.spawn(func() {
 		outcome := l.send(o)
 		s.post(s.ctx, func() {
+			if outcome == cell.OrderInstanceTerminated && !l.leadsTo(startMS) {
+				outcome = cell.OrderNotSent // the worker has another address or instance by now, which the order didn't reach
+			}
 			if o.Kind == cell.OrderStart {
 				l.countStarts(-1)
 			}
--- a/internal/control/links_test.go
+++ b/internal/control/links_test.go
@@ -112,7 +112,7 @@
 	s.drainEvents()
 	lapse := func() {
 		l.lease.expiresAt = time.Now().Add(-time.Millisecond)
-		l.handleFailure(t.Context(), port.ErrConnectionRefused)
+		l.handleFailure(t.Context(), port.ErrConnectionRefused, 1)
 		s.drainEvents()
 	}
 	lapse()
--- a/internal/control/orders_test.go
+++ b/internal/control/orders_test.go
@@ -18,6 +18,7 @@
 type orderedWorkers struct {
 	port.LeasedWorkers
 	renewalError error
+	startError   error
 	delay        time.Duration // of starts
 
 	mu            sync.Mutex
@@ -32,8 +33,10 @@
 	time.Sleep(w.delay)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.starts = append(w.starts, s.Order.Run)
-	return 0, nil
+	if w.startError == nil {
+		w.starts = append(w.starts, s.Order.Run)
+	}
+	return 0, w.startError
 }
 
 func (w *orderedWorkers) Stop(_ context.Context, _ port.WorkerRef, r cell.RunID, _ int64) (int64, error) {
@@ -103,7 +106,7 @@
 				}
 				l.s.sendOrder(order)
 				synctest.Wait()
-				l.handleFailure(t.Context(), port.ErrUnavailable)
+				l.handleFailure(t.Context(), port.ErrUnavailable, 1)
 				l.s.drainEvents()
 				assert.Equal(t, l.s.runs(), 1, "the start may still be carried out")
 
@@ -115,7 +118,7 @@
 				assert.Equal(t, starts, 1)
 				assert.Equal(t, l.s.runs(), 1)
 				time.Sleep(2 * workerLease)
-				l.handleFailure(t.Context(), port.ErrUnavailable)
+				l.handleFailure(t.Context(), port.ErrUnavailable, 1)
 				l.s.drainEvents()
 				assert.Equal(t, l.s.runs(), 0, "the lease of the start has expired")
 			})
@@ -158,3 +161,47 @@
 		assert.Equal(t, stops, 0)
 	})
 }
+
+// Guards against a task that runs twice: an order was answered by another instance at a worker's former address, which released
+// all runs on the worker, although it went on at its new address.
+func TestAnswerFromAFormerAddressDoesNotEndTheWorker(t *testing.T) {
+	move := func(l *workerLink) {
+		l.s.core.SetWorkers([]cell.WorkerReport{{ID: "w", Address: "b", Service: "pool", Capacity: oneCore, StartMS: 1}}, time.Now())
+		l.s.updateLinks()
+	}
+	t.Run("order", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			workers := &orderedWorkers{startError: port.ErrInstanceChanged, renewalError: port.ErrUnavailable, delay: 50 * time.Millisecond}
+			l, order := newOrderingLink(t, workers)
+			l.s.core.ApplyOrderOutcome(order, cell.OrderUnanswered, time.Now()) // an earlier attempt may have been carried out
+			l.s.sendOrder(order)
+			synctest.Wait()
+			move(l)
+			time.Sleep(workers.delay)
+			synctest.Wait()
+			l.s.drainEvents()
+			assert.Equal(t, l.s.runs(), 1)
+		})
+	})
+	t.Run("renewal", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			l, order := newOrderingLink(t, &orderedWorkers{renewalError: port.ErrUnavailable})
+			l.s.core.ApplyOrderOutcome(order, cell.OrderDone, time.Now())
+			move(l)
+			l.handleFailure(t.Context(), port.ErrInstanceChanged, 1)
+			l.s.drainEvents()
+			assert.Equal(t, l.s.runs(), 1)
+		})
+	})
+}
+
+// Guards against runs that wait for the lease of a worker that has ended: another instance answers at its only address.
+func TestAnswerOfAnotherInstanceEndsTheWorker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, order := newOrderingLink(t, &orderedWorkers{startError: port.ErrInstanceChanged})
+		l.s.sendOrder(order)
+		synctest.Wait()
+		l.s.drainEvents()
+		assert.Equal(t, l.s.runs(), 0)
+	})
+}
