control: an acknowledgment belongs to an instance of its worker

Cause: after the registry had shown a worker's restart, its link kept the number up to which the ended runs of the earlier instance were durable. When the new instance had answered, and until the scheduler's goroutine had applied that answer, renewals carried the number to the new instance. That forgot ends which the scheduler hadn't seen, so their tasks started again. The scheduler could also pass the number of the earlier instance to a link that already knew the new one.

Evidence: with the signature of setAck adapted, TestRestartInRegistryEndsTheAcknowledgment failed on the code before: links_test.go:114: assertion failed: 57 (r.Ack int64) != 0 (int64)

Fix: an acknowledgment names its instance and is sent to no other. cell.Instance tells to which instance AckCursor refers.

--- a/internal/control/links.go
+++ b/internal/control/links.go
@@ -44,11 +44,15 @@
 
 	mu         sync.Mutex
 	lease      leaseTracker
-	ack        int64
+	ack        acknowledgment
 	idle       bool      // the last inventory was empty
 	doubtUntil time.Time // a call without an answer is recent until then
 }
 
+// acknowledgment is the number up to which the ended runs of an instance of a worker are durable. Each instance numbers its ended
+// runs from 1.
+type acknowledgment struct{ startMS, cursor int64 }
+
 func newLinkState(l leaseTracker) *linkState {
 	return &linkState{acked: make(chan struct{}, 1), lease: l}
 }
@@ -101,17 +105,22 @@
 // updateAcks informs the links of workers with unacknowledged ends up to which number these are durable.
 func (s *activeTerm) updateAcks() {
 	for _, id := range s.core.TakeUnacked() {
-		cursor, _ := s.core.AckCursor(id)
 		if l := s.links[id]; l != nil {
-			l.setAck(cursor)
+			l.updateAck()
 		}
 	}
 }
 
-func (l *workerLink) setAck(cursor int64) {
+// updateAck passes the scheduler's acknowledgment to the next renewal. It is called on the scheduler's goroutine.
+func (l *workerLink) updateAck() {
+	cursor, _ := l.s.core.AckCursor(l.ref.ID)
+	l.setAck(acknowledgment{l.s.core.Instance(l.ref.ID), cursor})
+}
+
+func (l *workerLink) setAck(ack acknowledgment) {
 	l.mu.Lock()
-	moved := cursor != l.ack
-	l.ack = cursor
+	moved := ack != l.ack
+	l.ack = ack
 	l.mu.Unlock()
 	if moved {
 		select {
@@ -197,8 +206,8 @@
 	}
 	call := l.beginCall()
 	r.LeaseEndMS = call.endMS
-	if l.lease.clock.known() { // the ack refers to the ended runs of the instance with that clock
-		r.Ack = l.ack
+	if l.lease.clock.known() && l.ack.startMS == l.lease.startMS {
+		r.Ack = l.ack.cursor
 	}
 	return r, call
 }
@@ -227,9 +236,6 @@
 // applyRenewal passes a worker's answer to the scheduler.
 func (l *workerLink) applyRenewal(ctx context.Context, r port.RenewalReply) {
 	l.mu.Lock()
-	if r.Inventory.StartMS != l.lease.startMS {
-		l.ack = 0
-	}
 	l.idle = len(r.Inventory.Running) == 0 && len(r.Inventory.Ended) == 0
 	l.lease.answered(r.Inventory.StartMS, r.ClockMS, time.Now())
 	l.mu.Unlock()
@@ -237,8 +243,7 @@
 		for _, o := range l.s.core.ApplyInventory(r.Inventory, time.Now()) {
 			l.s.stopUnexpectedRun(o.Worker, o.Run)
 		}
-		cursor, _ := l.s.core.AckCursor(l.ref.ID)
-		l.setAck(cursor)
+		l.updateAck()
 	})
 }
 
@@ -249,11 +254,11 @@
 	if len(r.Inventory.Ended) == 0 {
 		return
 	}
-	last := r.Inventory.Ended[len(r.Inventory.Ended)-1].Number
+	last := acknowledgment{r.Inventory.StartMS, r.Inventory.Ended[len(r.Inventory.Ended)-1].Number}
 	deadline := time.After(ackTimeout)
 	for {
 		l.mu.Lock()
-		durable := l.ack >= last
+		durable := l.ack.startMS == last.startMS && l.ack.cursor >= last.cursor
 		l.mu.Unlock()
 		if durable {
 			return
--- a/internal/control/links_test.go
+++ b/internal/control/links_test.go
@@ -84,11 +84,11 @@
 		l.handleRenewal(t.Context(), port.RenewalReply{ClockMS: 1000, Inventory: cell.Inventory{Worker: "w", StartMS: startMS}})
 	}
 	answered(1)
-	l.setAck(57)
+	l.setAck(acknowledgment{1, 57})
 	r, call := l.nextRenewal(0, false)
 	assert.Equal(t, r.Ack, int64(57))
 	l.finishLeaseCall(call, 0, 0, port.ErrUnknownOutcome)
-	l.setAck(58)
+	l.setAck(acknowledgment{1, 58})
 	r, call = l.nextRenewal(0, false)
 	assert.Equal(t, r.Ack, int64(0))
 	l.finishLeaseCall(call, 1, 1000, nil)
@@ -100,6 +100,26 @@
 	assert.Equal(t, r.Ack, int64(0))
 }
 
+// Guards against a task that starts again after its end was noted: the registry showed that its worker had restarted, and before
+// the scheduler knew of the answer of the new instance, that instance got the acknowledgment of the earlier one.
+func TestRestartInRegistryEndsTheAcknowledgment(t *testing.T) {
+	l := newTestLink(t, time.Now())
+	l.applyRenewal(t.Context(), port.RenewalReply{ClockMS: 1000, Inventory: cell.Inventory{Worker: "w", StartMS: 1}})
+	l.setAck(acknowledgment{1, 57})
+	r, _ := l.nextRenewal(0, false)
+	assert.Equal(t, r.Ack, int64(57))
+	l.applyRegistered(2)
+	l.applyRenewal(t.Context(), port.RenewalReply{ClockMS: 100, Inventory: cell.Inventory{Worker: "w", StartMS: 2}})
+	r, _ = l.nextRenewal(0, false)
+	assert.Equal(t, r.Ack, int64(0))
+	l.setAck(acknowledgment{1, 58})
+	r, _ = l.nextRenewal(0, false)
+	assert.Equal(t, r.Ack, int64(0), "the scheduler doesn't know of the restart yet")
+	l.setAck(acknowledgment{2, 3})
+	r, _ = l.nextRenewal(0, false)
+	assert.Equal(t, r.Ack, int64(3))
+}
+
 // Guards against a task that stays on a lost worker for good: the worker's lease lapsed while it had no runs, and then a
 // start order to it got no answer.
 func TestLeaseOfUnansweredStartLapsesAfterAnIdleLease(t *testing.T) {
--- a/internal/core/cell/workers.go
+++ b/internal/core/cell/workers.go
@@ -161,3 +161,11 @@
 	})
 	return used
 }
+
+// Instance returns the start of a worker's current instance, to which AckCursor refers. It is 0 if it isn't known.
+func (s *Scheduler) Instance(id WorkerID) int64 {
+	if w := s.workers[id]; w != nil {
+		return w.StartMS
+	}
+	return 0
+}
