control: a late answer of an earlier instance is dropped

Cause: the link and the start orders renew the lease of a worker side by side, over several connections and carriers, so answers overtake each other. The late answer of an earlier instance was taken for that of the current one: the scheduler took the worker for restarted, twice, and leases were granted on the clock of the earlier instance. The starts alone don't tell which is later, because a worker's time of day may step back.

Fix: the answer of another instance than the current one counts only if its call was sent after the last evidence of the current one. It is checked again on the scheduler's goroutine. The next renewal, which is sent at once, decides.

--- a/internal/control/lease.go
+++ b/internal/control/lease.go
@@ -19,6 +19,8 @@
 	longest  time.Duration // the longest lease that a worker keeps
 	// startMS is the start of the instance that answered last, or of a later one that the registry lists.
 	startMS int64
+	// startKnownAt is when the last answer or registry entry has shown startMS, zero before the first one.
+	startKnownAt time.Time
 	// clock is the clock of the instance that answered last. It is unknown from a call without an answer until the next
 	// answer, because the worker may have restarted.
 	clock clockSample
@@ -130,7 +132,13 @@
 	case startMS != l.startMS || clockMS < l.clock.ms:
 		l.extendToLongest(now)
 	}
-	l.startMS, l.clock, l.expired, l.reached = startMS, clockSample{clockMS, now}, false, true
+	l.startMS, l.startKnownAt, l.clock, l.expired, l.reached = startMS, now, clockSample{clockMS, now}, false, true
+}
+
+// outdated reports whether an answer may come from an earlier instance than the current one: its call was sent before the last
+// evidence of the current one. The starts alone don't tell, because a worker's time of day may step back between two.
+func (l *leaseTracker) outdated(startMS int64, sentAt time.Time) bool {
+	return startMS != l.startMS && sentAt.Before(l.startKnownAt)
 }
 
 // restarted applies the start of an instance that the registry lists.
@@ -138,7 +146,7 @@
 	if l.startMS == 0 || startMS <= l.startMS {
 		return
 	}
-	l.startMS = startMS
+	l.startMS, l.startKnownAt = startMS, now
 	l.forgetClock()
 	l.extendToLongest(now)
 }
--- a/internal/control/links.go
+++ b/internal/control/links.go
@@ -140,7 +140,7 @@
 			l.checkExpiry()
 			continue
 		}
-		requestSequence, maxWait, startMS := l.s.core.OrderSequence(), l.maxWait(), l.instance()
+		requestSequence, maxWait, startMS, sentAt := l.s.core.OrderSequence(), l.maxWait(), l.instance(), time.Now()
 		reply, err := hedge(l.s.spawn, maxWait+l.s.latency.hedgeDelay(), l.s.mayRetry, func(second bool) (port.RenewalReply, error) {
 			return l.renew(ctx, maxWait, second)
 		})
@@ -152,7 +152,7 @@
 			continue
 		}
 		reply.Inventory.RequestSequence = requestSequence
-		l.handleRenewal(ctx, reply)
+		l.handleRenewal(ctx, reply, sentAt)
 	}
 }
 
@@ -233,13 +233,22 @@
 	}
 }
 
-// applyRenewal passes a worker's answer to the scheduler.
-func (l *workerLink) applyRenewal(ctx context.Context, r port.RenewalReply) {
+// applyRenewal passes a worker's answer to a call that was sent at the given time to the scheduler. Answers overtake each other, so
+// one of an earlier instance may come after that of its successor; it is dropped.
+func (l *workerLink) applyRenewal(ctx context.Context, r port.RenewalReply, sentAt time.Time) {
 	l.mu.Lock()
+	if l.lease.outdated(r.Inventory.StartMS, sentAt) {
+		l.mu.Unlock()
+		l.s.node.options.Log.Info("decision", "subject", string(l.ref.ID), "decision", "outdated inventory dropped", "born_ms", r.Inventory.StartMS)
+		return
+	}
 	l.idle = len(r.Inventory.Running) == 0 && len(r.Inventory.Ended) == 0
 	l.lease.answered(r.Inventory.StartMS, r.ClockMS, time.Now())
 	l.mu.Unlock()
 	l.s.post(ctx, func() {
+		if l.instance() != r.Inventory.StartMS {
+			return // the answer of a later instance has overtaken this one
+		}
 		for _, o := range l.s.core.ApplyInventory(r.Inventory, time.Now()) {
 			l.s.stopUnexpectedRun(o.Worker, o.Run)
 		}
@@ -249,8 +258,8 @@
 
 // handleRenewal passes a worker's answer to the scheduler, and waits at most ackTimeout until its ended runs are
 // durable.
-func (l *workerLink) handleRenewal(ctx context.Context, r port.RenewalReply) {
-	l.applyRenewal(ctx, r)
+func (l *workerLink) handleRenewal(ctx context.Context, r port.RenewalReply, sentAt time.Time) {
+	l.applyRenewal(ctx, r, sentAt)
 	if len(r.Inventory.Ended) == 0 {
 		return
 	}
@@ -431,11 +440,11 @@
 		return nil
 	}
 	_, err, _ := l.probes.Do("", func() (any, error) {
-		requestSequence := l.s.core.OrderSequence()
+		requestSequence, sentAt := l.s.core.OrderSequence(), time.Now()
 		reply, err := l.renew(l.s.ctx, 0, false)
 		if err == nil {
 			reply.Inventory.RequestSequence = requestSequence
-			l.applyRenewal(l.s.ctx, reply)
+			l.applyRenewal(l.s.ctx, reply, sentAt)
 		}
 		return nil, err
 	})
--- a/internal/control/links_test.go
+++ b/internal/control/links_test.go
@@ -81,7 +81,7 @@
 func TestAckIsSentOnlyToInstanceThatAnswered(t *testing.T) {
 	l := newTestLink(t, time.Now())
 	answered := func(startMS int64) {
-		l.handleRenewal(t.Context(), port.RenewalReply{ClockMS: 1000, Inventory: cell.Inventory{Worker: "w", StartMS: startMS}})
+		l.handleRenewal(t.Context(), port.RenewalReply{ClockMS: 1000, Inventory: cell.Inventory{Worker: "w", StartMS: startMS}}, time.Now())
 	}
 	answered(1)
 	l.setAck(acknowledgment{1, 57})
@@ -104,12 +104,12 @@
 // the scheduler knew of the answer of the new instance, that instance got the acknowledgment of the earlier one.
 func TestRestartInRegistryEndsTheAcknowledgment(t *testing.T) {
 	l := newTestLink(t, time.Now())
-	l.applyRenewal(t.Context(), port.RenewalReply{ClockMS: 1000, Inventory: cell.Inventory{Worker: "w", StartMS: 1}})
+	l.applyRenewal(t.Context(), port.RenewalReply{ClockMS: 1000, Inventory: cell.Inventory{Worker: "w", StartMS: 1}}, time.Now())
 	l.setAck(acknowledgment{1, 57})
 	r, _ := l.nextRenewal(0, false)
 	assert.Equal(t, r.Ack, int64(57))
 	l.applyRegistered(2)
-	l.applyRenewal(t.Context(), port.RenewalReply{ClockMS: 100, Inventory: cell.Inventory{Worker: "w", StartMS: 2}})
+	l.applyRenewal(t.Context(), port.RenewalReply{ClockMS: 100, Inventory: cell.Inventory{Worker: "w", StartMS: 2}}, time.Now())
 	r, _ = l.nextRenewal(0, false)
 	assert.Equal(t, r.Ack, int64(0))
 	l.setAck(acknowledgment{1, 58})
@@ -120,6 +120,31 @@
 	assert.Equal(t, r.Ack, int64(3))
 }
 
+// Guards against leases on the clock of an earlier instance of a worker, and against runs that are given up, because the late
+// answer of that instance was taken for the current one's.
+func TestLateAnswerOfAnEarlierInstanceIsDropped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, order := newOrderingLink(t, &orderedWorkers{})
+		s := l.s
+		answer := func(startMS, clockMS int64, sentAt time.Time, running ...cell.RunningRow) {
+			l.applyRenewal(t.Context(), port.RenewalReply{ClockMS: clockMS, Inventory: cell.Inventory{Worker: "w", StartMS: startMS, Running: running,
+				RequestSequence: s.core.OrderSequence()}}, sentAt)
+			s.drainEvents()
+		}
+		sentEarlier := time.Now()
+		time.Sleep(time.Second)
+		answer(2, 100, time.Now())
+		assert.Equal(t, s.runs(), 1, "the run is stopped first, because the start may be carried out late")
+		answer(1, 61_000, sentEarlier)
+		assert.Equal(t, s.core.Instance("w"), int64(2))
+		r, _ := l.nextRenewal(time.Second, false)
+		assert.Equal(t, r.LeaseEndMS, 100+workerLease.Milliseconds())
+
+		answer(1, 200, time.Now(), cell.RunningRow{Run: order.Run})
+		assert.Equal(t, s.core.Instance("w"), int64(1), "the worker's time of day has stepped back before its restart")
+	})
+}
+
 // Guards against a task that stays on a lost worker for good: the worker's lease lapsed while it had no runs, and then a
 // start order to it got no answer.
 func TestLeaseOfUnansweredStartLapsesAfterAnIdleLease(t *testing.T) {
@@ -128,7 +153,7 @@
 	each := resource.Vector{MilliCPU: 1000, MemoryMB: 100}
 	s.core.SetConfig(cell.NewConfig(cell.Config{Version: 1, Queues: []cell.Queue{{Name: "q", Service: "pool", MaxAttempts: 2, Stretch: 3}}}))
 	s.core.SetWorkers([]cell.WorkerReport{{ID: "w", Address: "a", Service: "pool", Capacity: each, StartMS: 1}}, time.Now())
-	l.handleRenewal(t.Context(), port.RenewalReply{ClockMS: 1000, Inventory: cell.Inventory{Worker: "w", StartMS: 1}})
+	l.handleRenewal(t.Context(), port.RenewalReply{ClockMS: 1000, Inventory: cell.Inventory{Worker: "w", StartMS: 1}}, time.Now())
 	s.drainEvents()
 	lapse := func() {
 		l.lease.expiresAt = time.Now().Add(-time.Millisecond)
--- a/internal/control/orders_test.go
+++ b/internal/control/orders_test.go
@@ -69,7 +69,7 @@
 	l := &workerLink{s: s, ref: port.WorkerRef{ID: "w", Address: "a"}, cancel: func() {},
 		linkState: newLinkState(newLeaseTracker(node.options, 1, now))}
 	s.links["w"] = l
-	l.applyRenewal(t.Context(), port.RenewalReply{ClockMS: 60_000, Inventory: cell.Inventory{Worker: "w", StartMS: 1}})
+	l.applyRenewal(t.Context(), port.RenewalReply{ClockMS: 60_000, Inventory: cell.Inventory{Worker: "w", StartMS: 1}}, time.Now())
 	s.drainEvents()
 	l.lease.expiresAt = now.Add(time.Second)
 	assert.NilError(t, s.core.AddJob(cell.Job{ID: "j", Queue: "q", Service: "pool", Steps: []cell.Step{{Count: 1, Each: oneCore}}}, nil, now))
@@ -152,7 +152,7 @@
 		l, order := newOrderingLink(t, workers)
 		l.s.sendOrder(order)
 		l.applyRenewal(t.Context(), port.RenewalReply{ClockMS: 60_020, Inventory: cell.Inventory{Worker: "w", StartMS: 1,
-			Ended: []cell.EndedRow{{Number: 1, Run: order.Run, Kind: cell.EndDone}}}})
+			Ended: []cell.EndedRow{{Number: 1, Run: order.Run, Kind: cell.EndDone}}}}, time.Now())
 		time.Sleep(workers.delay)
 		synctest.Wait()
 		l.s.drainEvents()
