control: the age of an instance is the smaller of two readings

Cause: after a takeover, the longest lease is assumed for instances that are younger than 20 s, because the earlier holder may not have noticed their restart. The age compared the time of day of two machines; a worker whose time of day is behind seemed older than it was.

Evidence: TestTakeoverAssumesTheLongestLeaseOfAYoungClock failed before: lease_test.go:203: assertion failed: expression is false: l.expiresAt.After(now.Add(longestLease))

Fix: the worker's own clock, which starts with the instance, counts too, and the smaller age holds. For a worker that hasn't answered yet only its time of day is known; that is unchanged.

--- a/internal/control/lease.go
+++ b/internal/control/lease.go
@@ -160,12 +160,18 @@
 	return l.duration
 }
 
-// instanceAge returns how long ago an instance started. Without a stated start, this is the reading of its clock.
+// instanceAge returns how long ago an instance started at the latest. startMS is on the worker's time of day, which may differ
+// from that of this node; clockMS is its monotonic clock. Either is 0 if it isn't known.
 func instanceAge(startMS, clockMS int64, now time.Time) time.Duration {
+	byClock := time.Duration(clockMS) * time.Millisecond
 	if startMS == 0 {
-		return time.Duration(clockMS) * time.Millisecond
+		return byClock
 	}
-	return now.Sub(time.UnixMilli(startMS))
+	byTimeOfDay := now.Sub(time.UnixMilli(startMS))
+	if clockMS == 0 {
+		return byTimeOfDay
+	}
+	return min(byClock, byTimeOfDay)
 }
 
 // extend moves the time at which the lease has expired for certain to a later one.
--- a/internal/control/lease_test.go
+++ b/internal/control/lease_test.go
@@ -195,6 +195,14 @@
 	}
 }
 
+// Guards against the same where the worker's time of day is behind, so that its instance seems to be older than it is.
+func TestTakeoverAssumesTheLongestLeaseOfAYoungClock(t *testing.T) {
+	now := time.Now()
+	l := newLeaseTracker(newTestNode("a", 1).options, 0, now)
+	l.answered(now.Add(-time.Minute).UnixMilli(), 1000, now)
+	assert.Assert(t, l.expiresAt.After(now.Add(longestLease)))
+}
+
 // Guards against starts that are turned down because a call to the worker had no answer: the clock is read first.
 func TestStartReadsUnknownClockFirst(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
