control: only a call that grants a lease postpones its expiry

What callers saw: nothing yet. Since expiries are checked on the scheduler's goroutine, tasks of an unreachable worker could wait while the scheduler is late by more than the pause between two renewals.

Cause: the link calls an unreachable worker again and again. Each of these calls counted as one that may renew the lease, although it grants none, because the worker's clock isn't known.

Evidence: TestCallThatGrantsNothingDoesNotPostponeExpiry failed before: links_test.go:78: assertion failed: 1 (int) != 0 (int) TestLeaseOutlastsAChangeOfTheWorkersAddress failed once in some ten runs for the same reason: links_test.go:198: assertion failed: 1 (int) != 0 (int): the lease has expired

Fix: only calls that grant a lease count.

Result: the package passed three times with the race detector, and the tests of links and starts 50 times.

--- a/internal/control/lease.go
+++ b/internal/control/lease.go
@@ -28,7 +28,7 @@
 	// renew it.
 	expiresAt time.Time
 	expired   bool // the scheduler knows that the lease until expiresAt has expired
-	calls     int  // number of calls in flight that may renew the lease
+	calls     int  // number of calls in flight that grant a lease
 	starts    int  // number of start orders whose outcome the scheduler doesn't know yet; each may renew the lease
 	reached   bool // the worker has answered this holder
 }
@@ -64,7 +64,7 @@
 // forgetClock marks the clock as unknown. It keeps the reading, because readings of one instance never go back.
 func (l *leaseTracker) forgetClock() { l.clock.at = time.Time{} }
 
-// leaseCall is a call that may renew a lease.
+// leaseCall is a call that may renew a lease. The zero value grants none.
 type leaseCall struct {
 	endMS   int64     // the end of the lease on the worker's clock, 0 if the call grants none
 	expiry  time.Time // when that lease has expired for certain
@@ -72,6 +72,9 @@
 	clockMS int64     // the least that this clock shows when the call arrives
 }
 
+// grants reports whether the call grants a lease. One that grants none can't renew it.
+func (c leaseCall) grants() bool { return c.endMS != 0 }
+
 // clockTolerance is by how much a worker's clock may be behind the expected one without being that of another instance.
 const clockTolerance = 50 * time.Millisecond
 
@@ -84,7 +87,7 @@
 // begin starts a call. It grants a lease only if the worker's clock is known.
 func (l *leaseTracker) begin(now time.Time) leaseCall {
 	if !l.clock.known() {
-		return l.beginUngranted()
+		return leaseCall{}
 	}
 	l.calls++
 	since := now.Sub(l.clock.at)
@@ -96,21 +99,22 @@
 	}
 }
 
-// beginUngranted starts a call that grants no lease, for a worker that may have restarted since the clock was read.
-func (l *leaseTracker) beginUngranted() leaseCall {
-	l.calls++
-	return leaseCall{}
+// cancel ends a call before it is sent.
+func (l *leaseTracker) cancel(c leaseCall) {
+	if c.grants() {
+		l.calls--
+	}
 }
 
 // finish ends a call. startMS and clockMS are what the answer says of the worker, 0 if it doesn't. A call that wasn't sent
 // hasn't renewed the lease.
 func (l *leaseTracker) finish(c leaseCall, startMS, clockMS int64, err error, now time.Time) {
-	l.calls--
+	l.cancel(c)
 	sent := !errors.Is(err, port.ErrUnavailable) && !errors.Is(err, port.ErrConnectionRefused)
 	if !sent || errors.Is(err, port.ErrUnknownOutcome) {
 		l.forgetClock()
 	}
-	if !sent || c.endMS == 0 {
+	if !sent || !c.grants() {
 		return
 	}
 	l.extend(c.expiry)
--- a/internal/control/links.go
+++ b/internal/control/links.go
@@ -202,7 +202,7 @@
 	defer l.mu.Unlock()
 	r := port.Renewal{Token: l.s.term.number, Wait: maxWait}
 	if second {
-		return r, l.lease.beginUngranted()
+		return r, leaseCall{}
 	}
 	call := l.beginCall()
 	r.LeaseEndMS = call.endMS
@@ -217,6 +217,7 @@
 func (l *workerLink) beginCall() leaseCall {
 	call := l.lease.begin(time.Now())
 	if !l.s.term.mayGrantLeases() {
+		l.lease.cancel(call)
 		return leaseCall{}
 	}
 	return call
@@ -420,7 +421,7 @@
 	call := l.beginCall()
 	l.mu.Unlock()
 	clockMS, err := int64(0), errors.Wrap(port.ErrUnavailable, "no lease can be granted")
-	if call.endMS != 0 {
+	if call.grants() {
 		began := time.Now()
 		clockMS, err = l.s.carriers.Start(l.s.ctx, l.ref, port.Start{Order: o, Token: l.s.term.number, LeaseEndMS: call.endMS}, second)
 		if !errors.Is(err, port.ErrUnknownOutcome) {
--- a/internal/control/links_test.go
+++ b/internal/control/links_test.go
@@ -65,6 +65,21 @@
 	assert.Equal(t, len(l.s.events), 2)
 }
 
+// Guards against runs of an unreachable worker that wait for as long as the scheduler is busy: its link calls it again and again, and
+// one of these calls was always in flight when the expiry of the lease was applied.
+func TestCallThatGrantsNothingDoesNotPostponeExpiry(t *testing.T) {
+	l, order := newOrderingLink(t, &orderedWorkers{})
+	l.s.core.ApplyOrderOutcome(order, cell.OrderDone, time.Now())
+	l.finishLeaseCall(l.lease.begin(time.Now()), 0, 0, port.ErrUnknownOutcome)
+	l.lease.expiresAt = time.Now().Add(-time.Millisecond)
+	l.checkExpiry()
+	_, call := l.nextRenewal(0, false)
+	l.s.drainEvents()
+	assert.Equal(t, l.s.runs(), 0)
+	l.finishLeaseCall(call, 0, 0, port.ErrUnknownOutcome)
+	assert.Equal(t, l.lease.calls, 0)
+}
+
 // The lease must not be considered expired before the worker's clock, which may run slow, has reached its end.
 func TestLeaseExpiryAllowsForSlowClock(t *testing.T) {
 	now := time.Now()
