A refused connection doesn't end a draining worker's lease

Cause: refused connections counted as the end of a worker that had announced its end and left the registry. A worker that drains and is cut off by a network that refuses connections looks the same: its entry expires, and its runs were released while its lease lasted.

Fix: only the end of its lease releases the runs of such a worker. So that tasks of workers which really left don't wait long, leases are 2 s while a worker drains, renewed every 0.5 s. A worker leaves 2 s after its announcement at the soonest, and the last lease that was granted before the registry was read must have ended within 3 s of that, so other leases are 4.2 s instead of 4.5 s.

--- a/internal/control/lease.go
+++ b/internal/control/lease.go
@@ -15,7 +15,8 @@
 // Therefore no lease is granted until the current instance has reported its clock. If another instance may have taken a
 // lease nevertheless, the longest lease is assumed.
 type leaseTracker struct {
-	duration time.Duration // of the leases that are granted
+	duration time.Duration // of the leases that are granted while the worker doesn't drain
+	draining bool          // the worker has announced its end
 	longest  time.Duration // the longest lease that a worker keeps
 	// startMS is the start of the instance that answered last, or of a later one that the registry lists.
 	startMS int64
@@ -91,9 +92,13 @@
 	}
 	l.calls++
 	since := now.Sub(l.clock.at)
+	granted := l.duration
+	if l.draining {
+		granted = min(granted, drainingWorkerLease)
+	}
 	return leaseCall{
-		endMS:   l.clock.ms + (since + l.duration).Milliseconds(),
-		expiry:  l.clock.at.Add(extended(since + l.duration)),
+		endMS:   l.clock.ms + (since + granted).Milliseconds(),
+		expiry:  l.clock.at.Add(extended(since + granted)),
 		startMS: l.startMS,
 		clockMS: l.clock.ms + time.Duration(float64(since)*(1-2*maxClockDrift)).Milliseconds() - clockTolerance.Milliseconds(),
 	}
--- a/internal/control/links.go
+++ b/internal/control/links.go
@@ -18,6 +18,8 @@
 	renewalWait = time.Second
 	// idleRenewalWait is the same for a worker without runs, which has no lease to lose.
 	idleRenewalWait = 2 * time.Second
+	// drainingRenewalWait is the same for a worker that drains, whose lease is shorter.
+	drainingRenewalWait = 500 * time.Millisecond
 	// renewalRetryDelay is the delay after a failed renewal.
 	renewalRetryDelay = 100 * time.Millisecond
 	// doubtfulRenewalWait replaces renewalWait for doubtPeriod after a call to the worker that got no answer. Ended runs are
@@ -72,10 +74,9 @@
 		inUse[w.ID] = true
 		l := s.links[w.ID]
 		if l == nil || l.ref.Address != w.Address && w.Address != "" {
-			s.openLink(w, l)
-			continue
+			l = s.openLink(w, l)
 		}
-		l.applyRegistered(w.StartMS)
+		l.applyRegistered(w.StartMS, w.Draining)
 	}
 	for id, l := range s.links {
 		if !inUse[id] {
@@ -86,12 +87,11 @@
 }
 
 // openLink creates a link to a worker and closes the former one, if there is one.
-func (s *activeTerm) openLink(w cell.WorkerInUse, former *workerLink) {
+func (s *activeTerm) openLink(w cell.WorkerInUse, former *workerLink) *workerLink {
 	ctx, cancel := context.WithCancel(s.ctx)
 	l := &workerLink{s: s, ref: port.WorkerRef{ID: w.ID, Address: w.Address, Zone: w.Zone}, cancel: cancel}
 	if former != nil && former.ref.Address != "" {
 		l.linkState = former.moved()
-		l.applyRegistered(w.StartMS)
 	} else {
 		l.linkState = newLinkState(newLeaseTracker(s.node.options, w.StartMS, s.wonAt))
 	}
@@ -100,6 +100,7 @@
 	}
 	s.links[w.ID] = l
 	s.spawn(func() { l.run(ctx) })
+	return l
 }
 
 // updateAcks informs the links of workers with unacknowledged ends up to which number these are durable.
@@ -156,10 +157,11 @@
 	}
 }
 
-// applyRegistered applies the start of the worker's instance that the registry lists.
-func (l *workerLink) applyRegistered(startMS int64) {
+// applyRegistered applies what the registry lists of the worker: the start of its instance, and whether it drains.
+func (l *workerLink) applyRegistered(startMS int64, draining bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.lease.draining = draining
 	l.lease.restarted(startMS, time.Now())
 }
 
@@ -190,8 +192,11 @@
 	if time.Now().Before(l.doubtUntil) && l.s.mayRetry() {
 		return doubtfulRenewalWait
 	}
-	if l.idle {
+	switch {
+	case l.idle:
 		return idleRenewalWait
+	case l.lease.draining:
+		return drainingRenewalWait
 	}
 	return renewalWait
 }
--- a/internal/control/links_test.go
+++ b/internal/control/links_test.go
@@ -123,7 +123,7 @@
 	l.setAck(acknowledgment{1, 57})
 	r, _ := l.nextRenewal(0, false)
 	assert.Equal(t, r.Ack, int64(57))
-	l.applyRegistered(2)
+	l.applyRegistered(2, false)
 	l.applyRenewal(t.Context(), port.RenewalReply{ClockMS: 100, Inventory: cell.Inventory{Worker: "w", StartMS: 2}}, time.Now())
 	r, _ = l.nextRenewal(0, false)
 	assert.Equal(t, r.Ack, int64(0))
@@ -214,6 +214,30 @@
 	})
 }
 
+// Guards against a task that runs twice: its worker drained and was cut off by a network that refuses connections, its entry in the
+// registry expired, and the run was released although the worker's lease lasted.
+func TestRefusalDoesNotEndADrainingWorker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, order := newOrderingLink(t, &orderedWorkers{})
+		s := l.s
+		s.core.ApplyOrderOutcome(order, cell.OrderDone, time.Now())
+		s.core.SetWorkers([]cell.WorkerReport{{ID: "w", Address: "a", Service: "pool", Capacity: oneCore, Draining: true, StartMS: 1}}, time.Now())
+		s.updateLinks()
+		r, call := l.nextRenewal(time.Second, false)
+		assert.Equal(t, r.LeaseEndMS, 60_000+drainingWorkerLease.Milliseconds(), "the lease is short while the worker drains")
+		l.finishLeaseCall(call, 1, 60_000, nil)
+		s.core.SetWorkers(nil, time.Now())
+		time.Sleep(drainingWorkerLease)
+		l.handleFailure(t.Context(), port.ErrConnectionRefused, 1)
+		s.drainEvents()
+		assert.Equal(t, s.runs(), 1)
+		time.Sleep(drainingWorkerLease / 10)
+		l.handleFailure(t.Context(), port.ErrConnectionRefused, 1)
+		s.drainEvents()
+		assert.Equal(t, s.runs(), 0, "the lease has expired")
+	})
+}
+
 // A node with few cores must not win the first term before a node with enough cores tries.
 func TestNodesWithMoreCoresCampaignFirst(t *testing.T) {
 	for _, name := range []string{"a", "b", "c"} {
--- a/internal/control/options.go
+++ b/internal/control/options.go
@@ -33,7 +33,10 @@
 const (
 	// workerLease is how long runs continue after their scheduler is lost. It bounds how long the tasks of an unreachable
 	// worker wait before they may start elsewhere.
-	workerLease = 4500 * time.Millisecond
+	workerLease = 4200 * time.Millisecond
+	// drainingWorkerLease is the same for a worker that drains. Its tasks wait for the end of its lease after it has left, because
+	// nothing else tells that from a network failure.
+	drainingWorkerLease = 2 * time.Second
 	// maxClockDrift is the fraction by which a worker's clock may run slower than this node's clock.
 	maxClockDrift = 0.02
 	// maxStoreSilence is the time without an answer from the store after which a term ends, because another node may be
--- a/internal/core/cell/workers.go
+++ b/internal/core/cell/workers.go
@@ -96,17 +96,12 @@
 	}
 }
 
-// WorkerConnectionRefused reports that a worker's address refuses connections. A network failure may look the same, so
-// this is taken as the worker's end only if it was draining and has left the registry.
+// WorkerConnectionRefused reports that a worker's address refuses connections. A network failure may look the same, also while
+// the worker drains and its entry has left the registry, so its runs are released only when its lease has expired.
 func (s *Scheduler) WorkerConnectionRefused(id WorkerID, now time.Time) {
 	s.now = now
-	w := s.workers[id]
-	if w == nil {
-		return
-	}
-	w.refusing = true
-	if w.Draining && !w.registered {
-		s.workerTerminated(w, "it has left")
+	if w := s.workers[id]; w != nil {
+		w.refusing = true
 	}
 }
 
@@ -137,18 +132,19 @@
 
 // WorkerInUse is a worker whose lease must be renewed.
 type WorkerInUse struct {
-	ID      WorkerID
-	Address string
-	Zone    string
-	StartMS int64
-	Runs    int
+	ID       WorkerID
+	Address  string
+	Zone     string
+	StartMS  int64
+	Draining bool
+	Runs     int
 }
 
 // WorkersInUse returns the workers that are registered or may have runs, sorted by ID.
 func (s *Scheduler) WorkersInUse() []WorkerInUse {
 	used := make([]WorkerInUse, 0, len(s.workers))
 	for _, w := range s.workers {
-		used = append(used, WorkerInUse{w.ID, w.Address, w.Zone, w.StartMS, len(w.tasks)})
+		used = append(used, WorkerInUse{w.ID, w.Address, w.Zone, w.StartMS, w.Draining, len(w.tasks)})
 	}
 	slices.SortFunc(used, func(a, b WorkerInUse) int {
 		switch {
--- a/internal/standin/leased/worker.go
+++ b/internal/standin/leased/worker.go
@@ -241,6 +241,13 @@
 	return allowed
 }
 
+// SetAge makes the worker seem to have started the given time ago. It must be called before the worker is registered.
+func (w *Worker) SetAge(age time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.startedAt = time.Now().Add(-age)
+}
+
 // LoseStartResponses makes the next n starts take effect without a response.
 func (w *Worker) LoseStartResponses(n int) {
 	w.mu.Lock()
