control: a queued call that was given up isn't sent to its carrier

Cause: a call to a worker waits in a queue while the stream to its carrier accepts no message. After a timeout its outcome counts as unknown, but it stayed in the queue and was sent seconds later, in a message that was stamped only then, so that the carrier didn't take it for delayed.

Evidence: without the check, TestQueuedCallThatWasGivenUpIsNotSent failed: carriers_test.go:245: assertion failed: 2 (int) != 1 (int)

Fix: only calls whose callers still wait are sent.

--- a/internal/control/carriers_test.go
+++ b/internal/control/carriers_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/pkg/errors"
@@ -228,6 +229,25 @@
 	assert.Assert(t, refused > 0 && refused < 20, "%d calls were refused after a step of 2.4 s", refused)
 }
 
+// Guards against an order that is executed seconds after its outcome was taken for unknown: it had waited in the queue to a carrier
+// whose stream accepted nothing, and its message was stamped only when it was sent.
+func TestQueuedCallThatWasGivenUpIsNotSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCarriers(&recordingWorkers{}, spreading{})
+		x, _ := c.join("node-0", "zone-0")
+		givenUp := &cellpb.CarriedCall{Worker: "w", Call: &cellpb.CarriedCall_Start{Start: &cellpb.CarriedStart{}}}
+		_, err := c.exchange(t.Context(), x, givenUp, orderDuration)
+		assert.ErrorIs(t, err, port.ErrUnknownOutcome)
+		fresh := &cellpb.CarriedCall{Worker: "w", Call: &cellpb.CarriedCall_Start{Start: &cellpb.CarriedStart{}}}
+		go func() { _, _ = c.exchange(t.Context(), x, fresh, orderDuration) }() // nobody answers
+		synctest.Wait()
+		calls := x.awaited(batchOf(x.out, <-x.out))
+		assert.Equal(t, len(calls), 1)
+		assert.Equal(t, calls[0].Id, fresh.Id)
+		time.Sleep(time.Second)
+	})
+}
+
 // Guards against calls and replies that get lost between the scheduling node and a real stream of a member, and against
 // a member that gets calls after it has announced that it leaves.
 func TestMemberCarriesCalls(t *testing.T) {
--- a/internal/control/carry.go
+++ b/internal/control/carry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -33,7 +34,11 @@
 	for {
 		select {
 		case call := <-x.out:
-			if err := stream.Send(&cellpb.CarriedCalls{Calls: batchOf(x.out, call), SentMs: time.Now().UnixMilli()}); err != nil {
+			calls := x.awaited(batchOf(x.out, call))
+			if len(calls) == 0 {
+				continue
+			}
+			if err := stream.Send(&cellpb.CarriedCalls{Calls: calls, SentMs: time.Now().UnixMilli()}); err != nil {
 				return err
 			}
 		case err := <-received:
@@ -46,6 +51,14 @@
 	}
 }
 
+// awaited returns those of the calls whose callers still wait. The others have been taken for calls with an unknown outcome while
+// they were queued behind a message that the stream didn't accept, and must not be executed later.
+func (x *carrier) awaited(calls []*cellpb.CarriedCall) []*cellpb.CarriedCall {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return slices.DeleteFunc(calls, func(c *cellpb.CarriedCall) bool { return x.pending[c.Id] == nil })
+}
+
 // batchOf returns an item together with those that are queued behind it, at most maxBatch in all.
 func batchOf[T any](queue <-chan T, first T) []T {
 	batch := []T{first}
