--- /dev/null
+++ b/internal/control/orders.go
@@ -0,0 +1,147 @@
+package control
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+
+	"sequoiastall/internal/core/cell"
+	"sequoiastall/internal/port"
+)
+
+// countStarts changes the number of start orders whose outcome the scheduler doesn't know yet. It is called on the
+// scheduler's goroutine, so that the lease can't expire between the decision to send an order and its outcome.
+func (l *workerLink) countStarts(change int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lease.starts += change
+}
+
+// sendOrder sends an order to its worker and passes the outcome to the scheduler.
+func (s *activeTerm) sendOrder(o cell.Order) {
+	l := s.links[o.Worker]
+	if l == nil || l.ref.Address == "" {
+		s.core.ApplyOrderOutcome(o, cell.OrderUnanswered, time.Now())
+		return
+	}
+	if o.Kind == cell.OrderStart {
+		l.countStarts(1)
+	}
+	startMS := l.instance()
+	s.spawn(func() {
+		outcome := l.send(o)
+		s.post(s.ctx, func() {
+			if outcome == cell.OrderInstanceTerminated && !l.leadsTo(startMS) {
+				outcome = cell.OrderNotSent // the worker has another address or instance by now, which the order didn't reach
+			}
+			if o.Kind == cell.OrderStart {
+				l.countStarts(-1)
+			}
+			if !s.core.ApplyOrderOutcome(o, outcome, time.Now()) {
+				s.end(errors.Wrapf(errTermLost, "worker %s has accepted a higher fencing token", o.Worker))
+			}
+			if o.Kind == cell.OrderStart && mayBeCarriedOut(outcome) && s.core.Superseded(o) {
+				s.stopUnexpectedRun(o.Worker, o.Run)
+			}
+		})
+	})
+}
+
+// mayBeCarriedOut reports whether an order with the outcome was carried out or still may be.
+func mayBeCarriedOut(o cell.OrderOutcome) bool {
+	return o == cell.OrderDone || o == cell.OrderUnanswered
+}
+
+// stopUnexpectedRun stops a run that the scheduler doesn't expect on its worker. If the order is lost, the worker lists
+// the run again.
+func (s *activeTerm) stopUnexpectedRun(worker cell.WorkerID, run cell.RunID) {
+	s.node.options.Log.Info("decision", "subject", run.Task.String(), "decision", "stray run stopped", "run", run.Run, "worker", worker)
+	if l := s.links[worker]; l != nil && l.ref.Address != "" {
+		s.spawn(func() { l.send(cell.Order{Kind: cell.OrderStop, Worker: worker, Run: run}) })
+	}
+}
+
+// send sends an order to the worker and returns the outcome.
+func (l *workerLink) send(o cell.Order) cell.OrderOutcome {
+	var err error
+	began := time.Now()
+	switch o.Kind {
+	case cell.OrderStart:
+		_, err = hedge(l.s.spawn, l.s.latency.hedgeDelay(), l.s.mayRetry, func(second bool) (struct{}, error) { return struct{}{}, l.start(o, second) })
+	case cell.OrderPace:
+		err = l.s.carriers.Pace(l.s.ctx, l.ref, o.Run, o.Pace, l.s.term.number)
+	default:
+		_, err = l.s.carriers.Stop(l.s.ctx, l.ref, o.Run, l.s.term.number)
+	}
+	outcome := orderOutcome(err)
+	recordSince(l.s.node.metrics.orderTime, began)
+	l.s.node.metrics.count("orders_total", string(o.Kind), string(outcome))
+	if outcome != cell.OrderDone {
+		l.s.node.options.Log.Info("order", "kind", o.Kind, "subject", o.Run.Task.String(), "run", o.Run.Run, "worker", o.Worker, "outcome", outcome,
+			"error", err.Error())
+	}
+	return outcome
+}
+
+// start sends a start order, which always grants a lease. The worker's clock is read first if it isn't known.
+func (l *workerLink) start(o cell.Order, second bool) error {
+	if err := l.readClock(); err != nil {
+		if decidesBoth(err) {
+			return err
+		}
+		return errors.Wrapf(port.ErrUnavailable, "worker clock not known: %v", err)
+	}
+	l.mu.Lock()
+	call := l.beginCall()
+	l.mu.Unlock()
+	clockMS, err := int64(0), errors.Wrap(port.ErrUnavailable, "no lease can be granted")
+	if call.grants() {
+		began := time.Now()
+		clockMS, err = l.s.carriers.Start(l.s.ctx, l.ref, port.Start{Order: o, Token: l.s.term.number, LeaseEndMS: call.endMS}, second)
+		if !errors.Is(err, port.ErrUnknownOutcome) {
+			l.s.latency.observe(time.Since(began))
+		}
+	}
+	l.finishLeaseCall(call, 0, clockMS, err)
+	return err
+}
+
+// readClock makes a renewal without a lease unless the worker's clock is known. Callers at the same time share it.
+func (l *workerLink) readClock() error {
+	l.mu.Lock()
+	known := l.lease.clock.known()
+	l.mu.Unlock()
+	if known {
+		return nil
+	}
+	_, err, _ := l.probes.Do("", func() (any, error) {
+		requestSequence, sentAt := l.s.core.OrderSequence(), time.Now()
+		reply, err := l.renew(l.s.ctx, 0, false)
+		if err == nil {
+			reply.Inventory.RequestSequence = requestSequence
+			l.applyRenewal(l.s.ctx, reply, sentAt)
+		}
+		return nil, err
+	})
+	return err
+}
+
+func orderOutcome(err error) cell.OrderOutcome {
+	switch {
+	case err == nil:
+		return cell.OrderDone
+	case errors.Is(err, port.ErrFenced):
+		return cell.OrderFenced
+	case errors.Is(err, port.ErrStaleRun):
+		return cell.OrderStale
+	case errors.Is(err, port.ErrNoTicket):
+		return cell.OrderNoTicket
+	case errors.Is(err, port.ErrInstanceChanged):
+		return cell.OrderInstanceTerminated
+	case errors.Is(err, port.ErrUnknownOutcome):
+		return cell.OrderUnanswered
+	case errors.Is(err, port.ErrUnavailable), errors.Is(err, port.ErrConnectionRefused):
+		return cell.OrderNotSent
+	}
+	return cell.OrderRefused
+}
