--- a/internal/control/lease_test.go
+++ b/internal/control/lease_test.go
@@ -160,12 +160,12 @@
 	now := time.Now()
 	l := newTestLink(t, now)
 	l.lease.answered(1, 30_000, now)
-	l.applyRegistered(1)
+	l.applyRegistered(1, false)
 	assert.Assert(t, l.lease.clock.known())
 	r, call := l.nextRenewal(time.Second, false)
 	assert.Assert(t, r.LeaseEndMS != 0)
 
-	l.applyRegistered(2)
+	l.applyRegistered(2, false)
 	r, other := l.nextRenewal(time.Second, false)
 	assert.Equal(t, r.LeaseEndMS, int64(0))
 	assert.Assert(t, l.lease.expiresAt.After(now.Add(longestLease)))
@@ -195,6 +195,14 @@
 	}
 }
 
+// Guards against the same where the worker's time of day is behind, so that its instance seems to be older than it is.
+func TestTakeoverAssumesTheLongestLeaseOfAYoungClock(t *testing.T) {
+	now := time.Now()
+	l := newLeaseTracker(newTestNode("a", 1).options, 0, now)
+	l.answered(now.Add(-time.Minute).UnixMilli(), 1000, now)
+	assert.Assert(t, l.expiresAt.After(now.Add(longestLease)))
+}
+
 // Guards against starts that are turned down because a call to the worker had no answer: the clock is read first.
 func TestStartReadsUnknownClockFirst(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/control/links.go
+++ b/internal/control/links.go
@@ -18,6 +18,8 @@
 	renewalWait = time.Second
 	// idleRenewalWait is the same for a worker without runs, which has no lease to lose.
 	idleRenewalWait = 2 * time.Second
+	// drainingRenewalWait is the same for a worker that drains, whose lease is shorter.
+	drainingRenewalWait = 500 * time.Millisecond
 	// renewalRetryDelay is the delay after a failed renewal.
 	renewalRetryDelay = 100 * time.Millisecond
 	// doubtfulRenewalWait replaces renewalWait for doubtPeriod after a call to the worker that got no answer. Ended runs are
@@ -33,14 +35,36 @@
 	s      *activeTerm
 	ref    port.WorkerRef
 	cancel context.CancelFunc
-	acked  chan struct{} // signals that ack has changed
+	probes singleflight.Group
+	*linkState
+}
+
+// linkState is what is known of a worker regardless of its address. A link to another address takes it over, because calls to the
+// former address may still renew the lease.
+type linkState struct {
+	acked chan struct{} // signals that ack has changed
 
 	mu         sync.Mutex
 	lease      leaseTracker
-	ack        int64
+	ack        acknowledgment
 	idle       bool      // the last inventory was empty
 	doubtUntil time.Time // a call without an answer is recent until then
-	probes     singleflight.Group
+}
+
+// acknowledgment is the number up to which the ended runs of an instance of a worker are durable. Each instance numbers its ended
+// runs from 1.
+type acknowledgment struct{ startMS, cursor int64 }
+
+func newLinkState(l leaseTracker) *linkState {
+	return &linkState{acked: make(chan struct{}, 1), lease: l}
+}
+
+// moved prepares the state for a link to another address, where another instance of the worker may answer.
+func (l *linkState) moved() *linkState {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lease.forgetClock()
+	return l
 }
 
 // updateLinks creates a link for each worker in use and closes the links of all others.
@@ -48,18 +72,11 @@
 	inUse := map[cell.WorkerID]bool{}
 	for _, w := range s.core.WorkersInUse() {
 		inUse[w.ID] = true
-		if l := s.links[w.ID]; l != nil {
-			if l.ref.Address == w.Address || w.Address == "" {
-				l.applyRegistered(w.StartMS)
-				continue
-			}
-			l.cancel()
+		l := s.links[w.ID]
+		if l == nil || l.ref.Address != w.Address && w.Address != "" {
+			l = s.openLink(w, l)
 		}
-		ctx, cancel := context.WithCancel(s.ctx)
-		l := &workerLink{s: s, ref: port.WorkerRef{ID: w.ID, Address: w.Address, Zone: w.Zone}, cancel: cancel, acked: make(chan struct{}, 1),
-			lease: newLeaseTracker(s.node.options, w.StartMS, s.began)}
-		s.links[w.ID] = l
-		s.spawn(func() { l.run(ctx) })
+		l.applyRegistered(w.StartMS, w.Draining)
 	}
 	for id, l := range s.links {
 		if !inUse[id] {
@@ -69,20 +86,42 @@
 	}
 }
 
+// openLink creates a link to a worker and closes the former one, if there is one.
+func (s *activeTerm) openLink(w cell.WorkerInUse, former *workerLink) *workerLink {
+	ctx, cancel := context.WithCancel(s.ctx)
+	l := &workerLink{s: s, ref: port.WorkerRef{ID: w.ID, Address: w.Address, Zone: w.Zone}, cancel: cancel}
+	if former != nil && former.ref.Address != "" {
+		l.linkState = former.moved()
+	} else {
+		l.linkState = newLinkState(newLeaseTracker(s.node.options, w.StartMS, s.wonAt))
+	}
+	if former != nil {
+		former.cancel()
+	}
+	s.links[w.ID] = l
+	s.spawn(func() { l.run(ctx) })
+	return l
+}
+
 // updateAcks informs the links of workers with unacknowledged ends up to which number these are durable.
 func (s *activeTerm) updateAcks() {
 	for _, id := range s.core.TakeUnacked() {
-		cursor, _ := s.core.AckCursor(id)
 		if l := s.links[id]; l != nil {
-			l.setAck(cursor)
+			l.updateAck()
 		}
 	}
 }
 
-func (l *workerLink) setAck(cursor int64) {
+// updateAck passes the scheduler's acknowledgment to the next renewal. It is called on the scheduler's goroutine.
+func (l *workerLink) updateAck() {
+	cursor, _ := l.s.core.AckCursor(l.ref.ID)
+	l.setAck(acknowledgment{l.s.core.Instance(l.ref.ID), cursor})
+}
+
+func (l *workerLink) setAck(ack acknowledgment) {
 	l.mu.Lock()
-	moved := cursor != l.ack
-	l.ack = cursor
+	moved := ack != l.ack
+	l.ack = ack
 	l.mu.Unlock()
 	if moved {
 		select {
@@ -102,26 +141,27 @@
 			l.checkExpiry()
 			continue
 		}
-		requestSequence, maxWait := l.s.core.OrderSequence(), l.maxWait()
+		requestSequence, maxWait, startMS, sentAt := l.s.core.OrderSequence(), l.maxWait(), l.instance(), time.Now()
 		reply, err := hedge(l.s.spawn, maxWait+l.s.latency.hedgeDelay(), l.s.mayRetry, func(second bool) (port.RenewalReply, error) {
 			return l.renew(ctx, maxWait, second)
 		})
 		if err != nil {
-			l.handleFailure(ctx, err)
+			l.handleFailure(ctx, err, startMS)
 			if !wait.For(ctx, renewalRetryDelay) {
 				return
 			}
 			continue
 		}
 		reply.Inventory.RequestSequence = requestSequence
-		l.handleRenewal(ctx, reply)
+		l.handleRenewal(ctx, reply, sentAt)
 	}
 }
 
-// applyRegistered applies the start of the worker's instance that the registry lists.
-func (l *workerLink) applyRegistered(startMS int64) {
+// applyRegistered applies what the registry lists of the worker: the start of its instance, and whether it drains.
+func (l *workerLink) applyRegistered(startMS int64, draining bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.lease.draining = draining
 	l.lease.restarted(startMS, time.Now())
 }
 
@@ -152,8 +192,11 @@
 	if time.Now().Before(l.doubtUntil) && l.s.mayRetry() {
 		return doubtfulRenewalWait
 	}
-	if l.idle {
+	switch {
+	case l.idle:
 		return idleRenewalWait
+	case l.lease.draining:
+		return drainingRenewalWait
 	}
 	return renewalWait
 }
@@ -164,16 +207,27 @@
 	defer l.mu.Unlock()
 	r := port.Renewal{Token: l.s.term.number, Wait: maxWait}
 	if second {
-		return r, l.lease.beginUngranted()
+		return r, leaseCall{}
 	}
-	call := l.lease.begin(time.Now())
+	call := l.beginCall()
 	r.LeaseEndMS = call.endMS
-	if l.lease.clock.known() { // the ack refers to the ended runs of the instance with that clock
-		r.Ack = l.ack
+	if l.lease.clock.known() && l.ack.startMS == l.lease.startMS {
+		r.Ack = l.ack.cursor
 	}
 	return r, call
 }
 
+// beginCall starts a call that grants a lease if the worker's clock is known and the term was confirmed recently. The term
+// is checked after the lease's end is set, because this node may be paused in between. The caller holds mu.
+func (l *workerLink) beginCall() leaseCall {
+	call := l.lease.begin(time.Now())
+	if !l.s.term.mayGrantLeases() {
+		l.lease.cancel(call)
+		return leaseCall{}
+	}
+	return call
+}
+
 // finishLeaseCall ends a call that may have renewed the lease.
 func (l *workerLink) finishLeaseCall(c leaseCall, startMS, clockMS int64, err error) {
 	now := time.Now()
@@ -185,36 +239,41 @@
 	}
 }
 
-// applyRenewal passes a worker's answer to the scheduler.
-func (l *workerLink) applyRenewal(ctx context.Context, r port.RenewalReply) {
+// applyRenewal passes a worker's answer to a call that was sent at the given time to the scheduler. Answers overtake each other, so
+// one of an earlier instance may come after that of its successor; it is dropped.
+func (l *workerLink) applyRenewal(ctx context.Context, r port.RenewalReply, sentAt time.Time) {
 	l.mu.Lock()
-	if r.Inventory.StartMS != l.lease.startMS {
-		l.ack = 0
+	if l.lease.outdated(r.Inventory.StartMS, sentAt) {
+		l.mu.Unlock()
+		l.s.node.options.Log.Info("decision", "subject", string(l.ref.ID), "decision", "outdated inventory dropped", "born_ms", r.Inventory.StartMS)
+		return
 	}
 	l.idle = len(r.Inventory.Running) == 0 && len(r.Inventory.Ended) == 0
 	l.lease.answered(r.Inventory.StartMS, r.ClockMS, time.Now())
 	l.mu.Unlock()
 	l.s.post(ctx, func() {
+		if l.instance() != r.Inventory.StartMS {
+			return // the answer of a later instance has overtaken this one
+		}
 		for _, o := range l.s.core.ApplyInventory(r.Inventory, time.Now()) {
-			l.s.stopUnexpectedRun(o)
+			l.s.stopUnexpectedRun(o.Worker, o.Run)
 		}
-		cursor, _ := l.s.core.AckCursor(l.ref.ID)
-		l.setAck(cursor)
+		l.updateAck()
 	})
 }
 
 // handleRenewal passes a worker's answer to the scheduler, and waits at most ackTimeout until its ended runs are
 // durable.
-func (l *workerLink) handleRenewal(ctx context.Context, r port.RenewalReply) {
-	l.applyRenewal(ctx, r)
+func (l *workerLink) handleRenewal(ctx context.Context, r port.RenewalReply, sentAt time.Time) {
+	l.applyRenewal(ctx, r, sentAt)
 	if len(r.Inventory.Ended) == 0 {
 		return
 	}
-	last := r.Inventory.Ended[len(r.Inventory.Ended)-1].Number
+	last := acknowledgment{r.Inventory.StartMS, r.Inventory.Ended[len(r.Inventory.Ended)-1].Number}
 	deadline := time.After(ackTimeout)
 	for {
 		l.mu.Lock()
-		durable := l.ack >= last
+		durable := l.ack.startMS == last.startMS && l.ack.cursor >= last.cursor
 		l.mu.Unlock()
 		if durable {
 			return
@@ -229,16 +288,29 @@
 	}
 }
 
-// handleFailure handles a renewal that returned no inventory.
-func (l *workerLink) handleFailure(ctx context.Context, err error) {
+// instance returns the start of the worker's current instance.
+func (l *workerLink) instance() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.lease.startMS
+}
+
+// leadsTo reports whether the instance is still expected at the link's address. It is called on the scheduler's goroutine.
+func (l *workerLink) leadsTo(startMS int64) bool {
+	return l.s.links[l.ref.ID] == l && l.instance() == startMS
+}
+
+// handleFailure handles a renewal that returned no inventory. startMS is the instance that was expected to answer.
+func (l *workerLink) handleFailure(ctx context.Context, err error, startMS int64) {
 	switch {
 	case errors.Is(err, port.ErrFenced):
 		l.s.end(errors.Wrapf(errTermLost, "worker %s has accepted a higher fencing token", l.ref.ID))
 	case errors.Is(err, port.ErrInstanceChanged):
-		l.mu.Lock()
-		startMS := l.lease.startMS
-		l.mu.Unlock()
-		l.s.post(ctx, func() { l.s.core.WorkerTerminated(l.ref.ID, startMS, time.Now()) })
+		l.s.post(ctx, func() {
+			if l.leadsTo(startMS) {
+				l.s.core.WorkerTerminated(l.ref.ID, startMS, time.Now())
+			}
+		})
 	case errors.Is(err, port.ErrConnectionRefused):
 		l.s.post(ctx, func() { l.s.core.WorkerConnectionRefused(l.ref.ID, time.Now()) })
 		l.checkExpiry()
@@ -254,117 +326,16 @@
 	expired := l.lease.expire(time.Now())
 	l.mu.Unlock()
 	if expired {
-		l.s.post(l.s.ctx, func() { l.s.core.WorkerLeaseExpired(l.ref.ID, time.Now()) })
-	}
-}
-
-// sendOrder sends an order to its worker and passes the outcome to the scheduler.
-func (s *activeTerm) sendOrder(o cell.Order) {
-	l := s.links[o.Worker]
-	if l == nil || l.ref.Address == "" {
-		s.core.ApplyOrderOutcome(o, cell.OrderUnanswered, time.Now())
-		return
-	}
-	s.spawn(func() {
-		outcome := l.send(o)
-		s.post(s.ctx, func() {
-			if !s.core.ApplyOrderOutcome(o, outcome, time.Now()) {
-				s.end(errors.Wrapf(errTermLost, "worker %s has accepted a higher fencing token", o.Worker))
-			}
-		})
-	})
-}
-
-// stopUnexpectedRun stops a run that the scheduler doesn't expect on its worker. If the order is lost, the worker lists
-// the run again.
-func (s *activeTerm) stopUnexpectedRun(o cell.Order) {
-	s.node.options.Log.Info("decision", "subject", o.Run.Task.String(), "decision", "stray run stopped", "run", o.Run.Run, "worker", o.Worker)
-	if l := s.links[o.Worker]; l != nil && l.ref.Address != "" {
-		s.spawn(func() { l.send(o) })
-	}
-}
-
-// send sends an order to the worker and returns the outcome.
-func (l *workerLink) send(o cell.Order) cell.OrderOutcome {
-	var err error
-	began := time.Now()
-	switch o.Kind {
-	case cell.OrderStart:
-		_, err = hedge(l.s.spawn, l.s.latency.hedgeDelay(), l.s.mayRetry, func(second bool) (struct{}, error) { return struct{}{}, l.start(o, second) })
-	case cell.OrderPace:
-		err = l.s.carriers.Pace(l.s.ctx, l.ref, o.Run, o.Pace, l.s.term.number)
-	default:
-		_, err = l.s.carriers.Stop(l.s.ctx, l.ref, o.Run, l.s.term.number)
-	}
-	outcome := orderOutcome(err)
-	recordSince(l.s.node.metrics.orderTime, began)
-	l.s.node.metrics.count("orders_total", string(o.Kind), string(outcome))
-	if outcome != cell.OrderDone {
-		l.s.node.options.Log.Info("order", "kind", o.Kind, "subject", o.Run.Task.String(), "run", o.Run.Run, "worker", o.Worker, "outcome", outcome,
-			"error", err.Error())
-	}
-	return outcome
-}
-
-// start sends a start order, which always grants a lease. The worker's clock is read first if it isn't known.
-func (l *workerLink) start(o cell.Order, second bool) error {
-	if err := l.readClock(); err != nil {
-		if decidesBoth(err) {
-			return err
-		}
-		return errors.Wrapf(port.ErrUnavailable, "worker clock not known: %v", err)
+		l.s.post(l.s.ctx, l.handleExpiry)
 	}
-	l.mu.Lock()
-	call := l.lease.begin(time.Now())
-	l.mu.Unlock()
-	clockMS, err := int64(0), errors.Wrap(port.ErrUnavailable, "worker clock not known")
-	if call.endMS != 0 {
-		began := time.Now()
-		clockMS, err = l.s.carriers.Start(l.s.ctx, l.ref, port.Start{Order: o, Token: l.s.term.number, LeaseEndMS: call.endMS}, second)
-		if !errors.Is(err, port.ErrUnknownOutcome) {
-			l.s.latency.observe(time.Since(began))
-		}
-	}
-	l.finishLeaseCall(call, 0, clockMS, err)
-	return err
 }
 
-// readClock makes a renewal without a lease unless the worker's clock is known. Callers at the same time share it.
-func (l *workerLink) readClock() error {
+// handleExpiry releases the runs on the worker, unless the scheduler has decided a start since the expiry was noticed.
+func (l *workerLink) handleExpiry() {
 	l.mu.Lock()
-	known := l.lease.clock.known()
+	expired := l.lease.stillExpired(time.Now())
 	l.mu.Unlock()
-	if known {
-		return nil
-	}
-	_, err, _ := l.probes.Do("", func() (any, error) {
-		requestSequence := l.s.core.OrderSequence()
-		reply, err := l.renew(l.s.ctx, 0, false)
-		if err == nil {
-			reply.Inventory.RequestSequence = requestSequence
-			l.applyRenewal(l.s.ctx, reply)
-		}
-		return nil, err
-	})
-	return err
-}
-
-func orderOutcome(err error) cell.OrderOutcome {
-	switch {
-	case err == nil:
-		return cell.OrderDone
-	case errors.Is(err, port.ErrFenced):
-		return cell.OrderFenced
-	case errors.Is(err, port.ErrStaleRun):
-		return cell.OrderStale
-	case errors.Is(err, port.ErrNoTicket):
-		return cell.OrderNoTicket
-	case errors.Is(err, port.ErrInstanceChanged):
-		return cell.OrderInstanceTerminated
-	case errors.Is(err, port.ErrUnknownOutcome):
-		return cell.OrderUnanswered
-	case errors.Is(err, port.ErrUnavailable), errors.Is(err, port.ErrConnectionRefused):
-		return cell.OrderNotSent
+	if expired {
+		l.s.core.WorkerLeaseExpired(l.ref.ID, time.Now())
 	}
-	return cell.OrderRefused
 }
--- a/internal/control/links_test.go
+++ b/internal/control/links_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -15,11 +16,18 @@
 	return &Node{options: Options{Name: name, Cores: cores, MaxLease: 10 * time.Second}}
 }
 
+// confirmedTerm returns a term that was just won.
+func confirmedTerm(number int64) *term {
+	t := &term{number: number}
+	t.confirm(currentInstant())
+	return t
+}
+
 // newTestLink returns a link to worker w in a term that began at the given time.
 func newTestLink(t *testing.T, termBegan time.Time) *workerLink {
 	node := newTestNode("a", 1)
-	s := &activeTerm{node: node, term: &term{number: 3}, events: make(chan func(), 8), ctx: t.Context(), core: cell.New(cell.Options{}, discardEvents{})}
-	return &workerLink{s: s, ref: port.WorkerRef{ID: "w", Address: "a"}, acked: make(chan struct{}, 1), lease: newLeaseTracker(node.options, 0, termBegan)}
+	s := &activeTerm{node: node, term: confirmedTerm(3), events: make(chan func(), 8), ctx: t.Context(), core: cell.New(cell.Options{}, discardEvents{})}
+	return &workerLink{s: s, ref: port.WorkerRef{ID: "w", Address: "a"}, linkState: newLinkState(newLeaseTracker(node.options, 0, termBegan))}
 }
 
 // Calls that were never sent renew nothing, so they must not postpone the expiry of the lease. Otherwise the tasks of
@@ -57,6 +65,21 @@
 	assert.Equal(t, len(l.s.events), 2)
 }
 
+// Guards against runs of an unreachable worker that wait for as long as the scheduler is busy: its link calls it again and again, and
+// one of these calls was always in flight when the expiry of the lease was applied.
+func TestCallThatGrantsNothingDoesNotPostponeExpiry(t *testing.T) {
+	l, order := newOrderingLink(t, &orderedWorkers{})
+	l.s.core.ApplyOrderOutcome(order, cell.OrderDone, time.Now())
+	l.finishLeaseCall(l.lease.begin(time.Now()), 0, 0, port.ErrUnknownOutcome)
+	l.lease.expiresAt = time.Now().Add(-time.Millisecond)
+	l.checkExpiry()
+	_, call := l.nextRenewal(0, false)
+	l.s.drainEvents()
+	assert.Equal(t, l.s.runs(), 0)
+	l.finishLeaseCall(call, 0, 0, port.ErrUnknownOutcome)
+	assert.Equal(t, l.lease.calls, 0)
+}
+
 // The lease must not be considered expired before the worker's clock, which may run slow, has reached its end.
 func TestLeaseExpiryAllowsForSlowClock(t *testing.T) {
 	now := time.Now()
@@ -73,14 +96,14 @@
 func TestAckIsSentOnlyToInstanceThatAnswered(t *testing.T) {
 	l := newTestLink(t, time.Now())
 	answered := func(startMS int64) {
-		l.handleRenewal(t.Context(), port.RenewalReply{ClockMS: 1000, Inventory: cell.Inventory{Worker: "w", StartMS: startMS}})
+		l.handleRenewal(t.Context(), port.RenewalReply{ClockMS: 1000, Inventory: cell.Inventory{Worker: "w", StartMS: startMS}}, time.Now())
 	}
 	answered(1)
-	l.setAck(57)
+	l.setAck(acknowledgment{1, 57})
 	r, call := l.nextRenewal(0, false)
 	assert.Equal(t, r.Ack, int64(57))
 	l.finishLeaseCall(call, 0, 0, port.ErrUnknownOutcome)
-	l.setAck(58)
+	l.setAck(acknowledgment{1, 58})
 	r, call = l.nextRenewal(0, false)
 	assert.Equal(t, r.Ack, int64(0))
 	l.finishLeaseCall(call, 1, 1000, nil)
@@ -92,6 +115,51 @@
 	assert.Equal(t, r.Ack, int64(0))
 }
 
+// Guards against a task that starts again after its end was noted: the registry showed that its worker had restarted, and before
+// the scheduler knew of the answer of the new instance, that instance got the acknowledgment of the earlier one.
+func TestRestartInRegistryEndsTheAcknowledgment(t *testing.T) {
+	l := newTestLink(t, time.Now())
+	l.applyRenewal(t.Context(), port.RenewalReply{ClockMS: 1000, Inventory: cell.Inventory{Worker: "w", StartMS: 1}}, time.Now())
+	l.setAck(acknowledgment{1, 57})
+	r, _ := l.nextRenewal(0, false)
+	assert.Equal(t, r.Ack, int64(57))
+	l.applyRegistered(2, false)
+	l.applyRenewal(t.Context(), port.RenewalReply{ClockMS: 100, Inventory: cell.Inventory{Worker: "w", StartMS: 2}}, time.Now())
+	r, _ = l.nextRenewal(0, false)
+	assert.Equal(t, r.Ack, int64(0))
+	l.setAck(acknowledgment{1, 58})
+	r, _ = l.nextRenewal(0, false)
+	assert.Equal(t, r.Ack, int64(0), "the scheduler doesn't know of the restart yet")
+	l.setAck(acknowledgment{2, 3})
+	r, _ = l.nextRenewal(0, false)
+	assert.Equal(t, r.Ack, int64(3))
+}
+
+// Guards against leases on the clock of an earlier instance of a worker, and against runs that are given up, because the late
+// answer of that instance was taken for the current one's.
+func TestLateAnswerOfAnEarlierInstanceIsDropped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, order := newOrderingLink(t, &orderedWorkers{})
+		s := l.s
+		answer := func(startMS, clockMS int64, sentAt time.Time, running ...cell.RunningRow) {
+			l.applyRenewal(t.Context(), port.RenewalReply{ClockMS: clockMS, Inventory: cell.Inventory{Worker: "w", StartMS: startMS, Running: running,
+				RequestSequence: s.core.OrderSequence()}}, sentAt)
+			s.drainEvents()
+		}
+		sentEarlier := time.Now()
+		time.Sleep(time.Second)
+		answer(2, 100, time.Now())
+		assert.Equal(t, s.runs(), 1, "the run is stopped first, because the start may be carried out late")
+		answer(1, 61_000, sentEarlier)
+		assert.Equal(t, s.core.Instance("w"), int64(2))
+		r, _ := l.nextRenewal(time.Second, false)
+		assert.Equal(t, r.LeaseEndMS, 100+workerLease.Milliseconds())
+
+		answer(1, 200, time.Now(), cell.RunningRow{Run: order.Run})
+		assert.Equal(t, s.core.Instance("w"), int64(1), "the worker's time of day has stepped back before its restart")
+	})
+}
+
 // Guards against a task that stays on a lost worker for good: the worker's lease lapsed while it had no runs, and then a
 // start order to it got no answer.
 func TestLeaseOfUnansweredStartLapsesAfterAnIdleLease(t *testing.T) {
@@ -100,11 +168,11 @@
 	each := resource.Vector{MilliCPU: 1000, MemoryMB: 100}
 	s.core.SetConfig(cell.NewConfig(cell.Config{Version: 1, Queues: []cell.Queue{{Name: "q", Service: "pool", MaxAttempts: 2, Stretch: 3}}}))
 	s.core.SetWorkers([]cell.WorkerReport{{ID: "w", Address: "a", Service: "pool", Capacity: each, StartMS: 1}}, time.Now())
-	l.handleRenewal(t.Context(), port.RenewalReply{ClockMS: 1000, Inventory: cell.Inventory{Worker: "w", StartMS: 1}})
+	l.handleRenewal(t.Context(), port.RenewalReply{ClockMS: 1000, Inventory: cell.Inventory{Worker: "w", StartMS: 1}}, time.Now())
 	s.drainEvents()
 	lapse := func() {
 		l.lease.expiresAt = time.Now().Add(-time.Millisecond)
-		l.handleFailure(t.Context(), port.ErrConnectionRefused)
+		l.handleFailure(t.Context(), port.ErrConnectionRefused, 1)
 		s.drainEvents()
 	}
 	lapse()
@@ -124,6 +192,52 @@
 	assert.Equal(t, s.core.WorkersInUse()[0].Runs, 0)
 }
 
+// Guards against a task that runs twice: its worker got another address, and the first failed renewal there released all runs on
+// it, because the lease was taken for one that had ended soon after the beginning of the term.
+func TestLeaseOutlastsAChangeOfTheWorkersAddress(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, order := newOrderingLink(t, &orderedWorkers{renewalError: port.ErrUnavailable})
+		s := l.s
+		time.Sleep(time.Hour)
+		s.term.confirm(currentInstant())
+		l.lease.answered(1, 3_660_000, time.Now())
+		assert.Equal(t, l.send(order), cell.OrderDone)
+		s.core.ApplyOrderOutcome(order, cell.OrderDone, time.Now())
+		s.core.SetWorkers([]cell.WorkerReport{{ID: "w", Address: "b", Service: "pool", Capacity: oneCore, StartMS: 1}}, time.Now())
+		s.updateLinks()
+		time.Sleep(workerLease)
+		s.drainEvents()
+		assert.Equal(t, s.runs(), 1)
+		time.Sleep(time.Second)
+		s.drainEvents()
+		assert.Equal(t, s.runs(), 0, "the lease has expired")
+	})
+}
+
+// Guards against a task that runs twice: its worker drained and was cut off by a network that refuses connections, its entry in the
+// registry expired, and the run was released although the worker's lease lasted.
+func TestRefusalDoesNotEndADrainingWorker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, order := newOrderingLink(t, &orderedWorkers{})
+		s := l.s
+		s.core.ApplyOrderOutcome(order, cell.OrderDone, time.Now())
+		s.core.SetWorkers([]cell.WorkerReport{{ID: "w", Address: "a", Service: "pool", Capacity: oneCore, Draining: true, StartMS: 1}}, time.Now())
+		s.updateLinks()
+		r, call := l.nextRenewal(time.Second, false)
+		assert.Equal(t, r.LeaseEndMS, 60_000+drainingWorkerLease.Milliseconds(), "the lease is short while the worker drains")
+		l.finishLeaseCall(call, 1, 60_000, nil)
+		s.core.SetWorkers(nil, time.Now())
+		time.Sleep(drainingWorkerLease)
+		l.handleFailure(t.Context(), port.ErrConnectionRefused, 1)
+		s.drainEvents()
+		assert.Equal(t, s.runs(), 1)
+		time.Sleep(drainingWorkerLease / 10)
+		l.handleFailure(t.Context(), port.ErrConnectionRefused, 1)
+		s.drainEvents()
+		assert.Equal(t, s.runs(), 0, "the lease has expired")
+	})
+}
+
 // A node with few cores must not win the first term before a node with enough cores tries.
 func TestNodesWithMoreCoresCampaignFirst(t *testing.T) {
 	for _, name := range []string{"a", "b", "c"} {
--- /dev/null
+++ b/internal/control/orders_test.go
@@ -0,0 +1,207 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"sequoiastall/internal/core/cell"
+	"sequoiastall/internal/core/resource"
+	"sequoiastall/internal/port"
+)
+
+// orderedWorkers records the orders that it carries out. Renewals fail with renewalError.
+type orderedWorkers struct {
+	port.LeasedWorkers
+	renewalError error
+	startError   error
+	delay        time.Duration // of starts
+
+	mu            sync.Mutex
+	starts, stops []cell.RunID
+}
+
+func (w *orderedWorkers) Renew(context.Context, port.WorkerRef, port.Renewal) (port.RenewalReply, error) {
+	return port.RenewalReply{}, w.renewalError
+}
+
+func (w *orderedWorkers) Start(_ context.Context, _ port.WorkerRef, s port.Start) (int64, error) {
+	time.Sleep(w.delay)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.startError == nil {
+		w.starts = append(w.starts, s.Order.Run)
+	}
+	return 0, w.startError
+}
+
+func (w *orderedWorkers) Stop(_ context.Context, _ port.WorkerRef, r cell.RunID, _ int64) (int64, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stops = append(w.stops, r)
+	return 0, nil
+}
+
+func (w *orderedWorkers) counts() (starts, stops int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.starts), len(w.stops)
+}
+
+var oneCore = resource.Vector{MilliCPU: 1000, MemoryMB: 100}
+
+// newOrderingLink returns a link to worker w, which has answered and whose lease ends in a second, and the order to start the
+// task of job j there.
+func newOrderingLink(t *testing.T, workers port.LeasedWorkers) (*workerLink, cell.Order) {
+	now := time.Now()
+	node, _, _ := newIsolatedNode()
+	node.options.MaxLease = longestLease
+	s := &activeTerm{node: node, term: confirmedTerm(3), events: make(chan func(), eventBuffer), core: cell.New(cell.Options{}, discardEvents{}),
+		links: map[cell.WorkerID]*workerLink{}, carriers: newCarriers(workers, spreading{}), wonAt: now}
+	s.ctx, s.end = context.WithCancelCause(t.Context())
+	t.Cleanup(func() { s.end(nil); s.tasks.Wait() })
+	s.core.SetConfig(cell.NewConfig(cell.Config{Version: 1, Queues: []cell.Queue{{Name: "q", Service: "pool", MaxAttempts: 2, Stretch: 3}}}))
+	s.core.SetWorkers([]cell.WorkerReport{{ID: "w", Address: "a", Service: "pool", Capacity: oneCore, StartMS: 1}}, now)
+	l := &workerLink{s: s, ref: port.WorkerRef{ID: "w", Address: "a"}, cancel: func() {},
+		linkState: newLinkState(newLeaseTracker(node.options, 1, now))}
+	s.links["w"] = l
+	l.applyRenewal(t.Context(), port.RenewalReply{ClockMS: 60_000, Inventory: cell.Inventory{Worker: "w", StartMS: 1}}, time.Now())
+	s.drainEvents()
+	l.lease.expiresAt = now.Add(time.Second)
+	assert.NilError(t, s.core.AddJob(cell.Job{ID: "j", Queue: "q", Service: "pool", Steps: []cell.Step{{Count: 1, Each: oneCore}}}, nil, now))
+	s.core.Advance(now)
+	for _, w := range s.core.TakeWrites(entriesPerTxn) {
+		s.core.WriteCommitted(w)
+	}
+	orders := s.core.Advance(now).Orders
+	assert.Equal(t, len(orders), 1)
+	return l, orders[0]
+}
+
+// runs returns the number of runs that the scheduler expects on the only worker.
+func (s *activeTerm) runs() int { return s.core.WorkersInUse()[0].Runs }
+
+// Guards against a task that runs twice: its start was decided and not sent yet when the worker's lease expired, so it was
+// given up, started elsewhere, and sent after all.
+func TestLeaseDoesNotExpireWhileAStartIsPending(t *testing.T) {
+	for name, expireFirst := range map[string]bool{"expiry noticed after the decision": false, "expiry noticed before the decision": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				workers := &orderedWorkers{renewalError: port.ErrUnavailable}
+				l, order := newOrderingLink(t, workers)
+				clockRead, readClock := context.WithCancel(t.Context())
+				defer readClock()
+				l.lease.forgetClock()
+				go func() { // a reading of the clock, for which the start waits
+					_, _, _ = l.probes.Do("", func() (any, error) { <-clockRead.Done(); return nil, nil })
+				}()
+				synctest.Wait()
+				time.Sleep(2 * time.Second)
+				if expireFirst {
+					l.checkExpiry()
+				}
+				l.s.sendOrder(order)
+				synctest.Wait()
+				l.handleFailure(t.Context(), port.ErrUnavailable, 1)
+				l.s.drainEvents()
+				assert.Equal(t, l.s.runs(), 1, "the start may still be carried out")
+
+				l.lease.answered(1, 62_000, time.Now())
+				readClock()
+				synctest.Wait()
+				l.s.drainEvents()
+				starts, _ := workers.counts()
+				assert.Equal(t, starts, 1)
+				assert.Equal(t, l.s.runs(), 1)
+				time.Sleep(2 * workerLease)
+				l.handleFailure(t.Context(), port.ErrUnavailable, 1)
+				l.s.drainEvents()
+				assert.Equal(t, l.s.runs(), 0, "the lease of the start has expired")
+			})
+		})
+	}
+}
+
+// Guards against a run that goes on beside its successor until the next inventory: its start was answered only after the run had
+// been given up.
+func TestStartAnsweredAfterItsRunWasGivenUpIsStopped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		workers := &orderedWorkers{delay: 50 * time.Millisecond}
+		l, order := newOrderingLink(t, workers)
+		l.s.sendOrder(order)
+		l.s.core.WorkerTerminated("w", 1, time.Now())
+		assert.Equal(t, l.s.runs(), 0)
+		time.Sleep(workers.delay)
+		synctest.Wait()
+		l.s.drainEvents()
+		synctest.Wait()
+		starts, stops := workers.counts()
+		assert.Equal(t, starts, 1)
+		assert.Equal(t, stops, 1)
+	})
+}
+
+// Guards against a stop order for each run whose end is listed before its start is answered.
+func TestStartAnsweredAfterItsRunIsDoneIsNotStopped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		workers := &orderedWorkers{delay: 50 * time.Millisecond}
+		l, order := newOrderingLink(t, workers)
+		l.s.sendOrder(order)
+		l.applyRenewal(t.Context(), port.RenewalReply{ClockMS: 60_020, Inventory: cell.Inventory{Worker: "w", StartMS: 1,
+			Ended: []cell.EndedRow{{Number: 1, Run: order.Run, Kind: cell.EndDone}}}}, time.Now())
+		time.Sleep(workers.delay)
+		synctest.Wait()
+		l.s.drainEvents()
+		synctest.Wait()
+		_, stops := workers.counts()
+		assert.Equal(t, stops, 0)
+	})
+}
+
+// Guards against a task that runs twice: an order was answered by another instance at a worker's former address, which released
+// all runs on the worker, although it went on at its new address.
+func TestAnswerFromAFormerAddressDoesNotEndTheWorker(t *testing.T) {
+	move := func(l *workerLink) {
+		l.s.core.SetWorkers([]cell.WorkerReport{{ID: "w", Address: "b", Service: "pool", Capacity: oneCore, StartMS: 1}}, time.Now())
+		l.s.updateLinks()
+	}
+	t.Run("order", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			workers := &orderedWorkers{startError: port.ErrInstanceChanged, renewalError: port.ErrUnavailable, delay: 50 * time.Millisecond}
+			l, order := newOrderingLink(t, workers)
+			l.s.core.ApplyOrderOutcome(order, cell.OrderUnanswered, time.Now()) // an earlier attempt may have been carried out
+			l.s.sendOrder(order)
+			synctest.Wait()
+			move(l)
+			time.Sleep(workers.delay)
+			synctest.Wait()
+			l.s.drainEvents()
+			assert.Equal(t, l.s.runs(), 1)
+		})
+	})
+	t.Run("renewal", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			l, order := newOrderingLink(t, &orderedWorkers{renewalError: port.ErrUnavailable})
+			l.s.core.ApplyOrderOutcome(order, cell.OrderDone, time.Now())
+			move(l)
+			l.handleFailure(t.Context(), port.ErrInstanceChanged, 1)
+			l.s.drainEvents()
+			assert.Equal(t, l.s.runs(), 1)
+		})
+	})
+}
+
+// Guards against runs that wait for the lease of a worker that has ended: another instance answers at its only address.
+func TestAnswerOfAnotherInstanceEndsTheWorker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, order := newOrderingLink(t, &orderedWorkers{startError: port.ErrInstanceChanged})
+		l.s.sendOrder(order)
+		synctest.Wait()
+		l.s.drainEvents()
+		assert.Equal(t, l.s.runs(), 0)
+	})
+}
