cell: a worker is used only by the entry of its current instance

A worker that restarts under its ID with less capacity got starts for what its earlier instance had room for, until the registry was read again.

Cause: ApplyInventory made the new instance usable at once, with the capacity, labels, rack and service of the earlier entry. An entry of an earlier instance that was read late also put the earlier capacity back. An unchanged entry with a higher start counted as a further restart when the worker's wall clock had gone back.

Evidence, without the change: TestRestartedWorkerIsNotUsedByItsEarlierEntry: 2 (int) != 0 (int): the registry still lists the earlier instance TestEntryOfEarlierInstanceIsNotUsed: 2 (int) != 0 (int) TestUnchangedEntryIsNoRestart: 5 != 2 (int64) TestDecidedStartIsDroppedIfAnotherInstanceIsListed: 1 (int) != 0 (int)

Why it works: nothing is placed or started on a worker unless its entry and its last answer name the same start. Only an entry whose start has changed counts as a restart.

Three tests used a restarted worker without a registry entry of its new instance. They now list it; their assertions are unchanged.

Measured: go test -race ./internal/core/cell and ./internal/control pass; TestModel passes with 3,000 checks.

--- a/internal/core/cell/crashes_test.go
+++ b/internal/core/cell/crashes_test.go
@@ -100,6 +100,7 @@
 		}
 		restarted.RequestSequence = h.s.OrderSequence()
 		h.s.ApplyInventory(restarted, h.now)
+		h.listStart(orders[0].Worker, restarted.StartMS)
 	}
 	assert.Equal(t, len(h.nextStarts()), 0)
 	assert.Equal(t, h.s.State("a").Phase, Failed)
@@ -385,6 +386,7 @@
 		}
 		restarted.RequestSequence = h.s.OrderSequence()
 		h.s.ApplyInventory(restarted, h.now)
+		h.listStart(o.Worker, restarted.StartMS)
 		assert.Assert(t, slices.Contains(h.s.jobs["a"].steps[0].tasks[0].avoid, o.Worker))
 	}
 	a := h.s.jobs["a"].steps[0].tasks[0]
--- a/internal/core/cell/faults_test.go
+++ b/internal/core/cell/faults_test.go
@@ -335,7 +335,8 @@
 	}
 	h.advance(50 * time.Millisecond) // there is capacity, and new tickets are requested
 	assert.Assert(t, len(h.advice) > 0)
-	h.s.ApplyInventory(Inventory{Worker: workerID(0), StartMS: 2, RequestSequence: h.s.OrderSequence()}, h.now)
+	h.renewInstance(0, 2, nil, nil)
+	h.listStart(workerID(0), 2)
 	for range 10 {
 		h.answerAdvice()
 		h.advance(50 * time.Millisecond)
--- a/internal/core/cell/harness_test.go
+++ b/internal/core/cell/harness_test.go
@@ -127,7 +127,29 @@
 
 // renew delivers a worker's inventory that was requested now.
 func (h *harness) renew(worker int, running []RunningRow, ended []EndedRow) []Order {
-	return h.s.ApplyInventory(Inventory{Worker: workerID(worker), StartMS: 1, RequestSequence: h.s.OrderSequence(), Running: running, Ended: ended}, h.now)
+	return h.renewInstance(worker, 1, running, ended)
+}
+
+// renewInstance delivers an inventory of the given instance of a worker that was requested now.
+func (h *harness) renewInstance(worker int, startMS int64, running []RunningRow, ended []EndedRow) []Order {
+	return h.s.ApplyInventory(Inventory{Worker: workerID(worker), StartMS: startMS, RequestSequence: h.s.OrderSequence(), Running: running, Ended: ended}, h.now)
+}
+
+// listStart updates the start of the instance in a worker's registry entry.
+func (h *harness) listStart(id WorkerID, startMS int64) {
+	for i := range h.reports {
+		if h.reports[i].ID == id {
+			h.reports[i].StartMS = startMS
+		}
+	}
+	h.s.SetWorkers(h.reports, h.now)
+}
+
+// listInstance registers a worker's instance with the given capacity in thousandths of a core. No other worker stays listed.
+func (h *harness) listInstance(worker int, startMS, milliCPU int64) {
+	r := h.workerReport(worker)
+	r.StartMS, r.Capacity.MilliCPU = startMS, milliCPU
+	h.s.SetWorkers([]WorkerReport{r}, h.now)
 }
 
 func (h *harness) addJob(j Job) {
--- a/internal/core/cell/orders.go
+++ b/internal/core/cell/orders.go
@@ -81,6 +81,10 @@
 			s.startRejected(t, "the worker drains")
 			return Order{}, false
 		}
+		if !t.worker.described() {
+			s.startRejected(t, "the registry lists another instance of the worker")
+			return Order{}, false
+		}
 		if s.startsHeld {
 			return Order{}, false
 		}
--- a/internal/core/cell/state.go
+++ b/internal/core/cell/state.go
@@ -110,7 +110,8 @@
 
 // worker is the scheduling state of a worker that runs or ran tasks of this cell.
 type worker struct {
-	WorkerReport
+	WorkerReport              // its registry entry, except for StartMS, which is that of the current instance
+	listedStartMS   int64     // StartMS of its registry entry
 	registered      bool      // listed in the registry
 	reached         bool      // its current instance has answered this lease holder
 	terminated      bool      // its instance is known to have ended
@@ -150,7 +151,13 @@
 
 // available reports whether the worker is in service and answers.
 func (w *worker) available() bool {
-	return w.registered && w.reached && !w.terminated && !w.unresponsive && !w.Draining
+	return w.registered && w.reached && !w.terminated && !w.unresponsive && !w.Draining && w.described()
+}
+
+// described reports whether the worker's registry entry is that of its current instance. Another instance may differ in
+// capacity, labels, rack and service.
+func (w *worker) described() bool {
+	return w.listedStartMS == w.StartMS || w.listedStartMS == 0 || w.StartMS == 0
 }
 
 // setAside reports whether the worker gets no new work because of faults, and has had none for minFaultPause.
--- a/internal/core/cell/workers.go
+++ b/internal/core/cell/workers.go
@@ -46,18 +46,23 @@
 
 func (s *Scheduler) setWorker(r WorkerReport) {
 	w := s.workerOf(r.ID)
+	wasDescribed := w.described()
 	if !w.registered || w.Draining != r.Draining {
 		s.events.LogDecision(string(r.ID), "worker listed", "draining", r.Draining, "zone", r.Zone, "rack", r.Rack, "born_ms", r.StartMS)
 		s.changed = true
 	}
 	s.setCapacity(w, r.Capacity)
-	if w.Address != "" && r.StartMS > w.StartMS && w.StartMS != 0 {
+	switch {
+	case w.StartMS == 0:
+		w.StartMS = r.StartMS
+	case r.StartMS > w.StartMS && r.StartMS != w.listedStartMS:
 		s.workerRestarted(w, r.StartMS)
 		w.reached = false
 	}
-	startMS := max(w.StartMS, r.StartMS)
-	w.WorkerReport, w.registered = r, true
+	startMS := w.StartMS
+	w.WorkerReport, w.listedStartMS, w.registered = r, r.StartMS, true
 	w.StartMS = startMS
+	s.changed = s.changed || !wasDescribed && w.described()
 }
 
 // WorkerLeaseExpired reports that a worker's lease has expired, so that all of its runs are known to have ended.
