cell: a late inventory of an earlier instance is ignored

What callers saw: TWICE and ends that were never counted. The inventory of an instance that had ended could arrive after the first one of the next instance. The scheduler then switched the worker back, stopped its runs, applied the ends of the dead instance, and the living one was told to forget its own ends up to the number that the dead one had reached. In the same way an inventory requested before a lease expired made the worker usable again with the released runs listed.

Cause: each inventory with another start counted as a restart, whatever the order of requests and answers.

Why it works: the order sequence, which each renewal already carries, rises when another instance or a release of all runs is noticed. A request sent after an answer of one instance can't be answered by an earlier one, so an inventory of another instance counts only if it was requested later. The wall clock of the workers takes no part. An instance that answers a request sent after it was taken for ended is alive, and is used again.

--- a/internal/core/cell/instances_test.go
+++ b/internal/core/cell/instances_test.go
@@ -60,3 +60,58 @@
 	assert.Equal(t, len(again), 1)
 	assert.Equal(t, again[0].Run.Run, 2)
 }
+
+// Guards against a late inventory of an earlier instance that makes the worker that instance again: its runs were stopped, and
+// the living instance was told to forget ends that it had never reported.
+func TestLateInventoryOfEarlierInstanceIsIgnored(t *testing.T) {
+	for name, starts := range map[string][2]int64{"rising": {1, 2}, "clock went back": {2, 1}} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, 0)
+			h.listInstance(0, starts[0], 4000)
+			h.renewInstance(0, starts[0], nil, nil)
+			requested := h.s.OrderSequence()
+			h.renewInstance(0, starts[1], nil, nil)
+			h.listInstance(0, starts[1], 4000)
+			h.addJob(Job{ID: "a", Steps: []Step{tasks(1, 1000)}})
+			h.advance(20 * time.Millisecond)
+			o := h.takeStarts()[0]
+			h.confirm(o)
+			late := Inventory{Worker: o.Worker, StartMS: starts[0], RequestSequence: requested,
+				Ended: []EndedRow{{Number: 7, Run: RunID{TaskID{"gone", 0, 0}, 1}, Kind: EndDone}}}
+			assert.Equal(t, len(h.s.ApplyInventory(late, h.now)), 0)
+			cursor, _ := h.s.AckCursor(o.Worker)
+			assert.Equal(t, cursor, int64(0))
+			h.advance(20 * time.Millisecond)
+			assert.Equal(t, len(h.takeStops()), 0)
+		})
+	}
+}
+
+// Guards against an inventory that was requested before the worker's lease expired and makes it usable again, with runs listed
+// that were released.
+func TestInventoryRequestedBeforeReleaseIsIgnored(t *testing.T) {
+	h := newHarness(t, 1)
+	h.addJob(Job{ID: "a", Steps: []Step{tasks(1, 1000)}})
+	h.advance(0)
+	o := h.takeStarts()[0]
+	h.confirm(o)
+	requested := h.s.OrderSequence()
+	h.s.WorkerLeaseExpired(o.Worker, h.now)
+	late := Inventory{Worker: o.Worker, StartMS: 1, RequestSequence: requested, Running: []RunningRow{{Run: o.Run}}}
+	assert.Equal(t, len(h.s.ApplyInventory(late, h.now)), 0)
+	h.advance(20 * time.Millisecond)
+	assert.Equal(t, len(h.takeStarts()), 0)
+	h.renew(0, nil, nil)
+	h.advance(20 * time.Millisecond)
+	assert.Equal(t, len(h.takeStarts()), 1)
+}
+
+// Guards against a worker that was taken for ended and stays unused although its instance answers.
+func TestWorkerThatAnswersIsNotTerminated(t *testing.T) {
+	h := newHarness(t, 1)
+	h.s.WorkerTerminated(workerID(0), 1, h.now)
+	h.renew(0, nil, nil)
+	h.addJob(Job{ID: "a", Steps: []Step{tasks(1, 1000)}})
+	h.advance(20 * time.Millisecond)
+	assert.Equal(t, len(h.takeStarts()), 1)
+}
--- a/internal/core/cell/inventory.go
+++ b/internal/core/cell/inventory.go
@@ -27,9 +27,14 @@
 	if w == nil {
 		return nil
 	}
-	if w.StartMS != 0 && inv.StartMS != 0 && inv.StartMS != w.StartMS {
+	if w.outdated(inv) {
+		s.events.LogDecision(string(w.ID), "late inventory ignored", "born_ms", inv.StartMS, "current_ms", w.StartMS)
+		return nil
+	}
+	if w.otherInstance(inv) {
 		s.workerRestarted(w, inv.StartMS)
 	}
+	w.terminated = false
 	w.lastInventoryAt, w.refusing = now, false
 	if w.unresponsive {
 		w.unresponsive, s.changed = false, true
@@ -60,6 +65,21 @@
 	return unexpectedStops
 }
 
+// otherInstance reports whether an inventory is that of another instance than the current one.
+func (w *worker) otherInstance(inv Inventory) bool {
+	return w.StartMS != 0 && inv.StartMS != 0 && inv.StartMS != w.StartMS
+}
+
+// outdated reports whether an inventory may describe an earlier instance of the worker, or runs that have been released
+// since. The order of requests and answers decides that, because the starts of instances are wall-clock times and may go
+// back: a request that was sent after an answer of one instance isn't answered by an earlier one.
+func (w *worker) outdated(inv Inventory) bool {
+	if w.otherInstance(inv) {
+		return inv.RequestSequence < w.instanceSince
+	}
+	return inv.RequestSequence < w.releasedAt
+}
+
 // workerRestarted switches to a new instance of a worker. The runs of the earlier instance are lost, and its outstanding
 // orders must not be carried out by the new one, so each run is stopped first.
 func (s *Scheduler) workerRestarted(w *worker, startMS int64) {
@@ -67,6 +87,7 @@
 	s.countCrash(w, "the worker restarted")
 	w.StartMS, w.lastEndNumber, w.ackCursor, w.pendingEnds, w.terminated = startMS, 0, 0, nil, false
 	w.faults = faults{}
+	w.instanceSince, w.releasedAt = s.orderSequence.Add(1), 0
 	for t := range w.tasks {
 		delete(t.step.advice.tickets, w.ID) // tickets are valid only for one instance of the worker
 		switch t.phase {
--- a/internal/core/cell/state.go
+++ b/internal/core/cell/state.go
@@ -117,15 +117,19 @@
 	terminated      bool      // its instance is known to have ended
 	unresponsive    bool      // didn't answer its last call
 	lastInventoryAt time.Time // when its last inventory was applied
-	free            resource.Vector
-	freed           bool            // capacity has come free since the last placement pass
-	withheld        resource.Vector // part of free that the current pass withholds for steps that don't fit yet
-	tasks           map[*task]bool
-	lastEndNumber   int64 // number of the last end that was processed
-	pendingEnds     []pendingEnd
-	ackCursor       int64 // ends up to this number are durable
-	faults          faults
-	bestEffort      paceControl
+	// instanceSince is the order sequence from which on a request can't be answered by an earlier instance any more.
+	instanceSince uint64
+	// releasedAt is the order sequence at which all runs were released. An inventory requested before may list them.
+	releasedAt    uint64
+	free          resource.Vector
+	freed         bool            // capacity has come free since the last placement pass
+	withheld      resource.Vector // part of free that the current pass withholds for steps that don't fit yet
+	tasks         map[*task]bool
+	lastEndNumber int64 // number of the last end that was processed
+	pendingEnds   []pendingEnd
+	ackCursor     int64 // ends up to this number are durable
+	faults        faults
+	bestEffort    paceControl
 	// refusing is set while the worker's address refuses connections.
 	refusing bool
 	heldBy   *step // step of the tasks on probation that hold the worker, nil if there are none
--- a/internal/core/cell/workers.go
+++ b/internal/core/cell/workers.go
@@ -129,7 +129,7 @@
 // releaseRuns releases all runs on a worker, which are known not to exist any more.
 func (s *Scheduler) releaseRuns(w *worker, reason string) {
 	s.events.LogDecision(string(w.ID), "worker lost", "reason", reason, "runs", len(w.tasks))
-	w.reached = false
+	w.reached, w.releasedAt = false, s.orderSequence.Add(1)
 	for t := range w.tasks {
 		if t.phase == taskDone {
 			s.deallocate(t)
