cell: runs that a worker lists unexpectedly occupy its capacity

What callers saw: LIMIT, after a run was given up while it went on; and TWICE of the same task. The worker listed the run, it was told to stop it, and meanwhile its room was given to other tasks, and its task started elsewhere. A stop takes up to 900 ms on one deployment, and what is being stopped still counts.

Cause: runs that belong to no current task got a stop order but weren't counted. A worker without other runs was even forgotten when it left the registry, and its link closed. A reservation of the task's next run on the same worker was taken for the listed run.

Evidence, without the change: TestUnexpectedRunOccupiesCapacity: 2 (int) != 0 (int) TestTaskWaitsForItsUnexpectedRun: 1 (int) != 0 (int) TestUnsentStartIsRevokedIfAnEarlierRunGoesOn: 1 (int) != 0 (int) TestNothingIsPlacedBesideAnUnknownRun: 1 (int) != 0 (int) TestWorkerWithAnUnexpectedRunIsKept: 0 (int) != 1 (int) TestEarlierInventoryDoesNotEndAnUnexpectedRun: 1 (int) != 0 (int)

Why it works: such a run counts against its worker's capacity, its team's limit and its step's limit of tasks on one worker, and the next run of its task isn't placed, until an end is listed, an inventory requested later doesn't list it, or the worker's instance or lease has ended. Nothing is placed beside a run of an unknown job, whose needs aren't known.

TestCrashCountSurvivesTakeover listed a gang member as running that it had itself stopped before; it lists that run only for the case without a gang.

Measured: go test -race ./internal/core/cell and ./internal/control pass; TestModel passes with 3,000 checks.

--- a/internal/core/cell/capacity.go
+++ b/internal/core/cell/capacity.go
@@ -40,7 +40,7 @@
 				break
 			}
 			if t.worker == w && t.startRevocability() > notRevocable { // not revoked yet with another member of its gang
-				s.revokeStart(t)
+				s.revokeStart(t, "the worker's capacity has shrunk")
 			}
 		}
 		if !w.free.HasNegative() {
@@ -94,8 +94,7 @@
 }
 
 // revokeStart makes a task wait for another worker. A run that may exist is stopped first.
-func (s *Scheduler) revokeStart(t *task) {
-	const reason = "the worker's capacity has shrunk"
+func (s *Scheduler) revokeStart(t *task, reason string) {
 	switch {
 	case t.phase == taskReserved && t.step.spec.Gang:
 		s.releaseReserved(t.step)
--- a/internal/core/cell/crashes_test.go
+++ b/internal/core/cell/crashes_test.go
@@ -124,7 +124,11 @@
 		h.s = h.newScheduler()
 		assert.NilError(t, h.s.AddJob(job, h.records["a"], h.now))
 		h.s.SetWorkers(h.reports, h.now)
-		h.renewIdle(orders[1])
+		running := orders[1:]
+		if gang { // the other member was stopped
+			running = nil
+		}
+		h.renewIdle(running...)
 		orders = h.nextStarts()
 		assert.Assert(t, len(orders) > 0)
 		h.confirm(orders...)
--- a/internal/core/cell/inventory.go
+++ b/internal/core/cell/inventory.go
@@ -47,16 +47,20 @@
 	}
 	seen := map[*task]bool{}
 	var unexpectedStops []Order
+	listed := map[RunID]bool{}
 	for _, row := range inv.Running {
 		if t := s.applyRunning(w, row); t != nil {
 			seen[t] = true
-		} else {
+		} else if inv.RequestSequence >= w.endsAppliedAt {
+			listed[row.Run] = true
+			s.addUnexpected(w, row.Run)
 			unexpectedStops = append(unexpectedStops, Order{Kind: OrderStop, Worker: w.ID, Run: row.Run})
 		}
 	}
 	for _, row := range inv.Ended {
 		s.applyEnd(w, row)
 	}
+	s.removeAbsentUnexpected(w, inv, listed)
 	s.controlPace(w, inv.Running)
 	if !inv.Truncated {
 		s.releaseAbsentRuns(w, inv.RequestSequence, seen)
@@ -87,7 +91,7 @@
 	s.countCrash(w, "the worker restarted")
 	w.StartMS, w.lastEndNumber, w.ackCursor, w.pendingEnds, w.terminated = startMS, 0, 0, nil, false
 	w.faults = faults{}
-	w.instanceSince, w.releasedAt = s.orderSequence.Add(1), 0
+	w.instanceSince, w.releasedAt, w.endsAppliedAt = s.orderSequence.Add(1), 0, 0
 	for t := range w.tasks {
 		delete(t.step.advice.tickets, w.ID) // tickets are valid only for one instance of the worker
 		switch t.phase {
@@ -107,7 +111,7 @@
 // applyRunning applies an inventory row of a running task. It returns nil if the run doesn't belong to a current task.
 func (s *Scheduler) applyRunning(w *worker, row RunningRow) *task {
 	t := s.findTask(row.Run.Task)
-	if t == nil || t.worker != w || t.run != row.Run.Run {
+	if t == nil || t.worker != w || t.run != row.Run.Run || t.phase == taskReserved {
 		return nil
 	}
 	if row.Checkpoint != "" {
@@ -133,10 +137,11 @@
 
 // applyEnd applies an inventory row of an ended run. The end is acknowledged once the job's record holds it.
 func (s *Scheduler) applyEnd(w *worker, row EndedRow) {
+	s.removeUnexpected(w, row.Run)
 	if row.Number <= w.lastEndNumber {
 		return
 	}
-	w.lastEndNumber = row.Number
+	w.lastEndNumber, w.endsAppliedAt = row.Number, s.orderSequence.Add(1)
 	t := s.findTask(row.Run.Task)
 	if t == nil {
 		w.pendingEnds = append(w.pendingEnds, pendingEnd{number: row.Number})
--- a/internal/core/cell/place.go
+++ b/internal/core/cell/place.go
@@ -30,6 +30,10 @@
 		if t.phase != taskWaiting || s.now.Before(t.restartAt) {
 			continue
 		}
+		if t.unexpectedRuns > 0 {
+			delayed++
+			continue
+		}
 		if s.probationDelayed(t) {
 			delayed++
 			continue
@@ -69,7 +73,7 @@
 // placeGang places all members of a gang or none. Nothing is placed until every member is waiting: a member that was
 // requeued on its own waits until the other members have ended too.
 func (s *Scheduler) placeGang(st *step, q *Queue) {
-	if st.waiting < len(st.tasks) || slices.ContainsFunc(st.tasks, func(t *task) bool { return s.now.Before(t.restartAt) }) {
+	if st.waiting < len(st.tasks) || slices.ContainsFunc(st.tasks, func(t *task) bool { return !t.mayBePlaced(s.now) }) {
 		return
 	}
 	if s.probationDelayed(st.tasks[0]) {
--- a/internal/core/cell/state.go
+++ b/internal/core/cell/state.go
@@ -58,6 +58,8 @@
 	pace         int  // percent of full speed at which a best-effort task works, or unknownPace
 	paceInFlight bool // a pace order was sent and its outcome isn't known yet
 
+	unexpectedRuns int // runs of the task that go on although they were given up; the next run waits for their end
+
 	shortRuns int       // runs of a service task that ended soon after their start, since the last stable one
 	restartAt time.Time // a service task isn't started before this time
 }
@@ -119,12 +121,17 @@
 	lastInventoryAt time.Time // when its last inventory was applied
 	// instanceSince is the order sequence from which on a request can't be answered by an earlier instance any more.
 	instanceSince uint64
+	// endsAppliedAt is the order sequence at which its latest end was applied. An inventory requested before may list that run
+	// as running.
+	endsAppliedAt uint64
 	// releasedAt is the order sequence at which all runs were released. An inventory requested before may list them.
 	releasedAt    uint64
 	free          resource.Vector
 	freed         bool            // capacity has come free since the last placement pass
 	withheld      resource.Vector // part of free that the current pass withholds for steps that don't fit yet
 	tasks         map[*task]bool
+	unexpected    map[RunID]*unexpectedRun
+	unknownRuns   int   // unexpected runs whose needs aren't known; nothing is placed beside them
 	lastEndNumber int64 // number of the last end that was processed
 	pendingEnds   []pendingEnd
 	ackCursor     int64 // ends up to this number are durable
@@ -155,7 +162,7 @@
 
 // available reports whether the worker is in service and answers.
 func (w *worker) available() bool {
-	return w.registered && w.reached && !w.terminated && !w.unresponsive && !w.Draining && w.described()
+	return w.registered && w.reached && !w.terminated && !w.unresponsive && !w.Draining && w.described() && w.unknownRuns == 0
 }
 
 // described reports whether the worker's registry entry is that of its current instance. Another instance may differ in
@@ -274,14 +281,24 @@
 	t.worker = nil
 	delete(w.tasks, t)
 	w.free, w.freed = w.free.Add(each), true
-	if t.step.tasksPerWorker[w.ID]--; t.step.tasksPerWorker[w.ID] <= 0 {
-		delete(t.step.tasksPerWorker, w.ID)
-	}
+	t.step.removeFrom(w)
 	t.step.job.allocatedTasks--
 	s.usage[t.step.job.Team] = s.usage[t.step.job.Team].Sub(each)
 	s.changed = true
 }
 
+// removeFrom counts one task less on a worker.
+func (st *step) removeFrom(w *worker) {
+	if st.tasksPerWorker[w.ID]--; st.tasksPerWorker[w.ID] <= 0 {
+		delete(st.tasksPerWorker, w.ID)
+	}
+}
+
+// mayBePlaced reports whether the next run of a waiting task may be placed now.
+func (t *task) mayBePlaced(now time.Time) bool {
+	return t.unexpectedRuns == 0 && !now.Before(t.restartAt)
+}
+
 // requeue frees the resources of a task and makes it wait for a worker again.
 func (s *Scheduler) requeue(t *task) {
 	s.deallocate(t)
--- a/internal/core/cell/workers.go
+++ b/internal/core/cell/workers.go
@@ -9,7 +9,7 @@
 func (s *Scheduler) workerOf(id WorkerID) *worker {
 	w := s.workers[id]
 	if w == nil {
-		w = &worker{WorkerReport: WorkerReport{ID: id}, tasks: map[*task]bool{}}
+		w = &worker{WorkerReport: WorkerReport{ID: id}, tasks: map[*task]bool{}, unexpected: map[RunID]*unexpectedRun{}}
 		s.workers[id] = w
 	}
 	return w
@@ -38,12 +38,15 @@
 // ForgetIdleWorkers drops the workers that have left the registry and have no runs any more.
 func (s *Scheduler) ForgetIdleWorkers() {
 	for id, w := range s.workers {
-		if !w.registered && len(w.tasks) == 0 {
+		if !w.registered && w.runs() == 0 {
 			delete(s.workers, id)
 		}
 	}
 }
 
+// runs returns the number of runs that may exist on the worker.
+func (w *worker) runs() int { return len(w.tasks) + len(w.unexpected) }
+
 func (s *Scheduler) setWorker(r WorkerReport) {
 	w := s.workerOf(r.ID)
 	wasDescribed := w.described()
@@ -68,7 +71,7 @@
 // WorkerLeaseExpired reports that a worker's lease has expired, so that all of its runs are known to have ended.
 func (s *Scheduler) WorkerLeaseExpired(id WorkerID, now time.Time) {
 	s.now = now
-	if w := s.workers[id]; w != nil && len(w.tasks) > 0 {
+	if w := s.workers[id]; w != nil && w.runs() > 0 {
 		if w.refusing {
 			s.countCrash(w, "the worker's lease lapsed while its address refused connections")
 		}
@@ -130,6 +133,7 @@
 func (s *Scheduler) releaseRuns(w *worker, reason string) {
 	s.events.LogDecision(string(w.ID), "worker lost", "reason", reason, "runs", len(w.tasks))
 	w.reached, w.releasedAt = false, s.orderSequence.Add(1)
+	s.removeAllUnexpected(w)
 	for t := range w.tasks {
 		if t.phase == taskDone {
 			s.deallocate(t)
@@ -153,7 +157,7 @@
 func (s *Scheduler) WorkersInUse() []WorkerInUse {
 	used := make([]WorkerInUse, 0, len(s.workers))
 	for _, w := range s.workers {
-		used = append(used, WorkerInUse{w.ID, w.Address, w.Zone, w.StartMS, len(w.tasks)})
+		used = append(used, WorkerInUse{w.ID, w.Address, w.Zone, w.StartMS, w.runs()})
 	}
 	slices.SortFunc(used, func(a, b WorkerInUse) int {
 		switch {
