cell: later runs of a done task are stopped

When an earlier run that had been given up turned out to be done, a later run of the task went on beside it, nobody stopped it, and its room was given away.

Cause: markDone left a run that was starting or running alone, because it took it for the run that had ended. completeTask freed the room of the current run also when another run on the same worker had ended, and an inventory that didn't list a start still under way freed it too.

Evidence, without the change: TestLaterRunOfADoneTaskIsStopped: 0 (int) != 1 (int) TestLaterStartOfADoneTaskIsStoppedAfterItsOutcome: 4000 != 1000 (int64): the order's outcome isn't known TestLaterRunOnTheSameWorkerKeepsItsRoom: 4000 != 1000 (int64) TestLaterRunOfADoneGangIsStopped: 0 (int) != 2 (int)

Why it works: a done task whose current run has another number than the done one gets stop orders, and holds its room until its worker lists the end, or until the stop is answered and a later inventory doesn't list it.

Measured: go test -race ./internal/core/cell and ./internal/control pass; TestModel passes with 3,000 checks.

--- a/internal/core/cell/inventory.go
+++ b/internal/core/cell/inventory.go
@@ -156,7 +156,7 @@
 			s.restartService(t, row)
 		}
 	case row.Kind == EndDone:
-		s.completeTask(t, w)
+		s.completeTask(t, w, row.Run.Run)
 	case current && t.phase == taskDone:
 		s.deallocate(t)
 	case current:
@@ -168,34 +168,40 @@
 	s.archiveIfIdle(t.step.job)
 }
 
-// completeTask marks a task, or all members of its gang, as done.
-func (s *Scheduler) completeTask(t *task, w *worker) {
+// completeTask marks a task, or all members of its gang, as done after the given run on a worker.
+func (s *Scheduler) completeTask(t *task, w *worker, run int) {
 	w.clearFaults()
 	members := []*task{t}
 	if t.step.spec.Gang {
 		members = t.step.tasks
 	}
 	for _, m := range members {
-		s.markDone(m)
+		s.markDone(m, run)
 	}
-	if t.worker == w {
+	if t.worker == w && t.run == run {
 		s.deallocate(t)
 	}
 	s.completeIfDone(t.step.job)
 }
 
 // markDone marks a single task as done. A run that its worker may still list as running keeps its capacity until the
-// worker lists its end.
-func (s *Scheduler) markDone(t *task) {
+// worker lists its end. A later run than the one that is done is stopped.
+func (s *Scheduler) markDone(t *task, run int) {
 	if t.phase == taskDone {
 		return
 	}
-	switch t.phase {
-	case taskWaiting:
+	if t.phase == taskWaiting {
 		t.step.waiting--
-	case taskReserved, taskPlaced:
+	}
+	switch t.startRevocability() {
+	case awaitsTicket, awaitsRecord, neverSent:
 		s.deallocate(t)
 	}
+	if t.worker != nil && t.run != run {
+		s.events.LogDecision(t.id.String(), "stopped", "run", t.run, "worker", t.worker.ID, "reason", "an earlier run is done")
+		s.requestStop(t)
+		t.redundant, t.answered = true, false
+	}
 	t.phase = taskDone
 	t.checkAfter = s.orderSequence.Add(1)
 	t.step.unfinished--
@@ -263,6 +269,9 @@
 				s.runLost(t, "not on its worker")
 			}
 		case taskDone:
+			if t.redundant && (!t.answered || t.orderInFlight) {
+				continue
+			}
 			s.deallocate(t)
 			s.archiveIfIdle(t.step.job)
 		}
--- a/internal/core/cell/orders.go
+++ b/internal/core/cell/orders.go
@@ -89,13 +89,11 @@
 			return Order{}, false
 		}
 		o.Kind, o.Spec, o.Ticket, o.Checkpoint = OrderStart, t.step.job.Spec, t.ticket, t.checkpoint
-	case taskStopping:
-		if t.worker.terminated {
+	default:
+		if !t.stopping() || t.worker.terminated {
 			return Order{}, false
 		}
 		o.Kind = OrderStop
-	default:
-		return Order{}, false
 	}
 	t.orderInFlight = true
 	t.ordersSent++
@@ -146,7 +144,7 @@
 // applyStopOutcome applies the outcome of a stop order. An answer doesn't show that the run has ended; the inventory
 // does.
 func (s *Scheduler) applyStopOutcome(t *task, outcome OrderOutcome) {
-	if t.phase != taskStopping {
+	if !t.stopping() {
 		return
 	}
 	if outcome == OrderUnanswered || outcome == OrderRefused || outcome == OrderNotSent {
@@ -171,7 +169,7 @@
 // which had to wait for this outcome.
 func (s *Scheduler) applyStartOutcome(t *task, outcome OrderOutcome) {
 	if t.phase != taskStarting {
-		if t.phase == taskStopping {
+		if t.stopping() {
 			t.nextOrderAt = s.now
 		}
 		return
--- a/internal/core/cell/state.go
+++ b/internal/core/cell/state.go
@@ -44,6 +44,8 @@
 	// answered is set once the worker has answered an order of the run. An inventory requested before that answer may arrive
 	// after it; only one requested at checkAfter or later that doesn't list the run shows that the run is gone.
 	answered bool
+	// redundant is set for a done task whose current run isn't the one that ended as done. That run is stopped.
+	redundant bool
 	// awaitsInventory is set once an answer in the current phase has set checkAfter.
 	awaitsInventory bool
 
@@ -278,7 +280,7 @@
 		return
 	}
 	s.releaseHold(t)
-	t.worker = nil
+	t.worker, t.redundant = nil, false
 	delete(w.tasks, t)
 	w.free, w.freed = w.free.Add(each), true
 	t.step.removeFrom(w)
@@ -294,6 +296,9 @@
 	}
 }
 
+// stopping reports whether the task's current run is to be stopped.
+func (t *task) stopping() bool { return t.phase == taskStopping || t.redundant }
+
 // mayBePlaced reports whether the next run of a waiting task may be placed now.
 func (t *task) mayBePlaced(now time.Time) bool {
 	return t.unexpectedRuns == 0 && !now.Before(t.restartAt)
