cell: a start that was answered as stale waits for its end

A start may be answered as stale because its run has already ended. When the worker began to drain before it listed that end, the task was started elsewhere.

Cause: startRejected took the start for one that was never carried out unless an order of it was unanswered.

Evidence, without the change: TestStaleStartIsNotRequeuedBeforeItsEndIsListed: 1 (int) != 0 (int)

Why it works: after a stale answer the run is stopped first, so its task waits for the listed end or for an inventory that shows it to be gone.

Measured: go test ./internal/core/cell passes.

--- a/internal/core/cell/faults_test.go
+++ b/internal/core/cell/faults_test.go
@@ -402,3 +402,20 @@
 	}
 	assert.Equal(t, h.s.WorkersInUse()[0].Runs, 0)
 }
+
+// Guards against a second run of a task whose first run has ended as done: its start was answered as stale, and the worker
+// began to drain before it listed the end.
+func TestStaleStartIsNotRequeuedBeforeItsEndIsListed(t *testing.T) {
+	h := newHarness(t, 2)
+	h.addJob(Job{ID: "a", Steps: []Step{tasks(1, 1000)}})
+	h.advance(0)
+	o := h.takeStarts()[0]
+	h.s.ApplyOrderOutcome(o, OrderStale, h.now)
+	h.reports[indexOf(o.Worker)].Draining = true
+	h.s.SetWorkers(h.reports, h.now)
+	h.advance(answeredRetryInterval)
+	h.advance(20 * time.Millisecond)
+	assert.Equal(t, len(h.takeStarts()), 0)
+	h.renew(indexOf(o.Worker), nil, []EndedRow{{Number: 1, Run: o.Run, Kind: EndDone}})
+	assert.Equal(t, h.s.State("a").AwaitingFinalRecord, true)
+}
--- a/internal/core/cell/orders.go
+++ b/internal/core/cell/orders.go
@@ -206,11 +206,11 @@
 const refusedPause = 300 * time.Millisecond
 
 // startRejected handles a start order that was definitely not carried out, or that is dropped before it is sent because
-// its worker is draining. If an earlier order for the same run went unanswered, that one may still be carried out, so the
-// run is stopped before the task is requeued.
+// its worker is draining. If an earlier order for the same run went unanswered, that one may still be carried out, and after
+// OrderStale the run may have ended and its end isn't listed yet. The run is then stopped before the task is requeued.
 func (s *Scheduler) startRejected(t *task, reason string) {
 	s.events.LogDecision(t.id.String(), "start rejected", "run", t.run, "worker", t.worker.ID, "reason", reason)
-	if t.startUncertain {
+	if t.startUncertain || t.answered {
 		s.abortRun(t, reason)
 		return
 	}
