cell: a run is kept while its start is in flight

When a worker's lease expired, or its instance was taken for ended, while a start order was on its way, the run was released and its task started elsewhere; the order could still be carried out. It may wait for the worker's clock, or for a carrier, and is sent after the worker has answered again.

Cause: releaseRuns dropped every run on the worker, and the outcome of the order was then ignored, because the task had moved on.

Evidence, without the change: TestRunIsKeptWhileItsStartIsInFlight/lease: 1 (int) != 0 (int) TestRunIsKeptWhileItsStartIsInFlight/terminated: 1 (int) != 0 (int) TestUnansweredStartIsReleasedByTheNextReport: 1 (int) != 0 (int)

Why it works: such a run is stopped instead, and holds its room. If its start turns out not to have been carried out, it is released at once. Otherwise it ends as any stopped run does, or with the next expiry or report of the worker's end, which now releases what is left.

--- a/internal/core/cell/orders.go
+++ b/internal/core/cell/orders.go
@@ -95,7 +95,7 @@
 		}
 		o.Kind = OrderStop
 	}
-	t.orderInFlight = true
+	t.orderInFlight, t.startInFlight = true, o.Kind == OrderStart
 	t.ordersSent++
 	return o, true
 }
@@ -114,12 +114,14 @@
 		s.applyPaceOutcome(t, o, outcome)
 		return true
 	}
-	t.orderInFlight = false
+	t.orderInFlight, t.startInFlight = false, false
 	if outcome == OrderNotSent || outcome == OrderUnanswered {
 		s.markUnresponsive(t.worker)
 	}
 	if outcome == OrderInstanceTerminated {
-		s.workerTerminated(t.worker, "another life answers at its address")
+		s.workerTerminated(t.worker, "another instance answers at its address")
+	}
+	if s.applyOutcomeAfterRelease(t, outcome) || t.worker == nil {
 		return true
 	}
 	if o.Kind == OrderStop {
@@ -130,6 +132,20 @@
 	return true
 }
 
+// applyOutcomeAfterRelease applies the outcome of a start that was in flight when all runs on its worker were released. It
+// reports whether the run is known not to exist.
+func (s *Scheduler) applyOutcomeAfterRelease(t *task, outcome OrderOutcome) bool {
+	if !t.releasedInFlight {
+		return false
+	}
+	t.releasedInFlight = false
+	if outcome == OrderDone || outcome == OrderUnanswered {
+		return false
+	}
+	s.releaseRun(t, "its start wasn't carried out")
+	return true
+}
+
 // retryInterval returns the delay before the task's unanswered order is sent again.
 func (t *task) retryInterval() time.Duration {
 	interval := orderRetryInterval
@@ -147,7 +163,7 @@
 	if !t.stopping() {
 		return
 	}
-	if outcome == OrderUnanswered || outcome == OrderRefused || outcome == OrderNotSent {
+	if outcome == OrderUnanswered || outcome == OrderRefused || outcome == OrderNotSent || outcome == OrderInstanceTerminated {
 		t.nextOrderAt = s.now.Add(t.retryInterval())
 		return
 	}
@@ -175,7 +191,7 @@
 		return
 	}
 	switch outcome {
-	case OrderNotSent:
+	case OrderNotSent, OrderInstanceTerminated:
 		s.startRejected(t, "the worker can't be reached")
 	case OrderDone:
 		s.markRunning(t)
--- /dev/null
+++ b/internal/core/cell/release_test.go
@@ -0,0 +1,70 @@
+package cell
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// releases are the ways in which all runs on a worker are released.
+var releases = map[string]func(h *harness, id WorkerID){
+	"lease":      func(h *harness, id WorkerID) { h.s.WorkerLeaseExpired(id, h.now) },
+	"terminated": func(h *harness, id WorkerID) { h.s.WorkerTerminated(id, 1, h.now) },
+}
+
+// startInFlight returns a harness with two workers and a start order whose outcome isn't known.
+func startInFlight(t *testing.T) (*harness, Order) {
+	h := newHarness(t, 2)
+	h.addJob(Job{ID: "a", Steps: []Step{tasks(1, 1000)}})
+	h.advance(0)
+	return h, h.takeStarts()[0]
+}
+
+// Guards against a second run of a task whose worker's runs were released while the start of the first one was in flight.
+func TestRunIsKeptWhileItsStartIsInFlight(t *testing.T) {
+	for name, release := range releases {
+		t.Run(name, func(t *testing.T) {
+			h, o := startInFlight(t)
+			release(h, o.Worker)
+			h.advance(20 * time.Millisecond)
+			assert.Equal(t, len(h.takeStarts()), 0)
+			h.confirm(o)
+			h.renew(indexOf(o.Worker), []RunningRow{{Run: o.Run}}, nil)
+			h.stopAll()
+			h.advance(20 * time.Millisecond)
+			assert.Equal(t, len(h.takeStarts()), 1)
+		})
+	}
+}
+
+// Guards against a task that waits for good for a start that was never sent.
+func TestRunIsReleasedIfItsStartWasNotSent(t *testing.T) {
+	for name, release := range releases {
+		t.Run(name, func(t *testing.T) {
+			h, o := startInFlight(t)
+			release(h, o.Worker)
+			h.s.ApplyOrderOutcome(o, OrderNotSent, h.now)
+			h.advance(20 * time.Millisecond)
+			again := h.takeStarts()
+			assert.Equal(t, len(again), 1)
+			assert.Equal(t, again[0].Run.Run, 2)
+		})
+	}
+}
+
+// Guards against a task that waits for good for an unanswered start on a worker that has ended or is never reached again.
+func TestUnansweredStartIsReleasedByTheNextReport(t *testing.T) {
+	for name, release := range releases {
+		t.Run(name, func(t *testing.T) {
+			h, o := startInFlight(t)
+			release(h, o.Worker)
+			h.s.ApplyOrderOutcome(o, OrderUnanswered, h.now)
+			h.advance(20 * time.Millisecond)
+			assert.Equal(t, len(h.takeStarts()), 0)
+			release(h, o.Worker)
+			h.advance(20 * time.Millisecond)
+			assert.Equal(t, len(h.takeStarts()), 1)
+		})
+	}
+}
--- a/internal/core/cell/state.go
+++ b/internal/core/cell/state.go
@@ -38,6 +38,7 @@
 	startedAt      time.Time // when the first start order of the run became due
 	ordersSent     int       // orders sent for the run in its current phase
 	orderInFlight  bool      // an order was sent and its outcome isn't known yet
+	startInFlight  bool      // that order is a start
 	startUncertain bool      // a start order of the run went unanswered and may still be carried out
 	nextOrderAt    time.Time // when the next order is due
 	checkAfter     uint64    // an inventory shows whether the run exists if it was requested at this order sequence or later
@@ -46,6 +47,9 @@
 	answered bool
 	// redundant is set for a done task whose current run isn't the one that ended as done. That run is stopped.
 	redundant bool
+	// releasedInFlight is set if all runs on the worker were released while a start of this run was in flight. Its outcome
+	// decides whether the run may exist.
+	releasedInFlight bool
 	// awaitsInventory is set once an answer in the current phase has set checkAfter.
 	awaitsInventory bool
 
@@ -280,7 +284,7 @@
 		return
 	}
 	s.releaseHold(t)
-	t.worker, t.redundant = nil, false
+	t.worker, t.redundant, t.startInFlight, t.releasedInFlight = nil, false, false, false
 	delete(w.tasks, t)
 	w.free, w.freed = w.free.Add(each), true
 	t.step.removeFrom(w)
--- a/internal/core/cell/workers.go
+++ b/internal/core/cell/workers.go
@@ -119,9 +119,9 @@
 }
 
 // workerTerminated releases the runs on a worker whose process has ended. That process can't carry out delayed orders any
-// more.
+// more. Runs whose start was in flight remain until the next such report after its outcome.
 func (s *Scheduler) workerTerminated(w *worker, reason string) {
-	if w.terminated {
+	if w.terminated && w.runs() == 0 {
 		return
 	}
 	w.terminated = true
@@ -135,15 +135,33 @@
 	w.reached, w.releasedAt = false, s.orderSequence.Add(1)
 	s.removeAllUnexpected(w)
 	for t := range w.tasks {
-		if t.phase == taskDone {
-			s.deallocate(t)
-			s.archiveIfIdle(t.step.job)
+		if t.startInFlight {
+			s.awaitStartOutcome(t, reason)
 			continue
 		}
-		s.runLost(t, reason)
+		s.releaseRun(t, reason)
 	}
 }
 
+// awaitStartOutcome keeps a run on a worker whose runs are released until the outcome of its start is known, which may have
+// reached the worker after that.
+func (s *Scheduler) awaitStartOutcome(t *task, reason string) {
+	t.releasedInFlight = true
+	if !t.stopping() {
+		s.abortRun(t, reason)
+	}
+}
+
+// releaseRun releases a run that is known not to exist any more.
+func (s *Scheduler) releaseRun(t *task, reason string) {
+	if t.phase == taskDone {
+		s.deallocate(t)
+		s.archiveIfIdle(t.step.job)
+		return
+	}
+	s.runLost(t, reason)
+}
+
 // WorkerInUse is a worker whose lease must be renewed.
 type WorkerInUse struct {
 	ID      WorkerID
