cell: the outcome of an order to an earlier instance ends no later one

What callers saw: TWICE and LIMIT, several tasks of one worker at the same instant. A worker restarts under its ID at another address while an order to the earlier address is in flight, and another worker answers there. All runs of the new instance were then released, and went on.

Cause: OrderInstanceTerminated was applied to the worker's current instance, whichever one the order was issued for.

Evidence, without the change: TestOutcomeForAnEarlierInstanceReleasesNothing: assertion failed: h.s.workers[workerID(0)].terminated is true

Why it works: a task remembers the instance for which its order was issued.

Measured: go test ./internal/core/cell passes.

--- a/internal/core/cell/orders.go
+++ b/internal/core/cell/orders.go
@@ -95,7 +95,7 @@
 		}
 		o.Kind = OrderStop
 	}
-	t.orderInFlight, t.startInFlight = true, o.Kind == OrderStart
+	t.orderInFlight, t.startInFlight, t.orderedFrom = true, o.Kind == OrderStart, t.worker.StartMS
 	t.ordersSent++
 	return o, true
 }
@@ -118,7 +118,7 @@
 	if outcome == OrderNotSent || outcome == OrderUnanswered {
 		s.markUnresponsive(t.worker)
 	}
-	if outcome == OrderInstanceTerminated {
+	if outcome == OrderInstanceTerminated && t.orderedFrom == t.worker.StartMS {
 		s.workerTerminated(t.worker, "another instance answers at its address")
 	}
 	if s.applyOutcomeAfterRelease(t, outcome) || t.worker == nil {
--- a/internal/core/cell/release_test.go
+++ b/internal/core/cell/release_test.go
@@ -68,3 +68,24 @@
 		})
 	}
 }
+
+// Guards against an order to the earlier address of a worker that has restarted: the answer of another worker there must not
+// release the runs of the current instance.
+func TestOutcomeForAnEarlierInstanceReleasesNothing(t *testing.T) {
+	h := newHarness(t, 1)
+	h.addJob(Job{ID: "a", Steps: []Step{tasks(1, 1000)}})
+	h.advance(0)
+	first := h.takeStarts()[0]
+	h.renewInstance(0, 2, nil, nil)
+	h.listStart(workerID(0), 2)
+	h.addJob(Job{ID: "b", Steps: []Step{tasks(1, 1000)}})
+	h.advance(20 * time.Millisecond)
+	second := h.takeStarts()[0]
+	assert.Equal(t, second.Run.Task.Job, JobID("b"))
+	h.confirm(second)
+	h.s.ApplyOrderOutcome(first, OrderInstanceTerminated, h.now)
+	assert.Assert(t, !h.s.workers[workerID(0)].terminated)
+	h.advance(20 * time.Millisecond)
+	assert.Equal(t, len(h.takeStarts()), 0)
+	assert.Equal(t, h.s.jobs["b"].steps[0].tasks[0].phase, taskRunning)
+}
