cell: a restart is noticed without a start in the registry

What callers saw: nothing that is known; TWICE is possible. If a worker's entry states no start, the scheduler never noticed that another instance answered. The next instance was told to forget ends up to the number that the earlier one had reached, so runs that had ended as done ran again.

Cause: the start of the instance that answers was compared only with a known start, and the start in an answer was never kept.

Why it works: the start in an answer becomes that of the current instance.

Measured: go test -race ./internal/core/cell and ./internal/control pass.

--- a/internal/core/cell/instances_test.go
+++ b/internal/core/cell/instances_test.go
@@ -115,3 +115,14 @@
 	h.advance(20 * time.Millisecond)
 	assert.Equal(t, len(h.takeStarts()), 1)
 }
+
+// Guards against a restart that isn't noticed because the worker's registry entry states no start: the acknowledgment of the
+// earlier instance reached the next one.
+func TestRestartIsNoticedWithoutAStartInTheRegistry(t *testing.T) {
+	h := newHarness(t, 0)
+	h.listInstance(0, 0, 4000)
+	h.renewInstance(0, 1, nil, []EndedRow{{Number: 3, Run: RunID{TaskID{"gone", 0, 0}, 1}, Kind: EndDone}})
+	h.renewInstance(0, 2, nil, nil)
+	cursor, _ := h.s.AckCursor(workerID(0))
+	assert.Equal(t, cursor, int64(0))
+}
--- a/internal/core/cell/inventory.go
+++ b/internal/core/cell/inventory.go
@@ -34,6 +34,9 @@
 	if w.otherInstance(inv) {
 		s.workerRestarted(w, inv.StartMS)
 	}
+	if inv.StartMS != 0 {
+		w.StartMS = inv.StartMS
+	}
 	w.terminated = false
 	w.lastInventoryAt, w.refusing = now, false
 	if w.unresponsive {
