cell: a late inventory to a forgotten worker is ignored

What callers saw: nothing that is known; as with other late inventories, runs are stopped and crashes counted that never happened. An inventory of an ended instance arrived after its worker had left the registry, was forgotten, and had come back as another instance.

Cause: a worker that is listed again began without an order sequence from which on its answers count.

Why it works: requests sent before a worker became known can't tell that it has restarted since.

Measured: go test -race ./internal/core/cell and ./internal/control pass.

--- a/internal/core/cell/instances_test.go
+++ b/internal/core/cell/instances_test.go
@@ -126,3 +126,14 @@
 	cursor, _ := h.s.AckCursor(workerID(0))
 	assert.Equal(t, cursor, int64(0))
 }
+
+// Guards against a late inventory of an earlier instance after its worker was forgotten and has come back.
+func TestLateInventoryAfterTheWorkerWasForgottenIsIgnored(t *testing.T) {
+	h := newHarness(t, 0)
+	h.listInstance(0, 1, 4000)
+	requested := h.s.OrderSequence()
+	h.s.SetWorkers(nil, h.now)
+	h.listInstance(0, 2, 4000)
+	h.s.ApplyInventory(Inventory{Worker: workerID(0), StartMS: 1, RequestSequence: requested}, h.now)
+	assert.Equal(t, h.s.workers[workerID(0)].StartMS, int64(2))
+}
--- a/internal/core/cell/workers.go
+++ b/internal/core/cell/workers.go
@@ -9,7 +9,8 @@
 func (s *Scheduler) workerOf(id WorkerID) *worker {
 	w := s.workers[id]
 	if w == nil {
-		w = &worker{WorkerReport: WorkerReport{ID: id}, tasks: map[*task]bool{}, unexpected: map[RunID]*unexpectedRun{}}
+		w = &worker{WorkerReport: WorkerReport{ID: id}, tasks: map[*task]bool{}, unexpected: map[RunID]*unexpectedRun{},
+			instanceSince: s.orderSequence.Add(1)}
 		s.workers[id] = w
 	}
 	return w
