cell: a late inventory doesn't bring a released run back

What callers saw: nothing; a delay of one renewal. After an inventory had shown that a run was gone, an earlier one that arrived late listed it, and the next run of its task waited, or was taken back.

Cause: only listed ends, not runs found to be gone, made earlier inventories undecided.

Evidence, without the change: TestLateInventoryListsNoUnexpectedRun/gone: 1 (int) != 0 (int)

Why it works: both move the order sequence before which an inventory's unexpected runs don't count.

Measured: go test -race ./internal/core/cell and ./internal/control pass.

--- a/internal/core/cell/inventory.go
+++ b/internal/core/cell/inventory.go
@@ -54,7 +54,7 @@
 	for _, row := range inv.Running {
 		if t := s.applyRunning(w, row); t != nil {
 			seen[t] = true
-		} else if inv.RequestSequence >= w.endsAppliedAt {
+		} else if inv.RequestSequence >= w.runGoneAt {
 			listed[row.Run] = true
 			s.addUnexpected(w, row.Run)
 			unexpectedStops = append(unexpectedStops, Order{Kind: OrderStop, Worker: w.ID, Run: row.Run})
@@ -94,7 +94,7 @@
 	s.countCrash(w, "the worker restarted")
 	w.StartMS, w.lastEndNumber, w.ackCursor, w.pendingEnds, w.terminated = startMS, 0, 0, nil, false
 	w.faults = faults{}
-	w.instanceSince, w.releasedAt, w.endsAppliedAt = s.orderSequence.Add(1), 0, 0
+	w.instanceSince, w.releasedAt, w.runGoneAt = s.orderSequence.Add(1), 0, 0
 	for t := range w.tasks {
 		delete(t.step.advice.tickets, w.ID) // tickets are valid only for one instance of the worker
 		switch t.phase {
@@ -144,7 +144,7 @@
 	if row.Number <= w.lastEndNumber {
 		return
 	}
-	w.lastEndNumber, w.endsAppliedAt = row.Number, s.orderSequence.Add(1)
+	w.lastEndNumber, w.runGoneAt = row.Number, s.orderSequence.Add(1)
 	t := s.findTask(row.Run.Task)
 	if t == nil {
 		w.pendingEnds = append(w.pendingEnds, pendingEnd{number: row.Number})
@@ -266,17 +266,16 @@
 		}
 		switch t.phase {
 		case taskUnresolved:
-			s.runLost(t, "not on its worker")
+			s.releaseRun(t, "not on its worker")
 		case taskRunning, taskStarting, taskStopping:
 			if t.answered && !t.orderInFlight {
-				s.runLost(t, "not on its worker")
+				w.runGoneAt = s.orderSequence.Add(1)
+				s.releaseRun(t, "not on its worker")
 			}
 		case taskDone:
-			if t.redundant && (!t.answered || t.orderInFlight) {
-				continue
+			if !t.redundant || t.answered && !t.orderInFlight {
+				s.releaseRun(t, "not on its worker")
 			}
-			s.deallocate(t)
-			s.archiveIfIdle(t.step.job)
 		}
 	}
 }
--- a/internal/core/cell/state.go
+++ b/internal/core/cell/state.go
@@ -128,9 +128,9 @@
 	lastInventoryAt time.Time // when its last inventory was applied
 	// instanceSince is the order sequence from which on a request can't be answered by an earlier instance any more.
 	instanceSince uint64
-	// endsAppliedAt is the order sequence at which its latest end was applied. An inventory requested before may list that run
+	// runGoneAt is the order sequence at which a run was last found to be gone. An inventory requested before may list that run
 	// as running.
-	endsAppliedAt uint64
+	runGoneAt uint64
 	// releasedAt is the order sequence at which all runs were released. An inventory requested before may list them.
 	releasedAt    uint64
 	free          resource.Vector
--- a/internal/core/cell/unexpected_test.go
+++ b/internal/core/cell/unexpected_test.go
@@ -118,17 +118,55 @@
 	assert.Equal(t, len(h.takeStarts()), 0)
 }
 
-// Guards against a delay of a task's next run by a late inventory that lists the ended run as running.
+// Guards against a delay of a task's next run by a late inventory that lists the earlier run as running, although that one has
+// ended or was found to be gone.
 func TestLateInventoryListsNoUnexpectedRun(t *testing.T) {
-	h := newHarness(t, 1)
-	h.addJob(Job{ID: "a", Steps: []Step{tasks(1, 3000)}})
+	for name, ended := range map[string]bool{"ended": true, "gone": false} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, 1)
+			h.addJob(Job{ID: "a", Steps: []Step{tasks(1, 3000)}})
+			h.advance(0)
+			o := h.takeStarts()[0]
+			h.confirm(o)
+			requested := h.s.OrderSequence()
+			if ended {
+				h.renew(0, nil, []EndedRow{{Number: 1, Run: o.Run, Kind: EndFailed}})
+			} else {
+				h.renew(0, nil, nil)
+			}
+			late := Inventory{Worker: o.Worker, StartMS: 1, RequestSequence: requested, Running: []RunningRow{{Run: o.Run}}}
+			assert.Equal(t, len(h.s.ApplyInventory(late, h.now)), 0)
+			h.advance(20 * time.Millisecond)
+			assert.Equal(t, len(h.takeStarts()), 1)
+		})
+	}
+}
+
+// Guards against a successor that places tasks beside members of a gang whose end it knows from the record and whose workers
+// still list them.
+func TestSuccessorCountsListedMembersOfADoneGang(t *testing.T) {
+	h := newHarness(t, 2)
+	gang := tasks(2, 3000)
+	gang.Gang = true
+	job := Job{ID: "a", Queue: plainQueue, Team: "team", Service: "pool", Steps: []Step{gang}, AcceptedMS: start.UnixMilli()}
+	h.addJob(job)
 	h.advance(0)
-	o := h.takeStarts()[0]
-	h.confirm(o)
-	requested := h.s.OrderSequence()
-	h.renew(0, nil, []EndedRow{{Number: 1, Run: o.Run, Kind: EndFailed}})
-	late := Inventory{Worker: o.Worker, StartMS: 1, RequestSequence: requested, Running: []RunningRow{{Run: o.Run}}}
-	assert.Equal(t, len(h.s.ApplyInventory(late, h.now)), 0)
+	orders := h.takeStarts()
+	assert.Equal(t, len(orders), 2)
+	h.confirm(orders...)
+	h.renew(indexOf(orders[0].Worker), nil, []EndedRow{{Number: 1, Run: orders[0].Run, Kind: EndDone}})
+	h.now = h.now.Add(2 * writeDelay)
+	h.s.Advance(h.now)
+	h.commitRecords()
+
+	h.s = h.newScheduler()
+	assert.NilError(t, h.s.AddJob(job, h.records["a"], h.now))
+	h.s.SetWorkers(h.reports, h.now)
+	h.addJob(Job{ID: "b", Steps: []Step{tasks(1, 4000)}})
+	h.renew(indexOf(orders[1].Worker), []RunningRow{{Run: orders[1].Run}}, nil)
+	h.advance(20 * time.Millisecond)
+	assert.Equal(t, len(h.takeStarts()), 0)
+	h.renew(indexOf(orders[1].Worker), nil, []EndedRow{{Number: 1, Run: orders[1].Run, Kind: EndDone}})
 	h.advance(20 * time.Millisecond)
 	assert.Equal(t, len(h.takeStarts()), 1)
 }
