--- a/internal/control/links.go
+++ b/internal/control/links.go
@@ -256,7 +256,7 @@
 			return // the answer of a later instance has overtaken this one
 		}
 		for _, o := range l.s.core.ApplyInventory(r.Inventory, time.Now()) {
-			l.s.stopUnexpectedRun(o.Worker, o.Run)
+			l.s.stopUnexpectedRun(o)
 		}
 		l.updateAck()
 	})
--- a/internal/core/cell/inventory.go
+++ b/internal/core/cell/inventory.go
@@ -27,9 +27,17 @@
 	if w == nil {
 		return nil
 	}
-	if w.StartMS != 0 && inv.StartMS != 0 && inv.StartMS != w.StartMS {
+	if w.outdated(inv) {
+		s.events.LogDecision(string(w.ID), "late inventory ignored", "born_ms", inv.StartMS, "current_ms", w.StartMS)
+		return nil
+	}
+	if w.otherInstance(inv) {
 		s.workerRestarted(w, inv.StartMS)
 	}
+	if inv.StartMS != 0 {
+		w.StartMS = inv.StartMS
+	}
+	w.terminated = false
 	w.lastInventoryAt, w.refusing = now, false
 	if w.unresponsive {
 		w.unresponsive, s.changed = false, true
@@ -42,16 +50,20 @@
 	}
 	seen := map[*task]bool{}
 	var unexpectedStops []Order
+	listed := map[RunID]bool{}
 	for _, row := range inv.Running {
 		if t := s.applyRunning(w, row); t != nil {
 			seen[t] = true
-		} else {
+		} else if inv.RequestSequence >= w.runGoneAt {
+			listed[row.Run] = true
+			s.addUnexpected(w, row.Run)
 			unexpectedStops = append(unexpectedStops, Order{Kind: OrderStop, Worker: w.ID, Run: row.Run})
 		}
 	}
 	for _, row := range inv.Ended {
 		s.applyEnd(w, row)
 	}
+	s.removeAbsentUnexpected(w, inv, listed)
 	s.controlPace(w, inv.Running)
 	if !inv.Truncated {
 		s.releaseAbsentRuns(w, inv.RequestSequence, seen)
@@ -60,6 +72,21 @@
 	return unexpectedStops
 }
 
+// otherInstance reports whether an inventory is that of another instance than the current one.
+func (w *worker) otherInstance(inv Inventory) bool {
+	return w.StartMS != 0 && inv.StartMS != 0 && inv.StartMS != w.StartMS
+}
+
+// outdated reports whether an inventory may describe an earlier instance of the worker, or runs that have been released
+// since. The order of requests and answers decides that, because the starts of instances are wall-clock times and may go
+// back: a request that was sent after an answer of one instance isn't answered by an earlier one.
+func (w *worker) outdated(inv Inventory) bool {
+	if w.otherInstance(inv) {
+		return inv.RequestSequence < w.instanceSince
+	}
+	return inv.RequestSequence < w.releasedAt
+}
+
 // workerRestarted switches to a new instance of a worker. The runs of the earlier instance are lost, and its outstanding
 // orders must not be carried out by the new one, so each run is stopped first.
 func (s *Scheduler) workerRestarted(w *worker, startMS int64) {
@@ -67,6 +94,7 @@
 	s.countCrash(w, "the worker restarted")
 	w.StartMS, w.lastEndNumber, w.ackCursor, w.pendingEnds, w.terminated = startMS, 0, 0, nil, false
 	w.faults = faults{}
+	w.instanceSince, w.releasedAt, w.runGoneAt = s.orderSequence.Add(1), 0, 0
 	for t := range w.tasks {
 		delete(t.step.advice.tickets, w.ID) // tickets are valid only for one instance of the worker
 		switch t.phase {
@@ -86,7 +114,7 @@
 // applyRunning applies an inventory row of a running task. It returns nil if the run doesn't belong to a current task.
 func (s *Scheduler) applyRunning(w *worker, row RunningRow) *task {
 	t := s.findTask(row.Run.Task)
-	if t == nil || t.worker != w || t.run != row.Run.Run {
+	if t == nil || t.worker != w || t.run != row.Run.Run || t.phase == taskReserved {
 		return nil
 	}
 	if row.Checkpoint != "" {
@@ -112,10 +140,11 @@
 
 // applyEnd applies an inventory row of an ended run. The end is acknowledged once the job's record holds it.
 func (s *Scheduler) applyEnd(w *worker, row EndedRow) {
+	s.removeUnexpected(w, row.Run)
 	if row.Number <= w.lastEndNumber {
 		return
 	}
-	w.lastEndNumber = row.Number
+	w.lastEndNumber, w.runGoneAt = row.Number, s.orderSequence.Add(1)
 	t := s.findTask(row.Run.Task)
 	if t == nil {
 		w.pendingEnds = append(w.pendingEnds, pendingEnd{number: row.Number})
@@ -130,7 +159,7 @@
 			s.restartService(t, row)
 		}
 	case row.Kind == EndDone:
-		s.completeTask(t, w)
+		s.completeTask(t, w, row.Run.Run)
 	case current && t.phase == taskDone:
 		s.deallocate(t)
 	case current:
@@ -142,34 +171,40 @@
 	s.archiveIfIdle(t.step.job)
 }
 
-// completeTask marks a task, or all members of its gang, as done.
-func (s *Scheduler) completeTask(t *task, w *worker) {
+// completeTask marks a task, or all members of its gang, as done after the given run on a worker.
+func (s *Scheduler) completeTask(t *task, w *worker, run int) {
 	w.clearFaults()
 	members := []*task{t}
 	if t.step.spec.Gang {
 		members = t.step.tasks
 	}
 	for _, m := range members {
-		s.markDone(m)
+		s.markDone(m, run)
 	}
-	if t.worker == w {
+	if t.worker == w && t.run == run {
 		s.deallocate(t)
 	}
 	s.completeIfDone(t.step.job)
 }
 
 // markDone marks a single task as done. A run that its worker may still list as running keeps its capacity until the
-// worker lists its end.
-func (s *Scheduler) markDone(t *task) {
+// worker lists its end. A later run than the one that is done is stopped.
+func (s *Scheduler) markDone(t *task, run int) {
 	if t.phase == taskDone {
 		return
 	}
-	switch t.phase {
-	case taskWaiting:
+	if t.phase == taskWaiting {
 		t.step.waiting--
-	case taskReserved, taskPlaced:
+	}
+	switch t.startRevocability() {
+	case awaitsTicket, awaitsRecord, neverSent:
 		s.deallocate(t)
 	}
+	if t.worker != nil && t.run != run {
+		s.events.LogDecision(t.id.String(), "stopped", "run", t.run, "worker", t.worker.ID, "reason", "an earlier run is done")
+		s.requestStop(t)
+		t.redundant, t.answered = true, false
+	}
 	t.phase = taskDone
 	t.checkAfter = s.orderSequence.Add(1)
 	t.step.unfinished--
@@ -231,14 +266,16 @@
 		}
 		switch t.phase {
 		case taskUnresolved:
-			s.runLost(t, "not on its worker")
+			s.releaseRun(t, "not on its worker")
 		case taskRunning, taskStarting, taskStopping:
 			if t.answered && !t.orderInFlight {
-				s.runLost(t, "not on its worker")
+				w.runGoneAt = s.orderSequence.Add(1)
+				s.releaseRun(t, "not on its worker")
 			}
 		case taskDone:
-			s.deallocate(t)
-			s.archiveIfIdle(t.step.job)
+			if !t.redundant || t.answered && !t.orderInFlight {
+				s.releaseRun(t, "not on its worker")
+			}
 		}
 	}
 }
--- a/internal/core/cell/orders.go
+++ b/internal/core/cell/orders.go
@@ -81,19 +81,21 @@
 			s.startRejected(t, "the worker drains")
 			return Order{}, false
 		}
+		if !t.worker.described() {
+			s.startRejected(t, "the registry lists another instance of the worker")
+			return Order{}, false
+		}
 		if s.startsHeld {
 			return Order{}, false
 		}
 		o.Kind, o.Spec, o.Ticket, o.Checkpoint = OrderStart, t.step.job.Spec, t.ticket, t.checkpoint
-	case taskStopping:
-		if t.worker.terminated {
+	default:
+		if !t.stopping() || t.worker.terminated {
 			return Order{}, false
 		}
 		o.Kind = OrderStop
-	default:
-		return Order{}, false
 	}
-	t.orderInFlight = true
+	t.orderInFlight, t.startInFlight, t.orderedFrom = true, o.Kind == OrderStart, t.worker.StartMS
 	t.ordersSent++
 	return o, true
 }
@@ -112,12 +114,14 @@
 		s.applyPaceOutcome(t, o, outcome)
 		return true
 	}
-	t.orderInFlight = false
+	t.orderInFlight, t.startInFlight = false, false
 	if outcome == OrderNotSent || outcome == OrderUnanswered {
 		s.markUnresponsive(t.worker)
 	}
-	if outcome == OrderInstanceTerminated {
-		s.workerTerminated(t.worker, "another life answers at its address")
+	if outcome == OrderInstanceTerminated && t.orderedFrom == t.worker.StartMS {
+		s.workerTerminated(t.worker, "another instance answers at its address")
+	}
+	if s.applyOutcomeAfterRelease(t, outcome) || t.worker == nil {
 		return true
 	}
 	if o.Kind == OrderStop {
@@ -128,18 +132,18 @@
 	return true
 }
 
-// Superseded reports whether the run of an order has been given up, so that it must not go on if it was started.
-func (s *Scheduler) Superseded(o Order) bool {
-	t := s.findTask(o.Run.Task)
-	switch {
-	case t == nil:
+// applyOutcomeAfterRelease applies the outcome of a start that was in flight when all runs on its worker were released. It
+// reports whether the run is known not to exist.
+func (s *Scheduler) applyOutcomeAfterRelease(t *task, outcome OrderOutcome) bool {
+	if !t.releasedInFlight {
 		return false
-	case t.run != o.Run.Run:
-		return true
-	case t.worker == nil:
-		return t.phase != taskDone
 	}
-	return t.worker.ID != o.Worker
+	t.releasedInFlight = false
+	if outcome == OrderDone || outcome == OrderUnanswered {
+		return false
+	}
+	s.releaseRun(t, "its start wasn't carried out")
+	return true
 }
 
 // retryInterval returns the delay before the task's unanswered order is sent again.
@@ -156,10 +160,10 @@
 // applyStopOutcome applies the outcome of a stop order. An answer doesn't show that the run has ended; the inventory
 // does.
 func (s *Scheduler) applyStopOutcome(t *task, outcome OrderOutcome) {
-	if t.phase != taskStopping {
+	if !t.stopping() {
 		return
 	}
-	if outcome == OrderUnanswered || outcome == OrderRefused || outcome == OrderNotSent {
+	if outcome == OrderUnanswered || outcome == OrderRefused || outcome == OrderNotSent || outcome == OrderInstanceTerminated {
 		t.nextOrderAt = s.now.Add(t.retryInterval())
 		return
 	}
@@ -181,13 +185,13 @@
 // which had to wait for this outcome.
 func (s *Scheduler) applyStartOutcome(t *task, outcome OrderOutcome) {
 	if t.phase != taskStarting {
-		if t.phase == taskStopping {
+		if t.stopping() {
 			t.nextOrderAt = s.now
 		}
 		return
 	}
 	switch outcome {
-	case OrderNotSent:
+	case OrderNotSent, OrderInstanceTerminated:
 		s.startRejected(t, "the worker can't be reached")
 	case OrderDone:
 		s.markRunning(t)
@@ -218,11 +222,11 @@
 const refusedPause = 300 * time.Millisecond
 
 // startRejected handles a start order that was definitely not carried out, or that is dropped before it is sent because
-// its worker is draining. If an earlier order for the same run went unanswered, that one may still be carried out, so the
-// run is stopped before the task is requeued.
+// its worker is draining. If an earlier order for the same run went unanswered, that one may still be carried out, and after
+// OrderStale the run may have ended and its end isn't listed yet. The run is then stopped before the task is requeued.
 func (s *Scheduler) startRejected(t *task, reason string) {
 	s.events.LogDecision(t.id.String(), "start rejected", "run", t.run, "worker", t.worker.ID, "reason", reason)
-	if t.startUncertain {
+	if t.startUncertain || t.answered {
 		s.abortRun(t, reason)
 		return
 	}
--- a/internal/core/cell/state.go
+++ b/internal/core/cell/state.go
@@ -38,12 +38,19 @@
 	startedAt      time.Time // when the first start order of the run became due
 	ordersSent     int       // orders sent for the run in its current phase
 	orderInFlight  bool      // an order was sent and its outcome isn't known yet
+	startInFlight  bool      // that order is a start
+	orderedFrom    int64     // StartMS of the worker's instance when that order was issued
 	startUncertain bool      // a start order of the run went unanswered and may still be carried out
 	nextOrderAt    time.Time // when the next order is due
 	checkAfter     uint64    // an inventory shows whether the run exists if it was requested at this order sequence or later
 	// answered is set once the worker has answered an order of the run. An inventory requested before that answer may arrive
 	// after it; only one requested at checkAfter or later that doesn't list the run shows that the run is gone.
 	answered bool
+	// redundant is set for a done task whose current run isn't the one that ended as done. That run is stopped.
+	redundant bool
+	// releasedInFlight is set if all runs on the worker were released while a start of this run was in flight. Its outcome
+	// decides whether the run may exist.
+	releasedInFlight bool
 	// awaitsInventory is set once an answer in the current phase has set checkAfter.
 	awaitsInventory bool
 
@@ -58,6 +65,8 @@
 	pace         int  // percent of full speed at which a best-effort task works, or unknownPace
 	paceInFlight bool // a pace order was sent and its outcome isn't known yet
 
+	unexpectedRuns int // runs of the task that go on although they were given up; the next run waits for their end
+
 	shortRuns int       // runs of a service task that ended soon after their start, since the last stable one
 	restartAt time.Time // a service task isn't started before this time
 }
@@ -110,21 +119,31 @@
 
 // worker is the scheduling state of a worker that runs or ran tasks of this cell.
 type worker struct {
-	WorkerReport
+	WorkerReport              // its registry entry, except for StartMS, which is that of the current instance
+	listedStartMS   int64     // StartMS of its registry entry
 	registered      bool      // listed in the registry
 	reached         bool      // its current instance has answered this lease holder
 	terminated      bool      // its instance is known to have ended
 	unresponsive    bool      // didn't answer its last call
 	lastInventoryAt time.Time // when its last inventory was applied
-	free            resource.Vector
-	freed           bool            // capacity has come free since the last placement pass
-	withheld        resource.Vector // part of free that the current pass withholds for steps that don't fit yet
-	tasks           map[*task]bool
-	lastEndNumber   int64 // number of the last end that was processed
-	pendingEnds     []pendingEnd
-	ackCursor       int64 // ends up to this number are durable
-	faults          faults
-	bestEffort      paceControl
+	// instanceSince is the order sequence from which on a request can't be answered by an earlier instance any more.
+	instanceSince uint64
+	// runGoneAt is the order sequence at which a run was last found to be gone. An inventory requested before may list that run
+	// as running.
+	runGoneAt uint64
+	// releasedAt is the order sequence at which all runs were released. An inventory requested before may list them.
+	releasedAt    uint64
+	free          resource.Vector
+	freed         bool            // capacity has come free since the last placement pass
+	withheld      resource.Vector // part of free that the current pass withholds for steps that don't fit yet
+	tasks         map[*task]bool
+	unexpected    map[RunID]*unexpectedRun
+	unknownRuns   int   // unexpected runs whose needs aren't known; nothing is placed beside them
+	lastEndNumber int64 // number of the last end that was processed
+	pendingEnds   []pendingEnd
+	ackCursor     int64 // ends up to this number are durable
+	faults        faults
+	bestEffort    paceControl
 	// refusing is set while the worker's address refuses connections.
 	refusing bool
 	heldBy   *step // step of the tasks on probation that hold the worker, nil if there are none
@@ -150,7 +169,13 @@
 
 // available reports whether the worker is in service and answers.
 func (w *worker) available() bool {
-	return w.registered && w.reached && !w.terminated && !w.unresponsive && !w.Draining
+	return w.registered && w.reached && !w.terminated && !w.unresponsive && !w.Draining && w.described() && w.unknownRuns == 0
+}
+
+// described reports whether the worker's registry entry is that of its current instance. Another instance may differ in
+// capacity, labels, rack and service.
+func (w *worker) described() bool {
+	return w.listedStartMS == w.StartMS || w.listedStartMS == 0 || w.StartMS == 0
 }
 
 // setAside reports whether the worker gets no new work because of faults, and has had none for minFaultPause.
@@ -260,17 +285,30 @@
 		return
 	}
 	s.releaseHold(t)
-	t.worker = nil
+	t.worker, t.redundant, t.startInFlight, t.releasedInFlight = nil, false, false, false
 	delete(w.tasks, t)
 	w.free, w.freed = w.free.Add(each), true
-	if t.step.tasksPerWorker[w.ID]--; t.step.tasksPerWorker[w.ID] <= 0 {
-		delete(t.step.tasksPerWorker, w.ID)
-	}
+	t.step.removeFrom(w)
 	t.step.job.allocatedTasks--
 	s.usage[t.step.job.Team] = s.usage[t.step.job.Team].Sub(each)
 	s.changed = true
 }
 
+// removeFrom counts one task less on a worker.
+func (st *step) removeFrom(w *worker) {
+	if st.tasksPerWorker[w.ID]--; st.tasksPerWorker[w.ID] <= 0 {
+		delete(st.tasksPerWorker, w.ID)
+	}
+}
+
+// stopping reports whether the task's current run is to be stopped.
+func (t *task) stopping() bool { return t.phase == taskStopping || t.redundant }
+
+// mayBePlaced reports whether the next run of a waiting task may be placed now.
+func (t *task) mayBePlaced(now time.Time) bool {
+	return t.unexpectedRuns == 0 && !now.Before(t.restartAt)
+}
+
 // requeue frees the resources of a task and makes it wait for a worker again.
 func (s *Scheduler) requeue(t *task) {
 	s.deallocate(t)
--- a/internal/core/cell/workers.go
+++ b/internal/core/cell/workers.go
@@ -9,7 +9,8 @@
 func (s *Scheduler) workerOf(id WorkerID) *worker {
 	w := s.workers[id]
 	if w == nil {
-		w = &worker{WorkerReport: WorkerReport{ID: id}, tasks: map[*task]bool{}}
+		w = &worker{WorkerReport: WorkerReport{ID: id}, tasks: map[*task]bool{}, unexpected: map[RunID]*unexpectedRun{},
+			instanceSince: s.orderSequence.Add(1)}
 		s.workers[id] = w
 	}
 	return w
@@ -38,32 +39,40 @@
 // ForgetIdleWorkers drops the workers that have left the registry and have no runs any more.
 func (s *Scheduler) ForgetIdleWorkers() {
 	for id, w := range s.workers {
-		if !w.registered && len(w.tasks) == 0 {
+		if !w.registered && w.runs() == 0 {
 			delete(s.workers, id)
 		}
 	}
 }
 
+// runs returns the number of runs that may exist on the worker.
+func (w *worker) runs() int { return len(w.tasks) + len(w.unexpected) }
+
 func (s *Scheduler) setWorker(r WorkerReport) {
 	w := s.workerOf(r.ID)
+	wasDescribed := w.described()
 	if !w.registered || w.Draining != r.Draining {
 		s.events.LogDecision(string(r.ID), "worker listed", "draining", r.Draining, "zone", r.Zone, "rack", r.Rack, "born_ms", r.StartMS)
 		s.changed = true
 	}
 	s.setCapacity(w, r.Capacity)
-	if w.Address != "" && r.StartMS > w.StartMS && w.StartMS != 0 {
+	switch {
+	case w.StartMS == 0:
+		w.StartMS = r.StartMS
+	case r.StartMS > w.StartMS && r.StartMS != w.listedStartMS:
 		s.workerRestarted(w, r.StartMS)
 		w.reached = false
 	}
-	startMS := max(w.StartMS, r.StartMS)
-	w.WorkerReport, w.registered = r, true
+	startMS := w.StartMS
+	w.WorkerReport, w.listedStartMS, w.registered = r, r.StartMS, true
 	w.StartMS = startMS
+	s.changed = s.changed || !wasDescribed && w.described()
 }
 
 // WorkerLeaseExpired reports that a worker's lease has expired, so that all of its runs are known to have ended.
 func (s *Scheduler) WorkerLeaseExpired(id WorkerID, now time.Time) {
 	s.now = now
-	if w := s.workers[id]; w != nil && len(w.tasks) > 0 {
+	if w := s.workers[id]; w != nil && w.runs() > 0 {
 		if w.refusing {
 			s.countCrash(w, "the worker's lease lapsed while its address refused connections")
 		}
@@ -106,9 +115,9 @@
 }
 
 // workerTerminated releases the runs on a worker whose process has ended. That process can't carry out delayed orders any
-// more.
+// more. Runs whose start was in flight remain until the next such report after its outcome.
 func (s *Scheduler) workerTerminated(w *worker, reason string) {
-	if w.terminated {
+	if w.terminated && w.runs() == 0 {
 		return
 	}
 	w.terminated = true
@@ -119,15 +128,34 @@
 // releaseRuns releases all runs on a worker, which are known not to exist any more.
 func (s *Scheduler) releaseRuns(w *worker, reason string) {
 	s.events.LogDecision(string(w.ID), "worker lost", "reason", reason, "runs", len(w.tasks))
-	w.reached = false
+	w.reached, w.releasedAt = false, s.orderSequence.Add(1)
+	s.removeAllUnexpected(w)
 	for t := range w.tasks {
-		if t.phase == taskDone {
-			s.deallocate(t)
-			s.archiveIfIdle(t.step.job)
+		if t.startInFlight {
+			s.awaitStartOutcome(t, reason)
 			continue
 		}
-		s.runLost(t, reason)
+		s.releaseRun(t, reason)
+	}
+}
+
+// awaitStartOutcome keeps a run on a worker whose runs are released until the outcome of its start is known, which may have
+// reached the worker after that.
+func (s *Scheduler) awaitStartOutcome(t *task, reason string) {
+	t.releasedInFlight = true
+	if !t.stopping() {
+		s.abortRun(t, reason)
+	}
+}
+
+// releaseRun releases a run that is known not to exist any more.
+func (s *Scheduler) releaseRun(t *task, reason string) {
+	if t.phase == taskDone {
+		s.deallocate(t)
+		s.archiveIfIdle(t.step.job)
+		return
 	}
+	s.runLost(t, reason)
 }
 
 // WorkerInUse is a worker whose lease must be renewed.
@@ -144,7 +172,7 @@
 func (s *Scheduler) WorkersInUse() []WorkerInUse {
 	used := make([]WorkerInUse, 0, len(s.workers))
 	for _, w := range s.workers {
-		used = append(used, WorkerInUse{w.ID, w.Address, w.Zone, w.StartMS, w.Draining, len(w.tasks)})
+		used = append(used, WorkerInUse{w.ID, w.Address, w.Zone, w.StartMS, w.Draining, w.runs()})
 	}
 	slices.SortFunc(used, func(a, b WorkerInUse) int {
 		switch {
