cell: a task doesn't wait for workers beyond its avoidance

Cause: a task avoided the worker of a failed run for 4 s as long as another registered worker might run it. Such an alternative could be full, out of reach, set aside, or one on which no advice was ever requested.

Fix: the avoidance ends after 2 s. The score still prefers other workers that have capacity, so nothing but the wait for them is lost, and hasAlternative goes.

--- a/internal/core/cell/avoid.go
+++ b/internal/core/cell/avoid.go
@@ -9,14 +9,10 @@
 // is set aside. Neither may keep a task waiting for good: few workers may have the label, the room or the ticket that it
 // needs.
 
-const (
-	// minAvoidance is how long a task avoids a worker in any case. A worker that fails everything may be sound again then,
-	// and the attempts of a job are few.
-	minAvoidance = 2 * time.Second
-	// maxAvoidance is how long a task avoids a worker while others may run it. They may be full or out of reach all that
-	// time, and a service must be back within seconds.
-	maxAvoidance = 4 * time.Second
-)
+// avoidance is how long a task avoids a worker. A worker that fails everything may be sound again then, and the attempts of
+// a job are few. After that the task prefers other workers but doesn't wait for one: an accepted job must not stand still for
+// 3 s beside capacity that it may use.
+const avoidance = 2 * time.Second
 
 // avoidWorker makes a task avoid a worker.
 func (s *Scheduler) avoidWorker(t *task, w *worker) {
@@ -28,23 +24,8 @@
 
 // avoids reports whether the task isn't placed on the worker now because of an earlier run there. A task that would avoid
 // half of the usable workers avoids none.
-func (s *Scheduler) avoids(t *task, w *worker, q *Queue) bool {
-	if !slices.Contains(t.avoid, w.ID) || len(t.avoid) >= len(s.pass.usable)/2 {
-		return false
-	}
-	since := s.now.Sub(t.avoidedAt)
-	return since < minAvoidance || since < maxAvoidance && s.hasAlternative(t, q)
-}
-
-// hasAlternative reports whether a worker that the task doesn't avoid may run it, once that worker has capacity.
-func (s *Scheduler) hasAlternative(t *task, q *Queue) bool {
-	for id, w := range s.workers {
-		s.pass.workerChecks++
-		if w.registered && !w.Draining && !w.terminated && !slices.Contains(t.avoid, id) && s.mayEverRun(t.step, w, q) {
-			return true
-		}
-	}
-	return false
+func (s *Scheduler) avoids(t *task, w *worker) bool {
+	return slices.Contains(t.avoid, w.ID) && len(t.avoid) < len(s.pass.usable)/2 && s.now.Sub(t.avoidedAt) < avoidance
 }
 
 // mayEverRun reports whether the step may run another task on the worker once it has capacity. A worker on which there is no
--- a/internal/core/cell/avoid_test.go
+++ b/internal/core/cell/avoid_test.go
@@ -83,8 +83,8 @@
 			assert.Equal(t, h.failNext(), workerID(0))
 			after, worker := h.nextStart(10 * time.Second)
 			assert.Equal(t, worker, workerID(0), "after %v", after)
-			assert.Assert(t, after > minAvoidance/2, "the worker has a moment to recover: %v", after)
-			assert.Assert(t, after < 2*minAvoidance, "%v", after)
+			assert.Assert(t, after > avoidance/2, "the worker has a moment to recover: %v", after)
+			assert.Assert(t, after < 2*avoidance, "%v", after)
 		})
 	}
 }
@@ -112,7 +112,7 @@
 				return
 			}
 			percent := 0.0
-			for range 2 * maxAvoidance / (100 * time.Millisecond) {
+			for range 2 * avoidance / (100 * time.Millisecond) {
 				h.advance(100 * time.Millisecond)
 				percent++
 				h.renew(indexOf(long.Worker), []RunningRow{{Run: long.Run, Percent: percent}}, nil)
