cell: pauses for faults and for a refused start are kept apart

What callers saw: a job stands still beside the only worker that may run it (LOST), or some 50 starts a second are rejected there.

Cause: whether a set-aside worker may be the last resort was derived from the length of its last pause. A success of a run that had begun before the faults resets that length but not the pause, so the worker was neither usable nor a last resort for up to 16 s. The short pause after a refused start shared the same field, and a last resort was used in spite of it.

Fix: the beginning of the pause and the end of the pause after a refusal have fields of their own.

Result: both tests pass.

--- a/internal/core/cell/inventory.go
+++ b/internal/core/cell/inventory.go
@@ -300,7 +300,7 @@
 		return
 	}
 	f.backoff = min(max(minFaultPause, 2*f.backoff), maxFaultPause)
-	f.until = s.now.Add(f.backoff)
+	f.since, f.until = s.now, s.now.Add(f.backoff)
 	s.events.LogDecision(string(w.ID), "worker set aside", "reason", reason, "streak", f.streak, "pause_ms", f.backoff.Milliseconds())
 }
 
--- a/internal/core/cell/orders.go
+++ b/internal/core/cell/orders.go
@@ -193,9 +193,7 @@
 		delete(t.step.advice.allowed, t.worker.ID)
 		s.startRejected(t, "ticket")
 	case OrderRefused:
-		if until := s.now.Add(refusedPause); until.After(t.worker.faults.until) {
-			t.worker.faults.until = until
-		}
+		t.worker.faults.refusedUntil = s.now.Add(refusedPause)
 		s.startRejected(t, "refused")
 	}
 }
--- a/internal/core/cell/standstill_test.go
+++ b/internal/core/cell/standstill_test.go
@@ -20,6 +20,11 @@
 	}
 }
 
+func labelled(st Step) Step {
+	st.RequiredLabel = testLabel
+	return st
+}
+
 // Guards against a task that stands still for 4 s beside the only worker that may run it, because another one that is set
 // aside was never named to the advice service.
 func TestTaskDoesNotWaitForAWorkerWithoutAdvice(t *testing.T) {
@@ -32,3 +37,29 @@
 	after, worker := h.nextStart(standstillRule)
 	assert.Equal(t, worker, workerID(0), "after %v", after)
 }
+
+// Guards against a worker that is used by nobody for up to 16 s, not even as the last resort, because a run that began
+// before its faults has succeeded.
+func TestSuccessLeavesASetAsideWorkerTheLastResort(t *testing.T) {
+	h := newLabelledHarness(t, 1)
+	h.setAside(0)
+	h.s.workers[workerID(0)].clearFaults()
+	h.addJob(Job{ID: "a", Steps: []Step{labelled(tasks(1, 1000))}})
+	after, worker := h.nextStart(standstillRule)
+	assert.Equal(t, worker, workerID(0), "after %v", after)
+}
+
+// Guards against sending start after start to a worker that refuses them, because it is the last resort.
+func TestRefusedStartPausesTheLastResort(t *testing.T) {
+	h := newLabelledHarness(t, 1)
+	h.setAside(0)
+	h.addJob(Job{ID: "a", Steps: []Step{labelled(tasks(1, 1000))}})
+	refusals := 0
+	for began := h.now; h.now.Sub(began) < 2*minFaultPause; h.advance(10 * time.Millisecond) {
+		for _, o := range h.takeStarts() {
+			refusals++
+			h.s.ApplyOrderOutcome(o, OrderRefused, h.now)
+		}
+	}
+	assert.Assert(t, refusals > 0 && refusals <= int(minFaultPause/refusedPause)+1, "%d refusals", refusals)
+}
--- a/internal/core/cell/state.go
+++ b/internal/core/cell/state.go
@@ -141,12 +141,17 @@
 // faults holds the number of a worker's recent failed and stalled runs, and the resulting pause.
 type faults struct {
 	streak  int           // failed or stalled runs since the last success
-	until   time.Time     // no new work is placed before this time, because of faults or a refused start
+	since   time.Time     // when the last pause because of faults began
+	until   time.Time     // no new work is placed before this time, because of faults
 	backoff time.Duration // length of the last pause because of faults, 0 after a success
+	// refusedUntil is the time before which no new work is placed because of a refused start.
+	refusedUntil time.Time
 }
 
 // usable reports whether tasks may be placed on the worker now.
-func (w *worker) usable(now time.Time) bool { return w.available() && !now.Before(w.faults.until) }
+func (w *worker) usable(now time.Time) bool {
+	return w.available() && !now.Before(w.faults.until) && !now.Before(w.faults.refusedUntil)
+}
 
 // available reports whether the worker is in service and answers.
 func (w *worker) available() bool {
@@ -156,7 +161,7 @@
 // setAside reports whether the worker gets no new work because of faults, and has had none for minFaultPause.
 func (w *worker) setAside(now time.Time) bool {
 	f := w.faults
-	return w.available() && now.Before(f.until) && f.backoff > 0 && !now.Before(f.until.Add(minFaultPause-f.backoff))
+	return w.available() && now.Before(f.until) && !now.Before(f.refusedUntil) && now.Sub(f.since) >= minFaultPause
 }
 
 // newJob creates the state of an accepted job.
