cell: no capacity is withheld for a gang that never fits

What callers saw: jobs that only a few workers may run stand still for good although these are idle (LOST).

Cause: capacity was withheld for a gang that doesn't fit yet without a look at whether the workers that may run it ever have enough for all members, and on one worker more than its whole capacity.

Fix: nothing is withheld for a gang whose members don't all fit on the idle workers that may run it; for other steps no more than these workers hold.

Result: the test passes.

--- a/internal/core/cell/room.go
+++ b/internal/core/cell/room.go
@@ -73,12 +73,17 @@
 	}
 	s.pass.workerChecks += len(s.pass.usable)
 	var candidates []*worker
+	fitting := 0
 	for _, w := range s.pass.usable {
-		if s.mayRun(st, w, q) && st.spec.Each.Fits(w.Capacity) {
+		if n := st.tasksOnIdle(w); n > 0 && s.mayRun(st, w, q) {
 			candidates = append(candidates, w)
+			fitting += n
 		}
 	}
-	if len(candidates) == 0 {
+	if st.spec.Gang && fitting < wanted {
+		return // these workers never have capacity for all members
+	}
+	if wanted = min(wanted, fitting); wanted == 0 {
 		return
 	}
 	s.pass.withholdableCPU -= int64(wanted) * st.spec.Each.MilliCPU
@@ -89,6 +94,18 @@
 	}
 }
 
+// tasksOnIdle returns how many tasks of a step a worker without any other runs has capacity for, at most all.
+func (st *step) tasksOnIdle(w *worker) int {
+	n, most := 0, len(st.tasks)
+	if st.spec.MaxPerWorker > 0 {
+		most = min(most, st.spec.MaxPerWorker)
+	}
+	for left := w.Capacity; n < most && st.spec.Each.Fits(left); left = left.Sub(st.spec.Each) {
+		n++
+	}
+	return n
+}
+
 // largeTaskShare is the share of the largest worker from which a task counts as large. Other tasks that end seldom free
 // that much at once.
 const largeTaskShare = 0.25
--- a/internal/core/cell/standstill_test.go
+++ b/internal/core/cell/standstill_test.go
@@ -63,3 +63,14 @@
 	}
 	assert.Assert(t, refusals > 0 && refusals <= int(minFaultPause/refusedPause)+1, "%d refusals", refusals)
 }
+
+// Guards against a job that stands still for good because a gang that its workers never have capacity for withholds them.
+func TestNoCapacityIsWithheldForAGangThatNeverFits(t *testing.T) {
+	h := newLabelledHarness(t, 1)
+	gang := labelled(tasks(2, 3000))
+	gang.Gang = true
+	h.addJob(Job{ID: "gang", Queue: urgentQueue, Steps: []Step{gang}})
+	h.addJob(Job{ID: "a", Steps: []Step{labelled(tasks(1, 1500))}})
+	after, worker := h.nextStart(time.Second)
+	assert.Equal(t, worker, workerID(0), "after %v", after)
+}
