cell: workers that are set aside count as free capacity

What callers saw: a job stands still although the only worker that may run it is idle (LOST).

Cause: a pass ends, and a step isn't looked at, once the free CPU of the usable workers is used up. A worker that is set aside may be the last resort of a step but didn't count, so it stayed idle while the usable workers were full.

Evidence: TestLastResortCountsAsFreeCapacity on the code before: standstill_test.go:95: assertion failed: (worker cell.WorkerID) != w0 (cell.WorkerID): after 3s had no last resort and fails too.

Fix: the free CPU of a pass includes the workers that are set aside. It is only a bound that spares looks at workers; each placement still checks the worker.

Result: the test passes.

--- a/internal/core/cell/pass.go
+++ b/internal/core/cell/pass.go
@@ -119,19 +119,20 @@
 			s.pass.usable = append(s.pass.usable, w)
 		case w.setAside(s.now):
 			s.pass.setAside = append(s.pass.setAside, w)
-			s.pass.maxFree = s.pass.maxFree.Max(w.free)
 		}
 	}
 	if len(s.pass.usable) == 0 {
 		s.pass.usable, s.pass.setAside = s.pass.setAside, s.pass.usable
 	}
-	for _, w := range s.pass.usable {
+	for _, w := range slices.Concat(s.pass.usable, s.pass.setAside) { // any of them may be the only one that may run a step
 		s.pass.freeCPU += max(0, w.free.MilliCPU)
+		s.pass.maxFree = s.pass.maxFree.Max(w.free)
+	}
+	for _, w := range s.pass.usable {
 		s.pass.turnoverCPU += w.Capacity.MilliCPU / turnoverDivisor
 		s.pass.withholdableCPU += w.Capacity.MilliCPU / withheldDivisor
 		s.pass.lateWorkLimit += w.Capacity.MilliCPU * lateWorkTime.Milliseconds()
 		s.pass.claimableCPU += w.Capacity.MilliCPU / claimedDivisor
-		s.pass.maxFree = s.pass.maxFree.Max(w.free)
 		s.pass.maxCapacity = s.pass.maxCapacity.Max(w.Capacity)
 	}
 	byID := func(a, b *worker) int { return cmp.Compare(a.ID, b.ID) }
--- a/internal/core/cell/standstill_test.go
+++ b/internal/core/cell/standstill_test.go
@@ -74,3 +74,16 @@
 	after, worker := h.nextStart(time.Second)
 	assert.Equal(t, worker, workerID(0), "after %v", after)
 }
+
+// Guards against a task that stands still because only the capacity of other workers was looked at: its only worker is set
+// aside and idle, and those are full.
+func TestLastResortCountsAsFreeCapacity(t *testing.T) {
+	h := newLabelledHarness(t, 1)
+	h.setAside(0)
+	h.addJob(Job{ID: "fill", Steps: []Step{tasks(7, 4000)}})
+	h.advance(0)
+	assert.Equal(t, len(h.takeStarts()), 7)
+	h.addJob(Job{ID: "a", Steps: []Step{labelled(tasks(1, 1000))}})
+	after, worker := h.nextStart(standstillRule)
+	assert.Equal(t, worker, workerID(0), "after %v", after)
+}
