cell: a job in a mostly free cell doesn't wait for other work's sake

Cause: three designs trade the wait of a task for the good of others, and none had an end. Capacity is withheld for a large step until the service beside it ends. A worker that is set aside for up to 16 s was the last resort only if no other worker might ever run the step, so a full one, or one that is too small for the rest of a gang, kept it out of use. Each further fault of any job began its rest of 2 s again.

Fix: while less than half of its pool is allocated, a job of which nothing has run for 2 s, or a service step with tasks that have waited for 2 s, may use withheld capacity and workers that are set aside. In a cell that is half full or more nothing changes.

Result: the tests pass.

--- a/internal/core/cell/advice.go
+++ b/internal/core/cell/advice.go
@@ -112,7 +112,7 @@
 			continue
 		}
 		candidates = append(candidates, w)
-		fitsNow = fitsNow || st.spec.Each.Fits(w.free.Sub(w.withheld))
+		fitsNow = fitsNow || st.spec.Each.Fits(s.capacityFor(st, w))
 	}
 	if askedBefore && !fitsNow {
 		return nil
--- a/internal/core/cell/avoid.go
+++ b/internal/core/cell/avoid.go
@@ -41,10 +41,14 @@
 	return allowed || !known
 }
 
-// lastResort returns the workers that are set aside if no other worker may run the step.
+// lastResort returns the workers that are set aside if no other worker may run the step, or if its job stands still because
+// those have no capacity.
 func (s *Scheduler) lastResort(st *step, q *Queue) []*worker {
-	if len(s.pass.setAside) == 0 {
+	switch {
+	case len(s.pass.setAside)+len(s.pass.unrested) == 0:
 		return nil
+	case s.standsStill(st):
+		return slices.Concat(s.pass.setAside, s.pass.unrested)
 	}
 	for _, w := range s.pass.usable {
 		s.pass.workerChecks++
@@ -55,10 +59,10 @@
 	return s.pass.setAside
 }
 
-// workersFor returns the workers to consider for a step: the usable ones, or the last resort.
+// workersFor returns the workers to consider for a step: the usable ones and the last resort.
 func (s *Scheduler) workersFor(st *step, q *Queue) []*worker {
-	if last := s.lastResort(st, q); last != nil {
-		return last
+	if last := s.lastResort(st, q); len(last) > 0 {
+		return slices.Concat(s.pass.usable, last)
 	}
 	return s.pass.usable
 }
--- a/internal/core/cell/order.go
+++ b/internal/core/cell/order.go
@@ -68,6 +68,9 @@
 		if j.isLate() {
 			s.pass.lateWork += j.waitingWork()
 		}
+		for _, st := range j.steps {
+			st.noteWaiting(s.now)
+		}
 	}
 	for _, j := range s.active {
 		if j.phase.Final() || j.cancelRequested || j.waitingTasks() == 0 {
--- a/internal/core/cell/orders.go
+++ b/internal/core/cell/orders.go
@@ -249,6 +249,7 @@
 	t.confirmedAt = s.now
 	t.phase, t.percent, t.progressAt, t.paceInFlight = taskRunning, 0, s.now, false
 	j := t.step.job
+	j.idleSince = time.Time{}
 	if !j.started {
 		j.started = true
 		s.events.ObserveFirstStart(max(0, s.now.Sub(time.UnixMilli(j.AcceptedMS))))
--- a/internal/core/cell/pass.go
+++ b/internal/core/cell/pass.go
@@ -42,7 +42,8 @@
 	startedAt       time.Time       // of the last pass
 	expiredPassAt   time.Time       // of the last pass that included expired jobs
 	usable          []*worker       // if there is none, those that are set aside
-	setAside        []*worker       // workers that would be usable but for their faults, see lastResort
+	setAside        []*worker       // rested workers that would be usable but for their faults, see lastResort
+	unrested        []*worker       // the other workers that would be usable but for their faults
 	freeCPU         int64           // thousandths of a core that are free for the remaining steps
 	turnoverCPU     int64           // thousandths of a core that are expected to come free soon
 	maxFree         resource.Vector // maximum free amount of each resource on any worker
@@ -53,8 +54,9 @@
 	// lateWork is the waiting work of late jobs; up to lateWorkLimit, it is served before jobs that can wait. Both are in
 	// thousandths of a core times milliseconds.
 	lateWork, lateWorkLimit int64
-	workerChecks            int       // checks of single workers so far
-	freed                   []*worker // usable workers on which capacity has come free since the last pass
+	pools                   map[string]poolLoad // by service
+	workerChecks            int                 // checks of single workers so far
+	freed                   []*worker           // usable workers on which capacity has come free since the last pass
 	steps                   []candidateStep
 }
 
@@ -106,25 +108,38 @@
 	return !st.spec.Gang && st.advice.inFlight > 0
 }
 
+// addWorker adds a worker to the lists that it belongs to.
+func (p *placementPass) addWorker(w *worker, now time.Time) {
+	if w.available() {
+		p.addLoad(w)
+	}
+	switch {
+	case w.heldBy != nil:
+	case w.usable(now):
+		p.usable = append(p.usable, w)
+	case w.setAside(now) && w.rested(now):
+		p.setAside = append(p.setAside, w)
+	case w.setAside(now):
+		p.unrested = append(p.unrested, w)
+	}
+}
+
 func (s *Scheduler) collectUsableWorkers() {
-	s.pass.usable, s.pass.freed, s.pass.setAside = s.pass.usable[:0], s.pass.freed[:0], s.pass.setAside[:0]
+	s.pass.usable, s.pass.freed = s.pass.usable[:0], s.pass.freed[:0]
+	s.pass.setAside, s.pass.unrested = s.pass.setAside[:0], s.pass.unrested[:0]
+	s.pass.pools = map[string]poolLoad{}
 	s.pass.maxFree = resource.Vector{}
 	s.pass.maxCapacity = resource.Vector{}
 	s.pass.freeCPU, s.pass.turnoverCPU, s.pass.withholdableCPU, s.pass.claimableCPU, s.pass.lateWorkLimit, s.pass.workerChecks = 0, 0, 0, 0, 0, 0
 	for _, w := range s.workers {
 		w.withheld = resource.Vector{}
-		switch {
-		case w.heldBy != nil:
-		case w.usable(s.now):
-			s.pass.usable = append(s.pass.usable, w)
-		case w.setAside(s.now):
-			s.pass.setAside = append(s.pass.setAside, w)
-		}
+		s.pass.addWorker(w, s.now)
 	}
 	if len(s.pass.usable) == 0 {
 		s.pass.usable, s.pass.setAside = s.pass.setAside, s.pass.usable
 	}
-	for _, w := range slices.Concat(s.pass.usable, s.pass.setAside) { // any of them may be the only one that may run a step
+	// Any of these workers may be the only one that may run a step.
+	for _, w := range slices.Concat(s.pass.usable, s.pass.setAside, s.pass.unrested) {
 		s.pass.freeCPU += max(0, w.free.MilliCPU)
 		s.pass.maxFree = s.pass.maxFree.Max(w.free)
 	}
@@ -138,6 +153,7 @@
 	byID := func(a, b *worker) int { return cmp.Compare(a.ID, b.ID) }
 	slices.SortFunc(s.pass.usable, byID)
 	slices.SortFunc(s.pass.setAside, byID)
+	slices.SortFunc(s.pass.unrested, byID)
 	for _, w := range s.pass.usable {
 		if w.freed {
 			w.freed = false
--- a/internal/core/cell/room.go
+++ b/internal/core/cell/room.go
@@ -30,7 +30,7 @@
 		if !s.mayRun(st, w, q) || w.heldAgainst(st.tasks[0]) {
 			continue
 		}
-		for left := w.free.Sub(w.withheld); st.spec.Each.Fits(left) && members < len(st.tasks); left = left.Sub(st.spec.Each) {
+		for left := s.capacityFor(st, w); st.spec.Each.Fits(left) && members < len(st.tasks); left = left.Sub(st.spec.Each) {
 			members++
 		}
 		if members == len(st.tasks) {
--- /dev/null
+++ b/internal/core/cell/standstill.go
@@ -0,0 +1,60 @@
+package cell
+
+import (
+	"time"
+
+	"sequoiastall/internal/core/resource"
+)
+
+// A job stands still if it has waiting tasks, nothing of it runs, and most of its pool is free. So does a step of a service
+// that has waiting tasks, whatever else runs. The workers that may run such tasks are few then. What keeps tasks from a
+// worker only for the benefit of other work, or to spare attempts, ends after standstillLimit: an accepted job must not wait
+// for 3 s beside capacity that it may use.
+
+// standstillLimit is how long a job stands still before its tasks may use capacity that is withheld for other steps, and
+// workers that are set aside.
+const standstillLimit = 2 * time.Second
+
+// maxMostlyFreeLoad is the allocated share of a pool's capacity below which most of it is free.
+const maxMostlyFreeLoad = 0.5
+
+// poolLoad is the capacity of the workers of a pool that answer, and how much of it is allocated.
+type poolLoad struct{ used, capacity resource.Vector }
+
+// mostlyFree reports whether less than half of the pool's capacity is allocated.
+func (p poolLoad) mostlyFree() bool { return p.used.DominantShare(p.capacity) < maxMostlyFreeLoad }
+
+// addLoad adds a worker to the load of its pool in this pass.
+func (p *placementPass) addLoad(w *worker) {
+	load := p.pools[w.Service]
+	load.capacity = load.capacity.Add(w.Capacity)
+	load.used = load.used.Add(w.Capacity.Sub(w.free))
+	p.pools[w.Service] = load
+}
+
+// standsStill reports whether the job of a step, or a service step itself, has stood still for standstillLimit.
+func (s *Scheduler) standsStill(st *step) bool {
+	since := st.job.idleSince
+	if st.spec.LongRunning {
+		since = st.waitingSince
+	}
+	return !since.IsZero() && s.now.Sub(since) >= standstillLimit && s.pass.pools[st.job.Service].mostlyFree()
+}
+
+// noteWaiting notes since when the step has had waiting tasks.
+func (st *step) noteWaiting(now time.Time) {
+	switch {
+	case st.waiting == 0:
+		st.waitingSince = time.Time{}
+	case st.waitingSince.IsZero():
+		st.waitingSince = now
+	}
+}
+
+// capacityFor returns the capacity of a worker that a step may use now.
+func (s *Scheduler) capacityFor(st *step, w *worker) resource.Vector {
+	if s.standsStill(st) {
+		return w.free
+	}
+	return w.free.Sub(w.withheld)
+}
--- a/internal/core/cell/standstill_test.go
+++ b/internal/core/cell/standstill_test.go
@@ -20,6 +20,13 @@
 	}
 }
 
+// occupy starts a service that leaves no CPU on a labelled worker.
+func (h *harness) occupy(milliCPU int64) Order {
+	st := service(1, milliCPU)
+	st.RequiredLabel = testLabel
+	return h.startService("occupant", plainQueue, st)[0]
+}
+
 func labelled(st Step) Step {
 	st.RequiredLabel = testLabel
 	return st
@@ -87,3 +94,52 @@
 	after, worker := h.nextStart(standstillRule)
 	assert.Equal(t, worker, workerID(0), "after %v", after)
 }
+
+// Guards against jobs that stand still in a cell that is mostly free: of the two workers that may run them, one is set aside
+// and the other is full, too small, or withheld for a step that waits for a service to end.
+func TestJobsDoNotStandStillInAMostlyFreeCell(t *testing.T) {
+	gang := labelled(tasks(2, 3000))
+	gang.Gang = true
+	t.Run("the other worker is full", func(t *testing.T) {
+		h := newLabelledHarness(t, 2)
+		other := 1 - indexOf(h.occupy(4000).Worker)
+		h.setAside(other)
+		h.addJob(Job{ID: "a", Steps: []Step{labelled(tasks(1, 1000))}})
+		after, worker := h.nextStart(standstillRule)
+		assert.Equal(t, worker, workerID(other), "after %v", after)
+	})
+	t.Run("a gang needs both workers", func(t *testing.T) {
+		h := newLabelledHarness(t, 2)
+		h.setAside(1)
+		h.addJob(Job{ID: "a", Steps: []Step{gang}})
+		after, worker := h.nextStart(standstillRule)
+		assert.Assert(t, worker != "", "after %v", after)
+	})
+	t.Run("the faults go on", func(t *testing.T) {
+		h := newLabelledHarness(t, 1)
+		h.setAside(0)
+		h.addJob(Job{ID: "a", Steps: []Step{labelled(tasks(1, 1000))}})
+		for range standstillRule / (100 * time.Millisecond) {
+			h.s.recordFault(h.s.workers[workerID(0)], "a run failed")
+			h.advance(92 * time.Millisecond)
+		}
+		assert.Equal(t, len(h.takeStarts()), 1)
+	})
+	t.Run("a task of a service is down", func(t *testing.T) {
+		h := newLabelledHarness(t, 2)
+		running := h.startService("service", plainQueue, labelled(service(2, 3000)))
+		down := running[0]
+		h.setAside(indexOf(down.Worker))
+		h.renew(indexOf(down.Worker), nil, []EndedRow{{Number: h.nextEnd(), Run: down.Run, Kind: EndFailed}})
+		after, worker := h.nextStart(standstillRule)
+		assert.Equal(t, worker, down.Worker, "after %v", after)
+	})
+	t.Run("capacity is withheld", func(t *testing.T) {
+		h := newLabelledHarness(t, 1)
+		h.occupy(1000)
+		h.addJob(Job{ID: "large", Queue: urgentQueue, Steps: []Step{labelled(tasks(1, 4000))}})
+		h.addJob(Job{ID: "a", Steps: []Step{labelled(tasks(1, 1000))}})
+		after, worker := h.nextStart(standstillRule)
+		assert.Equal(t, worker, workerID(0), "after %v", after)
+	})
+}
--- a/internal/core/cell/state.go
+++ b/internal/core/cell/state.go
@@ -68,9 +68,10 @@
 	job            *job
 	spec           *Step
 	tasks          []*task
-	unfinished     int // tasks that aren't done
-	waiting        int // tasks in taskWaiting
-	gangRun        int // last run of a gang
+	unfinished     int       // tasks that aren't done
+	waiting        int       // tasks in taskWaiting
+	waitingSince   time.Time // since when a placement pass has found waiting tasks, zero if the last one found none
+	gangRun        int       // last run of a gang
 	gangFailures   int
 	lastFailedRun  int  // last gang run that was counted as failed
 	onProbation    bool // of a gang: a member is
@@ -84,7 +85,8 @@
 	Job
 	steps           []*step
 	phase           Phase
-	started         bool // a task has started
+	started         bool      // a task has started
+	idleSince       time.Time // since when nothing of the job runs, zero while a run is confirmed
 	cancelRequested bool
 	allocatedTasks  int    // tasks that hold capacity on a worker
 	version         uint64 // rises with each change to the recorded state
@@ -158,15 +160,17 @@
 	return w.registered && w.reached && !w.terminated && !w.unresponsive && !w.Draining
 }
 
-// setAside reports whether the worker gets no new work because of faults, and has had none for minFaultPause.
+// setAside reports whether the worker gets no new work because of faults.
 func (w *worker) setAside(now time.Time) bool {
-	f := w.faults
-	return w.available() && now.Before(f.until) && !now.Before(f.refusedUntil) && now.Sub(f.since) >= minFaultPause
+	return w.available() && now.Before(w.faults.until) && !now.Before(w.faults.refusedUntil)
 }
 
+// rested reports whether the last fault of a worker that is set aside was at least minFaultPause ago.
+func (w *worker) rested(now time.Time) bool { return now.Sub(w.faults.since) >= minFaultPause }
+
 // newJob creates the state of an accepted job.
 func newJob(j Job, now time.Time) *job {
-	created := &job{Job: j, phase: Pending, version: 1, recorded: 1}
+	created := &job{Job: j, phase: Pending, version: 1, recorded: 1, idleSince: now}
 	for i := range j.Steps {
 		spec := &created.Steps[i]
 		st := &step{id: StepID{j.ID, i}, job: created, spec: spec, unfinished: spec.Count, waiting: spec.Count, tasksPerWorker: map[WorkerID]int{}}
@@ -271,7 +275,9 @@
 	if t.step.tasksPerWorker[w.ID]--; t.step.tasksPerWorker[w.ID] <= 0 {
 		delete(t.step.tasksPerWorker, w.ID)
 	}
-	t.step.job.allocatedTasks--
+	if t.step.job.allocatedTasks--; t.step.job.allocatedTasks == 0 && t.step.job.idleSince.IsZero() {
+		t.step.job.idleSince = s.now
+	}
 	s.usage[t.step.job.Team] = s.usage[t.step.job.Team].Sub(each)
 	s.changed = true
 }
