cell: probation has no bound for a job that stands still

Cause: tasks on probation may hold a fifth of the workers, and a worker counts as held for the seconds in which it is down after its crash. So two or three tasks a second get their turn, and a gang none as long as single tasks do.

Fix: the bound ends for a job that stands still in a mostly free pool. In a pool that is half allocated or more, and for the first 2 s, it stays.

--- a/internal/core/cell/crashes.go
+++ b/internal/core/cell/crashes.go
@@ -219,9 +219,10 @@
 	return w.heldBy != nil && (w.heldBy != t.step || !t.step.spec.Gang)
 }
 
-// probationDelayed reports whether a task on probation has to wait because others hold as many workers as may be held.
+// probationDelayed reports whether a task on probation has to wait because others hold as many workers as may be held. That
+// includes workers that crashed seconds ago, so it ends for a job that stands still.
 func (s *Scheduler) probationDelayed(t *task) bool {
-	if !t.onProbation() || s.heldWorkers == 0 {
+	if !t.onProbation() || s.heldWorkers == 0 || s.standsStill(t.step) {
 		return false
 	}
 	wanted := 1
--- a/internal/core/cell/standstill_test.go
+++ b/internal/core/cell/standstill_test.go
@@ -143,3 +143,23 @@
 		assert.Equal(t, worker, workerID(0), "after %v", after)
 	})
 }
+
+// Guards against tasks on probation that stand still in a mostly free cell while others hold a fifth of the workers, whose
+// crashes take seconds to be noticed.
+func TestProbationDoesNotStandStillInAMostlyFreeCell(t *testing.T) {
+	h := newHarness(t, 10)
+	suspect := crashHistory{workers: []WorkerID{"gone"}, confirmed: 1}
+	for _, id := range []JobID{"a", "b", "c"} {
+		h.addJob(Job{ID: id, Steps: []Step{tasks(1, 1000)}})
+		h.s.jobs[id].steps[0].tasks[0].crashes = suspect
+	}
+	h.advance(0)
+	held := h.takeStarts()
+	assert.Equal(t, len(held), 2)
+	h.confirm(held...)
+	for _, o := range held {
+		h.s.WorkerUnresponsive(o.Worker, h.now)
+	}
+	after, worker := h.nextStart(standstillRule)
+	assert.Assert(t, worker != "", "after %v", after)
+}
