cell: simulation of whole cells in which no task may stand still

After the faults have ended, no job may have nothing running for 3 s, and no service task be down for 6 s after its last run, while its turn has come, there is capacity for it twice over on workers that may run it, its team has under half of its limit, and less than half of the cell is in use.

One condition is narrower than the rule's text: a task or gang must fit into what its team's limit leaves. A gang that needs most of the limit waits as long as its team's smaller jobs go on; that is not mended.

--- /dev/null
+++ b/internal/core/cell/liveness_rule_test.go
@@ -0,0 +1,154 @@
+package cell
+
+import (
+	"fmt"
+	"strings"
+	"time"
+)
+
+const (
+	// liveStandstill is how long a job may have nothing running although there is capacity for it twice over.
+	liveStandstill = 3 * time.Second
+	// liveRestart is how long a service's task may be down after its last run.
+	liveRestart = 6 * time.Second
+	// liveLogLines is the number of decisions that a failure message shows.
+	liveLogLines = 30
+)
+
+// checkStandstill checks that no job stands still for liveStandstill.
+func (c *liveCell) checkStandstill() {
+	if c.mostlyUsed() {
+		for _, j := range c.jobs {
+			clear(j.stillAt)
+		}
+		return
+	}
+	for _, j := range c.jobs {
+		if j.final || j.canceled {
+			continue
+		}
+		busy := c.somethingRuns(j)
+		for n, st := range j.Steps {
+			for i := range st.Count {
+				c.checkTask(j, TaskID{j.ID, n, i}, busy)
+			}
+		}
+	}
+}
+
+func (c *liveCell) checkTask(j *liveJob, task TaskID, busy bool) {
+	st := &j.Steps[task.Step]
+	still := !j.done[task] && !c.runs(task, 0) && c.turnHasCome(j, st) && c.hasRoomTwice(j, task.Step) && c.withinLimit(j.Team, st)
+	if still && st.LongRunning {
+		still = c.now.Sub(j.lastEnd[task]) > liveRestart-liveStandstill
+	} else if busy {
+		still = false
+	}
+	if !still {
+		delete(j.stillAt, task)
+		return
+	}
+	if j.stillAt[task].IsZero() {
+		j.stillAt[task] = c.now
+	}
+	if s := c.s.jobs[j.ID]; c.now.Sub(j.stillAt[task]) >= liveStandstill && s != nil && !s.phase.Final() {
+		c.t.Fatalf("%v stands still since %v: step %+v, queue %s, admitted %v\n%s", task, j.stillAt[task].Sub(start), *st, j.Queue,
+			j.admitted[task.Step], c.describe(task))
+	}
+}
+
+// describe returns the last decisions about a job and its workers, and the state of its step and of the workers.
+func (c *liveCell) describe(task TaskID) string {
+	var lines []string
+	for _, l := range c.log.lines {
+		if strings.Contains(l, " "+string(task.Job)) || strings.Contains(l, " worker ") {
+			lines = append(lines, l)
+		}
+	}
+	lines = lines[max(0, len(lines)-liveLogLines):]
+	st := c.s.jobs[task.Job].steps[task.Step]
+	lines = append(lines, fmt.Sprintf("waiting %d, advice in flight %d, rank %+v", st.waiting, st.advice.inFlight, c.s.rank(st.job)))
+	for _, w := range c.s.workers {
+		lines = append(lines, fmt.Sprintf("%s: available %t, set aside %t, free %v, withheld %v, held %t, allowed %t", w.ID, w.available(),
+			w.setAside(c.now), w.free, w.withheld, w.heldBy != nil, st.advice.allowed[w.ID]))
+	}
+	return strings.Join(lines, "\n")
+}
+
+func (c *liveCell) somethingRuns(j *liveJob) bool {
+	for n, st := range j.Steps {
+		for i := range st.Count {
+			if c.runs(TaskID{j.ID, n, i}, 0) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (c *liveCell) turnHasCome(j *liveJob, st *Step) bool {
+	for _, n := range st.After {
+		for i := range j.Steps[n].Count {
+			if !j.done[TaskID{j.ID, n, i}] {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// hasRoomTwice reports whether the workers that may run a step have capacity for a task, or for a gang, twice over.
+func (c *liveCell) hasRoomTwice(j *liveJob, n int) bool {
+	st := &j.Steps[n]
+	wanted := 2
+	if st.Gang {
+		wanted = 2 * st.Count
+	}
+	for _, w := range c.workers {
+		if !w.up || j.Queue == advisedQueue && !j.admitted[n][w.id] || st.RequiredLabel != "" && len(w.labels) == 0 {
+			continue
+		}
+		here := 0
+		for task := range w.runs {
+			if task.Job == j.ID && task.Step == n {
+				here++
+			}
+		}
+		for free := w.free(); st.Each.Fits(free) && (st.MaxPerWorker == 0 || here < st.MaxPerWorker); free = free.Sub(st.Each) {
+			here++
+			wanted--
+		}
+	}
+	return wanted <= 0
+}
+
+// withinLimit reports whether a team has under half of its limit, and whether the rest is enough for a task or a gang.
+func (c *liveCell) withinLimit(team string, st *Step) bool {
+	limit, used, need := livenessConfig().Team(team).Limit.MilliCPU, int64(0), st.Each.MilliCPU
+	if limit == 0 {
+		return true
+	}
+	if st.Gang {
+		need *= int64(st.Count)
+	}
+	for _, w := range c.workers {
+		for task, r := range w.runs {
+			if w.up && c.byID[task.Job].Team == team {
+				used += r.need.MilliCPU
+			}
+		}
+	}
+	return 2*used < limit && used+need <= limit
+}
+
+// mostlyUsed reports whether half of the cell's capacity is in use.
+func (c *liveCell) mostlyUsed() bool {
+	var used, capacity int64
+	for _, w := range c.workers {
+		if w.up {
+			capacity += w.capacity.MilliCPU
+			used += w.capacity.MilliCPU - w.free().MilliCPU
+		}
+	}
+	return 2*used >= capacity
+}
--- /dev/null
+++ b/internal/core/cell/liveness_test.go
@@ -0,0 +1,371 @@
+package cell
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"sequoiastall/internal/core/resource"
+)
+
+// The liveness simulation runs a whole cell in virtual time: workers, the advice service, the store and callers. First there
+// are faults and takeovers. After that only tasks that fail by themselves are left, and no task may stand still, as
+// checkStandstill defines it.
+
+const (
+	liveTick       = 20 * time.Millisecond
+	liveLease      = 4 * time.Second
+	liveRenewal    = 50 * time.Millisecond
+	liveAdviceWait = 250 * time.Millisecond // a request that waits longer for a node is withdrawn
+	liveFaults     = 8 * time.Second
+	liveSettling   = time.Second // after the end of the faults
+	liveCalm       = 9 * time.Second
+)
+
+type liveEvent struct {
+	at time.Time
+	do func()
+}
+
+type liveCell struct {
+	t             *rapid.T
+	random        *rand.Rand
+	now           time.Time
+	calm, settled bool
+	s             *Scheduler
+	term          int
+	log           *liveLog
+	p             liveParameters
+	workers       []*liveWorker
+	jobs          []*liveJob
+	byID          map[JobID]*liveJob
+	events        []liveEvent
+	advice        []liveAdvice // requests that wait for a node
+	calls         int          // requests that nodes have sent
+
+	storeDownUntil time.Time
+}
+
+type liveAdvice struct {
+	AdviceRequest
+	since time.Time
+}
+
+// liveParameters describe a cell and its load.
+type liveParameters struct {
+	workers, adviceNodes int
+	admitted             int     // workers that the advice admits for a step, at most
+	arrivals             float64 // jobs a second
+	failing              float64 // share of jobs whose tasks fail by themselves
+	crashing             float64 // share of jobs whose tasks crash their workers, during the faults
+	faultsPerSecond      float64
+	labelled             int // workers with testLabel
+}
+
+type liveJob struct {
+	Job
+	admitted map[int]map[WorkerID]bool // by step
+	done     map[TaskID]bool
+	lastEnd  map[TaskID]time.Time
+	stillAt  map[TaskID]time.Time // since when a task, or the first task of its job, stands still
+	failing  bool
+	crashing bool
+	canceled bool
+	record   []byte
+	final    bool
+}
+
+type liveRun struct {
+	run       int
+	need      resource.Vector
+	startedAt time.Time
+	endsAt    time.Time
+	kind      EndKind
+}
+
+type liveWorker struct {
+	id         WorkerID
+	startMS    int64
+	up, silent bool
+	draining   bool
+	grey       bool // fails everything
+	labels     []string
+	capacity   resource.Vector
+	full       resource.Vector
+	runs       map[TaskID]*liveRun
+	refused    map[TaskID]int
+	ended      []EndedRow
+	lastEnd    int64
+	renewAt    time.Time
+	leaseEnd   time.Time
+	lapsed     bool
+}
+
+func livenessConfig() *Config {
+	return NewConfig(Config{Version: 1,
+		Queues: []Queue{
+			{Name: plainQueue, Service: "pool", Priority: 1, MaxAttempts: 4, Stretch: 3, Slack: time.Second},
+			{Name: advisedQueue, Service: "pool", Priority: 1, MaxAttempts: 4, Stretch: 3, Slack: time.Second,
+				Advice: &AdviceTiming{Decision: 12 * time.Millisecond, PerWorker: time.Millisecond, Validity: ticketValidity}},
+		},
+		Teams: []Team{{Name: "team", Weight: 1000}, {Name: "slow", Weight: 1},
+			{Name: "small", Weight: 1000, Limit: resource.Vector{MilliCPU: 8000}}},
+	})
+}
+
+func newLiveCell(t *rapid.T, p liveParameters, seed uint64) *liveCell {
+	c := &liveCell{t: t, random: rand.New(rand.NewPCG(seed, 1)), now: start, p: p, byID: map[JobID]*liveJob{}}
+	c.log = &liveLog{c: c}
+	for i := range p.workers {
+		w := &liveWorker{id: workerID(i), full: resource.Vector{MilliCPU: 4000, MemoryMB: 8000}}
+		if c.chance(0.3) {
+			w.full = resource.Vector{MilliCPU: 8000, MemoryMB: 8000}
+		}
+		if i < p.labelled {
+			w.labels = []string{testLabel}
+		}
+		w.capacity = w.full
+		c.boot(w)
+		c.workers = append(c.workers, w)
+	}
+	c.takeOver()
+	return c
+}
+
+func (c *liveCell) chance(p float64) bool { return c.random.Float64() < p }
+
+func (c *liveCell) between(low, high time.Duration) time.Duration {
+	return low + time.Duration(c.random.Int64N(int64(high-low)+1))
+}
+
+func (c *liveCell) after(d time.Duration, do func()) {
+	term := c.term
+	c.events = append(c.events, liveEvent{c.now.Add(d), func() {
+		if term == c.term {
+			do()
+		}
+	}})
+}
+
+// takeOver replaces the scheduler by one that starts from the records.
+func (c *liveCell) takeOver() {
+	c.term++
+	c.advice, c.calls = nil, 0
+	c.s = New(Options{EndedRetention: time.Minute}, c.log)
+	c.s.SetConfig(livenessConfig())
+	for _, j := range c.jobs {
+		if j.final {
+			continue
+		}
+		if err := c.s.AddJob(j.Job, j.record, c.now); err != nil {
+			c.t.Fatal(err)
+		}
+		if j.canceled {
+			c.s.CancelJob(j.ID)
+		}
+	}
+	for _, w := range c.workers {
+		w.lapsed, w.renewAt = false, c.now
+	}
+	c.register()
+}
+
+func (c *liveCell) register() {
+	var reports []WorkerReport
+	for _, w := range c.workers {
+		if w.up {
+			reports = append(reports, WorkerReport{ID: w.id, Address: "a", Service: "pool", Rack: "r", Labels: w.labels, Capacity: w.capacity,
+				Draining: w.draining, StartMS: w.startMS})
+		}
+	}
+	c.s.SetWorkers(reports, c.now)
+}
+
+func (c *liveCell) run(d time.Duration) {
+	for end := c.now.Add(d); c.now.Before(end); {
+		c.tick()
+	}
+}
+
+func (c *liveCell) tick() {
+	c.now = c.now.Add(liveTick)
+	if c.chance(c.p.arrivals * liveTick.Seconds()) {
+		c.submit()
+	}
+	if !c.calm && c.chance(c.p.faultsPerSecond*liveTick.Seconds()) {
+		c.fault()
+	}
+	due := c.events
+	c.events = nil
+	for _, e := range due {
+		if e.at.After(c.now) {
+			c.events = append(c.events, e)
+		} else {
+			e.do()
+		}
+	}
+	for _, w := range c.workers {
+		c.endRuns(w)
+		c.renew(w)
+	}
+	c.register()
+	a := c.s.Advance(c.now)
+	for _, r := range a.Advice {
+		c.advice = append(c.advice, liveAdvice{r, c.now})
+	}
+	c.callAdvice()
+	for _, o := range a.Orders {
+		c.send(o)
+	}
+	c.write()
+	if c.settled {
+		c.checkStandstill()
+	}
+}
+
+// callAdvice gives waiting requests to idle nodes, one request at a time each.
+func (c *liveCell) callAdvice() {
+	kept := c.advice[:0]
+	for _, r := range c.advice {
+		switch {
+		case c.calls < c.p.adviceNodes:
+			c.calls++
+			c.after(r.Duration+c.between(0, 20*time.Millisecond), func() { c.calls--; c.answer(r.AdviceRequest) })
+		case c.now.Sub(r.since) > liveAdviceWait:
+			c.s.WithdrawAdvice(r.AdviceRequest)
+		default:
+			kept = append(kept, r)
+		}
+	}
+	c.advice = kept
+}
+
+func (c *liveCell) answer(r AdviceRequest) {
+	failed := !c.calm && c.chance(0.1)
+	var tickets []Ticket
+	for _, id := range r.Workers {
+		if c.byID[r.Step.Job].admitted[r.Step.Step][id] {
+			tickets = append(tickets, Ticket{id, fmt.Sprint(c.worker(id).startMS)})
+		}
+	}
+	c.s.ApplyAdvice(r, tickets, c.now.Add(-5*time.Millisecond), ticketValidity, failed, c.now)
+}
+
+func (c *liveCell) worker(id WorkerID) *liveWorker { return c.workers[indexOf(id)] }
+
+func (c *liveCell) write() {
+	if c.now.Before(c.storeDownUntil) {
+		return
+	}
+	for range 6 {
+		writes := c.s.TakeWrites(31)
+		if len(writes) == 0 {
+			return
+		}
+		c.after(c.between(10*time.Millisecond, 40*time.Millisecond), func() {
+			for _, w := range writes {
+				j := c.byID[w.Job]
+				if w.Final {
+					j.final = true
+				} else {
+					j.record = w.Value
+				}
+				c.s.WriteCommitted(w)
+			}
+		})
+	}
+}
+
+func (c *liveCell) submit() {
+	id := JobID(fmt.Sprintf("j%03d", len(c.jobs)))
+	j := &liveJob{Job: Job{ID: id, Queue: plainQueue, Team: "team", Service: "pool", AcceptedMS: c.now.UnixMilli(),
+		Terms: Terms{MaxAttempts: 4, Stretch: 3, SlackMS: 1000}}, admitted: map[int]map[WorkerID]bool{},
+		done: map[TaskID]bool{}, lastEnd: map[TaskID]time.Time{}, stillAt: map[TaskID]time.Time{}}
+	if c.chance(0.6) {
+		j.Queue = advisedQueue
+	}
+	switch {
+	case c.chance(0.1):
+		j.Team = "slow"
+	case c.chance(0.2):
+		j.Team = "small"
+	}
+	j.failing = c.chance(c.p.failing)
+	j.crashing = !c.calm && c.chance(c.p.crashing)
+	for n := range 1 + c.random.IntN(2) {
+		st := c.randomStep()
+		if n > 0 {
+			st.After, st.LongRunning = []int{n - 1}, false
+		}
+		j.Steps = append(j.Steps, st)
+		j.admitted[n] = map[WorkerID]bool{}
+		for range 1 + c.random.IntN(c.p.admitted) {
+			j.admitted[n][workerID(c.random.IntN(len(c.workers)))] = true
+		}
+		if st.LongRunning {
+			break
+		}
+	}
+	c.jobs = append(c.jobs, j)
+	c.byID[id] = j
+	if err := c.s.AddJob(j.Job, nil, c.now); err != nil {
+		c.t.Fatal(err)
+	}
+	if c.chance(0.05) || j.Steps[0].LongRunning && c.chance(0.7) {
+		c.events = append(c.events, liveEvent{c.now.Add(c.between(0, 8*time.Second)), func() { j.canceled = true; c.s.CancelJob(id) }})
+	}
+}
+
+func (c *liveCell) randomStep() Step {
+	st := tasks(1+c.random.IntN(4), 250+250*c.random.Int64N(6))
+	st.EstimateMS = 100 + c.random.Int64N(1000)
+	if c.chance(0.15) {
+		st = tasks(1+c.random.IntN(2), 3500)
+	}
+	st.Gang = st.Count > 1 && c.chance(0.25)
+	if c.p.labelled > 0 && c.chance(0.2) {
+		st.RequiredLabel = testLabel
+	}
+	if c.chance(0.15) {
+		st.MaxPerWorker = 1
+	}
+	st.LongRunning = c.chance(0.05)
+	return st
+}
+
+// liveLog keeps the decisions of a simulation for failure messages.
+type liveLog struct {
+	c     *liveCell
+	lines []string
+}
+
+func (l *liveLog) LogDecision(subject, decision string, attrs ...any) {
+	l.lines = append(l.lines, fmt.Sprint(l.c.now.Sub(start), " ", subject, " ", decision, " ", attrs))
+}
+
+func (l *liveLog) ObserveFirstStart(time.Duration) {}
+
+// Guards against tasks that stand still although there is capacity for them, after any sequence of faults.
+func TestNoTaskStandsStill(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := liveParameters{
+			workers:         rapid.SampledFrom([]int{4, 8, 16}).Draw(t, "workers"),
+			adviceNodes:     rapid.IntRange(2, 6).Draw(t, "advice nodes"),
+			admitted:        rapid.IntRange(1, 4).Draw(t, "admitted"),
+			arrivals:        rapid.Float64Range(0.5, 8).Draw(t, "arrivals"),
+			crashing:        rapid.SampledFrom([]float64{0, 0, 0.1, 0.5}).Draw(t, "crashing"),
+			failing:         rapid.SampledFrom([]float64{0, 0.1, 0.5}).Draw(t, "failing"),
+			faultsPerSecond: rapid.Float64Range(0, 4).Draw(t, "faults"),
+			labelled:        rapid.IntRange(0, 2).Draw(t, "labelled"),
+		}
+		c := newLiveCell(t, p, rapid.Uint64().Draw(t, "seed"))
+		c.run(liveFaults)
+		c.endFaults()
+		c.run(liveSettling)
+		c.settled = true
+		c.run(liveCalm)
+	})
+}
