cell: a job keeps the advice of a removed queue

Cause: whether a start needs a ticket was looked up in the queue. Without the queue, tasks were started without a ticket, which the workers reject.

Fix: the terms in a job's record include the timing of its queue's advice, and apply when the queue is gone, as the other terms do. Records without it are read as before.

Result: the test passes.

--- a/internal/core/cell/order.go
+++ b/internal/core/cell/order.go
@@ -76,7 +76,7 @@
 		if j.phase.Final() || j.cancelRequested || j.waitingTasks() == 0 {
 			continue
 		}
-		q, r := s.config.Queue(j.Queue), s.rank(j)
+		q, r := s.queueOf(j), s.rank(j)
 		if r.class == expired && !includeExpired {
 			continue
 		}
--- a/internal/core/cell/scheduler.go
+++ b/internal/core/cell/scheduler.go
@@ -104,15 +104,22 @@
 	return nil
 }
 
+// queueOf returns a job's queue, or one with the terms in the job's record if the queue was removed.
+func (s *Scheduler) queueOf(j *job) *Queue {
+	if q := s.config.Queue(j.Queue); q != nil {
+		return q
+	}
+	t := j.Terms
+	return &Queue{Name: j.Queue, Service: j.Service, Priority: t.Priority, MaxAttempts: t.MaxAttempts, Stretch: t.Stretch,
+		Slack: time.Duration(t.SlackMS) * time.Millisecond, Advice: t.Advice}
+}
+
 // setObjective derives the job's deadlines, attempts and priority from its queue, or from the terms in its record if the
 // queue was removed.
 func (s *Scheduler) setObjective(j *job, now time.Time) {
-	terms := j.Terms
-	if q := s.config.Queue(j.Queue); q != nil {
-		terms = q.Terms()
-		if q.Advice != nil {
-			j.estimate += q.Advice.Duration(adviceReferenceWorkers)
-		}
+	terms := s.queueOf(j).Terms()
+	if terms.Advice != nil {
+		j.estimate += terms.Advice.Duration(adviceReferenceWorkers)
 	}
 	j.maxAttempts, j.queuePriority = max(1, terms.MaxAttempts), terms.Priority
 	// An acceptance time in the future or at least an hour ago is ignored: the objective then counts from now.
--- a/internal/core/cell/services.go
+++ b/internal/core/cell/services.go
@@ -90,7 +90,7 @@
 // hasDestination reports whether another worker can take over a service task now. If only a ticket is missing, it
 // requests one.
 func (s *Scheduler) hasDestination(t *task) bool {
-	st, q := t.step, s.config.Queue(t.step.job.Queue)
+	st, q := t.step, s.queueOf(t.step.job)
 	var withoutTicket []WorkerID
 	for _, w := range s.pass.usable {
 		if !w.usable(s.now) || !s.fits(t, w, q) {
--- a/internal/core/cell/standstill_test.go
+++ b/internal/core/cell/standstill_test.go
@@ -163,3 +163,22 @@
 	after, worker := h.nextStart(standstillRule)
 	assert.Assert(t, worker != "", "after %v", after)
 }
+
+// Guards against starts without a ticket that are rejected for ever, because the queue of an accepted job was removed.
+func TestRemovedQueueKeepsItsAdvice(t *testing.T) {
+	h := newHarness(t, 2)
+	job := Job{ID: "a", Queue: advisedQueue, Steps: []Step{tasks(1, 1000)}, Terms: testConfig().Queue(advisedQueue).Terms()}
+	record, err := EncodeJob(job)
+	assert.NilError(t, err)
+	job, err = DecodeJob(record)
+	assert.NilError(t, err)
+	h.s.SetConfig(NewConfig(Config{Version: 2}))
+	h.addJob(job)
+	h.advance(0)
+	assert.Equal(t, len(h.takeStarts()), 0)
+	h.answerAdvice()
+	h.advance(20 * time.Millisecond)
+	starts := h.takeStarts()
+	assert.Equal(t, len(starts), 1)
+	assert.Equal(t, starts[0].Ticket, "ticket")
+}
--- a/internal/core/cell/types.go
+++ b/internal/core/cell/types.go
@@ -84,6 +84,8 @@
 	MaxAttempts int     `json:"max_attempts"`
 	Stretch     float64 `json:"stretch"`
 	SlackMS     int64   `json:"slack_ms"`
+	// Advice is nil if every worker may run the job's steps. Workers demand the tickets of such a job for as long as it lasts.
+	Advice *AdviceTiming `json:"advice,omitempty"`
 }
 
 // Phase is the state of a job as callers see it.
@@ -114,14 +116,14 @@
 
 // Terms returns the queue's scheduling parameters.
 func (q *Queue) Terms() Terms {
-	return Terms{Priority: q.Priority, MaxAttempts: q.MaxAttempts, Stretch: q.Stretch, SlackMS: q.Slack.Milliseconds()}
+	return Terms{Priority: q.Priority, MaxAttempts: q.MaxAttempts, Stretch: q.Stretch, SlackMS: q.Slack.Milliseconds(), Advice: q.Advice}
 }
 
 // AdviceTiming is how long calls of the advice service take and how long its tickets are valid.
 type AdviceTiming struct {
-	Decision  time.Duration // fixed part of a call's duration
-	PerWorker time.Duration // additional duration for each worker in the call
-	Validity  time.Duration // of a ticket
+	Decision  time.Duration `json:"decision_ns"`   // fixed part of a call's duration
+	PerWorker time.Duration `json:"per_worker_ns"` // additional duration for each worker in the call
+	Validity  time.Duration `json:"validity_ns"`   // of a ticket
 }
 
 // Duration returns the expected duration of a call for n workers.
