cell: the simulation takes lost ends for tasks whose turn has come

A run that ended and was lost with its worker before the acknowledgment has to run again. The scheduler's view of the steps decides now.

--- a/internal/core/cell/liveness_rule_test.go
+++ b/internal/core/cell/liveness_rule_test.go
@@ -38,7 +38,7 @@
 
 func (c *liveCell) checkTask(j *liveJob, task TaskID, busy bool) {
 	st := &j.Steps[task.Step]
-	still := !j.done[task] && !c.runs(task, 0) && c.turnHasCome(j, st) && c.hasRoomTwice(j, task.Step) && c.withinLimit(j.Team, st)
+	still := !c.runs(task, 0) && c.turnHasCome(task) && c.hasRoomTwice(j, task.Step) && c.withinLimit(j.Team, st)
 	if still && st.LongRunning {
 		still = c.now.Sub(j.lastEnd[task]) > liveRestart-liveStandstill
 	} else if busy {
@@ -86,15 +86,11 @@
 	return false
 }
 
-func (c *liveCell) turnHasCome(j *liveJob, st *Step) bool {
-	for _, n := range st.After {
-		for i := range j.Steps[n].Count {
-			if !j.done[TaskID{j.ID, n, i}] {
-				return false
-			}
-		}
-	}
-	return true
+// turnHasCome reports whether a task waits for no other step. The end of a run that was lost with its worker before it was
+// acknowledged doesn't count, so the scheduler's view decides.
+func (c *liveCell) turnHasCome(task TaskID) bool {
+	j := c.s.jobs[task.Job]
+	return j != nil && j.steps[task.Step].ready() && j.steps[task.Step].tasks[task.Task].phase != taskDone
 }
 
 // hasRoomTwice reports whether the workers that may run a step have capacity for a task, or for a gang, twice over.
--- a/internal/core/cell/liveness_test.go
+++ b/internal/core/cell/liveness_test.go
@@ -68,7 +68,6 @@
 type liveJob struct {
 	Job
 	admitted map[int]map[WorkerID]bool // by step
-	done     map[TaskID]bool
 	lastEnd  map[TaskID]time.Time
 	stillAt  map[TaskID]time.Time // since when a task, or the first task of its job, stands still
 	failing  bool
@@ -283,7 +282,7 @@
 	id := JobID(fmt.Sprintf("j%03d", len(c.jobs)))
 	j := &liveJob{Job: Job{ID: id, Queue: plainQueue, Team: "team", Service: "pool", AcceptedMS: c.now.UnixMilli(),
 		Terms: Terms{MaxAttempts: 4, Stretch: 3, SlackMS: 1000}}, admitted: map[int]map[WorkerID]bool{},
-		done: map[TaskID]bool{}, lastEnd: map[TaskID]time.Time{}, stillAt: map[TaskID]time.Time{}}
+		lastEnd: map[TaskID]time.Time{}, stillAt: map[TaskID]time.Time{}}
 	if c.chance(0.6) {
 		j.Queue = advisedQueue
 	}
--- a/internal/core/cell/liveness_workers_test.go
+++ b/internal/core/cell/liveness_workers_test.go
@@ -108,11 +108,7 @@
 	w.refused[task] = max(w.refused[task], r.run)
 	w.lastEnd++
 	w.ended = append(w.ended, EndedRow{Number: w.lastEnd, Run: RunID{task, r.run}, Kind: kind})
-	j := c.byID[task.Job]
-	j.lastEnd[task] = c.now
-	if kind == EndDone && !j.Steps[task.Step].LongRunning {
-		j.done[task] = true
-	}
+	c.byID[task.Job].lastEnd[task] = c.now
 }
 
 // endRuns ends the runs that are due. A gang is done only if all of its members run.
