control: a frozen delegate doesn't hold up cancellations

Cause: when the message about a cancellation is lost, with a takeover for instance, the scheduling node reads it from the store. In a cell of 16 members or more a delegate does that read, and each of two delegates in turn had 1.5 s to answer. With both frozen the read took 3 s, and the next one begins 0.5 s after it.

Fix: the next delegate is asked after 0.5 s without an answer, and 1.5 s bound both. The delegate changes only if the other one has answered first, so a slow store moves nothing.

Readings of the registry still ask the delegates in turn.

--- a/internal/control/delegate.go
+++ b/internal/control/delegate.go
@@ -27,6 +27,9 @@
 	delegateTimeout = 1500 * time.Millisecond
 	// delegateAttempts is the number of delegates that are asked before the scheduling node reads the store itself.
 	delegateAttempts = 2
+	// delegateHedgeDelay is how long a delegate may take to answer which jobs were accepted and canceled before the next one is
+	// asked too. The delegate may be frozen, and a cancellation must reach the scheduler within 3 s.
+	delegateHedgeDelay = 500 * time.Millisecond
 )
 
 // spreading decides whether a cell is large enough to spread the scheduling node's work over the members.
@@ -40,7 +43,10 @@
 
 // delegate returns the address of the member that reads the store for the scheduling node, or "" if there is none. It
 // stays the same as long as its calls succeed.
-func (m *members) delegate() string {
+func (m *members) delegate() string { return m.delegateAfter(0) }
+
+// delegateAfter returns the address of the delegate after the given number of further failures.
+func (m *members) delegateAfter(failures int) string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if !m.spreading.update(len(m.list)) {
@@ -48,7 +54,7 @@
 	}
 	// The first members may have to take over. The eligible ones come first.
 	for i := len(m.list) / 2; i > 0; i-- {
-		if x := m.list[(i+m.delegateFailures)%len(m.list)]; !x.ineligible() {
+		if x := m.list[(i+m.delegateFailures+failures)%len(m.list)]; !x.ineligible() {
 			return x.address
 		}
 	}
@@ -159,9 +165,7 @@
 // jobChanges returns the records of accepted and canceled jobs that were written after a revision, except for jobs that
 // the scheduler knows. It fails with port.ErrCompacted if the store no longer has changes that old.
 func (s *activeTerm) jobChanges(after int64) ([]port.Entry, int64, error) {
-	reply, ok := askDelegate(s, func(ctx context.Context, c cellpb.CellClient) (*cellpb.JobsReply, error) {
-		return c.Jobs(ctx, &cellpb.JobsRequest{After: after})
-	})
+	reply, ok := s.askJobs(after)
 	switch {
 	case !ok:
 		return s.readJobChanges(after)
@@ -171,6 +175,42 @@
 	return s.resolveJobs(reply, after)
 }
 
+// jobsAnswer is an answer to the question which jobs were accepted and canceled.
+type jobsAnswer struct {
+	*cellpb.JobsReply
+	second bool // it is the next delegate's
+}
+
+// errDelegateSlow means that the next delegate has answered before the current one.
+var errDelegateSlow = errors.New("the next delegate has answered first")
+
+// askJobs asks the delegate which jobs were accepted and canceled, and the next one too if there is no answer after
+// delegateHedgeDelay. ok is false if neither has answered within delegateTimeout.
+func (s *activeTerm) askJobs(after int64) (reply *cellpb.JobsReply, ok bool) {
+	delegate, next := s.members.delegate(), s.members.delegateAfter(1)
+	if delegate == "" {
+		return nil, false
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, delegateTimeout)
+	defer cancel()
+	allow := func() bool { return next != "" && next != delegate }
+	answer, err := hedge(s.spawn, delegateHedgeDelay, allow, func(second bool) (jobsAnswer, error) {
+		address := delegate
+		if second {
+			address = next
+		}
+		reply, err := s.node.peers.client(address).Jobs(ctx, &cellpb.JobsRequest{After: after})
+		return jobsAnswer{reply, second}, err
+	})
+	switch {
+	case err != nil:
+		s.members.delegateFailed(delegate, err)
+	case answer.second:
+		s.members.delegateFailed(delegate, errDelegateSlow)
+	}
+	return answer.JobsReply, err == nil
+}
+
 // readJobChanges reads the records of accepted and canceled jobs that were written after a revision from the store.
 func (s *activeTerm) readJobChanges(after int64) ([]port.Entry, int64, error) {
 	events, at, err := s.node.options.Store.Changes(s.ctx, inPrefix, after, 0)
