cell: the simulation checks canceled jobs

No start may be sent for a canceled job, and none of its tasks may run 3.4 s after the cancellation once the faults have ended.

--- a/internal/core/cell/liveness_rule_test.go
+++ b/internal/core/cell/liveness_rule_test.go
@@ -11,6 +11,8 @@
 	liveStandstill = 3 * time.Second
 	// liveRestart is how long a service's task may be down after its last run.
 	liveRestart = 6 * time.Second
+	// liveCancel is how long a task may run after its job was canceled.
+	liveCancel = 3400 * time.Millisecond
 	// liveLogLines is the number of decisions that a failure message shows.
 	liveLogLines = 30
 )
@@ -57,6 +59,18 @@
 	}
 }
 
+// checkCanceled checks that no task of a canceled job runs liveCancel after the cancellation.
+func (c *liveCell) checkCanceled() {
+	for _, j := range c.jobs {
+		if !j.canceled || c.now.Sub(j.canceledAt) < liveCancel || c.now.Sub(c.calmSince) < liveCancel {
+			continue
+		}
+		if c.somethingRuns(j) {
+			c.t.Fatalf("%s runs %v after its cancellation", j.ID, c.now.Sub(j.canceledAt))
+		}
+	}
+}
+
 // describe returns the last decisions about a job and its workers, and the state of its step and of the workers.
 func (c *liveCell) describe(task TaskID) string {
 	var lines []string
--- a/internal/core/cell/liveness_test.go
+++ b/internal/core/cell/liveness_test.go
@@ -35,6 +35,7 @@
 	random        *rand.Rand
 	now           time.Time
 	calm, settled bool
+	calmSince     time.Time
 	s             *Scheduler
 	term          int
 	log           *liveLog
@@ -67,14 +68,15 @@
 
 type liveJob struct {
 	Job
-	admitted map[int]map[WorkerID]bool // by step
-	lastEnd  map[TaskID]time.Time
-	stillAt  map[TaskID]time.Time // since when a task, or the first task of its job, stands still
-	failing  bool
-	crashing bool
-	canceled bool
-	record   []byte
-	final    bool
+	admitted   map[int]map[WorkerID]bool // by step
+	lastEnd    map[TaskID]time.Time
+	stillAt    map[TaskID]time.Time // since when a task, or the first task of its job, stands still
+	failing    bool
+	crashing   bool
+	canceled   bool
+	canceledAt time.Time
+	record     []byte
+	final      bool
 }
 
 type liveRun struct {
@@ -222,6 +224,7 @@
 	c.write()
 	if c.settled {
 		c.checkStandstill()
+		c.checkCanceled()
 	}
 }
 
@@ -314,10 +317,15 @@
 		c.t.Fatal(err)
 	}
 	if c.chance(0.05) || j.Steps[0].LongRunning && c.chance(0.7) {
-		c.events = append(c.events, liveEvent{c.now.Add(c.between(0, 8*time.Second)), func() { j.canceled = true; c.s.CancelJob(id) }})
+		c.events = append(c.events, liveEvent{c.now.Add(c.between(0, 8*time.Second)), func() { c.cancel(j) }})
 	}
 }
 
+func (c *liveCell) cancel(j *liveJob) {
+	j.canceled, j.canceledAt = true, c.now
+	c.s.CancelJob(j.ID)
+}
+
 func (c *liveCell) randomStep() Step {
 	st := tasks(1+c.random.IntN(4), 250+250*c.random.Int64N(6))
 	st.EstimateMS = 100 + c.random.Int64N(1000)
--- a/internal/core/cell/liveness_workers_test.go
+++ b/internal/core/cell/liveness_workers_test.go
@@ -17,6 +17,9 @@
 // send delivers an order after a delay and returns its outcome after another one.
 func (c *liveCell) send(o Order) {
 	w := c.worker(o.Worker)
+	if o.Kind == OrderStart && c.byID[o.Run.Task.Job].canceled {
+		c.t.Fatalf("%v is started after its job was canceled", o.Run)
+	}
 	lost := !c.calm && c.chance(0.03)
 	c.after(c.between(1*time.Millisecond, 15*time.Millisecond), func() {
 		outcome := OrderUnanswered
@@ -242,7 +245,7 @@
 }
 
 func (c *liveCell) endFaults() {
-	c.calm, c.storeDownUntil = true, time.Time{}
+	c.calm, c.calmSince, c.storeDownUntil = true, c.now, time.Time{}
 	for _, j := range c.jobs {
 		j.crashing = false
 	}
