--- a/internal/core/cell/avoid.go
+++ b/internal/core/cell/avoid.go
@@ -9,14 +9,10 @@
 // is set aside. Neither may keep a task waiting for good: few workers may have the label, the room or the ticket that it
 // needs.
 
-const (
-	// minAvoidance is how long a task avoids a worker in any case. A worker that fails everything may be sound again then,
-	// and the attempts of a job are few.
-	minAvoidance = 2 * time.Second
-	// maxAvoidance is how long a task avoids a worker while others may run it. They may be full or out of reach all that
-	// time, and a service must be back within seconds.
-	maxAvoidance = 4 * time.Second
-)
+// avoidance is how long a task avoids a worker. A worker that fails everything may be sound again then, and the attempts of
+// a job are few. After that the task prefers other workers but doesn't wait for one: an accepted job must not stand still for
+// 3 s beside capacity that it may use.
+const avoidance = 2 * time.Second
 
 // avoidWorker makes a task avoid a worker.
 func (s *Scheduler) avoidWorker(t *task, w *worker) {
@@ -28,23 +24,8 @@
 
 // avoids reports whether the task isn't placed on the worker now because of an earlier run there. A task that would avoid
 // half of the usable workers avoids none.
-func (s *Scheduler) avoids(t *task, w *worker, q *Queue) bool {
-	if !slices.Contains(t.avoid, w.ID) || len(t.avoid) >= len(s.pass.usable)/2 {
-		return false
-	}
-	since := s.now.Sub(t.avoidedAt)
-	return since < minAvoidance || since < maxAvoidance && s.hasAlternative(t, q)
-}
-
-// hasAlternative reports whether a worker that the task doesn't avoid may run it, once that worker has capacity.
-func (s *Scheduler) hasAlternative(t *task, q *Queue) bool {
-	for id, w := range s.workers {
-		s.pass.workerChecks++
-		if w.registered && !w.Draining && !w.terminated && !slices.Contains(t.avoid, id) && s.mayEverRun(t.step, w, q) {
-			return true
-		}
-	}
-	return false
+func (s *Scheduler) avoids(t *task, w *worker) bool {
+	return slices.Contains(t.avoid, w.ID) && len(t.avoid) < len(s.pass.usable)/2 && s.now.Sub(t.avoidedAt) < avoidance
 }
 
 // mayEverRun reports whether the step may run another task on the worker once it has capacity. A worker on which there is no
@@ -60,10 +41,14 @@
 	return allowed || !known
 }
 
-// lastResort returns the workers that are set aside if no other worker may run the step.
+// lastResort returns the workers that are set aside if no other worker may run the step, or if its job stands still because
+// those have no capacity.
 func (s *Scheduler) lastResort(st *step, q *Queue) []*worker {
-	if len(s.pass.setAside) == 0 {
+	switch {
+	case len(s.pass.setAside)+len(s.pass.unrested) == 0:
 		return nil
+	case s.standsStill(st):
+		return slices.Concat(s.pass.setAside, s.pass.unrested)
 	}
 	for _, w := range s.pass.usable {
 		s.pass.workerChecks++
@@ -74,10 +59,10 @@
 	return s.pass.setAside
 }
 
-// workersFor returns the workers to consider for a step: the usable ones, or the last resort.
+// workersFor returns the workers to consider for a step: the usable ones and the last resort.
 func (s *Scheduler) workersFor(st *step, q *Queue) []*worker {
-	if last := s.lastResort(st, q); last != nil {
-		return last
+	if last := s.lastResort(st, q); len(last) > 0 {
+		return slices.Concat(s.pass.usable, last)
 	}
 	return s.pass.usable
 }
--- a/internal/core/cell/order.go
+++ b/internal/core/cell/order.go
@@ -68,12 +68,15 @@
 		if j.isLate() {
 			s.pass.lateWork += j.waitingWork()
 		}
+		for _, st := range j.steps {
+			st.noteWaiting(s.now)
+		}
 	}
 	for _, j := range s.active {
 		if j.phase.Final() || j.cancelRequested || j.waitingTasks() == 0 {
 			continue
 		}
-		q, r := s.config.Queue(j.Queue), s.rank(j)
+		q, r := s.queueOf(j), s.rank(j)
 		if r.class == expired && !includeExpired {
 			continue
 		}
--- a/internal/core/cell/orders.go
+++ b/internal/core/cell/orders.go
@@ -211,9 +211,7 @@
 		delete(t.step.advice.allowed, t.worker.ID)
 		s.startRejected(t, "ticket")
 	case OrderRefused:
-		if until := s.now.Add(refusedPause); until.After(t.worker.faults.until) {
-			t.worker.faults.until = until
-		}
+		t.worker.faults.refusedUntil = s.now.Add(refusedPause)
 		s.startRejected(t, "refused")
 	}
 }
@@ -269,6 +267,7 @@
 	t.confirmedAt = s.now
 	t.phase, t.percent, t.progressAt, t.paceInFlight = taskRunning, 0, s.now, false
 	j := t.step.job
+	j.idleSince = time.Time{}
 	if !j.started {
 		j.started = true
 		s.events.ObserveFirstStart(max(0, s.now.Sub(time.UnixMilli(j.AcceptedMS))))
