platform: setting for the address that a node announces

A node announced the address on which it listens. Where a proxy or a forwarded port stands in front of it, the others couldn't reach it there. The optional setting advertise holds the announced address; without it nothing changes.

--- a/internal/standin/leased/settings.go
+++ b/internal/standin/leased/settings.go
@@ -7,11 +7,16 @@
 	Name, IP                          string
 	CallersPort, ReadyPort, PeersPort int // ports for callers, readiness probes and other nodes
 	Store, Advice                     string
+	Advertise                         string // address announced to other nodes; empty for that of PeersPort
 }
 
 // TOML returns the settings file that the platform would give the node. It contains future_field, which the node doesn't
 // define and must ignore.
 func (n NodeSettings) TOML() string {
+	advertise := ""
+	if n.Advertise != "" {
+		advertise = fmt.Sprintf("advertise = %q", n.Advertise)
+	}
 	return fmt.Sprintf(`
 node_name = "%s"
 role = "node"
@@ -20,6 +25,7 @@
 port_range = [%d, %d]
 advice = "%s"
 future_field = 1
+%s
 [listen_addrs]
 front = "%s:%d"
 ready = "%s:%d"
@@ -36,5 +42,5 @@
 address = "%s"
 value_bytes = 1048576
 ttl_min_ms = 1000
-`, n.Name, n.IP, n.PeersPort, n.PeersPort, n.Advice, n.IP, n.CallersPort, n.IP, n.ReadyPort, n.Store)
+`, n.Name, n.IP, n.PeersPort, n.PeersPort, n.Advice, advertise, n.IP, n.CallersPort, n.IP, n.ReadyPort, n.Store)
 }
