Soak: faults on the link of each pair of processes

The soak had one relay for each worker and none between nodes, so that no node was ever cut off from one other, or a worker from one node only. Now every connection of a node passes a relay that finds the dialing process by its socket; each pair has a link that can delay, hold, lose, silence, reset, refuse or slow down its data, in either direction. Faults come from independent sources that -soak.faults selects; -soak.binary runs another build, -soak.workers sets the number of workers, -soak.logs keeps the logs of failed seeds.

--- /dev/null
+++ b/internal/proof/network_test.go
@@ -0,0 +1,252 @@
+package proof
+
+import (
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// network relays the connections of the nodes' processes to the targets: the store, the advice service, the workers and
+// the nodes themselves. Each pair of a node and a target has a link with its own faults.
+type network struct {
+	t       *testing.T
+	ip      string
+	dialers *dialers
+	closed  chan struct{}
+	wg      sync.WaitGroup
+
+	mu        sync.Mutex
+	listeners []net.Listener
+	links     map[linkID]*link
+}
+
+// linkID names a link by the node that dials and the target.
+type linkID struct{ from, to string }
+
+func newNetwork(t *testing.T, ip string) *network {
+	n := &network{t: t, ip: ip, dialers: &dialers{names: map[int]string{}}, closed: make(chan struct{}), links: map[linkID]*link{}}
+	t.Cleanup(n.close)
+	return n
+}
+
+func (n *network) close() {
+	close(n.closed)
+	n.mu.Lock()
+	for _, l := range n.listeners {
+		_ = l.Close()
+	}
+	for _, l := range n.links {
+		l.closeConns(false)
+	}
+	n.mu.Unlock()
+	n.wg.Wait()
+}
+
+// relayTo returns an address at which the nodes reach the target.
+func (n *network) relayTo(name, target string) string {
+	n.t.Helper()
+	l, err := net.Listen("tcp4", net.JoinHostPort(n.ip, "0"))
+	assert.NilError(n.t, err)
+	n.mu.Lock()
+	n.listeners = append(n.listeners, l)
+	n.mu.Unlock()
+	n.wg.Go(func() { n.accept(l, name, target) })
+	return l.Addr().String()
+}
+
+// link returns the link from a node to a target.
+func (n *network) link(from, to string) *link {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	id := linkID{from, to}
+	if n.links[id] == nil {
+		n.links[id] = &link{conns: map[*relayedConn]struct{}{}, closed: n.closed}
+	}
+	return n.links[id]
+}
+
+// heal ends all faults of all links.
+func (n *network) heal() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, l := range n.links {
+		l.heal()
+	}
+}
+
+func (n *network) accept(l net.Listener, name, target string) {
+	for {
+		client, err := l.Accept()
+		if err != nil {
+			return
+		}
+		n.wg.Go(func() { n.relay(client.(*net.TCPConn), name, target) })
+	}
+}
+
+// relay connects a client to a target if the client is the process of a node and its link to the target accepts
+// connections.
+func (n *network) relay(client *net.TCPConn, name, target string) {
+	from, ok := n.dialers.identify(client)
+	if !ok {
+		reset(client) // the process has ended, or has closed the connection
+		return
+	}
+	l := n.link(from, name)
+	if l.refusing.Load() {
+		reset(client)
+		return
+	}
+	server, err := net.Dial("tcp4", target)
+	if err != nil {
+		reset(client)
+		return
+	}
+	l.carry(&relayedConn{client: client, server: server}, &n.wg)
+}
+
+// reset closes a connection so that the other side reads an error instead of an end.
+func reset(c net.Conn) {
+	_ = c.(*net.TCPConn).SetLinger(0) // fails only if the connection is closed
+	_ = c.Close()
+}
+
+// link holds the connections of one node to one target, and the faults of their data.
+type link struct {
+	requests, responses direction
+	refusing            atomic.Bool // new connections are reset
+	closed              <-chan struct{}
+
+	mu    sync.Mutex
+	conns map[*relayedConn]struct{}
+}
+
+// direction holds the faults of the data from one side of a link to the other.
+type direction struct {
+	delay atomic.Int64 // nanoseconds
+	held  atomic.Bool  // data waits until the fault ends, and arrives then
+	lost  atomic.Bool  // data is lost, and connections that lose data carry nothing more in this direction
+	rate  rateLimit
+}
+
+func (d *direction) heal() {
+	d.delay.Store(0)
+	d.held.Store(false)
+	d.lost.Store(false)
+	d.rate.bytesPerSecond.Store(0)
+}
+
+func (l *link) heal() {
+	l.requests.heal()
+	l.responses.heal()
+	l.refusing.Store(false)
+}
+
+// rateLimit limits the rate of all connections of a link together.
+type rateLimit struct {
+	bytesPerSecond atomic.Int64 // 0: no limit
+	mu             sync.Mutex
+	freeAt         time.Time // when what was already taken in has been sent
+}
+
+// take returns how long n bytes take to be sent, behind those that are being sent.
+func (l *rateLimit) take(n int) time.Duration {
+	rate := l.bytesPerSecond.Load()
+	if rate == 0 {
+		return 0
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now := time.Now(); l.freeAt.Before(now) {
+		l.freeAt = now
+	}
+	l.freeAt = l.freeAt.Add(time.Duration(n) * time.Second / time.Duration(rate))
+	return time.Until(l.freeAt)
+}
+
+// carry forwards both directions of a connection.
+func (l *link) carry(c *relayedConn, wg *sync.WaitGroup) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	select {
+	case <-l.closed:
+		c.close()
+		return
+	default:
+	}
+	l.conns[c] = struct{}{}
+	wg.Go(func() { l.forward(c, c.client, c.server, &l.requests) })
+	wg.Go(func() { l.forward(c, c.server, c.client, &l.responses) })
+}
+
+// holdPollInterval is the interval at which held data is checked for the end of the fault.
+const holdPollInterval = 5 * time.Millisecond
+
+// forward copies one direction of a connection. The end of a connection reaches the other side after the data before it,
+// and never after lost data.
+func (l *link) forward(c *relayedConn, from, to net.Conn, d *direction) {
+	buffer, lost := make([]byte, 32<<10), false
+	for {
+		n, err := from.Read(buffer)
+		l.sleep(time.Duration(d.delay.Load()) + d.rate.take(n))
+		for d.held.Load() && l.sleep(holdPollInterval) {
+		}
+		lost = lost || d.lost.Load() || c.silent.Load()
+		if n > 0 && !lost {
+			if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
+				err = writeErr
+			}
+		}
+		if err == nil {
+			continue
+		}
+		if err != io.EOF || !lost {
+			l.mu.Lock()
+			delete(l.conns, c)
+			l.mu.Unlock()
+			c.close()
+		}
+		return
+	}
+}
+
+// sleep waits, and returns whether the network is still open.
+func (l *link) sleep(d time.Duration) bool {
+	if d <= 0 {
+		return true
+	}
+	select {
+	case <-l.closed:
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+// silence makes the open connections lose all further data. New connections work.
+func (l *link) silence() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.conns {
+		c.silent.Store(true)
+	}
+}
+
+// closeConns closes the open connections, with a reset if so wanted.
+func (l *link) closeConns(withReset bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.conns {
+		if withReset {
+			reset(c.client)
+			reset(c.server)
+		}
+		c.close()
+		delete(l.conns, c)
+	}
+}
--- a/internal/proof/process_test.go
+++ b/internal/proof/process_test.go
@@ -34,6 +34,12 @@
 
 // launchWithEnv is like launch, and adds variables to the environment.
 func launchWithEnv(t *testing.T, env []string, dir, name string, args ...string) *process {
+	t.Helper()
+	return launchBinary(t, binary, env, dir, name, args...)
+}
+
+// launchBinary is like launchWithEnv for the binary at the given path.
+func launchBinary(t *testing.T, binary string, env []string, dir, name string, args ...string) *process {
 	t.Helper()
 	p := &process{name: name, outputPath: filepath.Join(dir, name+".log"), done: make(chan struct{})}
 	out, err := os.OpenFile(p.outputPath, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
--- a/internal/proof/relay_test.go
+++ b/internal/proof/relay_test.go
@@ -6,12 +6,11 @@
 	"sync"
 	"sync/atomic"
 	"testing"
-	"time"
 
 	"gotest.tools/v3/assert"
 )
 
-// relay is a TCP proxy in front of a target. It can delay or drop data, and close or refuse connections.
+// relay is a TCP proxy in front of a target. It can drop data, and close or refuse connections.
 type relay struct {
 	listener net.Listener
 	target   string
@@ -19,33 +18,6 @@
 	conns    map[*relayedConn]struct{}
 	refusing bool
 	wg       sync.WaitGroup
-
-	delay         atomic.Int64 // nanoseconds to wait before forwarding the data of each read
-	dropResponses atomic.Bool  // drop what the target sends
-	link          sharedLink
-}
-
-// sharedLink limits the rate of all connections of a relay together.
-type sharedLink struct {
-	bytesPerSecond atomic.Int64 // 0: no limit
-	mu             sync.Mutex
-	freeAt         time.Time // when what was already taken in has been sent
-}
-
-// transmit waits until n bytes have been sent over the link.
-func (l *sharedLink) transmit(n int) {
-	rate := l.bytesPerSecond.Load()
-	if rate == 0 {
-		return
-	}
-	l.mu.Lock()
-	if now := time.Now(); l.freeAt.Before(now) {
-		l.freeAt = now
-	}
-	l.freeAt = l.freeAt.Add(time.Duration(n) * time.Second / time.Duration(rate))
-	until := l.freeAt
-	l.mu.Unlock()
-	time.Sleep(time.Until(until))
 }
 
 // relayedConn is a client's connection together with the relay's own connection to the target.
@@ -110,11 +82,7 @@
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buffer)
-		if delay := r.delay.Load(); delay > 0 {
-			time.Sleep(time.Duration(delay))
-		}
-		r.link.transmit(n)
-		if n > 0 && !c.silent.Load() && !(r.dropResponses.Load() && from == c.server) {
+		if n > 0 && !c.silent.Load() {
 			if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
 				err = writeErr
 			}
--- a/internal/proof/soak_cell_test.go
+++ b/internal/proof/soak_cell_test.go
@@ -1,6 +1,7 @@
 package proof
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -8,6 +9,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -19,34 +21,46 @@
 )
 
 const (
-	soakWorkers = 6
-	soakTaskCPU = 1000
+	soakTaskCPU   = 1000
+	soakDurations = 6 // number of different durations of tasks, by worker
+	// capacityLag is how long a worker's former capacity counts; its room is known later under faults.
+	capacityLag = 5 * time.Second
 	soakHost    = "jobs.example"
 	soakKey     = "key-1"
 )
 
-// soakCell is a cell whose nodes are separate processes and use the stand-in of the users' platform. Each node reaches
-// the store and the advice service through its own relays; each worker is reached through a relay that all nodes share.
+// Names of the targets that all nodes reach over the network, besides the workers and the nodes.
+const (
+	storeTarget  = "store"
+	adviceTarget = "advice"
+)
+
+// soakCell is a cell whose nodes are separate processes and use the stand-in of the users' platform. The nodes reach all
+// others over a network that can disturb each pair.
 type soakCell struct {
 	t       *testing.T
 	dir     string
+	network *network
+	faults  faultLog
+	calm    chan struct{} // closed when no further faults are injected
 	store   *leased.Store
 	checker *leased.RunChecker
 	workers []*soakWorker
 	nodes   []*soakNode
-	relays  []*relay
 	version int // of the configuration
 }
 
 type soakWorker struct {
 	*leased.Worker
-	relay *relay
+	address string      // at which the nodes reach it
+	claimed atomic.Bool // by a fault
 }
 
 type soakNode struct {
 	settings     leased.NodeSettings
 	settingsPath string
 	client       *http.Client
+	claimed      atomic.Bool // by a fault
 
 	mu      sync.Mutex
 	process *process
@@ -54,7 +68,7 @@
 
 func newSoakCell(t *testing.T) *soakCell {
 	ip := fmt.Sprintf("127.%d.%d.1", 64+os.Getpid()%128, cellCount.Add(1))
-	c := &soakCell{t: t, dir: t.TempDir(), store: leased.NewStore(), checker: leased.NewRunChecker()}
+	c := &soakCell{t: t, dir: t.TempDir(), network: newNetwork(t, ip), calm: make(chan struct{}), store: leased.NewStore(), checker: leased.NewRunChecker()}
 	advice := leased.NewAdviceServer()
 	t.Cleanup(func() {
 		for _, w := range c.workers {
@@ -64,17 +78,20 @@
 		advice.Close()
 		c.store.Close()
 	})
-	for i := range soakWorkers {
-		w := &soakWorker{Worker: leased.NewWorker(fmt.Sprint("w", i), 4*soakTaskCPU, soakTaskCPU, time.Duration(60+90*i)*time.Millisecond, c.checker)}
-		w.relay = c.addRelay(ip, w.Address())
+	for i := range *soakWorkers {
+		w := &soakWorker{Worker: leased.NewWorker(fmt.Sprint("w", i), 4*soakTaskCPU, soakTaskCPU, time.Duration(60+90*(i%soakDurations))*time.Millisecond, c.checker)}
+		w.address = c.network.relayTo(w.ID, w.Address())
 		c.workers = append(c.workers, w)
 		c.register(w, "ready")
 	}
 	c.configure()
+	storeAddress := c.network.relayTo(storeTarget, c.store.Address())
+	adviceAddress := c.network.relayTo(adviceTarget, strings.TrimPrefix(advice.URL, "http://"))
 	for i := range *soakNodes {
 		n := &soakNode{settingsPath: filepath.Join(c.dir, fmt.Sprint("boot-", i, ".toml")), client: &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{}}}
 		n.settings = leased.NodeSettings{Name: fmt.Sprint("node-", i), IP: ip, CallersPort: 7500 + i, ReadyPort: 7600 + i, PeersPort: 7400 + i,
-			Store: c.addRelay(ip, c.store.Address()).address(), Advice: c.addRelay(ip, strings.TrimPrefix(advice.URL, "http://")).address()}
+			Store: storeAddress, Advice: adviceAddress}
+		n.settings.Advertise = c.network.relayTo(n.settings.Name, fmt.Sprintf("%s:%d", ip, n.settings.PeersPort))
 		assert.NilError(t, os.WriteFile(n.settingsPath, []byte(n.settings.TOML()), 0o600))
 		c.nodes = append(c.nodes, n)
 		c.start(n)
@@ -83,15 +100,30 @@
 	return c
 }
 
-func (c *soakCell) addRelay(ip, target string) *relay {
-	r := newRelay(c.t, ip, target)
-	c.relays = append(c.relays, r)
-	return r
+// sleep waits, and returns whether further faults may be injected.
+func (c *soakCell) sleep(d time.Duration) bool {
+	select {
+	case <-c.calm:
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+// schedulingNode returns the node that the store names as the scheduling one, or nil.
+func (c *soakCell) schedulingNode() *soakNode {
+	record, _ := c.store.Value("sequoiastall/scheduler")
+	for _, n := range c.nodes {
+		if strings.Contains(string(record), fmt.Sprintf("%q", n.settings.Name)) {
+			return n
+		}
+	}
+	return nil
 }
 
-// register writes a worker's registry entry, with the address of its relay.
+// register writes a worker's registry entry, with the address at which the nodes reach it.
 func (c *soakCell) register(w *soakWorker, state string) {
-	c.store.Put("servers/"+w.ID, w.RegistryEntryAt(w.relay.address(), "pool", state))
+	c.store.Put("servers/"+w.ID, w.RegistryEntryAt(w.address, "pool", state))
 }
 
 // configure writes a new version of the configuration.
@@ -113,7 +145,8 @@
 func (c *soakCell) start(n *soakNode) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.process = launchWithEnv(c.t, []string{platform.SettingsVariable + "=" + n.settingsPath}, c.dir, n.settings.Name, "node")
+	n.process = launchBinary(c.t, cmp.Or(*soakBinary, binary), []string{platform.SettingsVariable + "=" + n.settingsPath}, c.dir, n.settings.Name, "node")
+	c.network.dialers.set(n.process.cmd.Process.Pid, n.settings.Name)
 }
 
 // signal sends a signal to a node's process, which may have exited.
@@ -123,24 +156,20 @@
 	_ = n.process.cmd.Process.Signal(s) // fails only if the process has exited
 }
 
-// restart waits until a node's process has exited and starts the node again.
-func (c *soakCell) restart(n *soakNode) {
+// restart waits until a node's process has exited and starts the node again after some time.
+func (c *soakCell) restart(n *soakNode, downtime time.Duration) {
 	n.mu.Lock()
 	p := n.process
 	n.mu.Unlock()
 	<-p.done
+	c.sleep(downtime)
 	c.start(n)
 }
 
-// clearFaults ends all faults of the relays and the store, and resumes paused nodes.
+// clearFaults ends all faults of the network and the store, and resumes paused nodes.
 func (c *soakCell) clearFaults() {
 	c.store.SetFault(nil)
-	for _, r := range c.relays {
-		r.delay.Store(0)
-		r.link.bytesPerSecond.Store(0)
-		r.dropResponses.Store(false)
-		r.disconnect(false)
-	}
+	c.network.heal()
 	for _, n := range c.nodes {
 		n.signal(syscall.SIGCONT)
 	}
--- a/internal/proof/soak_test.go
+++ b/internal/proof/soak_test.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"strings"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
 
@@ -16,10 +15,15 @@
 )
 
 var (
-	soakSeeds   = flag.Int("soak.seeds", 0, "number of additional seeds to run, starting with soak.first")
-	soakFirst   = flag.Uint64("soak.first", 1000, "first of the additional seeds")
-	soakNodes   = flag.Int("soak.nodes", 4, "number of nodes; from 17 on, members carry the calls to workers")
-	soakSeconds = flag.Int("soak.seconds", 5, "seconds of fault injection for each seed")
+	soakSeeds    = flag.Int("soak.seeds", 0, "number of additional seeds to run, starting with soak.first")
+	soakFirst    = flag.Uint64("soak.first", 1000, "first of the additional seeds")
+	soakNodes    = flag.Int("soak.nodes", 4, "number of nodes; from 17 on, members carry the calls to workers")
+	soakSeconds  = flag.Int("soak.seconds", 5, "seconds of fault injection for each seed")
+	soakWorkers  = flag.Int("soak.workers", 6, "number of workers")
+	soakBinary   = flag.String("soak.binary", "", "path of another binary that the nodes run")
+	soakFaults   = flag.String("soak.faults", "all", "faults to inject: SOURCE or SOURCE.KIND, with commas, or all")
+	soakInterval = flag.Float64("soak.interval", 1, "factor for the time between two faults")
+	soakLogs     = flag.String("soak.logs", "", "directory that keeps the nodes' logs of each seed that fails")
 )
 
 // regressionSeeds lists the seeds that CI runs: one that has never failed, and every seed that has failed, with the
@@ -32,8 +36,8 @@
 }
 
 // TestSoak guards against guarantees that break under overlapping faults: nodes are killed, stopped and paused, and get
-// malformed messages; links are delayed, limited in rate, reset, silenced and cut in one direction; the store fails; workers crash, drain
-// and lose responses. Accepted jobs must run once and end, refused jobs must never run, a job that is shown as completed
+// malformed messages; the link of any pair is delayed, limited in rate, reset, silenced, refused and cut in one direction,
+// with data that is lost or comes late; the store fails; workers crash, drain, lapse, shrink and lose responses. Accepted jobs must run once and end, refused jobs must never run, a job that is shown as completed
 // must be done, services must run until they are canceled, and no node may end by itself.
 func TestSoak(t *testing.T) {
 	seeds := regressionSeeds
@@ -47,8 +51,9 @@
 
 func soak(t *testing.T, seed uint64) {
 	c := newSoakCell(t)
+	defer c.keepLogs(seed)
 	c.awaitReady()
-	done := make(chan struct{})
+	done := c.calm
 	var clients, faults sync.WaitGroup
 	// Each client and each source of faults has its own random numbers, so that a seed keeps its meaning when another kind
 	// is added.
@@ -60,9 +65,10 @@
 	clients.Go(func() {
 		jobs[ordinaryClients] = c.submitServices(done, rand.New(rand.NewPCG(seed, 100)), ordinaryClients)
 	})
-	faults.Go(func() { c.injectFaults(done, rand.New(rand.NewPCG(seed, 0))) })
+	for _, source := range selectFaults(*soakFaults) {
+		faults.Go(func() { source.injectUntil(c, seed) })
+	}
 	faults.Go(func() { c.sendMalformedUntil(done, rand.New(rand.NewPCG(seed, 101))) })
-	faults.Go(func() { c.slowLinksUntil(done, rand.New(rand.NewPCG(seed, 102))) })
 	time.Sleep(time.Duration(*soakSeconds) * time.Second)
 	close(done)
 	faults.Wait()
@@ -82,7 +88,7 @@
 	}
 	for _, v := range c.checker.Violations() {
 		t.Error(v)
-		c.logNodeOutput(v[:16])
+		c.report(v[:16])
 	}
 }
 
@@ -99,7 +105,7 @@
 	c.t.Helper()
 	for end := time.Now().Add(waitTimeout); !condition(); time.Sleep(50 * time.Millisecond) {
 		if time.Now().After(end) {
-			c.logNodeOutput(what[:min(16, len(what))])
+			c.report(what[:min(16, len(what))])
 			c.t.Fatalf("timed out waiting until %s", what)
 		}
 	}
@@ -231,115 +237,6 @@
 	c.eventually(j.id+" ends", func() bool { return c.checkState(j, c.nodes[0]) && c.checkState(j, c.nodes[len(c.nodes)-1]) })
 }
 
-// injectFaults injects overlapping faults until done is closed, and waits until all of them have ended.
-func (c *soakCell) injectFaults(done <-chan struct{}, rng *rand.Rand) {
-	var running sync.WaitGroup
-	defer running.Wait()
-	busy := make([]bool, len(c.nodes)) // used by this goroutine only; a node has at most one node fault at a time
-	freed := make(chan int, len(c.nodes))
-	for {
-		select {
-		case <-done:
-			return
-		case n := <-freed:
-			busy[n] = false
-			continue
-		case <-time.After(time.Duration(50+rng.IntN(400)) * time.Millisecond):
-		}
-		duration := time.Duration(100+rng.IntN(2500)) * time.Millisecond
-		switch kind := rng.IntN(10); {
-		case kind < 4:
-			if i := rng.IntN(len(c.nodes)); !busy[i] {
-				busy[i] = true
-				running.Go(func() { c.injectNodeFault(c.nodes[i], kind, duration); freed <- i })
-			}
-		case kind < 7:
-			r := c.relays[rng.IntN(len(c.relays))]
-			running.Go(func() { injectLinkFault(r, kind, duration) })
-		case kind == 7:
-			c.injectStoreFault(rng.IntN(4))
-		default:
-			w := c.workers[rng.IntN(len(c.workers))]
-			running.Go(func() { c.injectWorkerFault(w, kind, duration) })
-		}
-	}
-}
-
-// injectNodeFault kills (0), stops (1) or pauses (2) a node, or makes it reload its settings and discards the store's
-// history (3).
-func (c *soakCell) injectNodeFault(n *soakNode, kind int, duration time.Duration) {
-	switch kind {
-	case 0:
-		n.signal(syscall.SIGKILL)
-		c.restart(n)
-	case 1:
-		n.signal(syscall.SIGTERM)
-		c.restart(n)
-	case 2:
-		n.signal(syscall.SIGSTOP)
-		time.Sleep(duration)
-		n.signal(syscall.SIGCONT)
-	default:
-		n.signal(syscall.SIGHUP)
-		c.store.CompactHistory()
-	}
-}
-
-// injectLinkFault delays the data of a relay (4), silences its open connections (5), or drops responses and then closes
-// the connections (6).
-func injectLinkFault(r *relay, kind int, duration time.Duration) {
-	switch kind {
-	case 4:
-		r.delay.Store(int64(duration / 10))
-		time.Sleep(duration)
-		r.delay.Store(0)
-	case 5:
-		r.silence()
-	default:
-		r.dropResponses.Store(true)
-		time.Sleep(duration)
-		r.dropResponses.Store(false)
-		r.disconnect(true)
-		r.disconnect(false)
-	}
-}
-
-// injectStoreFault replaces the store's fault: the next 59 requests are refused (0), the next 29 requests get no response
-// and have no effect (1), every transaction that comes as a fourth request takes effect without a response (2), or there
-// is no fault (3).
-func (c *soakCell) injectStoreFault(kind int) {
-	var count int
-	var mu sync.Mutex
-	c.store.SetFault(func(path string) leased.Fault {
-		mu.Lock()
-		defer mu.Unlock()
-		count++
-		switch {
-		case kind == 0 && count < 60:
-			return leased.Unavailable
-		case kind == 1 && count < 30:
-			return leased.NoResponse
-		case kind == 2 && path == "/kv-txn" && count%4 == 0:
-			return leased.LostResponse
-		}
-		return leased.Healthy
-	})
-}
-
-// slowLinksUntil limits the rate of one link after the other until done is closed.
-func (c *soakCell) slowLinksUntil(done <-chan struct{}, rng *rand.Rand) {
-	for {
-		r := c.relays[rng.IntN(len(c.relays))]
-		r.link.bytesPerSecond.Store(int64(4000 + rng.IntN(60000)))
-		select {
-		case <-done:
-			return
-		case <-time.After(time.Duration(200+rng.IntN(1200)) * time.Millisecond):
-		}
-		r.link.bytesPerSecond.Store(0)
-	}
-}
-
 // sendMalformedUntil sends malformed messages to all nodes in turn until done is closed.
 func (c *soakCell) sendMalformedUntil(done <-chan struct{}, rng *rand.Rand) {
 	for i := 0; ; i++ {
@@ -369,28 +266,3 @@
 		conn.Close()
 	}
 }
-
-// injectWorkerFault crashes and restarts a worker (8), or drains it and loses the responses to three starts (9).
-func (c *soakCell) injectWorkerFault(w *soakWorker, kind int, duration time.Duration) {
-	if kind == 8 {
-		w.relay.disconnect(true)
-		w.Crash()
-		time.Sleep(duration)
-		w.relay.disconnect(false)
-		c.register(w, "ready")
-		return
-	}
-	w.LoseStartResponses(3)
-	c.register(w, "draining")
-	time.Sleep(duration)
-	c.register(w, "ready")
-}
-
-// logNodeOutput adds the lines of the nodes' logs that contain the given text to the test's log.
-func (c *soakCell) logNodeOutput(subject string) {
-	for _, n := range c.nodes {
-		for _, line := range n.process.matchingLines(c.t, subject) {
-			c.t.Log(line)
-		}
-	}
-}
--- a/internal/standin/leased/store.go
+++ b/internal/standin/leased/store.go
@@ -100,6 +100,15 @@
 	s.remove(key)
 }
 
+// Value returns a key's value, if the key exists.
+func (s *Store) Value(key string) ([]byte, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expireLeases()
+	i, ok := s.items[key]
+	return i.Value, ok
+}
+
 // CompactHistory discards the change history, so that watches from an earlier revision get 410 Gone.
 func (s *Store) CompactHistory() {
 	s.mu.Lock()
