--- a/internal/proof/faults_test.go
+++ b/internal/proof/faults_test.go
@@ -158,6 +158,7 @@
 		c.restart(n, min(d, maxDowntime))
 	case "term":
 		n.signal(syscall.SIGTERM)
+		defer c.killAfter(n, gracePeriod)()
 		c.restart(n, 0)
 	case "pause":
 		c.pause(n, d)
@@ -171,6 +172,25 @@
 	}
 }
 
+// gracePeriod is the platform's time from SIGTERM to SIGKILL, grace_s in the settings.
+const gracePeriod = 6 * time.Second
+
+// killAfter kills the present process of a node if it hasn't exited after some time. The returned function waits until
+// this is settled.
+func (c *soakCell) killAfter(n *soakNode, d time.Duration) (settled func()) {
+	p := n.current()
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		select {
+		case <-p.done:
+		case <-time.After(d):
+			c.faults.begin("node.term %s: killed after the grace period", n.settings.Name)()
+			p.kill()
+		}
+	})
+	return wg.Wait
+}
+
 func (c *soakCell) pause(n *soakNode, d time.Duration) {
 	n.signal(syscall.SIGSTOP)
 	c.sleep(d)
--- a/internal/proof/soak_cell_test.go
+++ b/internal/proof/soak_cell_test.go
@@ -149,6 +149,13 @@
 	c.network.dialers.set(n.process.cmd.Process.Pid, n.settings.Name)
 }
 
+// current returns the node's present process.
+func (n *soakNode) current() *process {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.process
+}
+
 // signal sends a signal to a node's process, which may have exited.
 func (n *soakNode) signal(s syscall.Signal) {
 	n.mu.Lock()
@@ -158,10 +165,7 @@
 
 // restart waits until a node's process has exited and starts the node again after some time.
 func (c *soakCell) restart(n *soakNode, downtime time.Duration) {
-	n.mu.Lock()
-	p := n.process
-	n.mu.Unlock()
-	<-p.done
+	<-n.current().done
 	c.sleep(downtime)
 	c.start(n)
 }
