--- a/internal/proof/main_test.go
+++ b/internal/proof/main_test.go
@@ -8,13 +8,21 @@
 	"testing"
 
 	"go.uber.org/goleak"
+
+	"sequoiastall/internal/standin/workerproc"
 )
 
 // binary is the sequoiastall binary that all tests run.
 var binary string
 
-// TestMain builds the binary once, and fails if goroutines outlive the tests.
-func TestMain(m *testing.M) { os.Exit(runTests(m)) }
+// TestMain builds the binary once, and fails if goroutines outlive the tests. A process that a test starts as a worker runs
+// that instead.
+func TestMain(m *testing.M) {
+	if workerproc.IsWorker() {
+		os.Exit(workerproc.Main())
+	}
+	os.Exit(runTests(m))
+}
 
 func runTests(m *testing.M) int {
 	dir, err := os.MkdirTemp("", "sequoiastall-proof-")
--- a/internal/standin/leased/worker.go
+++ b/internal/standin/leased/worker.go
@@ -422,21 +422,3 @@
 	writeJSON(out, http.StatusOK, map[string]any{"clock_ms": w.clockMS(), "born": w.startedAt.UnixMilli(), "running": running,
 		"ended_runs": append([][]any{}, w.endedRuns...)})
 }
-
-// NewAdviceServer starts an advice service that approves every worker for every step.
-func NewAdviceServer() *httptest.Server {
-	return httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		var body struct {
-			Workers []string `json:"workers"`
-		}
-		if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
-			w.WriteHeader(http.StatusBadRequest)
-			return
-		}
-		good := [][2]string{}
-		for _, id := range body.Workers {
-			good = append(good, [2]string{id, "t-" + id})
-		}
-		writeJSON(w, http.StatusOK, map[string]any{"good": good, "validity_ms": 3000})
-	}))
-}
