Soak: workers as processes, richer jobs, advice for few, full checker

The workers run as processes that are paused, killed and restarted under their ID with another capacity, label and clock; they carry out orders late, reject calls, stall, and fail what they run. Clients submit gangs, services, tasks with checkpoints, tasks that fail or need a label, to plain, urgent and advised queues, for teams of which one reaches its limit; they submit again, give up early, and cancel at any node.

--- a/internal/proof/faults_test.go
+++ b/internal/proof/faults_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"sequoiastall/internal/standin/leased"
+	"sequoiastall/internal/standin/runcheck"
+	"sequoiastall/internal/standin/workerproc"
 )
 
 // minFault and maxFault bound the duration of a fault.
@@ -32,6 +34,8 @@
 // linkKinds are the faults of a link, or of several at the same time.
 var linkKinds = []string{"delay", "hold", "lose", "silence", "reset", "refuse", "slow"}
 
+var machineKinds = []string{"crash", "change", "pause", "drain", "lapse", "resize", "fail", "stall", "unanswered", "late", "slow", "reject"}
+
 // faultSources lists the sources of a mixed run. Each has its own random numbers, so that a seed keeps its meaning when
 // another source is added.
 var faultSources = []faultSource{
@@ -42,7 +46,7 @@
 	{"advice", 2 * time.Second, linkKinds, (*soakCell).injectAdviceLinkFault},
 	{"isolate", 4 * time.Second, []string{"hold", "lose", "refuse", "slow"}, (*soakCell).injectIsolation},
 	{"storage", 1500 * time.Millisecond, []string{"unavailable", "mute", "unanswered"}, (*soakCell).injectStoreFault},
-	{"machine", 900 * time.Millisecond, []string{"crash", "drain", "lapse", "resize", "unanswered"}, (*soakCell).injectMachineFault},
+	{"machine", 900 * time.Millisecond, machineKinds, (*soakCell).injectMachineFault},
 }
 
 // selectFaults returns the sources and kinds that the filter names: a list of SOURCE or SOURCE.KIND with commas, or
@@ -61,8 +65,8 @@
 	return selected
 }
 
-// injectUntil injects faults until c.calm is closed, which also ends those that are active.
-func (s faultSource) injectUntil(c *soakCell, seed uint64) {
+// injectUntilCalm injects faults until c.calm is closed, which also ends those that are active.
+func (s faultSource) injectUntilCalm(c *soakCell, seed uint64) {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(s.name)) // never fails
 	rng := rand.New(rand.NewPCG(seed, h.Sum64()))
@@ -79,6 +83,7 @@
 
 // faultLog holds when faults were active.
 type faultLog struct {
+	checker *runcheck.Checker
 	mu      sync.Mutex
 	entries []*faultEntry
 }
@@ -88,8 +93,10 @@
 	start, end time.Time // end is zero while the fault is active
 }
 
-// begin notes the start of a fault, and returns a function that notes its end.
-func (f *faultLog) begin(format string, args ...any) (end func()) {
+// begin notes the start of a fault, which concerns the given workers or everything, and returns a function that notes its
+// end.
+func (f *faultLog) begin(workers []string, format string, args ...any) (end func()) {
+	fault := f.checker.BeginFault(workerproc.Now(), workers...)
 	e := &faultEntry{text: fmt.Sprintf(format, args...), start: time.Now()}
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -98,6 +105,7 @@
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		e.end = time.Now()
+		fault.End(workerproc.Now())
 	}
 }
 
@@ -139,7 +147,7 @@
 	for _, n := range victims {
 		wg.Go(func() {
 			defer n.claimed.Store(false)
-			defer c.faults.begin("node.%s %s", kind, n.settings.Name)()
+			defer c.faults.begin(nil, "node.%s %s", kind, n.settings.Name)()
 			c.disturb(n, kind, rng, d)
 		})
 		rng = rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64()))
@@ -184,7 +192,7 @@
 		select {
 		case <-p.done:
 		case <-time.After(d):
-			c.faults.begin("node.term %s: killed after the grace period", n.settings.Name)()
+			c.faults.begin(nil, "node.term %s: killed after the grace period", n.settings.Name)()
 			p.kill()
 		}
 	})
@@ -255,7 +263,7 @@
 		}
 	}
 	sideName := []string{"from node", "to node", "both"}[sides]
-	defer c.faults.begin("%s.%s %s: %v and %v", source, kind, sideName, names, to)()
+	defer c.faults.begin(nil, "%s.%s %s: %v and %v", source, kind, sideName, names, to)()
 	for _, change := range changes {
 		change.apply()
 	}
@@ -317,7 +325,7 @@
 // injectStoreFault makes the store refuse requests (unavailable), leave them without effect and response (mute), or carry
 // out every fourth transaction without a response (unanswered).
 func (c *soakCell) injectStoreFault(kind string, rng *rand.Rand, d time.Duration) {
-	defer c.faults.begin("storage.%s", kind)()
+	defer c.faults.begin(nil, "storage.%s", kind)()
 	var count atomic.Int64
 	c.store.SetFault(func(path string) leased.Fault {
 		switch {
@@ -334,56 +342,6 @@
 	c.store.SetFault(nil)
 }
 
-// injectMachineFault disturbs a worker's process, its registry entry or its capacity.
-func (c *soakCell) injectMachineFault(kind string, rng *rand.Rand, d time.Duration) {
-	w := c.workers[rng.IntN(len(c.workers))]
-	if !w.claimed.CompareAndSwap(false, true) {
-		return
-	}
-	defer w.claimed.Store(false)
-	defer c.faults.begin("machine.%s %s", kind, w.ID)()
-	switch kind {
-	case "crash": // it is down for some time, and may be back before the registry tells
-		c.crash(w, d)
-		c.register(w, "ready")
-	case "drain": // at times it refuses new connections before it stops to work
-		c.register(w, "draining")
-		c.sleep(d / 2)
-		c.setRefusing(w, rng.IntN(2) == 0)
-		c.sleep(d / 2)
-		c.setRefusing(w, false)
-		c.register(w, "ready")
-	case "lapse":
-		c.store.Delete("servers/" + w.ID)
-		c.sleep(d)
-		c.register(w, "ready")
-	case "resize":
-		w.SetCapacity(int64(1+rng.IntN(6))*soakTaskCPU, capacityLag)
-		c.register(w, "ready")
-	default:
-		w.LoseStartResponses(3)
-	}
-}
-
-// crash ends a worker's process, which refuses connections for some time, and starts it again under its ID.
-func (c *soakCell) crash(w *soakWorker, downtime time.Duration) {
-	c.setRefusing(w, true)
-	w.Crash()
-	c.sleep(downtime)
-	c.setRefusing(w, false)
-}
-
-// setRefusing sets whether a worker refuses the connections of all nodes.
-func (c *soakCell) setRefusing(w *soakWorker, refusing bool) {
-	for _, n := range c.nodes {
-		l := c.network.link(n.settings.Name, w.ID)
-		l.refusing.Store(refusing)
-		if refusing {
-			l.closeConns(true)
-		}
-	}
-}
-
 // pickNode returns the scheduling node or any node, with the same probability.
 func (c *soakCell) pickNode(rng *rand.Rand) *soakNode {
 	i := rng.IntN(2 * len(c.nodes))
--- a/internal/proof/soak_cell_test.go
+++ b/internal/proof/soak_cell_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -17,16 +18,28 @@
 	"gotest.tools/v3/assert"
 
 	"sequoiastall/internal/standin/leased"
+	"sequoiastall/internal/standin/runcheck"
+	"sequoiastall/internal/standin/workerproc"
 	"sequoiastall/platform"
 )
 
 const (
-	soakTaskCPU   = 1000
-	soakDurations = 6 // number of different durations of tasks, by worker
-	// capacityLag is how long a worker's former capacity counts; its room is known later under faults.
+	soakTaskCPU      = 1000 // thousandths of a core
+	soakWorkerMemMB  = 4000
+	soakTeamLimitCPU = 4 * soakTaskCPU
+	soakMaxAttempts  = 2
+	soakHost         = "jobs.example"
+	soakService      = "pool"
+	// capacityLag is how long a worker's former capacity counts after it has shrunk.
 	capacityLag = 5 * time.Second
-	soakHost    = "jobs.example"
-	soakKey     = "key-1"
+)
+
+// Streams of random numbers of a seed, besides those of the faults.
+const (
+	clientsStream   = 1
+	servicesStream  = 100
+	malformedStream = 101
+	workersStream   = 102
 )
 
 // Names of the targets that all nodes reach over the network, besides the workers and the nodes.
@@ -44,16 +57,13 @@
 	faults  faultLog
 	calm    chan struct{} // closed when no further faults are injected
 	store   *leased.Store
-	checker *leased.RunChecker
+	fleet   *workerproc.Fleet
+	checker *runcheck.Checker
 	workers []*soakWorker
 	nodes   []*soakNode
-	version int // of the configuration
-}
 
-type soakWorker struct {
-	*leased.Worker
-	address string      // at which the nodes reach it
-	claimed atomic.Bool // by a fault
+	eventsMu sync.Mutex
+	events   []workerproc.Event // of the workers, in the order of their reports
 }
 
 type soakNode struct {
@@ -66,40 +76,48 @@
 	process *process
 }
 
-func newSoakCell(t *testing.T) *soakCell {
+func newSoakCell(t *testing.T, seed uint64) *soakCell {
 	ip := fmt.Sprintf("127.%d.%d.1", 64+os.Getpid()%128, cellCount.Add(1))
-	c := &soakCell{t: t, dir: t.TempDir(), network: newNetwork(t, ip), calm: make(chan struct{}), store: leased.NewStore(), checker: leased.NewRunChecker()}
-	advice := leased.NewAdviceServer()
+	c := &soakCell{t: t, dir: t.TempDir(), network: newNetwork(t, ip), calm: make(chan struct{}), store: leased.NewStore()}
+	rules := runcheck.DefaultRules()
+	rules.CapacityLag, rules.MaxAttempts, rules.Admits = capacityLag, soakMaxAttempts, c.admits
+	rules.Limits = map[string]workerproc.Capacity{soakTeams[0]: {CPU: soakTeamLimitCPU}}
+	c.checker = runcheck.New(rules)
+	c.faults.checker = c.checker
+	c.fleet = workerproc.NewFleet(c.observe)
 	t.Cleanup(func() {
-		for _, w := range c.workers {
-			w.Close()
-		}
-		advice.CloseClientConnections()
-		advice.Close()
+		c.fleet.Close()
 		c.store.Close()
 	})
+	rng := rand.New(rand.NewPCG(seed, workersStream))
 	for i := range *soakWorkers {
-		w := &soakWorker{Worker: leased.NewWorker(fmt.Sprint("w", i), 4*soakTaskCPU, soakTaskCPU, time.Duration(60+90*(i%soakDurations))*time.Millisecond, c.checker)}
-		w.address = c.network.relayTo(w.ID, w.Address())
-		c.workers = append(c.workers, w)
-		c.register(w, "ready")
+		c.addWorker(i, rng)
 	}
 	c.configure()
 	storeAddress := c.network.relayTo(storeTarget, c.store.Address())
-	adviceAddress := c.network.relayTo(adviceTarget, strings.TrimPrefix(advice.URL, "http://"))
 	for i := range *soakNodes {
-		n := &soakNode{settingsPath: filepath.Join(c.dir, fmt.Sprint("boot-", i, ".toml")), client: &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{}}}
-		n.settings = leased.NodeSettings{Name: fmt.Sprint("node-", i), IP: ip, CallersPort: 7500 + i, ReadyPort: 7600 + i, PeersPort: 7400 + i,
-			Store: storeAddress, Advice: adviceAddress}
-		n.settings.Advertise = c.network.relayTo(n.settings.Name, fmt.Sprintf("%s:%d", ip, n.settings.PeersPort))
-		assert.NilError(t, os.WriteFile(n.settingsPath, []byte(n.settings.TOML()), 0o600))
-		c.nodes = append(c.nodes, n)
-		c.start(n)
-		t.Cleanup(n.client.CloseIdleConnections)
+		c.addNode(i, storeAddress)
 	}
 	return c
 }
 
+// addNode starts a node with an advice service of its own.
+func (c *soakCell) addNode(i int, storeAddress string) {
+	advice := c.newAdvice()
+	c.t.Cleanup(func() {
+		advice.CloseClientConnections()
+		advice.Close()
+	})
+	n := &soakNode{settingsPath: filepath.Join(c.dir, fmt.Sprint("boot-", i, ".toml")), client: &http.Client{Transport: &http.Transport{}}}
+	n.settings = leased.NodeSettings{Name: fmt.Sprint("node-", i), IP: c.network.ip, CallersPort: 7500 + i, ReadyPort: 7600 + i, PeersPort: 7400 + i,
+		Store: storeAddress, Advice: c.network.relayTo(adviceTarget, strings.TrimPrefix(advice.URL, "http://"))}
+	n.settings.Advertise = c.network.relayTo(n.settings.Name, fmt.Sprintf("%s:%d", n.settings.IP, n.settings.PeersPort))
+	assert.NilError(c.t, os.WriteFile(n.settingsPath, []byte(n.settings.TOML()), 0o600))
+	c.nodes = append(c.nodes, n)
+	c.start(n)
+	c.t.Cleanup(n.client.CloseIdleConnections)
+}
+
 // sleep waits, and returns whether further faults may be injected.
 func (c *soakCell) sleep(d time.Duration) bool {
 	select {
@@ -121,22 +139,22 @@
 	return nil
 }
 
-// register writes a worker's registry entry, with the address at which the nodes reach it.
-func (c *soakCell) register(w *soakWorker, state string) {
-	c.store.Put("servers/"+w.ID, w.RegistryEntryAt(w.address, "pool", state))
-}
-
-// configure writes a new version of the configuration.
+// configure writes the configuration.
 func (c *soakCell) configure() {
-	c.version++
-	config, err := json.Marshal(map[string]any{"version": c.version,
-		"routes": []map[string]any{
-			{"name": "plain", "host": soakHost, "prefix": "/plain/", "service": "pool", "max_attempts": 2, "stretch": 3, "slo_ms": 1000, "priority": 1},
-			{"name": "advised", "host": soakHost, "prefix": "/advised/", "service": "pool", "max_attempts": 2, "stretch": 3, "slo_ms": 1000,
-				"advice": map[string]any{"decision_ms": 5, "period_ms": 0.1, "validity_ms": 3000}},
-		},
-		"limits":  map[string]any{"body_bytes": 20000},
-		"tenants": []map[string]any{{"name": "team", "api_keys": []string{soakKey}, "weight": 1000}}})
+	advice := map[string]any{"decision_ms": 5, "period_ms": 0.1, "validity_ms": ticketValidity.Milliseconds()}
+	route := func(name string, priority int) map[string]any {
+		return map[string]any{"name": name, "host": soakHost, "prefix": "/" + name + "/", "service": soakService, "max_attempts": soakMaxAttempts,
+			"stretch": 3, "slo_ms": 1000, "priority": priority}
+	}
+	advised := route("advised", 1)
+	advised["advice"] = advice
+	var tenants []map[string]any
+	for _, team := range soakTeams {
+		tenants = append(tenants, map[string]any{"name": team, "api_keys": []string{keyOf(team)}, "weight": 1000})
+	}
+	tenants[0]["cap"] = map[string]any{"cpu": soakTeamLimitCPU}
+	config, err := json.Marshal(map[string]any{"version": 1, "routes": []any{route("plain", 1), route("urgent", 0), advised},
+		"limits": map[string]any{"body_bytes": 20000}, "tenants": tenants})
 	assert.NilError(c.t, err)
 	c.store.Put("op/config", config)
 }
@@ -170,31 +188,14 @@
 	c.start(n)
 }
 
-// clearFaults ends all faults of the network and the store, and resumes paused nodes.
+// clearFaults ends all faults of the network and the store, and resumes paused processes.
 func (c *soakCell) clearFaults() {
 	c.store.SetFault(nil)
 	c.network.heal()
 	for _, n := range c.nodes {
 		n.signal(syscall.SIGCONT)
 	}
-}
-
-// call sends a caller's request to a node and returns the status code and the response as text. The code is 0 if there
-// was no response.
-func (c *soakCell) call(n *soakNode, method, path, body string) (int, string) {
-	r, err := http.NewRequest(method, fmt.Sprintf("http://%s:%d%s", n.settings.IP, n.settings.CallersPort, path), strings.NewReader(body))
-	assert.NilError(c.t, err)
-	r.Host = soakHost
-	r.Header.Set("Authorization", "Bearer "+soakKey)
-	r.Header.Set("Deadline-Ms", "3000")
-	response, err := n.client.Do(r)
-	if err != nil {
-		return 0, ""
-	}
-	defer response.Body.Close()
-	var text strings.Builder
-	if err := response.Write(&text); err != nil {
-		return 0, ""
+	for _, w := range c.workers {
+		w.current().Resume()
 	}
-	return response.StatusCode, text.String()
 }
--- a/internal/proof/soak_report_test.go
+++ b/internal/proof/soak_report_test.go
@@ -10,10 +10,16 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"sequoiastall/internal/standin/runcheck"
+	"sequoiastall/internal/standin/workerproc"
 )
 
-// faultLead is how long before the first and after the last line of a report faults are listed.
-const faultLead = 10 * time.Second
+// A report covers the time from reportLead before its moment to reportLag after it.
+const (
+	reportLead = 10 * time.Second
+	reportLag  = time.Second
+)
 
 // maxReportLines bounds the lines of a report.
 const maxReportLines = 400
@@ -24,23 +30,51 @@
 	text string
 }
 
-// report adds the lines of all nodes' logs that contain the subject, and the faults that were active around them, to the
-// test's log, in order of time.
-func (c *soakCell) report(subject string) {
-	lines := c.matchingLines(subject)
-	if len(lines) == 0 {
-		c.t.Logf("no line contains %s", subject)
-		return
+// reportViolation reports the job of a violation, and the workers that it names.
+func (c *soakCell) reportViolation(v runcheck.Violation, at time.Time) {
+	if v.Job != "" {
+		c.report(v.Job, at)
+	}
+	for _, w := range c.workers {
+		if strings.Contains(v.Text, " "+w.ID+" ") || strings.HasSuffix(v.Text, " "+w.ID) {
+			c.report(fmt.Sprintf("%q", w.ID), at)
+		}
 	}
-	for _, line := range lines[:min(len(lines), maxReportLines)] {
+}
+
+// report adds what all nodes and workers have said about a subject in the time before a moment and shortly after it, and
+// the faults that were active, to the test's log, in order of time.
+func (c *soakCell) report(subject string, at time.Time) {
+	from, to := at.Add(-reportLead), at.Add(reportLag)
+	lines := append(c.logLines(subject), c.eventLines(subject)...)
+	lines = slices.DeleteFunc(lines, func(l logLine) bool { return l.time.Before(from) || l.time.After(to) })
+	slices.SortStableFunc(lines, func(a, b logLine) int { return a.time.Compare(b.time) })
+	for _, line := range lines[max(0, len(lines)-maxReportLines):] {
 		c.t.Log(line.text)
 	}
-	for _, fault := range c.faults.between(lines[0].time.Add(-faultLead), lines[len(lines)-1].time) {
+	for _, fault := range c.faults.between(from, to) {
 		c.t.Log(fault)
 	}
 }
 
-func (c *soakCell) matchingLines(subject string) []logLine {
+// eventLines returns the workers' events that name a subject.
+func (c *soakCell) eventLines(subject string) []logLine {
+	c.eventsMu.Lock()
+	defer c.eventsMu.Unlock()
+	var lines []logLine
+	now, wall := workerproc.Now(), time.Now()
+	for _, e := range c.events {
+		text, err := json.Marshal(e)
+		if err == nil && strings.Contains(string(text), subject) {
+			at := wall.Add(e.At - now)
+			lines = append(lines, logLine{at, fmt.Sprintf("%s %s", at.UTC().Format(time.RFC3339Nano), text)})
+		}
+	}
+	return lines
+}
+
+// logLines returns the lines of the nodes' logs that contain a subject.
+func (c *soakCell) logLines(subject string) []logLine {
 	var lines []logLine
 	for _, n := range c.nodes {
 		for _, text := range n.process.matchingLines(c.t, subject) {
@@ -50,7 +84,6 @@
 			}
 		}
 	}
-	slices.SortStableFunc(lines, func(a, b logLine) int { return a.time.Compare(b.time) })
 	return lines
 }
 
@@ -63,6 +96,11 @@
 	assert.NilError(c.t, os.MkdirAll(dir, 0o700))
 	faults := c.faults.between(time.Time{}, time.Now())
 	assert.NilError(c.t, os.WriteFile(filepath.Join(dir, "faults.txt"), []byte(strings.Join(faults, "\n")), 0o600))
+	var events strings.Builder
+	for _, line := range c.eventLines("") {
+		events.WriteString(line.text + "\n")
+	}
+	assert.NilError(c.t, os.WriteFile(filepath.Join(dir, "events.txt"), []byte(events.String()), 0o600))
 	for _, n := range c.nodes {
 		data, err := os.ReadFile(n.process.outputPath)
 		assert.NilError(c.t, err)
