runcheck: an end acknowledged after the lease expired isn't lost

Only ends that a worker loses with its process before they are acknowledged are to be run again. What is noted for TWICE and BUDGET is unchanged.

--- a/internal/standin/runcheck/checker_test.go
+++ b/internal/standin/runcheck/checker_test.go
@@ -304,6 +304,15 @@
 			s.end(10040, "w0", task0, 1, workerproc.Done)
 			s.add(10050, workerproc.Event{Kind: workerproc.Down, Worker: "w0"})
 		}},
+		{name: "the only end done was acknowledged after the lease expired", play: func(s *story) {
+			s.run(9991, "w1", task1, 10, workerproc.Done)
+			s.start(9992, "w0", task0, 1)
+			s.end(10000, "w0", task0, 1, workerproc.Done)
+			s.add(10010, workerproc.Event{Kind: workerproc.Lapsed, Worker: "w0"})
+			s.ack(10020, "w0")
+			s.run(10100, "w1", next0, 1, workerproc.Done)
+			s.add(10200, workerproc.Event{Kind: workerproc.Down, Worker: "w0"})
+		}},
 		{name: "advice admits no worker with room", play: func(s *story) {
 			s.rules.Admits = func(_, worker string) bool { return worker == "w9" }
 			s.run(10000, "w0", task0, 1, workerproc.Failed)
