runcheck: an end that the scheduler recorded isn't lost with its worker

Such an end isn't to be run again. It counts as recorded if the job is later shown as completed without another start of its unit.

--- a/internal/standin/runcheck/checker_test.go
+++ b/internal/standin/runcheck/checker_test.go
@@ -304,6 +304,14 @@
 			s.end(10040, "w0", task0, 1, workerproc.Done)
 			s.add(10050, workerproc.Event{Kind: workerproc.Down, Worker: "w0"})
 		}},
+		{name: "an end that was recorded but not acknowledged was lost with its worker", play: func(s *story) {
+			s.run(9991, "w1", task1, 10, workerproc.Done)
+			s.start(9992, "w0", task0, 1)
+			s.end(10000, "w0", task0, 1, workerproc.Done)
+			s.run(10100, "w1", next0, 1, workerproc.Done)
+			s.add(10200, workerproc.Event{Kind: workerproc.Down, Worker: "w0"})
+			s.Shown(13000*ms, jobID, "completed")
+		}},
 		{name: "the only end done was acknowledged after the lease expired", play: func(s *story) {
 			s.run(9991, "w1", task1, 10, workerproc.Done)
 			s.start(9992, "w0", task0, 1)
--- a/internal/standin/runcheck/judge.go
+++ b/internal/standin/runcheck/judge.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"sequoiastall/internal/standin/workerproc"
@@ -56,6 +57,7 @@
 	done         map[string]time.Duration // by unit: when a run first ended done
 	noted        map[string]notedEnd      // by unit: its first end done that was ever acknowledged
 	kept         map[string]int           // by unit: its ends done, without those that a worker has lost
+	lastStart    map[string]time.Duration // by unit
 	failures     map[string][]runFailure  // by unit
 	notes        map[int]time.Duration    // by index of an event: when that end was acknowledged
 	acknowledged map[int]time.Duration    // the same, also for ends that were acknowledged after the expiry of a lease
@@ -82,6 +84,7 @@
 	j := &judge{rules: c.rules, jobs: c.jobs, faults: c.faults, workers: map[string]*workerState{}, done: map[string]time.Duration{},
 		noted: map[string]notedEnd{}, kept: map[string]int{}, failures: map[string][]runFailure{}, reportedIdle: map[string]bool{}, notes: noteTimes(events, true), acknowledged: noteTimes(events, false), saved: map[string]bool{},
 		gangStarts: map[runID]string{}, idleSince: map[string]time.Duration{}}
+	j.lastStart = j.lastStarts(events)
 	for i, e := range events {
 		if e.At > until {
 			break
@@ -148,7 +151,7 @@
 			j.checkRanOn(r, w.lastActive(e.At))
 		}
 		w.alive, w.runs = false, map[runID]*runState{}
-		j.forget(w)
+		j.forget(w, e.At)
 	case workerproc.Registered:
 		w.ready = e.State == "ready"
 	case workerproc.Resized:
@@ -240,14 +243,34 @@
 	}
 }
 
-// forget takes back the ends that a worker has lost before they were acknowledged.
-func (j *judge) forget(w *workerState) {
+// forget takes back the ends that a worker has lost before they were acknowledged, unless the scheduler had recorded them.
+func (j *judge) forget(w *workerState, at time.Duration) {
 	for _, unit := range w.unnoted {
-		j.kept[unit]--
+		if !j.wasRecorded(unit, at) {
+			j.kept[unit]--
+		}
 	}
 	w.unnoted = nil
 }
 
+// wasRecorded returns whether the scheduler had recorded an end done before a moment: its job was later shown as completed
+// without another start of the unit.
+func (j *judge) wasRecorded(unit string, at time.Duration) bool {
+	job, _, _ := strings.Cut(unit, ".")
+	return j.lastStart[unit] <= at && slices.ContainsFunc(j.jobs[job].shown, func(s shown) bool { return s.state == "completed" })
+}
+
+// lastStarts returns when each unit was started last.
+func (j *judge) lastStarts(events []workerproc.Event) map[string]time.Duration {
+	starts := map[string]time.Duration{}
+	for _, e := range events {
+		if name, err := workerproc.ParseTask(e.Task); err == nil && e.Kind == workerproc.Started {
+			starts[j.unit(e.Task, name)] = e.At
+		}
+	}
+	return starts
+}
+
 // lastActive returns when the runs that are there at a moment were last under way.
 func (w *workerState) lastActive(at time.Duration) time.Duration {
 	if w.leaseEnd > 0 {
