--- a/internal/standin/runcheck/checker_test.go
+++ b/internal/standin/runcheck/checker_test.go
@@ -309,7 +309,7 @@
 			s.start(9992, "w0", task0, 1)
 			s.end(10000, "w0", task0, 1, workerproc.Done)
 			s.run(10100, "w1", next0, 1, workerproc.Done)
-			s.add(10200, workerproc.Event{Kind: workerproc.Down, Worker: "w0"})
+			s.add(10160, workerproc.Event{Kind: workerproc.Down, Worker: "w0"})
 			s.Shown(13000*ms, jobID, "completed")
 		}},
 		{name: "the only end done was acknowledged after the lease expired", play: func(s *story) {
