--- a/internal/proof/faults_test.go
+++ b/internal/proof/faults_test.go
@@ -34,12 +34,12 @@
 // linkKinds are the faults of a link, or of several at the same time.
 var linkKinds = []string{"delay", "hold", "lose", "silence", "reset", "refuse", "slow"}
 
-var machineKinds = []string{"crash", "change", "pause", "drain", "lapse", "resize", "fail", "stall", "unanswered", "late", "slow", "reject"}
+var machineKinds = []string{"crash", "change", "pause", "freeze", "drain", "lapse", "resize", "fail", "stall", "unanswered", "late", "slow", "reject"}
 
 // faultSources lists the sources of a mixed run. Each has its own random numbers, so that a seed keeps its meaning when
 // another source is added.
 var faultSources = []faultSource{
-	{"node", 1200 * time.Millisecond, []string{"kill", "term", "pause", "stutter", "several", "all", "reload"}, (*soakCell).injectNodeFault},
+	{"node", 1200 * time.Millisecond, []string{"kill", "term", "pause", "stutter", "several", "all", "freeze", "reload"}, (*soakCell).injectNodeFault},
 	{"peer", 900 * time.Millisecond, linkKinds, (*soakCell).injectPeerFault},
 	{"worker", 900 * time.Millisecond, linkKinds, (*soakCell).injectWorkerLinkFault},
 	{"store", 1500 * time.Millisecond, linkKinds, (*soakCell).injectStoreLinkFault},
@@ -136,6 +136,8 @@
 		kind = []string{"kill", "pause"}[rng.IntN(2)]
 	case "all":
 		victims, kind = c.nodes, "kill"
+	case "freeze":
+		victims, kind = c.nodes, "pause"
 	}
 	if kind == "reload" {
 		victims[0].signal(syscall.SIGHUP)
--- a/internal/proof/soak_workers_test.go
+++ b/internal/proof/soak_workers_test.go
@@ -109,9 +109,20 @@
 	c.events = append(c.events, e)
 }
 
-// injectMachineFault disturbs a worker's process, its registry entry, its capacity or its calls.
+// injectMachineFault disturbs a worker's process, its registry entry, its capacity or its calls, or pauses all workers.
 func (c *soakCell) injectMachineFault(kind string, rng *rand.Rand, d time.Duration) {
-	w := c.workers[rng.IntN(len(c.workers))]
+	if kind != "freeze" {
+		c.disturbWorker(c.workers[rng.IntN(len(c.workers))], kind, rng, d)
+		return
+	}
+	var wg sync.WaitGroup
+	for _, w := range c.workers {
+		wg.Go(func() { c.disturbWorker(w, "pause", nil, d) })
+	}
+	wg.Wait()
+}
+
+func (c *soakCell) disturbWorker(w *soakWorker, kind string, rng *rand.Rand, d time.Duration) {
 	if !w.claimed.CompareAndSwap(false, true) {
 		return
 	}
