runcheck: services may be restarted later, and each task of one counts

The rule that nothing may stand still for 3 s holds for each task that lasts from 6 s after its last run, whether others of its job run or not. The checker applied it to the whole job, and from the end of its last run: it missed a task that stands still beside others, and reported one that is restarted after 4 s. TestIdleService shows the first at 19.2 s of its history and nothing at 18.9 s. The share of the capacity in use up to which the rule applies is now a setting, as before 0.5.

--- a/internal/standin/runcheck/checker_test.go
+++ b/internal/standin/runcheck/checker_test.go
@@ -372,3 +372,38 @@
 	assert.Assert(t, !s.IsRunning(task0))
 	assert.Assert(t, s.HasStarted(jobID))
 }
+
+// TestIdleService guards against a service that isn't restarted while other tasks of its job run, and against a violation
+// within the time that a restart may take.
+func TestIdleService(t *testing.T) {
+	j := aJob()
+	j.Steps[0].Service = true
+	for until, rules := range map[time.Duration][]string{18900: nil, 19200: {"LOST"}} {
+		s := newStory(j, DefaultRules())
+		s.start(10, "w0", task0, 1)
+		s.start(10, "w1", task1, 1)
+		s.end(10000, "w0", task0, 1, workerproc.Failed)
+		s.expect(t, until, rules...)
+	}
+}
+
+// TestIdleJobInBusyCell guards against a limit of the capacity in use that doesn't apply.
+func TestIdleJobInBusyCell(t *testing.T) {
+	for _, maxInUse := range []float64{0.5, 1} {
+		r := DefaultRules()
+		r.MaxInUse = maxInUse
+		s := newStory(aJob(), r)
+		other := aJob()
+		other.ID, other.Steps[0].Count = "00000002", 7
+		s.Submitting(1*ms, other)
+		s.Answered(2*ms, other.ID, Accepted)
+		for i := range 7 {
+			s.start(10, []string{"w0", "w1"}[i/4], workerproc.TaskName{Job: other.ID, Index: i}.String(), 1)
+		}
+		if maxInUse == 1 {
+			s.expect(t, 8000, "LOST")
+		} else {
+			s.expect(t, 8000)
+		}
+	}
+}
--- a/internal/standin/runcheck/judge.go
+++ b/internal/standin/runcheck/judge.go
@@ -63,8 +63,8 @@
 	acknowledged map[int]time.Duration    // the same, also for ends that were acknowledged after the expiry of a lease
 	saved        map[string]bool          // unit and checkpoint
 	gangStarts   map[runID]string         // by unit and run: checkpoint of the first member
-	idleSince    map[string]time.Duration // by job: since when it could run but nothing does
-	reportedIdle map[string]bool          // jobs
+	idle         map[string]idleState     // by job or task: since when it could run but nothing does
+	reportedIdle map[string]bool          // jobs and tasks
 	violations   []Violation
 }
 
@@ -83,7 +83,7 @@
 	slices.SortStableFunc(events, func(a, b workerproc.Event) int { return cmp.Compare(a.At, b.At) })
 	j := &judge{rules: c.rules, jobs: c.jobs, faults: c.faults, workers: map[string]*workerState{}, done: map[string]time.Duration{},
 		noted: map[string]notedEnd{}, kept: map[string]int{}, failures: map[string][]runFailure{}, reportedIdle: map[string]bool{}, notes: noteTimes(events, true), acknowledged: noteTimes(events, false), saved: map[string]bool{},
-		gangStarts: map[runID]string{}, idleSince: map[string]time.Duration{}}
+		gangStarts: map[runID]string{}, idle: map[string]idleState{}}
 	j.lastStart = j.lastStarts(events)
 	for i, e := range events {
 		if e.At > until {
