--- a/internal/proof/soak_cell_test.go
+++ b/internal/proof/soak_cell_test.go
@@ -1,13 +1,16 @@
 package proof
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -15,96 +18,144 @@
 	"gotest.tools/v3/assert"
 
 	"sequoiastall/internal/standin/leased"
+	"sequoiastall/internal/standin/runcheck"
+	"sequoiastall/internal/standin/workerproc"
 	"sequoiastall/platform"
 )
 
 const (
-	soakWorkers = 6
-	soakTaskCPU = 1000
-	soakHost    = "jobs.example"
-	soakKey     = "key-1"
+	soakTaskCPU      = 1000 // thousandths of a core
+	soakWorkerMemMB  = 4000
+	soakTeamLimitCPU = 4 * soakTaskCPU
+	soakMaxAttempts  = 2
+	soakHost         = "jobs.example"
+	soakService      = "pool"
+	// capacityLag is how long a worker's former capacity counts after it has shrunk.
+	capacityLag = 5 * time.Second
 )
 
-// soakCell is a cell whose nodes are separate processes and use the stand-in of the users' platform. Each node reaches
-// the store and the advice service through its own relays; each worker is reached through a relay that all nodes share.
+// Streams of random numbers of a seed, besides those of the faults.
+const (
+	clientsStream   = 1
+	servicesStream  = 100
+	malformedStream = 101
+	workersStream   = 102
+)
+
+// Names of the targets that all nodes reach over the network, besides the workers and the nodes.
+const (
+	storeTarget  = "store"
+	adviceTarget = "advice"
+)
+
+// soakCell is a cell whose nodes are separate processes and use the stand-in of the users' platform. The nodes reach all
+// others over a network that can disturb each pair.
 type soakCell struct {
 	t       *testing.T
 	dir     string
+	network *network
+	faults  faultLog
+	calm    chan struct{} // closed when no further faults are injected
 	store   *leased.Store
-	checker *leased.RunChecker
+	fleet   *workerproc.Fleet
+	checker *runcheck.Checker
 	workers []*soakWorker
 	nodes   []*soakNode
-	relays  []*relay
-	version int // of the configuration
-}
 
-type soakWorker struct {
-	*leased.Worker
-	relay *relay
+	eventsMu sync.Mutex
+	events   []workerproc.Event // of the workers, in the order of their reports
 }
 
 type soakNode struct {
 	settings     leased.NodeSettings
 	settingsPath string
 	client       *http.Client
+	claimed      atomic.Bool // by a fault
 
 	mu      sync.Mutex
 	process *process
 }
 
-func newSoakCell(t *testing.T) *soakCell {
+func newSoakCell(t *testing.T, seed uint64) *soakCell {
 	ip := fmt.Sprintf("127.%d.%d.1", 64+os.Getpid()%128, cellCount.Add(1))
-	c := &soakCell{t: t, dir: t.TempDir(), store: leased.NewStore(), checker: leased.NewRunChecker()}
-	advice := leased.NewAdviceServer()
+	c := &soakCell{t: t, dir: t.TempDir(), network: newNetwork(t, ip), calm: make(chan struct{}), store: leased.NewStore()}
+	rules := runcheck.DefaultRules()
+	rules.CapacityLag, rules.MaxAttempts, rules.Admits = capacityLag, soakMaxAttempts, c.admits
+	rules.Limits = map[string]workerproc.Capacity{soakTeams[0]: {CPU: soakTeamLimitCPU}}
+	c.checker = runcheck.New(rules)
+	c.faults.checker = c.checker
+	c.fleet = workerproc.NewFleet(c.observe)
 	t.Cleanup(func() {
-		for _, w := range c.workers {
-			w.Close()
-		}
-		advice.CloseClientConnections()
-		advice.Close()
+		c.fleet.Close()
 		c.store.Close()
 	})
-	for i := range soakWorkers {
-		w := &soakWorker{Worker: leased.NewWorker(fmt.Sprint("w", i), 4*soakTaskCPU, soakTaskCPU, time.Duration(60+90*i)*time.Millisecond, c.checker)}
-		w.relay = c.addRelay(ip, w.Address())
-		c.workers = append(c.workers, w)
-		c.register(w, "ready")
+	rng := rand.New(rand.NewPCG(seed, workersStream))
+	for i := range *soakWorkers {
+		c.addWorker(i, rng)
 	}
 	c.configure()
 	for i := range *soakNodes {
-		n := &soakNode{settingsPath: filepath.Join(c.dir, fmt.Sprint("boot-", i, ".toml")), client: &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{}}}
-		n.settings = leased.NodeSettings{Name: fmt.Sprint("node-", i), IP: ip, CallersPort: 7500 + i, ReadyPort: 7600 + i, PeersPort: 7400 + i,
-			Store: c.addRelay(ip, c.store.Address()).address(), Advice: c.addRelay(ip, strings.TrimPrefix(advice.URL, "http://")).address()}
-		assert.NilError(t, os.WriteFile(n.settingsPath, []byte(n.settings.TOML()), 0o600))
-		c.nodes = append(c.nodes, n)
-		c.start(n)
-		t.Cleanup(n.client.CloseIdleConnections)
+		c.addNode(i)
 	}
 	return c
 }
 
-func (c *soakCell) addRelay(ip, target string) *relay {
-	r := newRelay(c.t, ip, target)
-	c.relays = append(c.relays, r)
-	return r
+// addNode starts a node with an advice service of its own.
+func (c *soakCell) addNode(i int) {
+	advice := c.newAdvice()
+	c.t.Cleanup(func() {
+		advice.CloseClientConnections()
+		advice.Close()
+	})
+	n := &soakNode{settingsPath: filepath.Join(c.dir, fmt.Sprint("boot-", i, ".toml")), client: &http.Client{Transport: &http.Transport{}}}
+	name := fmt.Sprint("node-", i)
+	n.settings = leased.NodeSettings{Name: name, IP: c.network.ip, CallersPort: 7500 + i, ReadyPort: 7600 + i, PeersPort: 7400 + i,
+		Store:  c.network.relayFrom(name, storeTarget, c.store.Address()),
+		Advice: c.network.relayFrom(name, adviceTarget, strings.TrimPrefix(advice.URL, "http://"))}
+	n.settings.Advertise = c.network.relayTo(name, fmt.Sprintf("%s:%d", n.settings.IP, n.settings.PeersPort))
+	assert.NilError(c.t, os.WriteFile(n.settingsPath, []byte(n.settings.TOML()), 0o600))
+	c.nodes = append(c.nodes, n)
+	c.start(n)
+	c.t.Cleanup(n.client.CloseIdleConnections)
+}
+
+// sleep waits, and returns whether further faults may be injected.
+func (c *soakCell) sleep(d time.Duration) bool {
+	select {
+	case <-c.calm:
+		return false
+	case <-time.After(d):
+		return true
+	}
 }
 
-// register writes a worker's registry entry, with the address of its relay.
-func (c *soakCell) register(w *soakWorker, state string) {
-	c.store.Put("servers/"+w.ID, w.RegistryEntryAt(w.relay.address(), "pool", state))
+// schedulingNode returns the node that the store names as the scheduling one, or nil.
+func (c *soakCell) schedulingNode() *soakNode {
+	record, _ := c.store.Value("sequoiastall/scheduler")
+	for _, n := range c.nodes {
+		if strings.Contains(string(record), fmt.Sprintf("%q", n.settings.Name)) {
+			return n
+		}
+	}
+	return nil
 }
 
-// configure writes a new version of the configuration.
+// configure writes the configuration.
 func (c *soakCell) configure() {
-	c.version++
-	config, err := json.Marshal(map[string]any{"version": c.version,
-		"routes": []map[string]any{
-			{"name": "plain", "host": soakHost, "prefix": "/plain/", "service": "pool", "max_attempts": 2, "stretch": 3, "slo_ms": 1000, "priority": 1},
-			{"name": "advised", "host": soakHost, "prefix": "/advised/", "service": "pool", "max_attempts": 2, "stretch": 3, "slo_ms": 1000,
-				"advice": map[string]any{"decision_ms": 5, "period_ms": 0.1, "validity_ms": 3000}},
-		},
-		"limits":  map[string]any{"body_bytes": 20000},
-		"tenants": []map[string]any{{"name": "team", "api_keys": []string{soakKey}, "weight": 1000}}})
+	advice := map[string]any{"decision_ms": 5, "period_ms": 0.1, "validity_ms": ticketValidity.Milliseconds()}
+	route := func(name string, priority int) map[string]any {
+		return map[string]any{"name": name, "host": soakHost, "prefix": "/" + name + "/", "service": soakService, "max_attempts": soakMaxAttempts,
+			"stretch": 3, "slo_ms": 1000, "priority": priority}
+	}
+	advised := route("advised", 1)
+	advised["advice"] = advice
+	var tenants []map[string]any
+	for _, team := range soakTeams {
+		tenants = append(tenants, map[string]any{"name": team, "api_keys": []string{keyOf(team)}, "weight": 1000})
+	}
+	tenants[0]["cap"] = map[string]any{"cpu": soakTeamLimitCPU}
+	config, err := json.Marshal(map[string]any{"version": 1, "routes": []any{route("plain", 1), route("urgent", 0), advised},
+		"limits": map[string]any{"body_bytes": 20000}, "tenants": tenants})
 	assert.NilError(c.t, err)
 	c.store.Put("op/config", config)
 }
@@ -113,7 +164,15 @@
 func (c *soakCell) start(n *soakNode) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.process = launchWithEnv(c.t, []string{platform.SettingsVariable + "=" + n.settingsPath}, c.dir, n.settings.Name, "node")
+	n.process = launchBinary(c.t, cmp.Or(*soakBinary, binary), []string{platform.SettingsVariable + "=" + n.settingsPath}, c.dir, n.settings.Name, "node")
+	c.network.dialers.set(n.process.cmd.Process.Pid, n.settings.Name)
+}
+
+// current returns the node's present process.
+func (n *soakNode) current() *process {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.process
 }
 
 // signal sends a signal to a node's process, which may have exited.
@@ -123,45 +182,21 @@
 	_ = n.process.cmd.Process.Signal(s) // fails only if the process has exited
 }
 
-// restart waits until a node's process has exited and starts the node again.
-func (c *soakCell) restart(n *soakNode) {
-	n.mu.Lock()
-	p := n.process
-	n.mu.Unlock()
-	<-p.done
+// restart waits until a node's process has exited and starts the node again after some time.
+func (c *soakCell) restart(n *soakNode, downtime time.Duration) {
+	<-n.current().done
+	c.sleep(downtime)
 	c.start(n)
 }
 
-// clearFaults ends all faults of the relays and the store, and resumes paused nodes.
+// clearFaults ends all faults of the network and the store, and resumes paused processes.
 func (c *soakCell) clearFaults() {
 	c.store.SetFault(nil)
-	for _, r := range c.relays {
-		r.delay.Store(0)
-		r.link.bytesPerSecond.Store(0)
-		r.dropResponses.Store(false)
-		r.disconnect(false)
-	}
+	c.network.heal()
 	for _, n := range c.nodes {
 		n.signal(syscall.SIGCONT)
 	}
-}
-
-// call sends a caller's request to a node and returns the status code and the response as text. The code is 0 if there
-// was no response.
-func (c *soakCell) call(n *soakNode, method, path, body string) (int, string) {
-	r, err := http.NewRequest(method, fmt.Sprintf("http://%s:%d%s", n.settings.IP, n.settings.CallersPort, path), strings.NewReader(body))
-	assert.NilError(c.t, err)
-	r.Host = soakHost
-	r.Header.Set("Authorization", "Bearer "+soakKey)
-	r.Header.Set("Deadline-Ms", "3000")
-	response, err := n.client.Do(r)
-	if err != nil {
-		return 0, ""
-	}
-	defer response.Body.Close()
-	var text strings.Builder
-	if err := response.Write(&text); err != nil {
-		return 0, ""
+	for _, w := range c.workers {
+		w.current().Resume()
 	}
-	return response.StatusCode, text.String()
 }
