cell: a run with an unanswered attempt is stopped on the next instance

Cause: after a worker's restart each run of the earlier instance has to be stopped on the new one before its task starts again, because a start order without an answer may still be carried out there. If one attempt of the start had no answer and a later one was answered, that answer counted as the answer to the stop: the very inventory that showed the restart released the run, and its task started elsewhere at once.

Fix: with an unanswered attempt, only the answer to the stop and a later inventory release the run. If all attempts were answered, the run is released at once as before.

--- a/internal/core/cell/inventory.go
+++ b/internal/core/cell/inventory.go
@@ -78,6 +78,8 @@
 				s.releaseReserved(t.step)
 			}
 		default:
+			// The answer to one attempt of the start doesn't show that no other one is carried out by the new instance.
+			t.answered = t.answered && !t.startUncertain
 			s.abortRun(t, "the worker restarted")
 		}
 	}
