control: a start is uncertain while an attempt of it is on its way

Cause: a start that takes long is sent a second time, and its outcome was that of the first answer. The scheduler didn't know that the other attempt might still be carried out. If the worker restarted, its inventory without the run released the run, the task started elsewhere, and the new instance could carry out the other attempt. An attempt that waited for the worker's clock was even sent after the other one had been answered.

Fix: the outcome tells whether another attempt is in flight, which the scheduler treats like an unanswered one: after a restart the run is stopped on the new instance first. An attempt that is superfluous by the time at which it would be sent isn't sent.

--- a/internal/control/election_test.go
+++ b/internal/control/election_test.go
@@ -27,12 +27,12 @@
 		time.Sleep(time.Millisecond)
 		r, _ = l.nextRenewal(time.Second, false)
 		assert.Equal(t, r.LeaseEndMS, int64(0))
-		assert.Equal(t, l.send(order), cell.OrderNotSent)
+		assert.Equal(t, l.outcomeOf(order), cell.OrderNotSent)
 		starts, _ := workers.counts()
 		assert.Equal(t, starts, 0)
 
 		l.s.term.confirm(currentInstant())
-		assert.Equal(t, l.send(order), cell.OrderDone)
+		assert.Equal(t, l.outcomeOf(order), cell.OrderDone)
 	})
 }
 
--- a/internal/control/hedge.go
+++ b/internal/control/hedge.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -126,3 +127,25 @@
 func decidesBoth(err error) bool {
 	return errors.Is(err, port.ErrFenced) || errors.Is(err, port.ErrInstanceChanged) || errors.Is(err, port.ErrStaleRun)
 }
+
+// attempts tracks the attempts of a call that may be made twice, beyond the end of hedge. It is safe for concurrent use.
+type attempts struct {
+	inFlight atomic.Int32
+	decided  atomic.Bool
+}
+
+// run makes an attempt. The attempt has to check superfluous before it sends anything.
+func (a *attempts) run(attempt func() error) error {
+	a.inFlight.Add(1)
+	defer a.inFlight.Add(-1)
+	return attempt()
+}
+
+// superfluous reports whether the outcome of the call has been decided by the other attempt.
+func (a *attempts) superfluous() bool { return a.decided.Load() }
+
+// decide ends the call and reports whether an attempt is still in flight. No further one is sent.
+func (a *attempts) decide() bool {
+	a.decided.Store(true)
+	return a.inFlight.Load() > 0
+}
--- a/internal/control/lease_test.go
+++ b/internal/control/lease_test.go
@@ -203,6 +203,8 @@
 	assert.Assert(t, l.expiresAt.After(now.Add(longestLease)))
 }
 
+func never() bool { return false }
+
 // Guards against starts that are turned down because a call to the worker had no answer: the clock is read first.
 func TestStartReadsUnknownClockFirst(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -210,16 +212,16 @@
 		l := newTestLink(t, time.Now())
 		l.s.carriers = newCarriers(w, spreading{})
 		w.start(20 * time.Second)
-		assert.NilError(t, l.start(cell.Order{Kind: cell.OrderStart}, false))
+		assert.NilError(t, l.start(cell.Order{Kind: cell.OrderStart}, false, never))
 		assert.Equal(t, w.longestTaken(), workerLease)
 
 		l.finishLeaseCall(l.lease.begin(time.Now()), 0, 0, port.ErrUnknownOutcome)
 		w.start(0)
-		assert.NilError(t, l.start(cell.Order{Kind: cell.OrderStart}, false))
+		assert.NilError(t, l.start(cell.Order{Kind: cell.OrderStart}, false, never))
 		assert.Equal(t, w.longestTaken(), workerLease)
 
 		l.finishLeaseCall(l.lease.begin(time.Now()), 0, 0, port.ErrUnknownOutcome)
 		w.crash(port.ErrConnectionRefused)
-		assert.ErrorIs(t, l.start(cell.Order{Kind: cell.OrderStart}, false), port.ErrUnavailable, "nothing was sent")
+		assert.ErrorIs(t, l.start(cell.Order{Kind: cell.OrderStart}, false, never), port.ErrUnavailable, "nothing was sent")
 	})
 }
--- a/internal/control/links_test.go
+++ b/internal/control/links_test.go
@@ -201,7 +201,7 @@
 		time.Sleep(time.Hour)
 		s.term.confirm(currentInstant())
 		l.lease.answered(1, 3_660_000, time.Now())
-		assert.Equal(t, l.send(order), cell.OrderDone)
+		assert.Equal(t, l.outcomeOf(order), cell.OrderDone)
 		s.core.ApplyOrderOutcome(order, cell.OrderDone, time.Now())
 		s.core.SetWorkers([]cell.WorkerReport{{ID: "w", Address: "b", Service: "pool", Capacity: oneCore, StartMS: 1}}, time.Now())
 		s.updateLinks()
--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -29,7 +29,8 @@
 	}
 	startMS := l.instance()
 	s.spawn(func() {
-		outcome := l.send(o)
+		outcome, repeated := l.send(o)
+		o.Repeated = repeated
 		s.post(s.ctx, func() {
 			if outcome == cell.OrderInstanceTerminated && !l.leadsTo(startMS) {
 				outcome = cell.OrderNotSent // the worker has another address or instance by now, which the order didn't reach
@@ -61,36 +62,44 @@
 	}
 }
 
-// send sends an order to the worker and returns the outcome.
-func (l *workerLink) send(o cell.Order) cell.OrderOutcome {
+// send sends an order to the worker and returns the outcome, and whether another attempt of it may still be carried out.
+func (l *workerLink) send(o cell.Order) (outcome cell.OrderOutcome, repeated bool) {
 	var err error
 	began := time.Now()
 	switch o.Kind {
 	case cell.OrderStart:
-		_, err = hedge(l.s.spawn, l.s.latency.hedgeDelay(), l.s.mayRetry, func(second bool) (struct{}, error) { return struct{}{}, l.start(o, second) })
+		starts := &attempts{}
+		_, err = hedge(l.s.spawn, l.s.latency.hedgeDelay(), l.s.mayRetry, func(second bool) (struct{}, error) {
+			return struct{}{}, starts.run(func() error { return l.start(o, second, starts.superfluous) })
+		})
+		repeated = starts.decide()
 	case cell.OrderPace:
 		err = l.s.carriers.Pace(l.s.ctx, l.ref, o.Run, o.Pace, l.s.term.number)
 	default:
 		_, err = l.s.carriers.Stop(l.s.ctx, l.ref, o.Run, l.s.term.number)
 	}
-	outcome := orderOutcome(err)
+	outcome = orderOutcome(err)
 	recordSince(l.s.node.metrics.orderTime, began)
 	l.s.node.metrics.count("orders_total", string(o.Kind), string(outcome))
 	if outcome != cell.OrderDone {
 		l.s.node.options.Log.Info("order", "kind", o.Kind, "subject", o.Run.Task.String(), "run", o.Run.Run, "worker", o.Worker, "outcome", outcome,
 			"error", err.Error())
 	}
-	return outcome
+	return outcome, repeated
 }
 
-// start sends a start order, which always grants a lease. The worker's clock is read first if it isn't known.
-func (l *workerLink) start(o cell.Order, second bool) error {
+// start sends a start order, which always grants a lease. The worker's clock is read first if it isn't known. Nothing is sent if
+// the order is superfluous by then.
+func (l *workerLink) start(o cell.Order, second bool, superfluous func() bool) error {
 	if err := l.readClock(); err != nil {
 		if decidesBoth(err) {
 			return err
 		}
 		return errors.Wrapf(port.ErrUnavailable, "worker clock not known: %v", err)
 	}
+	if superfluous() {
+		return errors.Wrap(port.ErrUnavailable, "the other attempt was answered")
+	}
 	l.mu.Lock()
 	call := l.beginCall()
 	l.mu.Unlock()
--- a/internal/control/orders_test.go
+++ b/internal/control/orders_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -82,6 +83,12 @@
 	return l, orders[0]
 }
 
+// outcomeOf sends an order and returns its outcome.
+func (l *workerLink) outcomeOf(o cell.Order) cell.OrderOutcome {
+	outcome, _ := l.send(o)
+	return outcome
+}
+
 // runs returns the number of runs that the scheduler expects on the only worker.
 func (s *activeTerm) runs() int { return s.core.WorkersInUse()[0].Runs }
 
@@ -205,3 +212,49 @@
 		assert.Equal(t, l.s.runs(), 0)
 	})
 }
+
+// slowFirstStart leaves the first start without an answer for longer than a second one takes.
+type slowFirstStart struct {
+	orderedWorkers
+	first atomic.Bool
+}
+
+func (w *slowFirstStart) Start(ctx context.Context, ref port.WorkerRef, s port.Start) (int64, error) {
+	if w.first.CompareAndSwap(false, true) {
+		time.Sleep(300 * time.Millisecond)
+		return 0, port.ErrUnknownOutcome
+	}
+	return w.orderedWorkers.Start(ctx, ref, s)
+}
+
+// Guards against a task that runs twice: the second attempt of its start was answered while the first was still on its way, the worker
+// restarted, and its new instance carried out the first attempt, although the task had started elsewhere.
+func TestStartIsUncertainWhileAnAttemptIsOnItsWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		workers := &slowFirstStart{}
+		l, order := newOrderingLink(t, workers)
+		l.s.sendOrder(order)
+		time.Sleep(minHedgeDelay)
+		synctest.Wait()
+		l.s.drainEvents()
+		starts, _ := workers.counts()
+		assert.Equal(t, starts, 1)
+		l.applyRenewal(t.Context(), port.RenewalReply{ClockMS: 100, Inventory: cell.Inventory{Worker: "w", StartMS: 2,
+			RequestSequence: l.s.core.OrderSequence()}}, time.Now())
+		l.s.drainEvents()
+		assert.Equal(t, l.s.runs(), 1, "the run is stopped on the new instance first")
+		time.Sleep(time.Second) // for the first attempt
+	})
+}
+
+// Guards against a start that is sent after the other attempt was answered: the run may have ended, and its end may have been noted.
+func TestSuperfluousAttemptIsNotSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		workers := &orderedWorkers{}
+		l, order := newOrderingLink(t, workers)
+		assert.ErrorIs(t, l.start(order, true, always), port.ErrUnavailable)
+		starts, _ := workers.counts()
+		assert.Equal(t, starts, 0)
+		assert.Equal(t, l.lease.calls, 0)
+	})
+}
--- a/internal/core/cell/orders.go
+++ b/internal/core/cell/orders.go
@@ -33,6 +33,8 @@
 	Ticket     string
 	Checkpoint string
 	Pace       int // percent of full speed
+	// Repeated is set with the outcome of an order if another attempt of it has no answer and may still be carried out.
+	Repeated bool
 }
 
 // OrderOutcome is the result of an order: the worker's answer, or the lack of one.
@@ -113,6 +115,7 @@
 		return true
 	}
 	t.orderInFlight = false
+	t.startUncertain = t.startUncertain || o.Repeated && o.Kind == OrderStart
 	if outcome == OrderNotSent || outcome == OrderUnanswered {
 		s.markUnresponsive(t.worker)
 	}
