control: runs of unanswered starts are stopped on the next instance

Cause: an attempt of a start that got no answer may be carried out seconds later. The instance to which it was sent refuses it once the run has ended or was stopped there, but after a restart the worker knows nothing of that, and the lease of the attempt, on the clock of the earlier instance, lies far ahead. The scheduler stops the runs that it still expects on the worker; those that had ended or been given up before the restart, whose tasks may run elsewhere or be done, were forgotten.

Evidence: with the stops left out, TestRunOfAnUnansweredStartIsStoppedOnTheNextInstance failed: orders_test.go:279: assertion failed: 0 (stops int) != 1 (int)

Fix: the link remembers attempts without an answer for 10 s, and when another instance answers, it is told to stop their runs at once, so that it refuses the attempt. An attempt that arrives before that stop is still carried out for a moment; the stop ends it.

--- a/internal/control/links.go
+++ b/internal/control/links.go
@@ -49,6 +49,7 @@
 	ack        acknowledgment
 	idle       bool      // the last inventory was empty
 	doubtUntil time.Time // a call without an answer is recent until then
+	unsettled  []unsettledStart
 }
 
 // acknowledgment is the number up to which the ended runs of an instance of a worker are durable. Each instance numbers its ended
@@ -258,6 +259,9 @@
 		for _, o := range l.s.core.ApplyInventory(r.Inventory, time.Now()) {
 			l.s.stopUnexpectedRun(o.Worker, o.Run)
 		}
+		for _, run := range l.takeUnsettled(r.Inventory.StartMS, time.Now()) {
+			l.s.stopUnexpectedRun(l.ref.ID, run)
+		}
 		l.updateAck()
 	})
 }
--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -37,6 +37,9 @@
 			}
 			if o.Kind == cell.OrderStart {
 				l.countStarts(-1)
+				if outcome == cell.OrderUnanswered || repeated {
+					l.addUnsettled(o.Run, startMS, time.Now())
+				}
 			}
 			if !s.core.ApplyOrderOutcome(o, outcome, time.Now()) {
 				s.end(errors.Wrapf(errTermLost, "worker %s has accepted a higher fencing token", o.Worker))
--- a/internal/control/orders_test.go
+++ b/internal/control/orders_test.go
@@ -258,3 +258,28 @@
 		assert.Equal(t, l.lease.calls, 0)
 	})
 }
+
+// Guards against a task that runs twice, or again after it was done: an attempt of its start had no answer, its run ended or was
+// given up, the worker restarted, and its new instance carried out the attempt.
+func TestRunOfAnUnansweredStartIsStoppedOnTheNextInstance(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		workers := &orderedWorkers{startError: port.ErrUnknownOutcome}
+		l, order := newOrderingLink(t, workers)
+		l.s.sendOrder(order)
+		synctest.Wait()
+		l.s.drainEvents()
+		l.s.core.WorkerTerminated("w", 1, time.Now())
+		assert.Equal(t, l.s.runs(), 0)
+		for _, renewal := range []struct {
+			startMS, clockMS int64
+			stops            int
+		}{{1, 61_000, 0}, {2, 100, 1}, {2, 1100, 1}} {
+			time.Sleep(time.Second)
+			l.applyRenewal(t.Context(), port.RenewalReply{ClockMS: renewal.clockMS, Inventory: cell.Inventory{Worker: "w", StartMS: renewal.startMS}}, time.Now())
+			l.s.drainEvents()
+			synctest.Wait()
+			_, stops := workers.counts()
+			assert.Equal(t, stops, renewal.stops, "%+v", renewal)
+		}
+	})
+}
