--- a/internal/control/links.go
+++ b/internal/control/links.go
@@ -259,9 +259,7 @@
 		for _, o := range l.s.core.ApplyInventory(r.Inventory, time.Now()) {
 			l.s.stopUnexpectedRun(o.Worker, o.Run)
 		}
-		for _, run := range l.takeUnsettled(r.Inventory.StartMS, time.Now()) {
-			l.s.stopUnexpectedRun(l.ref.ID, run)
-		}
+		l.stopUnsettled(r.Inventory.StartMS)
 		l.updateAck()
 	})
 }
--- a/internal/control/unsettled.go
+++ b/internal/control/unsettled.go
@@ -41,3 +41,11 @@
 	})
 	return runs
 }
+
+// stopUnsettled keeps the instance that has answered from starting runs for which an order was sent to an earlier one.
+func (l *workerLink) stopUnsettled(startMS int64) {
+	for _, run := range l.takeUnsettled(startMS, time.Now()) {
+		l.s.node.options.Log.Info("decision", "subject", run.Task.String(), "decision", "late start prevented", "run", run.Run, "worker", l.ref.ID)
+		l.s.spawn(func() { l.send(cell.Order{Kind: cell.OrderStop, Worker: l.ref.ID, Run: run}) })
+	}
+}
--- a/internal/core/cell/orders.go
+++ b/internal/core/cell/orders.go
@@ -33,7 +33,7 @@
 	Ticket     string
 	Checkpoint string
 	Pace       int // percent of full speed
-	// Repeated is set with the outcome of an order if another attempt of it has no answer and may still be carried out.
+	// Repeated is set with the outcome of a start order if another attempt of it has no answer and may still be carried out.
 	Repeated bool
 }
 
@@ -110,12 +110,12 @@
 	if t == nil || t.run != o.Run.Run || t.worker == nil || t.worker.ID != o.Worker {
 		return true
 	}
+	t.startUncertain = t.startUncertain || o.Repeated
 	if o.Kind == OrderPace {
 		s.applyPaceOutcome(t, o, outcome)
 		return true
 	}
 	t.orderInFlight = false
-	t.startUncertain = t.startUncertain || o.Repeated && o.Kind == OrderStart
 	if outcome == OrderNotSent || outcome == OrderUnanswered {
 		s.markUnresponsive(t.worker)
 	}
