--- a/internal/core/cell/orders.go
+++ b/internal/core/cell/orders.go
@@ -33,6 +33,8 @@
 	Ticket     string
 	Checkpoint string
 	Pace       int // percent of full speed
+	// Repeated is set with the outcome of a start order if another attempt of it has no answer and may still be carried out.
+	Repeated bool
 }
 
 // OrderOutcome is the result of an order: the worker's answer, or the lack of one.
@@ -110,6 +112,7 @@
 	if t == nil || t.run != o.Run.Run || t.worker == nil || t.worker.ID != o.Worker {
 		return true
 	}
+	t.startUncertain = t.startUncertain || o.Repeated
 	if o.Kind == OrderPace {
 		s.applyPaceOutcome(t, o, outcome)
 		return true
