cell: a run that the next instance started counts no crash

What callers saw: nothing that is known; LOST is possible, a job shown as failed without a cause. A start reached a worker just after a restart that nobody had noticed. The next answer showed the restart, and a crash was counted against that run, which was at work on the new instance. With one real crash before, its job was given up.

Cause: on a restart, every newly confirmed run was a suspect, also one that the new instance itself lists.

Why it works: what a new instance lists hasn't crashed the earlier one.

Measured: go test -race ./internal/core/cell and ./internal/control pass.

--- a/internal/core/cell/crashes_test.go
+++ b/internal/core/cell/crashes_test.go
@@ -419,3 +419,22 @@
 		h.renew(w, running[w], ended[w])
 	}
 }
+
+// Guards against a crash that is counted against a run which the worker's next instance has started, because its order arrived
+// after a restart that nobody had noticed yet.
+func TestRunStartedByTheNextInstanceIsNoSuspect(t *testing.T) {
+	for name, ended := range map[string]bool{"running": false, "ended": true} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, 1)
+			h.addJob(Job{ID: "a", Steps: []Step{tasks(1, 1000)}})
+			o := h.nextStarts()[0]
+			h.confirm(o)
+			if ended {
+				h.renewInstance(0, 2, nil, []EndedRow{{Number: 1, Run: o.Run, Kind: EndFailed}})
+			} else {
+				h.renewInstance(0, 2, []RunningRow{{Run: o.Run}}, nil)
+			}
+			assert.Equal(t, len(h.s.jobs["a"].steps[0].tasks[0].crashes.workers), 0)
+		})
+	}
+}
--- a/internal/core/cell/inventory.go
+++ b/internal/core/cell/inventory.go
@@ -32,6 +32,7 @@
 		return nil
 	}
 	if w.otherInstance(inv) {
+		s.clearListed(w, inv)
 		s.workerRestarted(w, inv.StartMS)
 	}
 	if inv.StartMS != 0 {
@@ -111,6 +112,22 @@
 	}
 }
 
+// clearListed clears the runs that the inventory of a new instance lists: that instance has started them, so they haven't
+// crashed the earlier one.
+func (s *Scheduler) clearListed(w *worker, inv Inventory) {
+	clearRun := func(r RunID) {
+		if t := s.findTask(r.Task); t != nil && t.worker == w && t.run == r.Run {
+			t.cleared = true
+		}
+	}
+	for _, row := range inv.Running {
+		clearRun(row.Run)
+	}
+	for _, row := range inv.Ended {
+		clearRun(row.Run)
+	}
+}
+
 // applyRunning applies an inventory row of a running task. It returns nil if the run doesn't belong to a current task.
 func (s *Scheduler) applyRunning(w *worker, row RunningRow) *task {
 	t := s.findTask(row.Run.Task)
