control: cancellations during a long load count before the first start

Cause: a new scheduling node reads the jobs and cancellations first and the progress after them. On the small nodes of a large cell that has taken 1.7 to 2.3 s (docs/incidents/2026-12-04-accepted-work-lost.md). What was canceled meanwhile was read by the first poll only, beside the first starts, and a frozen delegate could hold that poll up.

Fix: after a load of 0.5 s or more, the changes since its beginning are read and applied before anything is started. A shorter load makes no further call.

Result: the test passes.

--- a/internal/control/delegate_late_test.go
+++ b/internal/control/cancel_test.go
@@ -78,3 +78,26 @@
 		assert.Assert(t, took < limit, "%d frozen delegates: %v", frozen, took)
 	}
 }
+
+// slowLoadStore has one job. Its records of progress are read slowly, and the job is canceled meanwhile.
+type slowLoadStore struct{ canceledJob }
+
+func (slowLoadStore) Page(_ context.Context, prefix, _ string) (port.Page, error) {
+	if prefix == inPrefix {
+		return port.Page{Entries: []port.Entry{jobEntry("a")}, Revision: 5}, nil
+	}
+	time.Sleep(slowLoad)
+	return port.Page{Revision: 9}, nil
+}
+
+// Guards against a start of a job whose cancellation was acknowledged while the new scheduling node loaded its state for
+// seconds.
+func TestCancellationDuringALongLoadCounts(t *testing.T) {
+	s := newMemberCell(t, 0).s
+	s.committer = newCommitter(s)
+	s.node.options.Store = slowLoadStore{}
+	revision, err := s.load()
+	assert.NilError(t, err)
+	assert.Equal(t, s.core.State("a").Phase, cell.Canceled)
+	assert.Equal(t, revision, int64(9))
+}
--- a/internal/control/scheduling.go
+++ b/internal/control/scheduling.go
@@ -194,11 +194,31 @@
 		}
 	}
 	s.applyEntries(in, byJob)
+	revision = s.catchUp(revision, now)
 	s.node.options.Log.Info("decision", "subject", s.node.options.Name, "decision", "state loaded", "term", s.term.number, "jobs", len(in),
 		"progress", len(progress), "took_ms", time.Since(now).Milliseconds())
 	return revision, nil
 }
 
+// slowLoad is the duration of a load after which the changes since its beginning are read before anything is started. A
+// cancellation that was acknowledged in the meantime must count within 3 s.
+const slowLoad = 500 * time.Millisecond
+
+// catchUp applies what was accepted and canceled after a revision if the load has taken long. It returns the revision after
+// which changes have to be read. If that fails, pollChanges reads them.
+func (s *activeTerm) catchUp(revision int64, began time.Time) int64 {
+	if time.Since(began) < slowLoad {
+		return revision
+	}
+	entries, at, err := s.readJobChanges(revision)
+	if err != nil {
+		s.node.options.Log.Warn("changes during the load not read", "after", revision, "error", err.Error())
+		return revision
+	}
+	s.applyEntries(entries, nil)
+	return at
+}
+
 // addJob adds a job from its record. A record that can't be decoded is logged and skipped, and doesn't affect other
 // jobs.
 func (s *activeTerm) addJob(e port.Entry, progress map[cell.JobID][]byte) {
