cell: jobs that stand still are looked at in a large cell

Cause: beyond 40,000 checks a pass, a step looks only at workers on which capacity has come free. A worker that a task no longer avoids, or whose capacity is no longer withheld, isn't among them, and steps that no worker may run use up the checks of every pass.

Evidence: TestLargeCellLooksAtWorkersOfJobsThatStandStill on the code before: standstill_test.go:203: assertion failed: (worker cell.WorkerID) != w0 (cell.WorkerID): after 3s fails likewise.

Fix: a step of a job that stands still looks at all workers twice a second, whatever the pass has cost.

Result: the test passes. The cost on the largest sites wasn't measured.

--- a/internal/core/cell/pass.go
+++ b/internal/core/cell/pass.go
@@ -29,6 +29,8 @@
 	maxWorkerChecks = 40_000
 	// rescanInterval is the time after which a step that found no capacity checks all workers again.
 	rescanInterval = 100 * time.Millisecond
+	// standstillRescanInterval is the time after which a step of a job that stands still does so whatever the pass has cost.
+	standstillRescanInterval = 500 * time.Millisecond
 	// expiredPassInterval is the time between two passes that include expired jobs, of which there may be many.
 	expiredPassInterval = 100 * time.Millisecond
 	// gangRescanInterval replaces rescanInterval for a gang, which needs capacity on several workers at once.
@@ -173,7 +175,9 @@
 
 // fullScanDue reports whether a step checks all workers in this pass.
 func (s *Scheduler) fullScanDue(st *step, interval time.Duration) bool {
-	return st.fullScanAt.IsZero() || s.now.Sub(st.fullScanAt) >= interval && s.pass.workerChecks < maxWorkerChecks
+	since := s.now.Sub(st.fullScanAt)
+	return st.fullScanAt.IsZero() || since >= interval && s.pass.workerChecks < maxWorkerChecks ||
+		since >= standstillRescanInterval && s.standsStill(st)
 }
 
 // suspended reports whether placement is suspended because writes stall, and logs when that begins and ends.
--- a/internal/core/cell/standstill_test.go
+++ b/internal/core/cell/standstill_test.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -182,3 +183,22 @@
 	assert.Equal(t, len(starts), 1)
 	assert.Equal(t, starts[0].Ticket, "ticket")
 }
+
+// Guards against a job that stands still in a large cell: steps that no worker may run use up the checks of each pass, and
+// nothing has come free on the job's only worker, which it avoided for a while.
+func TestLargeCellLooksAtWorkersOfJobsThatStandStill(t *testing.T) {
+	const workers, unplaceable = 2000, 100
+	h := newHarness(t, workers)
+	h.reports[0].Labels = []string{testLabel}
+	h.s.SetWorkers(h.reports, h.now)
+	for i := range unplaceable {
+		step := tasks(1, 1000)
+		step.RequiredLabel = "no worker has it"
+		h.addJob(Job{ID: JobID(fmt.Sprint("unplaceable-", i)), Queue: urgentQueue, Steps: []Step{step}})
+	}
+	h.addJob(Job{ID: "a", Steps: []Step{labelled(tasks(1, 1000))}})
+	h.advance(0)
+	assert.Equal(t, h.failNext(), workerID(0))
+	after, worker := h.nextStart(standstillRule)
+	assert.Equal(t, worker, workerID(0), "after %v", after)
+}
