--- a/internal/proof/soak_cell_test.go
+++ b/internal/proof/soak_cell_test.go
@@ -185,8 +185,10 @@
 // restart waits until a node's process has exited and starts the node again after some time.
 func (c *soakCell) restart(n *soakNode, downtime time.Duration) {
 	<-n.current().done
+	c.network.refuse(n.settings.Name)
 	c.sleep(downtime)
 	c.start(n)
+	c.network.allow(n.settings.Name)
 }
 
 // clearFaults ends all faults of the network and the store, and resumes paused processes.
