--- a/internal/proof/faults_test.go
+++ b/internal/proof/faults_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"hash/fnv"
-	"math"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -75,7 +74,7 @@
 	for c.sleep(time.Duration(rng.ExpFloat64() * float64(s.every) * *soakInterval)) {
 		kind := s.kinds[rng.IntN(len(s.kinds))]
 		longest := min(maxFault, time.Duration(*soakSeconds)*time.Second)
-		duration := time.Duration(float64(minFault) * math.Pow(float64(longest)/float64(minFault), rng.Float64()))
+		duration := logUniform(rng, minFault, longest)
 		faultRNG := rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64()))
 		active.Go(func() { s.inject(c, kind, faultRNG, duration) })
 	}
--- a/internal/proof/soak_clients_test.go
+++ b/internal/proof/soak_clients_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -51,14 +52,14 @@
 	queue := soakQueues[rng.IntN(len(soakQueues))]
 	j := &soakJob{Job: workerproc.Job{ID: fmt.Sprintf("%08x%08x", client+1, number), Team: soakTeams[rng.IntN(len(soakTeams))], Advised: queue == "/advised/"}}
 	j.path, j.key = queue+j.ID, keyOf(j.Team)
-	first := workerproc.Step{Count: 1 + rng.IntN(3), CPU: soakTaskCPU, MemMB: 100, Duration: time.Duration(60+rng.IntN(600)) * time.Millisecond}
+	first := workerproc.Step{Count: 1 + rng.IntN(3), CPU: soakTaskCPU, MemMB: 100, Duration: logUniform(rng, minTask, maxTask)}
 	second := first
 	second.Count, second.After = 1, []int{0}
 	switch rng.IntN(10) {
 	case 0, 1:
 		first.Gang, first.Count = true, 2+rng.IntN(2)
 	case 2:
-		first.Checkpointing, first.Duration = true, time.Duration(1500+rng.IntN(2500))*time.Millisecond
+		first.Checkpointing, first.Duration = true, logUniform(rng, time.Second, maxTask)
 	case 3:
 		first.FailRuns = []int{1}
 	case 4:
@@ -76,6 +77,17 @@
 	return j
 }
 
+// minTask and maxTask bound the duration of tasks that end by themselves. The longest outlast a lease.
+const (
+	minTask = 60 * time.Millisecond
+	maxTask = 6 * time.Second
+)
+
+// logUniform returns a random duration between two bounds, as often in each octave.
+func logUniform(rng *rand.Rand, shortest, longest time.Duration) time.Duration {
+	return time.Duration(float64(shortest) * math.Pow(float64(longest)/float64(shortest), rng.Float64()))
+}
+
 // newSoakService returns a job whose task runs until it is canceled.
 func newSoakService(client, number int) *soakJob {
 	step := workerproc.Step{Count: 1, CPU: soakTaskCPU, MemMB: 100, Duration: 100 * time.Millisecond, Service: true}
--- a/internal/proof/soak_test.go
+++ b/internal/proof/soak_test.go
@@ -24,7 +24,7 @@
 	soakFaults      = flag.String("soak.faults", "all", "faults to inject: SOURCE or SOURCE.KIND, with commas, or all")
 	soakInterval    = flag.Float64("soak.interval", 1, "factor for the time between two faults")
 	soakClients     = flag.Int("soak.clients", 4, "number of clients that submit jobs")
-	soakJobInterval = flag.Duration("soak.jobs", 500*time.Millisecond, "mean time between two jobs of a client")
+	soakJobInterval = flag.Duration("soak.jobs", 800*time.Millisecond, "mean time between two jobs of a client")
 	soakPatience    = flag.Duration("soak.patience", 60*time.Second, "wait for each outcome after the faults")
 	soakLogs        = flag.String("soak.logs", "", "directory that keeps the nodes' logs of each seed that fails")
 )
--- a/internal/proof/soak_workers_test.go
+++ b/internal/proof/soak_workers_test.go
@@ -140,15 +140,8 @@
 		c.silent(w, d)
 		p.Resume()
 		c.register(w, "ready")
-	case "drain": // at times it refuses new connections before it stops to work
-		c.register(w, "draining")
-		c.sleep(d / 2)
-		if rng.IntN(2) == 0 {
-			c.network.refuse(w.ID)
-		}
-		c.sleep(d / 2)
-		c.network.allow(w.ID)
-		c.register(w, "ready")
+	case "drain":
+		c.drain(w, rng, d)
 	case "lapse":
 		c.unregister(w)
 		c.sleep(d)
@@ -167,6 +160,21 @@
 	}
 }
 
+// drain lets a worker announce that it drains, which it takes back later. At times it refuses connections meanwhile, and its
+// registry entry is removed before or after that.
+func (c *soakCell) drain(w *soakWorker, rng *rand.Rand, d time.Duration) {
+	c.register(w, "draining")
+	c.sleep(time.Duration(rng.Float64() * float64(d/2)))
+	steps := []func(){func() { c.network.refuse(w.ID) }, func() { c.unregister(w) }}
+	rng.Shuffle(len(steps), func(i, j int) { steps[i], steps[j] = steps[j], steps[i] })
+	for _, step := range steps[:rng.IntN(len(steps)+1)] {
+		step()
+		c.sleep(time.Duration(rng.Float64() * float64(d/4)))
+	}
+	c.network.allow(w.ID)
+	c.register(w, "ready")
+}
+
 // callFault returns the command for a fault of a worker's next calls.
 func callFault(kind string, rng *rand.Rand) workerproc.Command {
 	command := workerproc.Command{Path: []string{"/run-start", "/run-start", "/run-stop", "/hold", ""}[rng.IntN(5)], Count: 1 + rng.IntN(6)}
