--- a/internal/proof/soak_workers_test.go
+++ b/internal/proof/soak_workers_test.go
@@ -140,13 +140,8 @@
 		c.silent(w, d)
 		p.Resume()
 		c.register(w, "ready")
-	case "drain": // at times it refuses new connections before it stops to work
-		c.register(w, "draining")
-		c.sleep(d / 2)
-		c.setRefusing(w, rng.IntN(2) == 0)
-		c.sleep(d / 2)
-		c.setRefusing(w, false)
-		c.register(w, "ready")
+	case "drain":
+		c.drain(w, rng, d)
 	case "lapse":
 		c.unregister(w)
 		c.sleep(d)
@@ -165,6 +160,29 @@
 	}
 }
 
+// drain lets a worker announce that it drains, which it takes back later. At times it is cut off meanwhile: it refuses
+// connections, and its registry entry is removed when it has been silent for long enough, or only one of both.
+func (c *soakCell) drain(w *soakWorker, rng *rand.Rand, d time.Duration) {
+	announced := time.Now()
+	c.register(w, "draining")
+	c.sleep(time.Duration(rng.Float64() * float64(d/2)))
+	switch rng.IntN(4) {
+	case 0:
+		c.network.refuse(w.ID)
+	case 1:
+		c.sleep(registryExpiry - time.Since(announced))
+		c.unregister(w)
+	case 2:
+		c.sleep(time.Duration(rng.Float64()*float64(registryExpiry)) - time.Since(announced))
+		c.network.refuse(w.ID)
+		c.sleep(registryExpiry - time.Since(announced))
+		c.unregister(w)
+	}
+	c.sleep(d / 2)
+	c.network.allow(w.ID)
+	c.register(w, "ready")
+}
+
 // callFault returns the command for a fault of a worker's next calls.
 func callFault(kind string, rng *rand.Rand) workerproc.Command {
 	command := workerproc.Command{Path: []string{"/run-start", "/run-start", "/run-stop", "/hold", ""}[rng.IntN(5)], Count: 1 + rng.IntN(6)}
@@ -186,8 +204,10 @@
 // itself some time after its start.
 func (c *soakCell) crash(w *soakWorker, downtime, registration time.Duration) {
 	w.current().Kill()
+	c.network.refuse(w.ID)
 	c.silent(w, downtime)
 	c.startWorker(w)
+	c.network.allow(w.ID)
 	c.sleep(registration)
 	c.register(w, "ready")
 }
@@ -201,17 +221,6 @@
 	}
 }
 
-// setRefusing sets whether a worker refuses the connections of all nodes.
-func (c *soakCell) setRefusing(w *soakWorker, refusing bool) {
-	for _, n := range c.nodes {
-		l := c.network.link(n.settings.Name, w.ID)
-		l.refusing.Store(refusing)
-		if refusing {
-			l.closeConns(true)
-		}
-	}
-}
-
 // newAdvice starts an advice service for one node.
 func (c *soakCell) newAdvice() *httptest.Server {
 	a := leased.Advice{Validity: ticketValidity, Decision: 5 * time.Millisecond, PerWorker: 100 * time.Microsecond, MaxWaiting: maxAdviceCalls}
