cell: a run on probation is probed once it has run for a while

Two workers had crashed by themselves, 0.6 to 1.4 s after they had started the same task.

Cause: a crash counts against a run until an inventory has shown it at work for 0.2 s, and inventories come once a second while no run ends.

Fix: 0.2 s after a run on probation was confirmed, its worker's inventory is read beside the renewal that waits there, once for each run.

Evidence: TestRunOnProbationIsProbedOnce and TestProbeReadsTheInventoryAtOnce need the new action. Two workers that crash by themselves within 0.2 s of their starts still end a job.

--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -118,18 +118,28 @@
 	if known {
 		return nil
 	}
-	_, err, _ := l.probes.Do("", func() (any, error) {
-		requestSequence, sentAt := l.s.core.OrderSequence(), time.Now()
-		reply, err := l.renew(l.s.ctx, 0, false)
-		if err == nil {
-			reply.Inventory.RequestSequence = requestSequence
-			l.applyRenewal(l.s.ctx, reply, sentAt)
-		}
-		return nil, err
-	})
+	_, err, _ := l.probes.Do("", func() (any, error) { return nil, l.readInventory(false) })
 	return err
 }
 
+// readInventory makes a renewal that doesn't wait. A second call beside another renewal grants no lease.
+func (l *workerLink) readInventory(second bool) error {
+	requestSequence, sentAt := l.s.core.OrderSequence(), time.Now()
+	reply, err := l.renew(l.s.ctx, 0, second)
+	if err == nil {
+		reply.Inventory.RequestSequence = requestSequence
+		l.applyRenewal(l.s.ctx, reply, sentAt)
+	}
+	return err
+}
+
+// probe reads a worker's inventory beside the renewal that waits there. If it fails, that renewal shows why.
+func (s *activeTerm) probe(id cell.WorkerID) {
+	if l := s.links[id]; l != nil && l.ref.Address != "" {
+		s.spawn(func() { _ = l.readInventory(true) })
+	}
+}
+
 func orderOutcome(err error) cell.OrderOutcome {
 	switch {
 	case err == nil:
--- a/internal/control/scheduling.go
+++ b/internal/control/scheduling.go
@@ -139,6 +139,9 @@
 	for _, o := range actions.Orders {
 		s.sendOrder(o)
 	}
+	for _, id := range actions.Probes {
+		s.probe(id)
+	}
 	s.advice.dispatch()
 	s.committer.flush()
 }
--- a/internal/core/cell/crashes.go
+++ b/internal/core/cell/crashes.go
@@ -172,6 +172,33 @@
 	s.endProbation(t)
 }
 
+// dueProbes returns the workers on which a task on probation has run for clearingTime and no inventory has cleared it yet. Without
+// a probe, the next inventory may come a second later, and a worker that crashes by itself until then counts against the task. Each
+// run is probed once.
+func (s *Scheduler) dueProbes() []WorkerID {
+	if s.heldWorkers == 0 {
+		return nil
+	}
+	var due []WorkerID
+	for id, w := range s.workers {
+		if w.heldBy != nil && w.takeDueProbe(s.now) {
+			due = append(due, id)
+		}
+	}
+	return due
+}
+
+// takeDueProbe reports whether a run on the worker is due to be probed, and marks all of them as probed.
+func (w *worker) takeDueProbe(now time.Time) bool {
+	due := false
+	for t := range w.tasks {
+		if t.holds && t.phase == taskRunning && !t.cleared && !t.probed && now.Sub(t.confirmedAt) >= clearingTime {
+			t.probed, due = true, true
+		}
+	}
+	return due
+}
+
 // endProbation forgets the crashes under a task and gives its worker, or those of its gang, back to others.
 func (s *Scheduler) endProbation(t *task) {
 	s.events.LogDecision(t.id.String(), "cleared", "run", t.run, "worker", t.worker.ID, "crashes", len(t.crashes.workers))
--- a/internal/core/cell/place.go
+++ b/internal/core/cell/place.go
@@ -157,7 +157,7 @@
 func (s *Scheduler) queueIntent(t *task) {
 	t.ticket, _ = t.step.advice.validTicket(t.worker.ID, s.now)
 	t.phase, t.answered, t.orderInFlight, t.startUncertain, t.ordersSent = taskPlaced, false, false, false, 0
-	t.confirmedAt, t.cleared, t.awaitsInventory = time.Time{}, false, false
+	t.confirmedAt, t.probed, t.cleared, t.awaitsInventory = time.Time{}, false, false, false
 	t.intentVersion = s.scheduleUrgentWrite(t.step.job)
 	s.events.LogDecision(t.id.String(), "placed", "run", t.run, "worker", t.worker.ID, "free_mcpu", t.worker.free.MilliCPU,
 		"waited_ms", s.now.UnixMilli()-t.step.job.AcceptedMS, "crashes", len(t.crashes.workers))
--- a/internal/core/cell/scheduler.go
+++ b/internal/core/cell/scheduler.go
@@ -283,6 +283,7 @@
 	}
 	a.Orders = append(a.Orders, s.paceOrders...)
 	s.paceOrders = nil
+	a.Probes = s.dueProbes()
 	if now.Sub(s.lastSweep) >= sweepInterval {
 		s.lastSweep = now
 		s.evacuateServices()
@@ -295,6 +296,7 @@
 type Actions struct {
 	Orders []Order
 	Advice []AdviceRequest
+	Probes []WorkerID // workers whose inventory is to be read at once
 }
 
 const (
--- a/internal/core/cell/state.go
+++ b/internal/core/cell/state.go
@@ -55,6 +55,7 @@
 	awaitsInventory bool
 
 	confirmedAt time.Time // when the worker confirmed the current run, zero before that
+	probed      bool      // an inventory was requested to clear the current run
 	cleared     bool      // an inventory has shown the current run at work for clearingTime
 	holds       bool      // on probation: no other task is started on its worker
 	crashes     crashHistory
