cell: the model keeps orders in flight and replaces workers

A worker may be replaced by another one at its address. Leases last 1.5 s, so that they expire within a play, and workers that are cut off come back by themselves. An order for an earlier instance isn't refused by the end of its lease, which is a time on another clock. A worker that the scheduler doesn't know isn't called.

--- a/internal/core/cell/model_inventories_test.go
+++ b/internal/core/cell/model_inventories_test.go
@@ -79,12 +79,18 @@
 	m.s.SetWorkers(reports, m.now)
 }
 
-// renew extends a worker's lease and delivers its inventory, delays it or loses it.
+// renew extends a worker's lease and delivers its inventory, delays it or loses it. A worker that the scheduler doesn't know is
+// not called.
 func (m *model) renew(w *simWorker) {
 	switch {
+	case m.s.workers[w.id] == nil:
+		return
 	case w.isolated:
 		m.s.WorkerUnresponsive(w.id, m.now)
 		return
+	case !w.up && w.replaced:
+		m.s.WorkerTerminated(w.id, m.s.workers[w.id].StartMS, m.now)
+		return
 	case !w.up:
 		m.s.WorkerConnectionRefused(w.id, m.now)
 		return
--- a/internal/core/cell/model_test.go
+++ b/internal/core/cell/model_test.go
@@ -18,7 +18,7 @@
 // starts again after maxCrashes of them. At the end, it ends all faults and checks that all jobs end.
 
 const (
-	modelLease    = 4 * time.Second
+	modelLease    = 1500 * time.Millisecond
 	modelCapacity = 4000 // of a worker, unless it has shrunk; thousandths of a core
 )
 
@@ -41,6 +41,8 @@
 
 	storeDown          bool
 	delayedInventories []modelInventory
+	delayedOutcomes    []modelOutcome
+	queuedOrders       []simOrder              // issued and not sent yet
 	failures           map[StepID]map[int]bool // runs that ended as failed
 
 	crashing       map[TaskID]bool       // tasks that crash every worker that starts them
@@ -74,7 +76,9 @@
 // takeOver replaces the scheduler by that of a new lease holder, which starts from the records.
 func (m *model) takeOver() {
 	m.token++
-	m.advice, m.delayedInventories = nil, nil
+	m.advice, m.delayedInventories, m.delayedOutcomes = nil, nil, nil
+	m.delayedOrders = append(m.delayedOrders, m.queuedOrders...) // the earlier holder may still send them
+	m.queuedOrders = nil
 	m.s = New(Options{EndedRetention: time.Minute}, discardEvents{})
 	m.s.SetConfig(testConfig())
 	for _, id := range m.jobIDs() {
@@ -123,8 +127,13 @@
 	m.now = m.now.Add(rapid.SampledFrom([]time.Duration{20, 60, 150, 400, 1000}).Draw(m.t, "ms") * time.Millisecond)
 	m.endRandomRun()
 	m.executeDelayed()
+	m.reportDelayed()
+	m.sendQueued()
 	m.deliverDelayed()
 	for _, w := range m.workers {
+		if w.isolated {
+			w.isolated = !rapid.SampledFrom([]bool{true, false, false, false}).Draw(m.t, "reconnects")
+		}
 		m.endStopped(w)
 		m.expireLease(w)
 		m.renew(w)
@@ -181,13 +190,6 @@
 
 func (m *model) worker(id WorkerID) *simWorker { return m.workers[indexOf(id)] }
 
-const (
-	orderAnswered deliveryResult = iota
-	answerLost
-	orderLost
-	orderDelayed
-)
-
 // Guards against duplicate runs, overcommitted workers and lost jobs under lost and delayed orders, restarts, network
 // partitions and takeovers.
 func TestModel(t *testing.T) {
@@ -203,6 +205,7 @@
 			"finish":   func(t *rapid.T) { m.t = t; m.endRandomRun() },
 			"cut":      func(t *rapid.T) { m.t = t; w := m.randomWorker(); w.isolated = !w.isolated },
 			"crash":    func(t *rapid.T) { m.t = t; m.crash(m.randomWorker()) },
+			"replace":  func(t *rapid.T) { m.t = t; m.replace(m.randomWorker()) },
 			"restart":  func(t *rapid.T) { m.t = t; m.restart(m.randomWorker()) },
 			"takeover": func(t *rapid.T) { m.t = t; m.takeOver() },
 			"store":    func(t *rapid.T) { m.t = t; m.storeDown = !m.storeDown },
--- a/internal/core/cell/model_workers_test.go
+++ b/internal/core/cell/model_workers_test.go
@@ -9,16 +9,6 @@
 	"sequoiastall/internal/core/resource"
 )
 
-type simOrder struct {
-	Order
-	token     int
-	leaseEnd  time.Time
-	executeAt time.Time // when a delayed order is carried out
-	capacity  int64     // highest capacity of the worker since the order was issued, in thousandths of a core
-	instance  int64     // startMS of the instance to which the scheduler issued it
-	issuedAt  time.Time
-}
-
 type simRun struct {
 	run      int
 	need     resource.Vector
@@ -40,6 +30,7 @@
 	startMS        int64
 	instances      int64 // started so far
 	up, isolated   bool
+	replaced       bool  // another worker answers at its address
 	capacity       int64 // thousandths of a core
 	token          int
 	leaseEnd       time.Time
@@ -60,63 +51,11 @@
 	if !m.recovered {
 		w.capacity = rapid.SampledFrom([]int64{1000, 2500, modelCapacity, modelCapacity}).Draw(m.t, "capacity")
 	}
+	w.replaced = false
 	w.up, w.token, w.leaseEnd, w.lastEndNumber, w.ack = true, 0, time.Time{}, 0, 0
 	w.runs, w.refusedThrough, w.ended, w.ordered = map[TaskID]simRun{}, map[TaskID]int{}, nil, map[TaskID]bool{}
 }
 
-// deliveryResult is what happens to an order on its way to the worker and back.
-type deliveryResult int
-
-// send delivers an order to its worker, loses the order or its answer, or delays the order.
-func (m *model) send(o Order) {
-	w := m.worker(o.Worker)
-	if o.Kind == OrderStart {
-		w.ordered[o.Run.Task] = w.ordered[o.Run.Task] || false
-	}
-	order := simOrder{Order: o, token: m.token, leaseEnd: m.now.Add(modelLease), capacity: w.shownCapacity(),
-		instance: m.s.workers[w.id].StartMS, issuedAt: m.now}
-	result := rapid.SampledFrom([]deliveryResult{orderAnswered, orderAnswered, orderAnswered, answerLost, orderLost, orderDelayed}).Draw(m.t, "luck")
-	switch {
-	case !w.up || w.isolated:
-		m.s.ApplyOrderOutcome(o, OrderNotSent, m.now)
-	case m.recovered || result == orderAnswered:
-		m.noteLease(w, order)
-		m.s.ApplyOrderOutcome(o, m.execute(w, order), m.now)
-	case result == answerLost:
-		m.noteLease(w, order)
-		m.execute(w, order)
-		m.s.ApplyOrderOutcome(o, OrderUnanswered, m.now)
-	case result == orderLost:
-		m.noteLease(w, order)
-		m.s.ApplyOrderOutcome(o, OrderUnanswered, m.now)
-	default:
-		m.noteLease(w, order)
-		order.executeAt = m.now.Add(rapid.SampledFrom([]time.Duration{100, 500, 2000, 6000}).Draw(m.t, "late") * time.Millisecond)
-		m.delayedOrders = append(m.delayedOrders, order)
-		m.s.ApplyOrderOutcome(o, OrderUnanswered, m.now)
-	}
-}
-
-// noteLease postpones the time at which the scheduling node considers a worker's lease expired, if a start order may have
-// extended the lease.
-func (m *model) noteLease(w *simWorker, o simOrder) {
-	if o.Kind == OrderStart && o.leaseEnd.After(w.lapsesAt) {
-		w.lapsesAt = o.leaseEnd
-	}
-}
-
-func (m *model) executeDelayed() {
-	kept := m.delayedOrders[:0]
-	for _, o := range m.delayedOrders {
-		if o.executeAt.After(m.now) {
-			kept = append(kept, o)
-		} else if w := m.worker(o.Worker); w.up {
-			m.execute(w, o)
-		}
-	}
-	m.delayedOrders = kept
-}
-
 // stopRun begins to stop a run, which may take until a later tick.
 func (m *model) stopRun(w *simWorker, id TaskID) {
 	r := w.runs[id]
@@ -155,15 +94,15 @@
 		}
 		return OrderDone
 	}
+	misdirected := o.instance != w.startMS // its lease ends on the clock of another instance, which shows more
 	switch {
 	case exists && current.run == o.Run.Run:
 		return OrderDone
 	case exists || o.Run.Run <= w.refusedThrough[o.Run.Task]:
 		return OrderStale
-	case o.leaseEnd.Before(m.now):
+	case o.leaseEnd.Before(m.now) && !misdirected:
 		return OrderRefused
 	}
-	misdirected := o.instance != w.startMS
 	if !misdirected {
 		m.checkStart(w, o)
 	}
@@ -220,9 +159,11 @@
 // issued.
 func (m *model) setCapacity(w *simWorker, milliCPU int64) {
 	w.capacity = milliCPU
-	for i := range m.delayedOrders {
-		if o := &m.delayedOrders[i]; o.Worker == w.id {
-			o.capacity = max(o.capacity, milliCPU)
+	for _, orders := range [][]simOrder{m.delayedOrders, m.queuedOrders} {
+		for i := range orders {
+			if o := &orders[i]; o.Worker == w.id {
+				o.capacity = max(o.capacity, milliCPU)
+			}
 		}
 	}
 }
@@ -256,6 +197,12 @@
 	}
 }
 
+// replace crashes a worker and lets another one answer at its address.
+func (m *model) replace(w *simWorker) {
+	m.crash(w)
+	w.replaced = true
+}
+
 // hideCrash forgets the crashes on a worker that the scheduler can't tell from a network partition.
 func (m *model) hideCrash(w *simWorker) {
 	for task, c := range m.crashedStart {
