--- a/internal/proof/faults_test.go
+++ b/internal/proof/faults_test.go
@@ -48,13 +48,16 @@
 	{"machine", 900 * time.Millisecond, machineKinds, (*soakCell).injectMachineFault},
 }
 
+// allFaults is the filter that selects all faults.
+const allFaults = "all"
+
 // selectFaults returns the sources and kinds that the filter names: a list of SOURCE or SOURCE.KIND with commas, or
-// "all".
+// allFaults.
 func selectFaults(filter string) []faultSource {
 	var selected []faultSource
 	names := strings.Split(filter, ",")
 	for _, s := range faultSources {
-		if !slices.Contains(names, "all") && !slices.Contains(names, s.name) {
+		if !slices.Contains(names, allFaults) && !slices.Contains(names, s.name) {
 			s.kinds = slices.DeleteFunc(slices.Clone(s.kinds), func(kind string) bool { return !slices.Contains(names, s.name+"."+kind) })
 		}
 		if len(s.kinds) > 0 {
@@ -65,16 +68,15 @@
 }
 
 // injectUntilCalm injects faults until c.calm is closed, which also ends those that are active.
-func (s faultSource) injectUntilCalm(c *soakCell, seed uint64) {
+func (s faultSource) injectUntilCalm(c *soakCell, p soakPlan) {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(s.name)) // never fails
-	rng := rand.New(rand.NewPCG(seed, h.Sum64()))
+	rng := rand.New(rand.NewPCG(p.seed, h.Sum64()))
 	var active sync.WaitGroup
 	defer active.Wait()
-	for c.sleep(time.Duration(rng.ExpFloat64() * float64(s.every) * *soakInterval)) {
+	for c.sleep(time.Duration(rng.ExpFloat64() * float64(s.every) * p.interval)) {
 		kind := s.kinds[rng.IntN(len(s.kinds))]
-		longest := min(maxFault, time.Duration(*soakSeconds)*time.Second)
-		duration := logUniform(rng, minFault, longest)
+		duration := logUniform(rng, minFault, min(maxFault, p.length))
 		faultRNG := rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64()))
 		active.Go(func() { s.inject(c, kind, faultRNG, duration) })
 	}
--- a/internal/proof/soak_test.go
+++ b/internal/proof/soak_test.go
@@ -18,41 +18,55 @@
 	soakSeeds       = flag.Int("soak.seeds", 0, "number of additional seeds to run, starting with soak.first")
 	soakFirst       = flag.Uint64("soak.first", 1000, "first of the additional seeds")
 	soakNodes       = flag.Int("soak.nodes", 4, "number of nodes; from 17 on, members carry the calls to workers")
-	soakSeconds     = flag.Int("soak.seconds", 5, "seconds of fault injection for each seed")
+	soakSeconds     = flag.Int("soak.seconds", 5, "seconds of fault injection for each additional seed")
 	soakWorkers     = flag.Int("soak.workers", 6, "number of workers")
 	soakBinary      = flag.String("soak.binary", "", "path of another binary that the nodes run")
-	soakFaults      = flag.String("soak.faults", "all", "faults to inject: SOURCE or SOURCE.KIND, with commas, or all")
-	soakInterval    = flag.Float64("soak.interval", 1, "factor for the time between two faults")
+	soakFaults      = flag.String("soak.faults", allFaults, "faults of the additional seeds: SOURCE or SOURCE.KIND, with commas, or all")
+	soakInterval    = flag.Float64("soak.interval", 1, "factor for the time between two faults of the additional seeds")
 	soakClients     = flag.Int("soak.clients", 4, "number of clients that submit jobs")
 	soakJobInterval = flag.Duration("soak.jobs", 800*time.Millisecond, "mean time between two jobs of a client")
 	soakPatience    = flag.Duration("soak.patience", 60*time.Second, "wait for each outcome after the faults")
 	soakLogs        = flag.String("soak.logs", "", "directory that keeps the nodes' logs of each seed that fails")
 )
 
-// regressionSeeds lists the seeds that CI runs: one that has never failed, and every seed that has failed, with the
+// soakPlan says which faults a seed injects.
+type soakPlan struct {
+	seed     uint64
+	faults   string        // for selectFaults
+	interval float64       // factor for the time between two faults
+	length   time.Duration // of the injection
+}
+
+// regressionPlans lists what CI runs: a mix that has never failed, and the faults under which the soak has failed, with the
 // cause.
-var regressionSeeds = []uint64{
-	1,
+var regressionPlans = []soakPlan{
+	{1, allFaults, 1, 5 * time.Second},
 	// A worker that had restarted under the same ID received the acknowledgement cursor of its previous incarnation and
 	// discarded ended runs that had not been acknowledged.
-	1026,
+	{1026, "machine.crash,machine.unanswered,node,peer,worker,storage", 0.7, 5 * time.Second},
+	// Workers that restarted with less capacity received tasks up to their former capacity.
+	{4000, "machine.change", 0.5, 4 * time.Second},
+	// The runs of a draining worker that was cut off started elsewhere while they went on.
+	{6000, "machine.drain", 0.3, 14 * time.Second},
 }
 
 // TestSoak guards against guarantees that break under overlapping faults: nodes are killed, stopped and paused, and get
 // malformed messages; the link of any pair is delayed, limited in rate, reset, silenced, refused and cut in one direction,
-// with data that is lost or comes late; the store fails; workers crash, drain, lapse, shrink and lose responses. Accepted jobs must run once and end, refused jobs must never run, a job that is shown as completed
-// must be done, services must run until they are canceled, and no node may end by itself.
+// with data that is lost or comes late; the store fails; workers crash, pause, drain, lapse, change their capacity, and
+// carry out orders late. Every rule of runcheck must hold, all accepted jobs must end, services must run until they are
+// canceled, and no node may end by itself.
 func TestSoak(t *testing.T) {
-	seeds := regressionSeeds
+	plans := regressionPlans
 	for i := range *soakSeeds {
-		seeds = append(seeds, *soakFirst+uint64(i))
+		plans = append(plans, soakPlan{*soakFirst + uint64(i), *soakFaults, *soakInterval, time.Duration(*soakSeconds) * time.Second})
 	}
-	for _, seed := range seeds {
-		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) { soak(t, seed) })
+	for _, p := range plans {
+		t.Run(fmt.Sprint("seed=", p.seed), func(t *testing.T) { soak(t, p) })
 	}
 }
 
-func soak(t *testing.T, seed uint64) {
+func soak(t *testing.T, p soakPlan) {
+	seed := p.seed
 	c := newSoakCell(t, seed)
 	defer c.keepLogs(seed)
 	c.awaitReady()
@@ -66,11 +80,11 @@
 	clients.Go(func() {
 		jobs[*soakClients] = c.submitServices(rand.New(rand.NewPCG(seed, servicesStream)), *soakClients)
 	})
-	for _, source := range selectFaults(*soakFaults) {
-		faults.Go(func() { source.injectUntilCalm(c, seed) })
+	for _, source := range selectFaults(p.faults) {
+		faults.Go(func() { source.injectUntilCalm(c, p) })
 	}
 	faults.Go(func() { c.sendMalformedUntilCalm(rand.New(rand.NewPCG(seed, malformedStream))) })
-	time.Sleep(time.Duration(*soakSeconds) * time.Second)
+	time.Sleep(p.length)
 	close(c.calm)
 	faults.Wait()
 	clients.Wait()
