--- a/internal/proof/faults_test.go
+++ b/internal/proof/faults_test.go
@@ -148,12 +148,12 @@
 	victims = slices.DeleteFunc(slices.Clone(victims), func(n *soakNode) bool { return !n.claimed.CompareAndSwap(false, true) })
 	var wg sync.WaitGroup
 	for _, n := range victims {
+		victimRNG := rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64()))
 		wg.Go(func() {
 			defer n.claimed.Store(false)
 			defer c.faults.begin(nil, "node.%s %s", kind, n.settings.Name)()
-			c.disturb(n, kind, rng, d)
+			c.disturb(n, kind, victimRNG, d)
 		})
-		rng = rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64()))
 	}
 	wg.Wait()
 }
