cell: a late inventory that lists an unexpected run doesn't end it

A run that was given up and goes on is counted until it is gone; it was forgotten while its worker still listed it, so its task started elsewhere and its room was given away.

Cause: an inventory that was requested before another run was known to have ended adds no unexpected runs, because it may list that one. The runs that it lists were then taken for absent.

Evidence: TestUnexpectedRunOutlastsALateInventoryThatListsIt failed before: unexpected_test.go:189: assertion failed: 1 (int) != 0 (int)

Fix: such an inventory still shows which known unexpected runs go on.

--- a/internal/core/cell/inventory.go
+++ b/internal/core/cell/inventory.go
@@ -55,8 +55,10 @@
 	for _, row := range inv.Running {
 		if t := s.applyRunning(w, row); t != nil {
 			seen[t] = true
-		} else if inv.RequestSequence >= w.runGoneAt {
-			listed[row.Run] = true
+			continue
+		}
+		listed[row.Run] = true
+		if inv.RequestSequence >= w.runGoneAt {
 			s.addUnexpected(w, row.Run)
 			unexpectedStops = append(unexpectedStops, Order{Kind: OrderStop, Worker: w.ID, Run: row.Run})
 		}
--- a/internal/core/cell/unexpected_test.go
+++ b/internal/core/cell/unexpected_test.go
@@ -170,3 +170,21 @@
 	h.advance(20 * time.Millisecond)
 	assert.Equal(t, len(h.takeStarts()), 1)
 }
+
+// Guards against starts beside an unexpected run that is still listed: the inventory was requested before another run was known to
+// have ended.
+func TestUnexpectedRunOutlastsALateInventoryThatListsIt(t *testing.T) {
+	h, run := giveUpRun(t)
+	h.renew(0, []RunningRow{{Run: run}}, nil)
+	h.addJob(Job{ID: "b", Steps: []Step{tasks(1, 1000)}})
+	h.advance(20 * time.Millisecond)
+	other := h.takeStarts()
+	assert.Equal(t, len(other), 1)
+	h.confirm(other...)
+	requested := h.s.OrderSequence()
+	h.renew(0, []RunningRow{{Run: run}}, []EndedRow{{Number: 1, Run: other[0].Run, Kind: EndDone}})
+	h.s.ApplyInventory(Inventory{Worker: workerID(0), StartMS: 1, RequestSequence: requested, Running: []RunningRow{{Run: run}, {Run: other[0].Run}}}, h.now)
+	h.addJob(Job{ID: "c", Steps: []Step{tasks(1, 3000)}})
+	h.advance(20 * time.Millisecond)
+	assert.Equal(t, len(h.takeStarts()), 0)
+}
