cell: no decided start goes out beside a run of an unknown job

What callers may see: LIMIT. The needs of such a run aren't known, so nothing is placed beside it; a start that had been placed before went out nevertheless.

Evidence: TestDecidedStartIsDroppedBesideAnUnknownRun failed before: unexpected_test.go:199: assertion failed: 1 (int) != 0 (int)

Fix: the check before each start includes it.

--- a/internal/core/cell/orders.go
+++ b/internal/core/cell/orders.go
@@ -87,6 +87,10 @@
 			s.startRejected(t, "the registry lists another instance of the worker")
 			return Order{}, false
 		}
+		if t.worker.unknownRuns > 0 {
+			s.startRejected(t, "the worker lists a run of an unknown job")
+			return Order{}, false
+		}
 		if s.startsHeld {
 			return Order{}, false
 		}
--- a/internal/core/cell/unexpected_test.go
+++ b/internal/core/cell/unexpected_test.go
@@ -188,3 +188,16 @@
 	h.advance(20 * time.Millisecond)
 	assert.Equal(t, len(h.takeStarts()), 0)
 }
+
+// Guards against a start beside a run of an unknown job, whose needs aren't known, because the start was decided before.
+func TestDecidedStartIsDroppedBesideAnUnknownRun(t *testing.T) {
+	h := newHarness(t, 1)
+	h.addJob(Job{ID: "a", Steps: []Step{tasks(1, 3000)}})
+	assert.Equal(t, len(h.decide()), 0)
+	h.renew(0, []RunningRow{{Run: RunID{TaskID{"unknown", 0, 0}, 1}}}, nil)
+	h.advance(20 * time.Millisecond)
+	assert.Equal(t, len(h.takeStarts()), 0)
+	h.renew(0, nil, nil)
+	h.advance(20 * time.Millisecond)
+	assert.Equal(t, len(h.takeStarts()), 1)
+}
