cell: an answer at the address of an earlier entry ends no instance

What callers may see: TWICE. A registry entry of an earlier instance is read late, another worker answers at its address, and the runs of the current instance are released while they go on.

Cause: the answer was taken for the end of the newest known instance, whatever entry the address came from.

Evidence: TestAnswerAtTheAddressOfAnEarlierEntryReleasesNothing failed before: release_test.go:124: assertion failed: 0 (taskWaiting) != 4 (taskRunning)

Fix: it ends an instance only if the worker's registry entry is that instance's.

--- a/internal/core/cell/orders.go
+++ b/internal/core/cell/orders.go
@@ -125,7 +125,7 @@
 	if outcome == OrderNotSent || outcome == OrderUnanswered {
 		s.markUnresponsive(t.worker)
 	}
-	if outcome == OrderInstanceTerminated && t.orderedFrom == t.worker.StartMS {
+	if outcome == OrderInstanceTerminated && t.orderedFrom == t.worker.StartMS && t.worker.described() {
 		s.workerTerminated(t.worker, "another instance answers at its address")
 	}
 	if s.applyOutcomeAfterRelease(t, outcome) || t.worker == nil {
--- a/internal/core/cell/release_test.go
+++ b/internal/core/cell/release_test.go
@@ -89,3 +89,17 @@
 	assert.Equal(t, len(h.takeStarts()), 0)
 	assert.Equal(t, h.s.jobs["b"].steps[0].tasks[0].phase, taskRunning)
 }
+
+// Guards against runs that are taken for ended while they go on: another worker answers at the address of a registry entry of an
+// earlier instance, which was read late.
+func TestAnswerAtTheAddressOfAnEarlierEntryReleasesNothing(t *testing.T) {
+	h := newHarness(t, 0)
+	h.listInstance(0, 2, 4000)
+	h.renewInstance(0, 2, nil, nil)
+	h.addJob(Job{ID: "a", Steps: []Step{tasks(1, 1000)}})
+	h.advance(20 * time.Millisecond)
+	h.confirm(h.takeStarts()...)
+	h.listInstance(0, 1, 4000)
+	h.s.WorkerTerminated(workerID(0), 2, h.now)
+	assert.Equal(t, h.s.jobs["a"].steps[0].tasks[0].phase, taskRunning)
+}
--- a/internal/core/cell/workers.go
+++ b/internal/core/cell/workers.go
@@ -97,10 +97,10 @@
 }
 
 // WorkerTerminated reports that an instance of a worker has definitely ended, because another instance answers at its
-// address.
+// address. If the address is that of another instance's registry entry, it shows nothing of this one.
 func (s *Scheduler) WorkerTerminated(id WorkerID, startMS int64, now time.Time) {
 	s.now = now
-	if w := s.workers[id]; w != nil && (startMS == 0 || w.StartMS == startMS) {
+	if w := s.workers[id]; w != nil && (startMS == 0 || w.StartMS == startMS) && w.described() {
 		s.workerTerminated(w, "another instance answers at its address")
 	}
 }
