cell: a start whose outcome leaves its run open isn't released

What callers may see: TWICE. A start was in flight when its worker was taken for ended. If it was answered as stale, or another attempt of it had no answer, its run may be done or still start; it was released at once.

Evidence: TestRunIsKeptIfTheOutcomeLeavesItOpen failed before, in both cases: release_test.go:108: assertion failed: 1 (int) != 0 (int)

--- a/internal/core/cell/orders.go
+++ b/internal/core/cell/orders.go
@@ -140,13 +140,13 @@
 }
 
 // applyOutcomeAfterRelease applies the outcome of a start that was in flight when all runs on its worker were released. It
-// reports whether the run is known not to exist.
+// reports whether the run is known not to exist. After OrderStale, the run may have ended and its end isn't listed yet.
 func (s *Scheduler) applyOutcomeAfterRelease(t *task, outcome OrderOutcome) bool {
 	if !t.releasedInFlight {
 		return false
 	}
 	t.releasedInFlight = false
-	if outcome == OrderDone || outcome == OrderUnanswered {
+	if t.startUncertain || outcome == OrderDone || outcome == OrderUnanswered || outcome == OrderStale {
 		return false
 	}
 	s.releaseRun(t, "its start wasn't carried out")
--- a/internal/core/cell/release_test.go
+++ b/internal/core/cell/release_test.go
@@ -90,6 +90,26 @@
 	assert.Equal(t, h.s.jobs["b"].steps[0].tasks[0].phase, taskRunning)
 }
 
+// Guards against a task that starts elsewhere although its run may go on or be done: the start was in flight when its worker was
+// taken for ended, and its outcome doesn't show that no attempt was carried out.
+func TestRunIsKeptIfTheOutcomeLeavesItOpen(t *testing.T) {
+	for name, apply := range map[string]func(h *harness, o Order){
+		"stale": func(h *harness, o Order) { h.s.ApplyOrderOutcome(o, OrderStale, h.now) },
+		"repeated": func(h *harness, o Order) {
+			o.Repeated = true
+			h.s.ApplyOrderOutcome(o, OrderRefused, h.now)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h, o := startInFlight(t)
+			h.s.WorkerTerminated(o.Worker, 1, h.now)
+			apply(h, o)
+			h.advance(20 * time.Millisecond)
+			assert.Equal(t, len(h.takeStarts()), 0)
+		})
+	}
+}
+
 // Guards against runs that are taken for ended while they go on: another worker answers at the address of a registry entry of an
 // earlier instance, which was read late.
 func TestAnswerAtTheAddressOfAnEarlierEntryReleasesNothing(t *testing.T) {
