control: unanswered starts are remembered while their worker is away

What callers may see: TWICE. A start got no answer, its worker left the registry and came back under its ID; the new instance wasn't told to refuse that start and might carry it out late. A stop that got no answer wasn't repeated either. Found by the review.

Cause: the starts without an answer were kept with the link, which is closed when a worker without runs leaves the registry.

Fix: the term keeps them for 10 s, and a stop without an answer is due again with the next inventory.

--- a/internal/control/links.go
+++ b/internal/control/links.go
@@ -49,7 +49,6 @@
 	ack        acknowledgment
 	idle       bool      // the last inventory was empty
 	doubtUntil time.Time // a call without an answer is recent until then
-	unsettled  []unsettledStart
 }
 
 // acknowledgment is the number up to which the ended runs of an instance of a worker are durable. Each instance numbers its ended
@@ -85,6 +84,7 @@
 			delete(s.links, id)
 		}
 	}
+	s.unsettled.prune(time.Now())
 }
 
 // openLink creates a link to a worker and closes the former one, if there is one.
--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -38,7 +38,7 @@
 			if o.Kind == cell.OrderStart {
 				l.countStarts(-1)
 				if outcome == cell.OrderUnanswered || repeated {
-					l.addUnsettled(o.Run, startMS, time.Now())
+					s.unsettled.add(o.Worker, unsettledStart{o.Run, startMS, time.Now()})
 				}
 			}
 			if !s.core.ApplyOrderOutcome(o, outcome, time.Now()) {
--- a/internal/control/orders_test.go
+++ b/internal/control/orders_test.go
@@ -62,7 +62,7 @@
 	node, _, _ := newIsolatedNode()
 	node.options.MaxLease = longestLease
 	s := &activeTerm{node: node, term: confirmedTerm(3), events: make(chan func(), eventBuffer), core: cell.New(cell.Options{}, discardEvents{}),
-		links: map[cell.WorkerID]*workerLink{}, carriers: newCarriers(workers, spreading{}), wonAt: now}
+		links: map[cell.WorkerID]*workerLink{}, unsettled: unsettledStarts{}, carriers: newCarriers(workers, spreading{}), wonAt: now}
 	s.ctx, s.end = context.WithCancelCause(t.Context())
 	t.Cleanup(func() { s.end(nil); s.tasks.Wait() })
 	s.core.SetConfig(cell.NewConfig(cell.Config{Version: 1, Queues: []cell.Queue{{Name: "q", Service: "pool", MaxAttempts: 2, Stretch: 3}}}))
@@ -288,3 +288,32 @@
 		}
 	})
 }
+
+// Guards against a run that starts late on the next instance of a worker that had left the registry in between.
+func TestUnansweredStartIsRememberedWhileItsWorkerIsAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		workers := &orderedWorkers{startError: port.ErrUnknownOutcome, renewalError: port.ErrUnavailable}
+		l, order := newOrderingLink(t, workers)
+		l.s.sendOrder(order)
+		synctest.Wait()
+		l.s.drainEvents()
+		l.s.core.WorkerTerminated("w", 1, time.Now())
+		l.s.core.SetWorkers(nil, time.Now())
+		l.s.updateLinks()
+		assert.Equal(t, len(l.s.links), 0)
+
+		time.Sleep(time.Second)
+		l.s.core.SetWorkers([]cell.WorkerReport{{ID: "w", Address: "a", Service: "pool", Capacity: oneCore, StartMS: 2}}, time.Now())
+		l.s.updateLinks()
+		next := l.s.links["w"]
+		next.applyRenewal(t.Context(), port.RenewalReply{ClockMS: 100, Inventory: cell.Inventory{Worker: "w", StartMS: 2}}, time.Now())
+		l.s.drainEvents()
+		time.Sleep(time.Millisecond)
+		_, stops := workers.counts()
+		assert.Equal(t, stops, 1)
+
+		time.Sleep(2 * maxStartDelay)
+		l.s.updateLinks()
+		assert.Equal(t, len(l.s.unsettled), 0)
+	})
+}
--- a/internal/control/scheduling.go
+++ b/internal/control/scheduling.go
@@ -26,6 +26,7 @@
 	tasks  conc.WaitGroup
 
 	links         map[cell.WorkerID]*workerLink
+	unsettled     unsettledStarts
 	advice        *advicePool
 	committer     *committer
 	members       *members
@@ -51,7 +52,7 @@
 	termCtx, end := context.WithCancelCause(ctx)
 	defer end(nil)
 	s := &activeTerm{node: n, term: t, events: make(chan func(), eventBuffer), ctx: termCtx, end: end, links: map[cell.WorkerID]*workerLink{},
-		recordWaiters: recordWaiters{}, began: began, wonAt: time.Now()}
+		unsettled: unsettledStarts{}, recordWaiters: recordWaiters{}, began: began, wonAt: time.Now()}
 	s.core = cell.New(cell.Options{EndedRetention: n.options.EndedRetention, MaxRegistryAge: maxRegistryAge}, decisionLog{n.options.Log, n.metrics})
 	s.advice = newAdvicePool(s)
 	s.committer = newCommitter(s)
--- a/internal/control/unsettled.go
+++ b/internal/control/unsettled.go
@@ -18,34 +18,57 @@
 // maxStartDelay is how long after its outcome was taken for unknown a start may be carried out.
 const maxStartDelay = 10 * time.Second
 
-// addUnsettled records an attempt of a start without an answer.
-func (l *linkState) addUnsettled(run cell.RunID, startMS int64, now time.Time) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.unsettled = append(l.unsettled, unsettledStart{run, startMS, now})
+func (u unsettledStart) expired(now time.Time) bool { return now.Sub(u.at) > maxStartDelay }
+
+// unsettledStarts holds the unsettled starts of a term by worker. It outlasts the links, because a worker may leave and come
+// back under its ID. It must be used only on the scheduler's goroutine.
+type unsettledStarts map[cell.WorkerID][]unsettledStart
+
+func (u unsettledStarts) add(worker cell.WorkerID, start unsettledStart) {
+	u[worker] = append(u[worker], start)
 }
 
-// takeUnsettled returns the runs that an instance may start late because the order was sent to an earlier one.
-func (l *linkState) takeUnsettled(startMS int64, now time.Time) []cell.RunID {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	var runs []cell.RunID
-	l.unsettled = slices.DeleteFunc(l.unsettled, func(u unsettledStart) bool {
-		if now.Sub(u.at) > maxStartDelay {
-			return true
-		}
-		if u.startMS != startMS {
-			runs = append(runs, u.run)
+// take removes and returns the starts that an instance of a worker may carry out late because they were sent to an earlier one.
+func (u unsettledStarts) take(worker cell.WorkerID, startMS int64, now time.Time) []unsettledStart {
+	var taken, kept []unsettledStart
+	for _, start := range u[worker] {
+		switch {
+		case start.expired(now):
+		case start.startMS == startMS:
+			kept = append(kept, start)
+		default:
+			taken = append(taken, start)
 		}
-		return u.startMS != startMS
-	})
-	return runs
+	}
+	u.set(worker, kept)
+	return taken
+}
+
+func (u unsettledStarts) set(worker cell.WorkerID, starts []unsettledStart) {
+	if len(starts) == 0 {
+		delete(u, worker)
+		return
+	}
+	u[worker] = starts
+}
+
+// prune drops the starts that can't be carried out any more.
+func (u unsettledStarts) prune(now time.Time) {
+	for worker, starts := range u {
+		u.set(worker, slices.DeleteFunc(starts, func(s unsettledStart) bool { return s.expired(now) }))
+	}
 }
 
-// stopUnsettled keeps the instance that has answered from starting runs for which an order was sent to an earlier one.
+// stopUnsettled keeps the instance that has answered from carrying out starts that were sent to an earlier one. A stop without
+// an answer is repeated after the next inventory.
 func (l *workerLink) stopUnsettled(startMS int64) {
-	for _, run := range l.takeUnsettled(startMS, time.Now()) {
-		l.s.node.options.Log.Info("decision", "subject", run.Task.String(), "decision", "late start prevented", "run", run.Run, "worker", l.ref.ID)
-		l.s.spawn(func() { l.send(cell.Order{Kind: cell.OrderStop, Worker: l.ref.ID, Run: run}) })
+	for _, start := range l.s.unsettled.take(l.ref.ID, startMS, time.Now()) {
+		l.s.node.options.Log.Info("decision", "subject", start.run.Task.String(), "decision", "late start prevented", "run", start.run.Run, "worker", l.ref.ID)
+		l.s.spawn(func() {
+			outcome, _ := l.send(cell.Order{Kind: cell.OrderStop, Worker: l.ref.ID, Run: start.run})
+			if outcome == cell.OrderUnanswered || outcome == cell.OrderNotSent {
+				l.s.post(l.s.ctx, func() { l.s.unsettled.add(l.ref.ID, start) })
+			}
+		})
 	}
 }
