--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -51,7 +51,7 @@
 // stopUnexpectedRun stops a run that the scheduler doesn't expect on its worker. If the order is lost, the worker lists
 // the run again.
 func (s *activeTerm) stopUnexpectedRun(o cell.Order) {
-	s.node.options.Log.Info("decision", "subject", o.Run.Task.String(), "decision", "stray run stopped", "run", o.Run.Run, "worker", o.Worker)
+	s.node.options.Log.Info("decision", "subject", o.Run.Task.String(), "decision", "unexpected run stopped", "run", o.Run.Run, "worker", o.Worker)
 	if l := s.links[o.Worker]; l != nil && l.ref.Address != "" {
 		s.spawn(func() { l.send(o) })
 	}
--- a/internal/core/cell/state.go
+++ b/internal/core/cell/state.go
@@ -96,7 +96,7 @@
 	steps           []*step
 	phase           Phase
 	started         bool      // a task has started
-	idleSince       time.Time // since when nothing of the job runs, zero while a run is confirmed
+	idleSince       time.Time // since when nothing of the job is allocated to a worker, zero from the confirmation of a run until then
 	cancelRequested bool
 	allocatedTasks  int    // tasks that hold capacity on a worker
 	version         uint64 // rises with each change to the recorded state
@@ -129,6 +129,7 @@
 	terminated      bool      // its instance is known to have ended
 	unresponsive    bool      // didn't answer its last call
 	lastInventoryAt time.Time // when its last inventory was applied
+	// The following order sequences tell inventories apart by when they were requested, because answers overtake each other.
 	// instanceSince is the order sequence from which on a request can't be answered by an earlier instance any more.
 	instanceSince uint64
 	// runGoneAt is the order sequence at which a run was last found to be gone. An inventory requested before may list that run
