Soak: relays listen below the range of outgoing connections

A relay that refuses connections closes its listener; meanwhile an outgoing connection of the same address may take its port, which the system had chosen.

The relays have fixed ports now.

--- a/internal/proof/network_test.go
+++ b/internal/proof/network_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -53,6 +54,10 @@
 	n.wg.Wait()
 }
 
+// firstRelayPort is the first port of the relays of a network. They lie below the system's range for outgoing connections, one of
+// which could otherwise take the port of a relay while that refuses connections.
+const firstRelayPort = 20_000
+
 // relayTo returns an address at which all nodes reach the target.
 func (n *network) relayTo(name, target string) string {
 	n.t.Helper()
@@ -62,9 +67,10 @@
 // relayFrom returns an address at which one node reaches the target. If from is empty, it is for all nodes.
 func (n *network) relayFrom(from, name, target string) string {
 	n.t.Helper()
-	e := &endpoint{from: from, name: name, target: target, address: net.JoinHostPort(n.ip, "0")}
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	port := firstRelayPort + len(n.endpoints)
+	e := &endpoint{from: from, name: name, target: target, address: net.JoinHostPort(n.ip, strconv.Itoa(port))}
 	n.endpoints = append(n.endpoints, e)
 	n.open(e)
 	return e.address
