--- a/internal/proof/network_test.go
+++ b/internal/proof/network_test.go
@@ -54,9 +54,12 @@
 	n.wg.Wait()
 }
 
-// firstRelayPort is the first port of the relays of a network. They lie below the system's range for outgoing connections, one of
-// which could otherwise take the port of a relay while that refuses connections.
-const firstRelayPort = 20_000
+// Relays and workers have ports below the system's range for outgoing connections, one of which could otherwise take the port of
+// a relay that refuses connections, or of a worker that is down.
+const (
+	firstWorkerPort = 19_000
+	firstRelayPort  = 20_000
+)
 
 // relayTo returns an address at which all nodes reach the target.
 func (n *network) relayTo(name, target string) string {
--- a/internal/proof/soak_workers_test.go
+++ b/internal/proof/soak_workers_test.go
@@ -4,7 +4,9 @@
 	"fmt"
 	"hash/fnv"
 	"math/rand/v2"
+	"net"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -58,7 +60,8 @@
 
 // addWorker starts a worker with a random capacity, labels and clocks.
 func (c *soakCell) addWorker(i int, rng *rand.Rand) {
-	w := &soakWorker{ID: fmt.Sprint("w", i), options: workerproc.Options{ID: fmt.Sprint("w", i), Address: c.network.ip + ":0", Service: soakService}}
+	address := net.JoinHostPort(c.network.ip, strconv.Itoa(firstWorkerPort+i))
+	w := &soakWorker{ID: fmt.Sprint("w", i), options: workerproc.Options{ID: fmt.Sprint("w", i), Address: address, Service: soakService}}
 	w.draw(rng)
 	if i < len(soakLabels) {
 		w.keepsLabel, w.options.Labels[0] = true, soakLabels[i]
