--- /dev/null
+++ b/review/standin2/cases.go
@@ -0,0 +1,324 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"sequoiastall/internal/standin/leased"
+	"sequoiastall/internal/standin/workerproc"
+)
+
+// admitAll is an advice service like that of the queue route-plan, which admits every worker.
+func admitAll(c *cell) leased.Advice {
+	const validity = 2500 * time.Millisecond
+	a := leased.Advice{Validity: validity, Decision: 360 * time.Millisecond, PerWorker: 5100 * time.Microsecond, MaxWaiting: 32}
+	a.Admit = func(step, worker string) (string, bool) {
+		return workerproc.NewTicket(step, worker, c.fleet.Life(worker), workerproc.Now()+validity), true
+	}
+	return a
+}
+
+// repoint: the service of a queue is full, and the operator sends the queue to another service, which is idle. A job that was
+// accepted before must run there, as the one does that is handed in after the change.
+func repoint(c *cell, trouble bool) string {
+	for i := range 4 {
+		service := "pool-a"
+		if i >= 2 {
+			service = "pool-b"
+		}
+		c.addWorker(workerproc.Options{ID: fmt.Sprint("i-", i), Service: service, Labels: []string{"a", fmt.Sprint("r1-", i)}, Capacity: workerproc.Capacity{CPU: 16000, MemMB: 32768}})
+	}
+	base := route{name: "r-base", prefix: "/base/", service: "pool-a", priority: 0, stretch: 4, sloMS: 3000}
+	plan := route{name: "r-plan", prefix: "/plan/", service: "pool-a", priority: 1, stretch: 4, sloMS: 3000}
+	other := route{name: "r-log", prefix: "/log/", service: "pool-b", priority: 1, stretch: 4, sloMS: 3000}
+	c.configure(7, base, plan, other)
+	c.addNodes(3, admitAll(c))
+	c.awaitReady(plan.prefix)
+	lasting := workerproc.Job{ID: newID(), Team: team, Steps: []workerproc.Step{{Count: 32, CPU: 1000, MemMB: 100, Duration: 200 * time.Millisecond, Service: true}}}
+	c.submit(base.prefix, lasting)
+	if !eventually(10*time.Second, func() bool { return c.starts(lasting.ID) == 32 }) {
+		panic(fatal{fmt.Errorf("the lasting job doesn't fill its service")})
+	}
+	steps := []workerproc.Step{{Count: 2, CPU: 1000, MemMB: 500, Duration: 2 * time.Second}}
+	before, after := workerproc.Job{ID: newID(), Team: team, Steps: steps}, workerproc.Job{ID: newID(), Team: team, Steps: steps}
+	c.record.add("job %s is handed in before the change, %s after it", before.ID, after.ID)
+	c.submit(plan.prefix, before)
+	time.Sleep(visible)
+	if trouble {
+		plan.service = "pool-b"
+		c.configure(8, base, plan, other)
+	}
+	time.Sleep(configApply + time.Second)
+	c.submit(plan.prefix, after)
+	// The traffic has ended. Jobs are asked for finish after that.
+	time.Sleep(finish)
+	for range 5 {
+		for _, n := range c.nodes {
+			_, _ = c.ask(n, http.MethodGet, plan.prefix+before.ID, key, "")
+			_, _ = c.ask(n, http.MethodGet, plan.prefix+after.ID, key, "")
+		}
+		time.Sleep(time.Second)
+	}
+	c.record.add("runs under way on each worker: %v", c.running())
+	c.record.add("starts of %s: %d, of %s: %d", before.ID, c.starts(before.ID), after.ID, c.starts(after.ID))
+	if trouble && c.starts(before.ID) == 0 {
+		return fmt.Sprintf("LOST: nothing of %s, which was accepted, has run by %s after the end of the traffic, and the service of its queue is idle", before.ID, finish+5*time.Second)
+	}
+	return ""
+}
+
+// starve: large jobs come at once on a queue of a service that is full. A job of another service, which is idle, must start.
+func starve(c *cell, trouble bool) string {
+	for i := range 4 {
+		c.addWorker(workerproc.Options{ID: fmt.Sprint("i-", i), Service: "pool-a", Labels: []string{"a", fmt.Sprint("r1-", i)}, Capacity: workerproc.Capacity{CPU: 16000, MemMB: 32768}})
+	}
+	c.addWorker(workerproc.Options{ID: "i-4", Service: "pool-b", Labels: []string{"a", "r1-9"}, Capacity: workerproc.Capacity{CPU: 16000, MemMB: 32768}})
+	base := route{name: "r-base", prefix: "/base/", service: "pool-a", priority: 0, stretch: 4, sloMS: 3000}
+	plan := route{name: "r-plan", prefix: "/plan/", service: "pool-a", priority: 1, stretch: 2.2, sloMS: 1000, advice: map[string]any{"decision_ms": 360.0, "period_ms": 5.1, "validity_ms": 2500}}
+	log := route{name: "r-log", prefix: "/log/", service: "pool-b", priority: 2, stretch: 4, sloMS: 3000}
+	c.configure(7, base, plan, log)
+	c.addNodes(3, admitAll(c))
+	c.awaitReady(log.prefix)
+	lasting := workerproc.Job{ID: newID(), Team: team, Steps: []workerproc.Step{{Count: 64, CPU: 1000, MemMB: 100, Duration: 200 * time.Millisecond, Service: true}}}
+	c.submit(base.prefix, lasting)
+	if !eventually(10*time.Second, func() bool { return c.starts(lasting.ID) == 64 }) {
+		panic(fatal{fmt.Errorf("the lasting job doesn't fill its service")})
+	}
+	time.Sleep(2 * time.Second)
+	if trouble {
+		// 1.84 a second, times 2.2, for 4 s, as the burst of route-plan in the site file, and the usual traffic before and after it.
+		c.burst(plan.prefix)
+	}
+	j := workerproc.Job{ID: newID(), Team: team, Steps: []workerproc.Step{{Count: 2, CPU: 1000, MemMB: 500, Duration: time.Second}}}
+	c.submit(log.prefix, j)
+	accepted := time.Now()
+	for time.Since(accepted) < 60*time.Second {
+		if c.starts(j.ID) > 0 {
+			c.record.add("the job of the idle service has started after %s", time.Since(accepted))
+			return ""
+		}
+		_, _ = c.ask(c.nodes[0], http.MethodGet, log.prefix+j.ID, key, "")
+		time.Sleep(time.Second)
+	}
+	return "LOST: nothing starts"
+}
+
+func (c *cell) burst(prefix string) {
+	for range 60 {
+		j := workerproc.Job{ID: newID(), Team: team, Steps: []workerproc.Step{{Count: 8, CPU: 4500, MemMB: 2000, Duration: 10 * time.Second}}}
+		c.submit(prefix, j)
+		time.Sleep(60 * time.Millisecond)
+	}
+}
+
+// crashes: two workers crash, one after the other, within seconds of the start of a job. No run has failed, so the job must
+// not be shown as failed.
+func crashes(c *cell, trouble bool) string {
+	const workers = 8
+	for i := range workers {
+		c.addWorker(workerproc.Options{ID: fmt.Sprint("i-", i), Service: "pool", Labels: []string{"a", fmt.Sprint("r1-", i)}, Capacity: workerproc.Capacity{CPU: 8000, MemMB: 16000}})
+	}
+	q := route{name: "r-plan", prefix: "/plan/", service: "pool", priority: 1, stretch: 4, sloMS: 3000}
+	c.configure(7, q)
+	c.addNodes(3, admitAll(c))
+	c.awaitReady(q.prefix)
+	time.Sleep(2 * time.Second)
+	lasting := workerproc.Job{ID: newID(), Team: team, Steps: []workerproc.Step{{Count: 12, CPU: 1000, MemMB: 100, Duration: 300 * time.Millisecond, Service: true}}}
+	finite := workerproc.Job{ID: newID(), Team: team, Steps: []workerproc.Step{{Count: 12, CPU: 1000, MemMB: 100, Duration: 3 * time.Second}}}
+	c.submit(q.prefix, lasting)
+	c.submit(q.prefix, finite)
+	if !eventually(8*time.Second, func() bool { return c.starts(lasting.ID) >= 12 && c.starts(finite.ID) >= 12 }) {
+		panic(fatal{fmt.Errorf("the jobs don't start")})
+	}
+	time.Sleep(400 * time.Millisecond)
+	if trouble {
+		c.crash(c.most(false), 500*time.Millisecond, nil)
+		time.Sleep(time.Second)
+		c.crash(c.most(true), 500*time.Millisecond, nil)
+	}
+	broken := ""
+	for range 15 {
+		for _, j := range []workerproc.Job{lasting, finite} {
+			if _, state := c.ask(c.nodes[0], http.MethodGet, q.prefix+j.ID, key, ""); strings.Contains(state, "failed") && broken == "" {
+				broken = "LOST: " + j.ID + " is shown as failed"
+			}
+		}
+		time.Sleep(time.Second)
+	}
+	failed := c.seen(func(e workerproc.Event) bool { return e.Kind == workerproc.Ended && e.Outcome == workerproc.Failed })
+	c.record.add("runs that ended failed: %d", len(failed))
+	return broken
+}
+
+// most returns the worker with most runs, or the one whose newest run is the newest of all.
+func (c *cell) most(newest bool) string {
+	if newest {
+		started := c.seen(func(e workerproc.Event) bool { return e.Kind == workerproc.Started })
+		return started[len(started)-1].Worker
+	}
+	best, runs := "", c.running()
+	for id, n := range runs {
+		if best == "" || n > runs[best] {
+			best = id
+		}
+	}
+	return best
+}
+
+// public: a route is removed, and a public one is added in its place. The job that its tenant has handed in before must stay
+// known to callers, who send no key on a public route.
+func public(c *cell, trouble bool) string {
+	c.addWorker(workerproc.Options{ID: "i-0", Service: "pool", Labels: []string{"a", "r1-0"}, Capacity: workerproc.Capacity{CPU: 8000, MemMB: 16000}})
+	q := route{name: "r-plan", prefix: "/plan/", service: "pool", priority: 1, stretch: 4, sloMS: 3000}
+	c.configure(7, q)
+	c.addNodes(3, admitAll(c))
+	c.awaitReady(q.prefix)
+	j := workerproc.Job{ID: newID(), Team: team, Steps: []workerproc.Step{{Count: 2, CPU: 1000, MemMB: 500, Duration: 25 * time.Second}}}
+	c.submit(q.prefix, j)
+	time.Sleep(visible + time.Second)
+	for _, n := range c.nodes {
+		_, _ = c.ask(n, http.MethodGet, q.prefix+j.ID, key, "")
+	}
+	q.name, q.public = "r-plan-2", trouble
+	c.configure(8, q)
+	time.Sleep(configApply + 3*time.Second)
+	sent := key
+	if trouble {
+		sent = ""
+	}
+	broken := ""
+	for _, n := range c.nodes {
+		if status, _ := c.ask(n, http.MethodGet, q.prefix+j.ID, sent, ""); status == http.StatusGone {
+			broken = "LOST: a GET for " + j.ID + ", which was accepted and which nobody has cancelled, is answered 410 by " + n.name
+		}
+	}
+	_, _ = c.ask(c.nodes[0], http.MethodDelete, q.prefix+j.ID, sent, "")
+	time.Sleep(4 * time.Second)
+	c.record.add("runs under way 4 s after the answer to DELETE: %v", c.running())
+	return broken
+}
+
+// foreign: an entry of another writer stands in the registry in place of a worker's: its service isn't named in the
+// configuration, fields are missing, and its address is that of another worker. It names no worker to use, so what runs on the
+// worker mustn't be started elsewhere.
+func foreign(c *cell, trouble bool) string {
+	for i := range 4 {
+		c.addWorker(workerproc.Options{ID: fmt.Sprint("i-", i), Service: "pool", Labels: []string{"a", fmt.Sprint("r1-", i)}, Capacity: workerproc.Capacity{CPU: 16000, MemMB: 32768}})
+	}
+	q := route{name: "r-plan", prefix: "/plan/", service: "pool", priority: 1, stretch: 4, sloMS: 3000}
+	c.configure(7, q)
+	c.addNodes(3, admitAll(c))
+	c.awaitReady(q.prefix)
+	time.Sleep(2 * time.Second)
+	j := workerproc.Job{ID: newID(), Team: team, Steps: []workerproc.Step{{Count: 4, CPU: 1000, MemMB: 500, Duration: 15 * time.Second}}}
+	c.submit(q.prefix, j)
+	if !eventually(5*time.Second, func() bool { return c.starts(j.ID) == 4 }) {
+		panic(fatal{fmt.Errorf("the job doesn't start")})
+	}
+	time.Sleep(4 * time.Second)
+	if trouble {
+		holder := c.seen(func(e workerproc.Event) bool { return e.Kind == workerproc.Started })[0].Worker
+		other := "i-3"
+		if holder == other {
+			other = "i-2"
+		}
+		c.mu.Lock()
+		address := c.workers[other].process.Address
+		c.mu.Unlock()
+		entry := fmt.Sprintf(`{"service":"another-system","address":%q,"state":"ready","capacity":{"cpu":4000,"mem_mb":8192}}`, address)
+		for range 2 {
+			c.store.Put("servers/"+holder, []byte(entry))
+			c.record.add("another writer writes servers/%s: %s", holder, entry)
+			time.Sleep(heartbeat)
+		}
+	}
+	time.Sleep(5 * time.Second)
+	return c.twice()
+}
+
+// twice returns how two runs of one task were under way at the same time on workers that were up, or "".
+func (c *cell) twice() string {
+	active := map[string]map[string]workerproc.Event{} // by task and by run and worker
+	leases := map[string]time.Duration{}
+	for _, e := range c.seen(func(workerproc.Event) bool { return true }) {
+		run := fmt.Sprintf("run %d on %s", e.Run, e.Worker)
+		switch e.Kind {
+		case workerproc.Leased:
+			leases[e.Worker] = e.Until
+		case workerproc.Started:
+			for other, s := range active[e.Task] {
+				if e.At < leases[s.Worker] {
+					return fmt.Sprintf("TWICE: run %d of %s starts on %s while %s is under way since %s, with a lease for %s more", e.Run, e.Task, e.Worker, other, (e.At - s.At).Round(time.Millisecond), (leases[s.Worker] - e.At).Round(time.Millisecond))
+				}
+			}
+			if active[e.Task] == nil {
+				active[e.Task] = map[string]workerproc.Event{}
+			}
+			active[e.Task][run] = e
+		case workerproc.Ended:
+			delete(active[e.Task], run)
+		case workerproc.Down:
+			for _, runs := range active {
+				for r, s := range runs {
+					if s.Worker == e.Worker && s.Life == e.Life {
+						delete(runs, r)
+					}
+				}
+			}
+		}
+	}
+	return ""
+}
+
+// otherKind: a worker hangs and crashes, and comes back at once under its ID as another kind. Tasks that need its former label
+// mustn't start there.
+func otherKind(c *cell, trouble bool) string {
+	for i := range 8 {
+		label := "b"
+		if i < 2 {
+			label = "a"
+		}
+		c.addWorker(workerproc.Options{ID: fmt.Sprint("i-", i), Service: "pool", Labels: []string{label, fmt.Sprint("r1-", i)}, Capacity: workerproc.Capacity{CPU: 16000, MemMB: 32768}})
+	}
+	q := route{name: "r-log", prefix: "/log/", service: "pool", priority: 1, stretch: 4, sloMS: 3000}
+	c.configure(7, q)
+	c.addNodes(3, admitAll(c))
+	c.awaitReady(q.prefix)
+	time.Sleep(2 * time.Second)
+	stop := make(chan struct{})
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(20 * time.Millisecond):
+				j := workerproc.Job{ID: newID(), Team: team, Steps: []workerproc.Step{{Count: 2, CPU: 1000, MemMB: 500, Duration: 400 * time.Millisecond, Label: "a"}}}
+				_, _ = c.ask(c.nodes[0], http.MethodPost, q.prefix+j.ID, key, j.Body())
+			}
+		}
+	}()
+	time.Sleep(3 * time.Second)
+	if trouble {
+		c.mu.Lock()
+		p := c.workers["i-0"].process
+		c.mu.Unlock()
+		c.record.add("the worker i-0 falls silent")
+		p.Pause()
+		time.Sleep(300 * time.Millisecond)
+		c.crash("i-0", 0, func(o *workerproc.Options) {
+			o.Labels = []string{"b", "r1-0"}
+		})
+	}
+	time.Sleep(4 * time.Second)
+	close(stop)
+	<-done
+	time.Sleep(2 * time.Second)
+	if wrong := c.seen(func(e workerproc.Event) bool { return e.Kind == workerproc.Started && e.Worker == "i-0" && e.Life == 2 }); len(wrong) > 0 {
+		return fmt.Sprintf("ROUTE: %d starts of tasks that need the label a on i-0, which has the label b, the first one run %d of %s", len(wrong), wrong[0].Run, wrong[0].Task)
+	}
+	return ""
+}
