--- a/review/standin2/cases.go
+++ b/review/standin2/cases.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 
 	"sequoiastall/internal/standin/leased"
@@ -278,3 +279,47 @@
 	}
 	return ""
 }
+
+// gangAdvice: two of the three workers that may run a gang are down when it is handed in, and come back. The gang, of which two
+// members may run on a worker, must start then.
+func gangAdvice(c *cell, trouble bool) string {
+	for i := range 16 {
+		label := "b"
+		if i < 3 {
+			label = "a"
+		}
+		c.addWorker(workerproc.Options{ID: fmt.Sprint("i-", i), Service: "pool", Labels: []string{label, fmt.Sprint("r1-", i)}, Capacity: workerproc.Capacity{CPU: 16000, MemMB: 32768}})
+	}
+	q := route{name: "r-plan", prefix: "/plan/", service: "pool", priority: 1, stretch: 2.2, sloMS: 1000, advice: map[string]any{"decision_ms": 360.0, "period_ms": 5.1, "validity_ms": 2500}}
+	c.configure(7, q)
+	c.addNodes(3, admitAll(c))
+	c.awaitReady(q.prefix)
+	time.Sleep(2 * time.Second)
+	steps := []workerproc.Step{{Count: 3, CPU: 1000, MemMB: 500, Duration: 2 * time.Second, Gang: true, Label: "a", MaxPerServer: 2}}
+	j, later := workerproc.Job{ID: newID(), Team: team, Steps: steps, Advised: true}, workerproc.Job{ID: newID(), Team: team, Steps: steps, Advised: true}
+	c.record.add("job %s is handed in while the workers are down, %s after their return", j.ID, later.ID)
+	var returned sync.WaitGroup
+	if trouble {
+		for _, id := range []string{"i-0", "i-1"} {
+			returned.Go(func() { c.crash(id, 3*time.Second, nil) })
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+	c.submit(q.prefix, j)
+	returned.Wait()
+	time.Sleep(5 * time.Second)
+	c.submit(q.prefix, later)
+	// The traffic has ended. Jobs are asked for finish after that.
+	time.Sleep(finish)
+	for range 4 {
+		_, _ = c.ask(c.nodes[0], http.MethodGet, q.prefix+j.ID, key, "")
+		_, _ = c.ask(c.nodes[1], http.MethodGet, q.prefix+later.ID, key, "")
+		time.Sleep(time.Second)
+	}
+	c.record.add("runs under way on each worker: %v", c.running())
+	c.record.add("starts of %s: %d, of %s: %d", j.ID, c.starts(j.ID), later.ID, c.starts(later.ID))
+	if c.starts(j.ID) == 0 {
+		return fmt.Sprintf("LOST: nothing of %s, which was accepted, has run by %s after the end of the traffic, and all workers are up and idle", j.ID, finish+4*time.Second)
+	}
+	return ""
+}
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -14,11 +14,12 @@
 
 // cases are the cases by name. Each returns how the rule was broken, or "" if it held.
 var cases = map[string]func(c *cell, trouble bool) string{
-	"repoint":   repoint,
-	"crashes":   crashes,
-	"public":    public,
-	"foreign":   foreign,
-	"otherkind": otherKind,
+	"repoint":    repoint,
+	"crashes":    crashes,
+	"public":     public,
+	"foreign":    foreign,
+	"otherkind":  otherKind,
+	"gangadvice": gangAdvice,
 }
 
 func main() {
