--- a/review/standin2/cell.go
+++ b/review/standin2/cell.go
@@ -28,8 +28,6 @@
 	configApply = 2 * time.Second
 	visible     = 3 * time.Second
 	finish      = 14 * time.Second
-	drainFor    = 2 * time.Second
-	linger      = 7 * time.Second
 )
 
 // Ports of a node; each node has an address of its own.
@@ -102,9 +100,7 @@
 	}
 	c.fleet.Close()
 	c.store.Close()
-	if os.Getenv("KEEP") == "" {
-		_ = os.RemoveAll(c.dir)
-	}
+	_ = os.RemoveAll(c.dir)
 }
 
 func (c *cell) observe(e workerproc.Event) {
@@ -242,26 +238,6 @@
 	c.addWorker(o)
 }
 
-// leave lets workers announce that they drain, and leave as the platform does.
-func (c *cell) leave(ids ...string) {
-	for _, id := range ids {
-		c.record.add("the worker %s drains", id)
-		c.setState(id, "draining")
-	}
-	go func() {
-		time.Sleep(drainFor + linger)
-		for _, id := range ids {
-			c.mu.Lock()
-			p := c.workers[id].process
-			c.mu.Unlock()
-			c.setState(id, "")
-			p.Kill()
-			c.store.Delete("servers/" + id)
-			c.record.add("the worker %s has left", id)
-		}
-	}()
-}
-
 // addNodes starts nodes with the command of the deploy file, each with an advice service that handles one call at a time.
 func (c *cell) addNodes(count int, advice leased.Advice) {
 	binary, err := filepath.Abs("target/sequoiastall")
@@ -335,7 +311,7 @@
 	name, prefix, service string
 	priority              int
 	stretch               float64
-	sloMS, estimate       int
+	sloMS                 int
 	public                bool
 	advice                map[string]any
 }
