--- a/review/standin2/cell.go
+++ b/review/standin2/cell.go
@@ -51,6 +51,7 @@
 	store  *leased.Store
 	fleet  *workerproc.Fleet
 	nodes  []*node
+	capCPU int64 // limit of the tenant, in thousandths of a core; 0: none
 
 	mu      sync.Mutex
 	workers map[string]*worker
@@ -316,7 +317,7 @@
 	advice                map[string]any
 }
 
-// configure writes a configuration. Its tenant has one key and no limit.
+// configure writes a configuration. Its tenant has one key.
 func (c *cell) configure(version int, routes ...route) {
 	var list []map[string]any
 	var services []map[string]any
@@ -333,7 +334,7 @@
 		c.record.add("configuration %d: route %s, prefix %s, service %s, public %t", version, r.name, r.prefix, r.service, r.public)
 	}
 	value, err := json.Marshal(map[string]any{"version": version, "routes": list, "services": services, "limits": map[string]any{"body_bytes": 262144},
-		"tenants": []any{map[string]any{"name": team, "api_keys": []string{key}, "weight": 1000}}})
+		"tenants": []any{map[string]any{"name": team, "api_keys": []string{key}, "weight": 1000, "cap": map[string]any{"cpu": c.capCPU}}}})
 	must(err)
 	c.store.Put("op/config", value)
 	c.record.add("configuration %d is acknowledged by the store", version)
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -15,7 +15,7 @@
 // cases are the cases by name. Each returns how the rule was broken, or "" if it held.
 var cases = map[string]func(c *cell, trouble bool) string{
 	"repoint":    repoint,
-	"crashes":    crashes,
+	"ganglimit":  gangLimit,
 	"foreign":    foreign,
 	"otherkind":  otherKind,
 	"gangadvice": gangAdvice,
