Gangs that can't be placed ask for advice on further workers

A job whose gang allows two tasks on a worker and needs advice stayed pending for good, with all workers up and idle, if most of its workers were down when it was handed in.

Cause: gangMayFit counted the capacity of the allowed workers without the limit of tasks on one worker, so one worker counted as enough for three members. The search then failed, and that branch asked for no advice on further workers. Workers that came back were never named in a call.

The scheduling node's log has one call for the gang, with one worker named and one good. In the scheduler's test gangMayFit is true, the allowed workers are those of that call, and workersToAsk returns the other two, unused.

Change: a gang that can't be placed asks about further workers, whatever the reason, also while it avoids its allowed worker. One function counts how many further tasks of a step a worker can hold; withheld capacity is spread by it too, where a worker could get more than it can ever hold.

The liveness simulation draws more admitted workers, limits of one to three tasks on a worker, shares of gangs and outages of most workers.

--- /dev/null
+++ b/internal/core/cell/liveness_jobs_test.go
@@ -0,0 +1,68 @@
+package cell
+
+import (
+	"fmt"
+	"time"
+)
+
+func (c *liveCell) submit() {
+	id := JobID(fmt.Sprintf("j%03d", len(c.jobs)))
+	j := &liveJob{Job: Job{ID: id, Queue: plainQueue, Team: "team", Service: "pool", AcceptedMS: c.now.UnixMilli(),
+		Terms: Terms{MaxAttempts: 4, Stretch: 3, SlackMS: 1000}}, admitted: map[int]map[WorkerID]bool{},
+		lastEnd: map[TaskID]time.Time{}, stillAt: map[TaskID]time.Time{}}
+	if c.chance(0.6) {
+		j.Queue = advisedQueue
+	}
+	switch {
+	case c.chance(0.1):
+		j.Team = "slow"
+	case c.chance(0.2):
+		j.Team = "small"
+	}
+	j.failing = c.chance(c.p.failing)
+	j.crashing = !c.calm && c.chance(c.p.crashing)
+	for n := range 1 + c.random.IntN(2) {
+		st := c.randomStep()
+		if n > 0 {
+			st.After, st.LongRunning = []int{n - 1}, false
+		}
+		j.Steps = append(j.Steps, st)
+		j.admitted[n] = map[WorkerID]bool{}
+		for range 1 + c.random.IntN(c.p.admitted) {
+			j.admitted[n][workerID(c.random.IntN(len(c.workers)))] = true
+		}
+		if st.LongRunning {
+			break
+		}
+	}
+	c.jobs = append(c.jobs, j)
+	c.byID[id] = j
+	if err := c.s.AddJob(j.Job, nil, c.now); err != nil {
+		c.t.Fatal(err)
+	}
+	if c.chance(0.05) || j.Steps[0].LongRunning && c.chance(0.7) {
+		c.events = append(c.events, liveEvent{c.now.Add(c.between(0, 8*time.Second)), func() { c.cancel(j) }})
+	}
+}
+
+func (c *liveCell) cancel(j *liveJob) {
+	j.canceled, j.canceledAt = true, c.now
+	c.s.CancelJob(j.ID)
+}
+
+func (c *liveCell) randomStep() Step {
+	st := tasks(1+c.random.IntN(4), 250+250*c.random.Int64N(6))
+	st.EstimateMS = 100 + c.random.Int64N(1000)
+	if c.chance(0.15) {
+		st = tasks(1+c.random.IntN(2), 3500)
+	}
+	st.Gang = st.Count > 1 && c.chance(c.p.gangs)
+	if c.p.labelled > 0 && c.chance(0.2) {
+		st.RequiredLabel = testLabel
+	}
+	if c.chance(c.p.spread) {
+		st.MaxPerWorker = 1 + c.random.IntN(3)
+	}
+	st.LongRunning = c.chance(0.05)
+	return st
+}
--- a/internal/core/cell/liveness_test.go
+++ b/internal/core/cell/liveness_test.go
@@ -59,11 +59,14 @@
 type liveParameters struct {
 	workers, adviceNodes int
 	admitted             int     // workers that the advice admits for a step, at most
+	outages              float64 // share of faults that take down most workers together
 	arrivals             float64 // jobs a second
 	failing              float64 // share of jobs whose tasks fail by themselves
 	crashing             float64 // share of jobs whose tasks crash their workers, during the faults
 	faultsPerSecond      float64
-	labelled             int // workers with testLabel
+	labelled             int     // workers with testLabel
+	gangs                float64 // share of steps with several tasks that are gangs
+	spread               float64 // share of steps with a limit of tasks on one worker
 }
 
 type liveJob struct {
@@ -281,68 +284,6 @@
 	}
 }
 
-func (c *liveCell) submit() {
-	id := JobID(fmt.Sprintf("j%03d", len(c.jobs)))
-	j := &liveJob{Job: Job{ID: id, Queue: plainQueue, Team: "team", Service: "pool", AcceptedMS: c.now.UnixMilli(),
-		Terms: Terms{MaxAttempts: 4, Stretch: 3, SlackMS: 1000}}, admitted: map[int]map[WorkerID]bool{},
-		lastEnd: map[TaskID]time.Time{}, stillAt: map[TaskID]time.Time{}}
-	if c.chance(0.6) {
-		j.Queue = advisedQueue
-	}
-	switch {
-	case c.chance(0.1):
-		j.Team = "slow"
-	case c.chance(0.2):
-		j.Team = "small"
-	}
-	j.failing = c.chance(c.p.failing)
-	j.crashing = !c.calm && c.chance(c.p.crashing)
-	for n := range 1 + c.random.IntN(2) {
-		st := c.randomStep()
-		if n > 0 {
-			st.After, st.LongRunning = []int{n - 1}, false
-		}
-		j.Steps = append(j.Steps, st)
-		j.admitted[n] = map[WorkerID]bool{}
-		for range 1 + c.random.IntN(c.p.admitted) {
-			j.admitted[n][workerID(c.random.IntN(len(c.workers)))] = true
-		}
-		if st.LongRunning {
-			break
-		}
-	}
-	c.jobs = append(c.jobs, j)
-	c.byID[id] = j
-	if err := c.s.AddJob(j.Job, nil, c.now); err != nil {
-		c.t.Fatal(err)
-	}
-	if c.chance(0.05) || j.Steps[0].LongRunning && c.chance(0.7) {
-		c.events = append(c.events, liveEvent{c.now.Add(c.between(0, 8*time.Second)), func() { c.cancel(j) }})
-	}
-}
-
-func (c *liveCell) cancel(j *liveJob) {
-	j.canceled, j.canceledAt = true, c.now
-	c.s.CancelJob(j.ID)
-}
-
-func (c *liveCell) randomStep() Step {
-	st := tasks(1+c.random.IntN(4), 250+250*c.random.Int64N(6))
-	st.EstimateMS = 100 + c.random.Int64N(1000)
-	if c.chance(0.15) {
-		st = tasks(1+c.random.IntN(2), 3500)
-	}
-	st.Gang = st.Count > 1 && c.chance(0.25)
-	if c.p.labelled > 0 && c.chance(0.2) {
-		st.RequiredLabel = testLabel
-	}
-	if c.chance(0.15) {
-		st.MaxPerWorker = 1
-	}
-	st.LongRunning = c.chance(0.05)
-	return st
-}
-
 // liveLog keeps the decisions of a simulation for failure messages.
 type liveLog struct {
 	c     *liveCell
@@ -361,12 +302,15 @@
 		p := liveParameters{
 			workers:         rapid.SampledFrom([]int{4, 8, 16}).Draw(t, "workers"),
 			adviceNodes:     rapid.IntRange(2, 6).Draw(t, "advice nodes"),
-			admitted:        rapid.IntRange(1, 4).Draw(t, "admitted"),
+			admitted:        rapid.SampledFrom([]int{1, 2, 4, 8, 16}).Draw(t, "admitted"),
+			outages:         rapid.SampledFrom([]float64{0, 0.1, 0.5}).Draw(t, "outages"),
 			arrivals:        rapid.Float64Range(0.5, 8).Draw(t, "arrivals"),
 			crashing:        rapid.SampledFrom([]float64{0, 0, 0.1, 0.5}).Draw(t, "crashing"),
 			failing:         rapid.SampledFrom([]float64{0, 0.1, 0.5}).Draw(t, "failing"),
 			faultsPerSecond: rapid.Float64Range(0, 4).Draw(t, "faults"),
-			labelled:        rapid.IntRange(0, 2).Draw(t, "labelled"),
+			labelled:        rapid.SampledFrom([]int{0, 1, 2, 4, 8}).Draw(t, "labelled"),
+			gangs:           rapid.SampledFrom([]float64{0.1, 0.3, 0.8}).Draw(t, "gangs"),
+			spread:          rapid.SampledFrom([]float64{0.1, 0.3, 0.8}).Draw(t, "spread"),
 		}
 		c := newLiveCell(t, p, rapid.Uint64().Draw(t, "seed"))
 		c.run(liveFaults)
--- a/internal/core/cell/liveness_workers_test.go
+++ b/internal/core/cell/liveness_workers_test.go
@@ -213,19 +213,37 @@
 	})
 }
 
+// outage takes most workers down for a while.
+func (c *liveCell) outage(lasts time.Duration) {
+	for _, w := range c.workers {
+		if c.chance(0.8) {
+			c.crash(w, lasts)
+		}
+	}
+}
+
+// crash takes a worker down for a while.
+func (c *liveCell) crash(w *liveWorker, lasts time.Duration) {
+	w.up = false
+	c.events = append(c.events, liveEvent{c.now.Add(lasts), func() {
+		if !w.up {
+			c.boot(w)
+		}
+	}})
+}
+
 // fault plays a random fault.
 func (c *liveCell) fault() {
 	w := c.workers[c.random.IntN(len(c.workers))]
 	lasts := c.between(100*time.Millisecond, 6*time.Second)
+	if c.chance(c.p.outages) {
+		c.outage(lasts)
+		return
+	}
 	later := func(do func()) { c.events = append(c.events, liveEvent{c.now.Add(lasts), do}) }
 	switch c.random.IntN(8) {
 	case 0:
-		w.up = false
-		later(func() {
-			if !w.up {
-				c.boot(w)
-			}
-		})
+		c.crash(w, lasts)
 	case 1:
 		w.silent = true
 		later(func() { w.silent = false })
--- a/internal/core/cell/place.go
+++ b/internal/core/cell/place.go
@@ -54,7 +54,8 @@
 			s.withholdFor(st, q)
 			break
 		}
-		if s.reserve(t, w, q) {
+		s.reserve(t, w)
+		if s.hasTicket(t, q) {
 			s.startTask(t)
 		} else if !slices.Contains(toAsk, w.ID) {
 			toAsk = append(toAsk, w.ID)
@@ -83,52 +84,78 @@
 		s.withholdFor(st, q)
 		return
 	}
-	if !s.gangMayFit(st, q) {
-		st.fullScanAt = s.now
-		s.withholdFor(st, q)
-		s.requestAdvice(st, q, s.workersToAsk(st, q))
+	if !s.gangMayFit(st, q) || !s.reserveGang(st, q) {
+		s.gangNotPlaced(st, q)
+		return
+	}
+	withoutTicket := slices.ContainsFunc(st.tasks, func(t *task) bool { return !s.hasTicket(t, q) })
+	if !withoutTicket {
+		s.startGang(st)
 		return
 	}
-	var chosen []WorkerID
-	placed, haveTickets := 0, true
+	s.requestAdvice(st, q, st.reservedWorkers())
+	if st.advice.inFlight == 0 { // after a failed call, the next one has to wait
+		s.unreserveGang(st)
+		s.withholdFor(st, q)
+	}
+}
+
+// gangNotPlaced withholds capacity for a gang for which there isn't enough on the workers that may run it, and requests
+// advice on further workers, which may have joined or come back since the last call.
+func (s *Scheduler) gangNotPlaced(st *step, q *Queue) {
+	st.fullScanAt = s.now
+	s.withholdFor(st, q)
+	s.requestAdvice(st, q, s.workersToAsk(st, q))
+}
+
+// reserveGang allocates capacity to all members of a gang, or to none, and reports which.
+func (s *Scheduler) reserveGang(st *step, q *Queue) bool {
 	for _, t := range st.tasks {
 		w := s.bestWorker(t, q, s.pass.usable)
 		if w == nil {
-			break
+			s.unreserveGang(st)
+			return false
 		}
-		haveTickets = s.reserve(t, w, q) && haveTickets
-		if !slices.Contains(chosen, w.ID) {
-			chosen = append(chosen, w.ID)
+		s.reserve(t, w)
+	}
+	return true
+}
+
+// unreserveGang takes back what reserveGang has allocated in this pass.
+func (s *Scheduler) unreserveGang(st *step) {
+	for _, t := range st.tasks {
+		if t.phase == taskReserved {
+			s.pass.freeCPU += st.spec.Each.MilliCPU
 		}
-		placed++
 	}
-	switch {
-	case placed < len(st.tasks):
-		s.releaseReserved(st)
-		s.pass.freeCPU += int64(placed) * st.spec.Each.MilliCPU
-		s.withholdFor(st, q)
-	case haveTickets:
-		s.startGang(st)
-	default:
-		s.requestAdvice(st, q, chosen)
-		if st.advice.inFlight == 0 { // after a failed call, the next one has to wait
-			s.releaseReserved(st)
-			s.pass.freeCPU += int64(placed) * st.spec.Each.MilliCPU
-			s.withholdFor(st, q)
+	s.releaseReserved(st)
+}
+
+// reservedWorkers returns the workers on which the step's reserved tasks hold capacity.
+func (st *step) reservedWorkers() []WorkerID {
+	var ids []WorkerID
+	for _, t := range st.tasks {
+		if t.phase == taskReserved && !slices.Contains(ids, t.worker.ID) {
+			ids = append(ids, t.worker.ID)
 		}
 	}
+	return ids
 }
 
-// reserve allocates capacity on a worker to a task and reports whether the task can start without a new ticket.
-func (s *Scheduler) reserve(t *task, w *worker, q *Queue) bool {
+// reserve allocates capacity on a worker to a task.
+func (s *Scheduler) reserve(t *task, w *worker) {
 	s.allocate(t, w)
 	s.pass.freeCPU -= t.step.spec.Each.MilliCPU
 	t.phase = taskReserved
 	t.step.waiting--
+}
+
+// hasTicket reports whether a reserved task can start on its worker without a new ticket.
+func (s *Scheduler) hasTicket(t *task, q *Queue) bool {
 	if q == nil || q.Advice == nil {
 		return true
 	}
-	_, ok := t.step.advice.validTicket(w.ID, s.now)
+	_, ok := t.step.advice.validTicket(t.worker.ID, s.now)
 	return ok
 }
 
--- a/internal/core/cell/policy_test.go
+++ b/internal/core/cell/policy_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -372,7 +373,7 @@
 		rng.Shuffle(len(workers), func(i, j int) { workers[i], workers[j] = workers[j], workers[i] })
 		n := 1 + rng.IntN(70)
 		got := mostFree(workers, n)
-		sortByFreeShare(workers)
+		slices.SortFunc(workers, compareFreeShare)
 		assert.Equal(t, len(got), min(n, len(workers)))
 		for i, w := range got {
 			assert.Equal(t, w, workers[i])
--- a/internal/core/cell/room.go
+++ b/internal/core/cell/room.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"slices"
+
+	"sequoiastall/internal/core/resource"
 )
 
 // claim subtracts the capacity that a step will need once its advice arrives from what lower-ranked steps may use in this
@@ -30,10 +32,7 @@
 		if !s.mayRun(st, w, q) || w.heldAgainst(st.tasks[0]) {
 			continue
 		}
-		for left := s.capacityFor(st, w); st.spec.Each.Fits(left) && members < len(st.tasks); left = left.Sub(st.spec.Each) {
-			members++
-		}
-		if members == len(st.tasks) {
+		if members += st.tasksFitting(w, s.capacityFor(st, w)); members >= len(st.tasks) {
 			return true
 		}
 	}
@@ -72,11 +71,11 @@
 		return
 	}
 	s.pass.workerChecks += len(s.pass.usable)
-	var candidates []*worker
+	var candidates []idleRoom
 	fitting := 0
 	for _, w := range s.pass.usable {
 		if n := st.tasksOnIdle(w); n > 0 && s.mayRun(st, w, q) {
-			candidates = append(candidates, w)
+			candidates = append(candidates, idleRoom{w, n})
 			fitting += n
 		}
 	}
@@ -87,20 +86,36 @@
 		return
 	}
 	s.pass.withholdableCPU -= int64(wanted) * st.spec.Each.MilliCPU
-	sortByFreeShare(candidates)
-	for i := range wanted {
-		w := candidates[i%len(candidates)]
-		w.withheld = w.withheld.Add(st.spec.Each)
+	slices.SortFunc(candidates, func(a, b idleRoom) int { return compareFreeShare(a.worker, b.worker) })
+	for i := 0; wanted > 0; i = (i + 1) % len(candidates) {
+		if c := &candidates[i]; c.tasks > 0 {
+			c.worker.withheld = c.worker.withheld.Add(st.spec.Each)
+			c.tasks--
+			wanted--
+		}
 	}
 }
 
-// tasksOnIdle returns how many tasks of a step a worker without any other runs has capacity for, at most all.
+// idleRoom is a worker with the number of further tasks of a step that it can hold once it runs nothing else.
+type idleRoom struct {
+	worker *worker
+	tasks  int
+}
+
+// tasksOnIdle returns how many further tasks of a step a worker that runs nothing else can hold.
 func (st *step) tasksOnIdle(w *worker) int {
+	held := st.spec.Each.Scale(int64(st.tasksPerWorker[w.ID]))
+	return st.tasksFitting(w, w.Capacity.Sub(held))
+}
+
+// tasksFitting returns how many further tasks of a step a worker can hold in the given capacity, within the step's limit
+// of tasks on one worker.
+func (st *step) tasksFitting(w *worker, capacity resource.Vector) int {
 	n, most := 0, len(st.tasks)
 	if st.spec.MaxPerWorker > 0 {
-		most = min(most, st.spec.MaxPerWorker)
+		most = min(most, st.spec.MaxPerWorker-st.tasksPerWorker[w.ID])
 	}
-	for left := w.Capacity; n < most && st.spec.Each.Fits(left); left = left.Sub(st.spec.Each) {
+	for ; n < most && st.spec.Each.Fits(capacity); capacity = capacity.Sub(st.spec.Each) {
 		n++
 	}
 	return n
@@ -110,14 +125,12 @@
 // that much at once.
 const largeTaskShare = 0.25
 
-// sortByFreeShare sorts workers by their free share, largest first.
-func sortByFreeShare(workers []*worker) {
-	slices.SortFunc(workers, func(a, b *worker) int {
-		return cmp.Or(cmp.Compare(b.freeShare(), a.freeShare()), cmp.Compare(a.ID, b.ID))
-	})
+// compareFreeShare orders workers by their free share, largest first.
+func compareFreeShare(a, b *worker) int {
+	return cmp.Or(cmp.Compare(b.freeShare(), a.freeShare()), cmp.Compare(a.ID, b.ID))
 }
 
-// mostFree returns the first n workers in the order of sortByFreeShare. It costs far less than sorting all of them when
+// mostFree returns the first n workers in the order of compareFreeShare. It costs far less than sorting all of them when
 // there are thousands.
 func mostFree(workers []*worker, n int) []*worker {
 	type ranked struct {
