Log why a step stands still

Too little capacity, a limit, and workers that were never asked about couldn't be told apart.

Change: a step that stands still is logged with the workers that may run it, their room, and those without advice; once in 5 s a step, and 20 lines a second at most.

Measured: TestStandstillIsLogged.

--- a/internal/core/cell/gang_advice_test.go
+++ b/internal/core/cell/gang_advice_test.go
@@ -79,6 +79,22 @@
 	h.assertGangStarts(2, avoidance/2)
 }
 
+// Guards against a step that stands still without a line in the log, or with one in each pass.
+func TestStandstillIsLogged(t *testing.T) {
+	h, _ := newAdvisedGang(t)
+	log := &decisionLog{decision: "waits beside free capacity"}
+	h.s.events = log
+	for range 100 {
+		h.advance(100 * time.Millisecond)
+	}
+	assert.Assert(t, len(log.lines) >= 2 && len(log.lines) <= 3, "%v", log.lines)
+	for _, l := range log.lines {
+		assert.Equal(t, l["may_run"], 1)
+		assert.Equal(t, l["room_for_tasks"], 2)
+		assert.Equal(t, l["without_advice"], 0)
+	}
+}
+
 // failGang fails the gang that the scheduler starts next.
 func (h *harness) failGang() {
 	starts := h.takeStarts()
--- a/internal/core/cell/room.go
+++ b/internal/core/cell/room.go
@@ -74,7 +74,10 @@
 	var candidates []idleRoom
 	fitting := 0
 	for _, w := range s.pass.usable {
-		if n := st.tasksOnIdle(w); n > 0 && s.mayRun(st, w, q) {
+		if !s.mayRun(st, w, q) {
+			continue
+		}
+		if n := st.tasksOnIdle(w); n > 0 {
 			candidates = append(candidates, idleRoom{w, n})
 			fitting += n
 		}
--- a/internal/core/cell/scheduler.go
+++ b/internal/core/cell/scheduler.go
@@ -38,6 +38,8 @@
 	ordersPending bool
 	lastOrders    time.Time
 	lastSweep     time.Time
+	// standstillLines is the number of lines about steps that stand still in this sweep.
+	standstillLines int
 	// unrecordedSince is when a record first waited to become durable, reset when a write completes; zero if none waits.
 	unrecordedSince    time.Time
 	placementSuspended bool                    // placement was suspended at the last attempt, because writes stall
@@ -306,12 +308,14 @@
 	sweepInterval = 100 * time.Millisecond
 )
 
-// sweep stops stalled runs, drops archived jobs from the active list and deletes the state of jobs that ended more than
-// Options.EndedRetention ago.
+// sweep stops stalled runs, logs which steps stand still, drops archived jobs from the active list and deletes the state of
+// jobs that ended more than Options.EndedRetention ago.
 func (s *Scheduler) sweep() {
+	s.standstillLines = 0
 	kept := s.active[:0]
 	for _, j := range s.active {
 		s.stopStalledRuns(j)
+		s.logStandstills(j)
 		if !j.archived || j.allocatedTasks > 0 {
 			kept = append(kept, j)
 		}
--- a/internal/core/cell/standstill.go
+++ b/internal/core/cell/standstill.go
@@ -59,3 +59,47 @@
 	}
 	return w.free.Sub(w.withheld)
 }
+
+const (
+	// standstillLogInterval is the minimum time between two log lines about one step that stands still.
+	standstillLogInterval = 5 * time.Second
+	// maxStandstillLines bounds the lines about such steps in one sweep. Without workers, all jobs may stand still.
+	maxStandstillLines = 2
+)
+
+// logStandstills logs which steps of a job stand still.
+func (s *Scheduler) logStandstills(j *job) {
+	if j.phase.Final() {
+		return
+	}
+	for _, st := range j.steps {
+		if s.standstillLines == maxStandstillLines {
+			return
+		}
+		if st.waiting > 0 && st.ready() && s.now.Sub(st.standstillLoggedAt) >= standstillLogInterval && s.standsStill(st) {
+			s.logStandstill(st, s.queueOf(j))
+		}
+	}
+}
+
+// logStandstill logs what is known of the workers that may run a step that stands still.
+func (s *Scheduler) logStandstill(st *step, q *Queue) {
+	s.standstillLines++
+	st.standstillLoggedAt = s.now
+	eligible, mayRun, unasked, room := 0, 0, 0, 0
+	for _, w := range s.workersFor(st, q) {
+		if !s.eligible(st, w) {
+			continue
+		}
+		eligible++
+		if s.mayRun(st, w, q) {
+			mayRun++
+			room += st.tasksFitting(w, s.capacityFor(st, w))
+		} else if s.mayEverRun(st, w, q) {
+			unasked++
+		}
+	}
+	s.events.LogDecision(st.id.String(), "waits beside free capacity", "waiting", st.waiting, "gang", st.spec.Gang, "eligible_workers", eligible,
+		"may_run", mayRun, "room_for_tasks", room, "without_advice", unasked, "advice_calls", st.advice.inFlight,
+		"within_limit", s.withinLimit(st, 1), "waited_ms", s.now.UnixMilli()-st.job.AcceptedMS)
+}
--- a/internal/core/cell/state.go
+++ b/internal/core/cell/state.go
@@ -88,6 +88,8 @@
 	tasksPerWorker map[WorkerID]int
 	advice         stepAdvice
 	fullScanAt     time.Time // when all workers were last checked without success, zero if a check is due
+
+	standstillLoggedAt time.Time // when it was last logged that the step stands still
 }
 
 // job is the scheduling state of an accepted job.
