A denial of advice ends when its worker comes back

What callers would see: a job stays pending for good beside the only worker that may run it, because the worker was down for a moment when the advice service answered.

Cause: a worker without a ticket in an answer counted as denied for the life of the step. And a denial never replaced a permission, so a worker that came back as another kind was chosen and refused again and again.

Change: answers are kept with the order sequence of their requests. A denial ends once the worker has restarted or was listed anew; a denial of another instance replaces a permission.

The liveness simulation gives tickets for workers that are up only, and has a second service.

--- a/internal/core/cell/advice.go
+++ b/internal/core/cell/advice.go
@@ -29,6 +29,7 @@
 	Workers  []WorkerID
 	Duration time.Duration // expected duration of the call
 	rank     rank
+	sequence uint64 // order sequence of the request
 }
 
 // Before reports whether the request precedes another one in the order in which steps are served.
@@ -50,14 +51,59 @@
 	Value  string
 }
 
-// stepAdvice holds the advice received for a step.
+// stepAdvice holds the advice received for a step. Which workers may run a step doesn't change, but a worker that was down
+// when the service answered, or that comes back as another one, may have been denied for that.
 type stepAdvice struct {
-	allowed  map[WorkerID]bool // whether the worker may run the step; the answer never changes
+	answers  map[WorkerID]adviceAnswer // nil before the first answer
 	tickets  map[WorkerID]ticket
 	inFlight int // calls in progress
 	retryAt  time.Time
 }
 
+// adviceAnswer is the answer about a worker: twice the order sequence of its request, and one more if the worker may run the
+// step. It is a single word because a large cell has a million of them. The zero value is no answer.
+type adviceAnswer uint64
+
+func newAdviceAnswer(allowed bool, sequence uint64) adviceAnswer {
+	if allowed {
+		return adviceAnswer(sequence<<1 | 1)
+	}
+	return adviceAnswer(sequence << 1)
+}
+
+func (a adviceAnswer) allowed() bool { return a&1 == 1 }
+
+// current reports whether the worker has neither restarted nor been listed anew since the request.
+func (a adviceAnswer) current(w *worker) bool { return uint64(a>>1) >= w.presentSince }
+
+// answered reports whether a call has been answered.
+func (a *stepAdvice) answered() bool { return a.answers != nil }
+
+// covers reports whether nothing has to be asked about the worker: it is allowed, or was denied since it last came back.
+func (a *stepAdvice) covers(w *worker) bool {
+	answer := a.answers[w.ID]
+	return answer.allowed() || answer.current(w)
+}
+
+// setAnswer records an answer about a worker, which is nil if it isn't known any more. A denial doesn't replace an earlier
+// permission for the same instance.
+func (a *stepAdvice) setAnswer(id WorkerID, w *worker, answer adviceAnswer) {
+	if a.answers == nil {
+		a.answers, a.tickets = map[WorkerID]adviceAnswer{}, map[WorkerID]ticket{}
+	}
+	earlier := a.answers[id]
+	if earlier.allowed() && !answer.allowed() && (w == nil || earlier.current(w)) {
+		return
+	}
+	a.answers[id] = answer
+}
+
+// forget makes the step ask about a worker again.
+func (a *stepAdvice) forget(id WorkerID) {
+	delete(a.answers, id)
+	delete(a.tickets, id)
+}
+
 type ticket struct {
 	value   string
 	expires time.Time
@@ -82,7 +128,8 @@
 			return
 		}
 		st.advice.inFlight++
-		s.advice = append(s.advice, AdviceRequest{Step: st.id, Workers: part, Duration: q.Advice.Duration(len(part)), rank: s.rank(st.job)})
+		s.advice = append(s.advice, AdviceRequest{Step: st.id, Workers: part, Duration: q.Advice.Duration(len(part)), rank: s.rank(st.job),
+			sequence: s.orderSequence.Load()})
 	}
 }
 
@@ -105,10 +152,10 @@
 	}
 	workers := s.workersFor(st, q)
 	s.pass.workerChecks += len(workers)
-	askedBefore, fitsNow := st.advice.allowed != nil && !st.spec.Gang, false
+	askedBefore, fitsNow := st.advice.answered() && !st.spec.Gang, false
 	var candidates []*worker
 	for _, w := range workers {
-		if _, known := st.advice.allowed[w.ID]; known || !s.eligible(st, w) || !st.spec.Each.Fits(w.Capacity) {
+		if st.advice.covers(w) || !s.eligible(st, w) || !st.spec.Each.Fits(w.Capacity) {
 			continue
 		}
 		candidates = append(candidates, w)
@@ -148,15 +195,11 @@
 		s.releaseReserved(st)
 		return
 	}
-	if st.advice.allowed == nil {
-		st.advice.allowed, st.advice.tickets = map[WorkerID]bool{}, map[WorkerID]ticket{}
-	}
-	// A worker without a ticket isn't allowed, unless an earlier answer allowed it.
 	for _, id := range r.Workers {
-		st.advice.allowed[id] = st.advice.allowed[id] || false
+		st.advice.setAnswer(id, s.workers[id], newAdviceAnswer(false, r.sequence))
 	}
 	for _, t := range tickets {
-		st.advice.allowed[t.Worker] = true
+		st.advice.setAnswer(t.Worker, s.workers[t.Worker], newAdviceAnswer(true, r.sequence))
 		st.advice.tickets[t.Worker] = ticket{t.Value, validFrom.Add(validity)}
 	}
 	s.events.LogDecision(st.id.String(), "advised", "named", len(r.Workers), "good", len(tickets), "age_ms", now.Sub(validFrom).Milliseconds())
--- a/internal/core/cell/avoid.go
+++ b/internal/core/cell/avoid.go
@@ -37,8 +37,7 @@
 	if q == nil || q.Advice == nil {
 		return true
 	}
-	allowed, known := st.advice.allowed[w.ID]
-	return allowed || !known
+	return st.advice.answers[w.ID].allowed() || !st.advice.covers(w)
 }
 
 // lastResort returns the workers that are set aside if no other worker may run the step, or if its job stands still because
--- a/internal/core/cell/bench_test.go
+++ b/internal/core/cell/bench_test.go
@@ -55,9 +55,8 @@
 		}
 		j := add(Job{ID: JobID(fmt.Sprint("waiting", i)), Queue: advisedQueue, Steps: []Step{step}})
 		a := &j.steps[0].advice
-		a.allowed, a.tickets = map[WorkerID]bool{}, map[WorkerID]ticket{}
 		for w := range workers {
-			a.allowed[workerID(w)] = w%3 == 0
+			a.setAnswer(workerID(w), nil, newAdviceAnswer(w%3 == 0, s.OrderSequence()))
 		}
 	}
 	return s, now
--- a/internal/core/cell/inventory.go
+++ b/internal/core/cell/inventory.go
@@ -98,6 +98,7 @@
 	w.StartMS, w.lastEndNumber, w.ackCursor, w.pendingEnds, w.terminated = startMS, 0, 0, nil, false
 	w.faults = faults{}
 	w.instanceSince, w.releasedAt, w.runGoneAt = s.orderSequence.Add(1), 0, 0
+	w.presentSince = w.instanceSince
 	for t := range w.tasks {
 		delete(t.step.advice.tickets, w.ID) // tickets are valid only for one instance of the worker
 		switch t.phase {
--- a/internal/core/cell/liveness_jobs_test.go
+++ b/internal/core/cell/liveness_jobs_test.go
@@ -13,6 +13,9 @@
 	if c.chance(0.6) {
 		j.Queue = advisedQueue
 	}
+	if c.p.others > 0 && c.chance(0.2) {
+		j.moveToOtherService()
+	}
 	switch {
 	case c.chance(0.1):
 		j.Team = "slow"
@@ -29,7 +32,7 @@
 		j.Steps = append(j.Steps, st)
 		j.admitted[n] = map[WorkerID]bool{}
 		for range 1 + c.random.IntN(c.p.admitted) {
-			j.admitted[n][workerID(c.random.IntN(len(c.workers)))] = true
+			j.admitted[n][c.randomWorker(j.Service).id] = true
 		}
 		if st.LongRunning {
 			break
@@ -66,3 +69,24 @@
 	st.LongRunning = c.chance(0.05)
 	return st
 }
+
+// moveToOtherService makes a job one of the other service.
+func (j *liveJob) moveToOtherService() {
+	j.Service = otherService
+	if j.Queue == advisedQueue {
+		j.Queue = otherAdvisedQueue
+	} else {
+		j.Queue = otherQueue
+	}
+}
+
+// advised reports whether the job's queue has advice.
+func (j *liveJob) advised() bool { return j.Queue == advisedQueue || j.Queue == otherAdvisedQueue }
+
+// randomWorker returns a worker of a service.
+func (c *liveCell) randomWorker(service string) *liveWorker {
+	if service == otherService {
+		return c.workers[c.p.workers+c.random.IntN(c.p.others)]
+	}
+	return c.workers[c.random.IntN(c.p.workers)]
+}
--- a/internal/core/cell/liveness_rule_test.go
+++ b/internal/core/cell/liveness_rule_test.go
@@ -19,13 +19,12 @@
 
 // checkStandstill checks that no job stands still for liveStandstill.
 func (c *liveCell) checkStandstill() {
-	if c.mostlyUsed() {
-		for _, j := range c.jobs {
+	used := map[string]bool{"pool": c.mostlyUsed("pool"), otherService: c.mostlyUsed(otherService)}
+	for _, j := range c.jobs {
+		if used[j.Service] {
 			clear(j.stillAt)
+			continue
 		}
-		return
-	}
-	for _, j := range c.jobs {
 		if j.final || j.canceled {
 			continue
 		}
@@ -84,7 +83,7 @@
 	lines = append(lines, fmt.Sprintf("waiting %d, advice in flight %d, rank %+v", st.waiting, st.advice.inFlight, c.s.rank(st.job)))
 	for _, w := range c.s.workers {
 		lines = append(lines, fmt.Sprintf("%s: available %t, set aside %t, free %v, withheld %v, held %t, allowed %t", w.ID, w.available(),
-			w.setAside(c.now), w.free, w.withheld, w.heldBy != nil, st.advice.allowed[w.ID]))
+			w.setAside(c.now), w.free, w.withheld, w.heldBy != nil, st.advice.answers[w.ID].allowed()))
 	}
 	return strings.Join(lines, "\n")
 }
@@ -115,7 +114,7 @@
 		wanted = 2 * st.Count
 	}
 	for _, w := range c.workers {
-		if !w.up || j.Queue == advisedQueue && !j.admitted[n][w.id] || st.RequiredLabel != "" && len(w.labels) == 0 {
+		if !w.up || w.service != j.Service || j.advised() && !j.admitted[n][w.id] || st.RequiredLabel != "" && len(w.labels) == 0 {
 			continue
 		}
 		here := 0
@@ -134,7 +133,7 @@
 
 // withinLimit reports whether a team has under half of its limit, and whether the rest is enough for a task or a gang.
 func (c *liveCell) withinLimit(team string, st *Step) bool {
-	limit, used, need := livenessConfig().Team(team).Limit.MilliCPU, int64(0), st.Each.MilliCPU
+	limit, used, need := c.p.config().Team(team).Limit.MilliCPU, int64(0), st.Each.MilliCPU
 	if limit == 0 {
 		return true
 	}
@@ -151,11 +150,11 @@
 	return 2*used < limit && used+need <= limit
 }
 
-// mostlyUsed reports whether half of the cell's capacity is in use.
-func (c *liveCell) mostlyUsed() bool {
+// mostlyUsed reports whether half of a service's capacity is in use.
+func (c *liveCell) mostlyUsed(service string) bool {
 	var used, capacity int64
 	for _, w := range c.workers {
-		if w.up {
+		if w.up && w.service == service {
 			capacity += w.capacity.MilliCPU
 			used += w.capacity.MilliCPU - w.free().MilliCPU
 		}
--- a/internal/core/cell/liveness_test.go
+++ b/internal/core/cell/liveness_test.go
@@ -16,6 +16,10 @@
 // checkStandstill defines it.
 
 const (
+	otherService      = "other"
+	otherQueue        = "other-plain"
+	otherAdvisedQueue = "other-advised"
+
 	liveTick       = 20 * time.Millisecond
 	liveLease      = 4 * time.Second
 	liveRenewal    = 50 * time.Millisecond
@@ -64,9 +68,11 @@
 	failing              float64 // share of jobs whose tasks fail by themselves
 	crashing             float64 // share of jobs whose tasks crash their workers, during the faults
 	faultsPerSecond      float64
-	labelled             int     // workers with testLabel
-	gangs                float64 // share of steps with several tasks that are gangs
-	spread               float64 // share of steps with a limit of tasks on one worker
+	labelled             int           // workers with testLabel
+	gangs                float64       // share of steps with several tasks that are gangs
+	spread               float64       // share of steps with a limit of tasks on one worker
+	others               int           // workers of another service
+	decision             time.Duration // fixed part of a call for advice
 }
 
 type liveJob struct {
@@ -92,6 +98,7 @@
 
 type liveWorker struct {
 	id         WorkerID
+	service    string
 	startMS    int64
 	up, silent bool
 	draining   bool
@@ -108,26 +115,35 @@
 	lapsed     bool
 }
 
-func livenessConfig() *Config {
+func (p liveParameters) config() *Config {
 	return NewConfig(Config{Version: 1,
 		Queues: []Queue{
 			{Name: plainQueue, Service: "pool", Priority: 1, MaxAttempts: 4, Stretch: 3, Slack: time.Second},
 			{Name: advisedQueue, Service: "pool", Priority: 1, MaxAttempts: 4, Stretch: 3, Slack: time.Second,
-				Advice: &AdviceTiming{Decision: 12 * time.Millisecond, PerWorker: time.Millisecond, Validity: ticketValidity}},
+				Advice: p.advice()},
+			{Name: otherQueue, Service: otherService, Priority: 1, MaxAttempts: 4, Stretch: 3, Slack: time.Second},
+			{Name: otherAdvisedQueue, Service: otherService, Priority: 1, MaxAttempts: 4, Stretch: 3, Slack: time.Second, Advice: p.advice()},
 		},
 		Teams: []Team{{Name: "team", Weight: 1000}, {Name: "slow", Weight: 1},
 			{Name: "small", Weight: 1000, Limit: resource.Vector{MilliCPU: 8000}}},
 	})
 }
 
+func (p liveParameters) advice() *AdviceTiming {
+	return &AdviceTiming{Decision: p.decision, PerWorker: time.Millisecond, Validity: ticketValidity}
+}
+
 func newLiveCell(t *rapid.T, p liveParameters, seed uint64) *liveCell {
 	c := &liveCell{t: t, random: rand.New(rand.NewPCG(seed, 1)), now: start, p: p, byID: map[JobID]*liveJob{}}
 	c.log = &liveLog{c: c}
-	for i := range p.workers {
-		w := &liveWorker{id: workerID(i), full: resource.Vector{MilliCPU: 4000, MemoryMB: 8000}}
+	for i := range p.workers + p.others {
+		w := &liveWorker{id: workerID(i), service: "pool", full: resource.Vector{MilliCPU: 4000, MemoryMB: 8000}}
 		if c.chance(0.3) {
 			w.full = resource.Vector{MilliCPU: 8000, MemoryMB: 8000}
 		}
+		if i >= p.workers {
+			w.service = otherService
+		}
 		if i < p.labelled {
 			w.labels = []string{testLabel}
 		}
@@ -159,7 +175,7 @@
 	c.term++
 	c.advice, c.calls = nil, 0
 	c.s = New(Options{EndedRetention: time.Minute}, c.log)
-	c.s.SetConfig(livenessConfig())
+	c.s.SetConfig(c.p.config())
 	for _, j := range c.jobs {
 		if j.final {
 			continue
@@ -181,7 +197,7 @@
 	var reports []WorkerReport
 	for _, w := range c.workers {
 		if w.up {
-			reports = append(reports, WorkerReport{ID: w.id, Address: "a", Service: "pool", Rack: "r", Labels: w.labels, Capacity: w.capacity,
+			reports = append(reports, WorkerReport{ID: w.id, Address: "a", Service: w.service, Rack: "r", Labels: w.labels, Capacity: w.capacity,
 				Draining: w.draining, StartMS: w.startMS})
 		}
 	}
@@ -252,7 +268,7 @@
 	failed := !c.calm && c.chance(0.1)
 	var tickets []Ticket
 	for _, id := range r.Workers {
-		if c.byID[r.Step.Job].admitted[r.Step.Step][id] {
+		if c.byID[r.Step.Job].admitted[r.Step.Step][id] && c.worker(id).up {
 			tickets = append(tickets, Ticket{id, fmt.Sprint(c.worker(id).startMS)})
 		}
 	}
@@ -311,6 +327,8 @@
 			labelled:        rapid.SampledFrom([]int{0, 1, 2, 4, 8}).Draw(t, "labelled"),
 			gangs:           rapid.SampledFrom([]float64{0.1, 0.3, 0.8}).Draw(t, "gangs"),
 			spread:          rapid.SampledFrom([]float64{0.1, 0.3, 0.8}).Draw(t, "spread"),
+			others:          rapid.SampledFrom([]int{0, 1, 2, 4}).Draw(t, "other workers"),
+			decision:        rapid.SampledFrom([]time.Duration{12 * time.Millisecond}).Draw(t, "decision"),
 		}
 		c := newLiveCell(t, p, rapid.Uint64().Draw(t, "seed"))
 		c.run(liveFaults)
--- a/internal/core/cell/liveness_workers_test.go
+++ b/internal/core/cell/liveness_workers_test.go
@@ -58,7 +58,7 @@
 		return OrderStale
 	case !c.calm && c.chance(0.02) || !need.Fits(w.free()):
 		return OrderRefused
-	case j.Queue == advisedQueue && (o.Ticket != fmt.Sprint(w.startMS) || !j.admitted[task.Step][w.id]):
+	case j.advised() && (o.Ticket != fmt.Sprint(w.startMS) || !j.admitted[task.Step][w.id]):
 		return OrderNoTicket
 	}
 	r := &liveRun{run: o.Run.Run, need: need, startedAt: c.now, kind: EndDone}
--- a/internal/core/cell/orders.go
+++ b/internal/core/cell/orders.go
@@ -214,8 +214,7 @@
 		s.awaitInventory(t)
 		t.nextOrderAt = s.now.Add(answeredRetryInterval)
 	case OrderNoTicket:
-		delete(t.step.advice.tickets, t.worker.ID)
-		delete(t.step.advice.allowed, t.worker.ID)
+		t.step.advice.forget(t.worker.ID)
 		s.startRejected(t, "ticket")
 	case OrderRefused:
 		t.worker.faults.refusedUntil = s.now.Add(refusedPause)
--- a/internal/core/cell/pass.go
+++ b/internal/core/cell/pass.go
@@ -103,7 +103,7 @@
 	switch {
 	case !s.withinLimit(st, 1):
 		return true
-	case !st.spec.Each.Fits(s.pass.maxFree) && st.advice.allowed != nil:
+	case !st.spec.Each.Fits(s.pass.maxFree) && st.advice.answered():
 		s.withholdFor(st, c.queue)
 		return true
 	}
--- a/internal/core/cell/place.go
+++ b/internal/core/cell/place.go
@@ -9,7 +9,7 @@
 func (s *Scheduler) placeStep(st *step, q *Queue) {
 	needsAdvice := q != nil && q.Advice != nil
 	if st.spec.Gang {
-		if !needsAdvice || st.advice.allowed != nil || st.advice.inFlight == 0 {
+		if !needsAdvice || st.advice.answered() || st.advice.inFlight == 0 {
 			s.placeGang(st, q)
 		}
 		return
@@ -228,7 +228,7 @@
 
 // mayRun reports whether the step may run another task on the worker, regardless of free capacity.
 func (s *Scheduler) mayRun(st *step, w *worker, q *Queue) bool {
-	if !s.eligible(st, w) || q != nil && q.Advice != nil && !st.advice.allowed[w.ID] {
+	if !s.eligible(st, w) || q != nil && q.Advice != nil && !st.advice.answers[w.ID].allowed() {
 		return false
 	}
 	return st.belowMaxPerWorker(w)
--- a/internal/core/cell/state.go
+++ b/internal/core/cell/state.go
@@ -134,6 +134,8 @@
 	// The following order sequences tell inventories apart by when they were requested, because answers overtake each other.
 	// instanceSince is the order sequence from which on a request can't be answered by an earlier instance any more.
 	instanceSince uint64
+	// presentSince is the order sequence at which it was last listed anew or restarted.
+	presentSince uint64
 	// runGoneAt is the order sequence at which a run was last found to be gone. An inventory requested before may list that run
 	// as running.
 	runGoneAt uint64
--- a/internal/core/cell/workers.go
+++ b/internal/core/cell/workers.go
@@ -51,6 +51,9 @@
 func (s *Scheduler) setWorker(r WorkerReport) {
 	w := s.workerOf(r.ID)
 	wasDescribed := w.described()
+	if !w.registered {
+		w.presentSince = s.orderSequence.Add(1)
+	}
 	if !w.registered || w.Draining != r.Draining {
 		s.events.LogDecision(string(r.ID), "worker listed", "draining", r.Draining, "zone", r.Zone, "rack", r.Rack, "born_ms", r.StartMS)
 		s.changed = true
