Steps that stand still are advised first, and in few calls

What callers would see: in a cell that is mostly free, a job waits for more than 3 s because its requests for advice are withdrawn again and again: higher-ranked steps keep all nodes busy. Or because each of its calls names a dozen workers, while few of hundreds may run it.

Cause: requests were served by the rank of their steps only, without the end that holding back has elsewhere once a job stands still. The number of workers named in a call didn't grow.

Change: requests of steps that stand still come first.

The liveness simulation serves requests in their order, as nodes do, has advice that takes 0.36 s and more, and cells of 48 workers. It also dropped answers under way when the faults ended, which it did by time: a test fault that long calls show.

--- a/internal/core/cell/advice.go
+++ b/internal/core/cell/advice.go
@@ -30,10 +30,17 @@
 	Duration time.Duration // expected duration of the call
 	rank     rank
 	sequence uint64 // order sequence of the request
+	urgent   bool   // the step stands still
 }
 
-// Before reports whether the request precedes another one in the order in which steps are served.
-func (r AdviceRequest) Before(other AdviceRequest) bool { return r.rank.compare(other.rank) < 0 }
+// Before reports whether the request precedes another one. Those of steps that stand still come first, and then the order is
+// that in which steps are served: while most of a pool is free, higher-ranked steps must not keep a step from being advised.
+func (r AdviceRequest) Before(other AdviceRequest) bool {
+	if r.urgent != other.urgent {
+		return r.urgent
+	}
+	return r.rank.compare(other.rank) < 0
+}
 
 // WithdrawAdvice takes back a request for which no node had capacity. The step's reservations are released, and a later
 // pass considers the step again.
@@ -129,7 +136,7 @@
 		}
 		st.advice.inFlight++
 		s.advice = append(s.advice, AdviceRequest{Step: st.id, Workers: part, Duration: q.Advice.Duration(len(part)), rank: s.rank(st.job),
-			sequence: s.orderSequence.Load()})
+			sequence: s.orderSequence.Load(), urgent: s.standsStill(st)})
 	}
 }
 
@@ -164,7 +171,8 @@
 	if askedBefore && !fitsNow {
 		return nil
 	}
-	n := min(maxWorkersPerCall, max(minWorkersAsked, workersAskedPerTask*st.spec.Count))
+	// Each call names as many workers as all before it, so that a step that few workers may run finds them in a few calls.
+	n := min(maxWorkersPerCall, max(minWorkersAsked, workersAskedPerTask*st.spec.Count, len(st.advice.answers)))
 	if st.spec.Gang {
 		n = max(minWorkersAsked, workersAskedPerMember*st.spec.Count)
 	}
--- a/internal/core/cell/liveness_jobs_test.go
+++ b/internal/core/cell/liveness_jobs_test.go
@@ -13,6 +13,9 @@
 	if c.chance(0.6) {
 		j.Queue = advisedQueue
 	}
+	if j.advised() && c.chance(c.p.slowAdvice) {
+		j.Queue = slowAdviceQueue
+	}
 	if c.p.others > 0 && c.chance(0.2) {
 		j.moveToOtherService()
 	}
@@ -44,7 +47,7 @@
 		c.t.Fatal(err)
 	}
 	if c.chance(0.05) || j.Steps[0].LongRunning && c.chance(0.7) {
-		c.events = append(c.events, liveEvent{c.now.Add(c.between(0, 8*time.Second)), func() { c.cancel(j) }})
+		c.events = append(c.events, liveEvent{at: c.now.Add(c.between(0, 8*time.Second)), do: func() { c.cancel(j) }})
 	}
 }
 
@@ -73,7 +76,7 @@
 // moveToOtherService makes a job one of the other service.
 func (j *liveJob) moveToOtherService() {
 	j.Service = otherService
-	if j.Queue == advisedQueue {
+	if j.advised() {
 		j.Queue = otherAdvisedQueue
 	} else {
 		j.Queue = otherQueue
@@ -81,7 +84,9 @@
 }
 
 // advised reports whether the job's queue has advice.
-func (j *liveJob) advised() bool { return j.Queue == advisedQueue || j.Queue == otherAdvisedQueue }
+func (j *liveJob) advised() bool {
+	return j.Queue == advisedQueue || j.Queue == slowAdviceQueue || j.Queue == otherAdvisedQueue
+}
 
 // randomWorker returns a worker of a service.
 func (c *liveCell) randomWorker(service string) *liveWorker {
--- a/internal/core/cell/liveness_test.go
+++ b/internal/core/cell/liveness_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -20,18 +21,21 @@
 	otherQueue        = "other-plain"
 	otherAdvisedQueue = "other-advised"
 
-	liveTick       = 20 * time.Millisecond
-	liveLease      = 4 * time.Second
-	liveRenewal    = 50 * time.Millisecond
-	liveAdviceWait = 250 * time.Millisecond // a request that waits longer for a node is withdrawn
-	liveFaults     = 8 * time.Second
-	liveSettling   = time.Second // after the end of the faults
-	liveCalm       = 9 * time.Second
+	liveTick    = 20 * time.Millisecond
+	liveLease   = 4 * time.Second
+	liveRenewal = 50 * time.Millisecond
+	// workersPerAdviceNode bounds the load of the advice service, which takes the longer the more workers it has to judge.
+	workersPerAdviceNode = 10
+	liveAdviceWait       = 250 * time.Millisecond // a request that waits longer for a node is withdrawn
+	liveFaults           = 8 * time.Second
+	liveSettling         = time.Second // after the end of the faults
+	liveCalm             = 9 * time.Second
 )
 
 type liveEvent struct {
-	at time.Time
-	do func()
+	at    time.Time
+	do    func()
+	fault bool // the event ends a fault
 }
 
 type liveCell struct {
@@ -68,11 +72,11 @@
 	failing              float64 // share of jobs whose tasks fail by themselves
 	crashing             float64 // share of jobs whose tasks crash their workers, during the faults
 	faultsPerSecond      float64
-	labelled             int           // workers with testLabel
-	gangs                float64       // share of steps with several tasks that are gangs
-	spread               float64       // share of steps with a limit of tasks on one worker
-	others               int           // workers of another service
-	decision             time.Duration // fixed part of a call for advice
+	labelled             int     // workers with testLabel
+	gangs                float64 // share of steps with several tasks that are gangs
+	spread               float64 // share of steps with a limit of tasks on one worker
+	others               int     // workers of another service
+	slowAdvice           float64 // share of the jobs with advice for which it takes long
 }
 
 type liveJob struct {
@@ -121,6 +125,8 @@
 			{Name: plainQueue, Service: "pool", Priority: 1, MaxAttempts: 4, Stretch: 3, Slack: time.Second},
 			{Name: advisedQueue, Service: "pool", Priority: 1, MaxAttempts: 4, Stretch: 3, Slack: time.Second,
 				Advice: p.advice()},
+			{Name: slowAdviceQueue, Service: "pool", Priority: 1, MaxAttempts: 4, Stretch: 3, Slack: time.Second,
+				Advice: &AdviceTiming{Decision: 360 * time.Millisecond, PerWorker: 5 * time.Millisecond, Validity: ticketValidity}},
 			{Name: otherQueue, Service: otherService, Priority: 1, MaxAttempts: 4, Stretch: 3, Slack: time.Second},
 			{Name: otherAdvisedQueue, Service: otherService, Priority: 1, MaxAttempts: 4, Stretch: 3, Slack: time.Second, Advice: p.advice()},
 		},
@@ -130,7 +136,7 @@
 }
 
 func (p liveParameters) advice() *AdviceTiming {
-	return &AdviceTiming{Decision: p.decision, PerWorker: time.Millisecond, Validity: ticketValidity}
+	return &AdviceTiming{Decision: 12 * time.Millisecond, PerWorker: time.Millisecond, Validity: ticketValidity}
 }
 
 func newLiveCell(t *rapid.T, p liveParameters, seed uint64) *liveCell {
@@ -163,7 +169,7 @@
 
 func (c *liveCell) after(d time.Duration, do func()) {
 	term := c.term
-	c.events = append(c.events, liveEvent{c.now.Add(d), func() {
+	c.events = append(c.events, liveEvent{at: c.now.Add(d), do: func() {
 		if term == c.term {
 			do()
 		}
@@ -247,8 +253,17 @@
 	}
 }
 
-// callAdvice gives waiting requests to idle nodes, one request at a time each.
+// callAdvice gives waiting requests to idle nodes in their order, one request at a time each.
 func (c *liveCell) callAdvice() {
+	slices.SortStableFunc(c.advice, func(a, b liveAdvice) int {
+		switch {
+		case a.Before(b.AdviceRequest):
+			return -1
+		case b.Before(a.AdviceRequest):
+			return 1
+		}
+		return 0
+	})
 	kept := c.advice[:0]
 	for _, r := range c.advice {
 		switch {
@@ -316,7 +331,7 @@
 func TestNoTaskStandsStill(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		p := liveParameters{
-			workers:         rapid.SampledFrom([]int{4, 8, 16}).Draw(t, "workers"),
+			workers:         rapid.SampledFrom([]int{4, 8, 16, 48}).Draw(t, "workers"),
 			adviceNodes:     rapid.IntRange(2, 6).Draw(t, "advice nodes"),
 			admitted:        rapid.SampledFrom([]int{1, 2, 4, 8, 16}).Draw(t, "admitted"),
 			outages:         rapid.SampledFrom([]float64{0, 0.1, 0.5}).Draw(t, "outages"),
@@ -328,8 +343,9 @@
 			gangs:           rapid.SampledFrom([]float64{0.1, 0.3, 0.8}).Draw(t, "gangs"),
 			spread:          rapid.SampledFrom([]float64{0.1, 0.3, 0.8}).Draw(t, "spread"),
 			others:          rapid.SampledFrom([]int{0, 1, 2, 4}).Draw(t, "other workers"),
-			decision:        rapid.SampledFrom([]time.Duration{12 * time.Millisecond}).Draw(t, "decision"),
+			slowAdvice:      rapid.SampledFrom([]float64{0, 0, 0.1}).Draw(t, "slow advice"),
 		}
+		p.adviceNodes = max(p.adviceNodes, p.workers/workersPerAdviceNode)
 		c := newLiveCell(t, p, rapid.Uint64().Draw(t, "seed"))
 		c.run(liveFaults)
 		c.endFaults()
--- a/internal/core/cell/liveness_workers_test.go
+++ b/internal/core/cell/liveness_workers_test.go
@@ -70,8 +70,7 @@
 	}
 	w.runs[task] = r
 	if j.crashing && task.Task == 0 {
-		w.up = false
-		c.after(c.between(time.Second, 3*time.Second), func() { c.boot(w) })
+		c.crash(w, c.between(time.Second, 3*time.Second))
 	}
 	return OrderDone
 }
@@ -225,7 +224,7 @@
 // crash takes a worker down for a while.
 func (c *liveCell) crash(w *liveWorker, lasts time.Duration) {
 	w.up = false
-	c.events = append(c.events, liveEvent{c.now.Add(lasts), func() {
+	c.events = append(c.events, liveEvent{at: c.now.Add(lasts), fault: true, do: func() {
 		if !w.up {
 			c.boot(w)
 		}
@@ -240,7 +239,7 @@
 		c.outage(lasts)
 		return
 	}
-	later := func(do func()) { c.events = append(c.events, liveEvent{c.now.Add(lasts), do}) }
+	later := func(do func()) { c.events = append(c.events, liveEvent{at: c.now.Add(lasts), do: do, fault: true}) }
 	switch c.random.IntN(8) {
 	case 0:
 		c.crash(w, lasts)
@@ -274,5 +273,5 @@
 			c.boot(w)
 		}
 	}
-	c.events = slices.DeleteFunc(c.events, func(e liveEvent) bool { return e.at.After(c.now.Add(100 * time.Millisecond)) })
+	c.events = slices.DeleteFunc(c.events, func(e liveEvent) bool { return e.fault })
 }
