Requests for advice go to a node that takes and answers them

What callers would see: jobs that need advice wait while nodes are idle, for as long as one member doesn't read its messages or doesn't answer.

Cause: a request was offered to one idle node only, the last in the list, whether that node could take it or not. A node whose call had failed was idle again and was chosen again before the others.

Change: a request is offered to the idle nodes in turn, those whose last call failed after the others.

By reading; no play has shown it.

--- a/internal/control/advisors.go
+++ b/internal/control/advisors.go
@@ -25,6 +25,7 @@
 	name       string
 	send       func(id int64, r cell.AdviceRequest) bool
 	inFlightID int64 // ID of the request in flight, 0 if there is none
+	failing    bool  // its last call failed
 }
 
 func isShortCall(r cell.AdviceRequest) bool { return r.Duration < longCallThreshold }
@@ -114,39 +115,45 @@
 	p.waiting = kept
 }
 
+// assign hands a request to an idle node and reports whether one has taken it. A node may be unable to, because its messages
+// queue up.
 func (p *advicePool) assign(r cell.AdviceRequest) bool {
-	a := p.idle(r)
-	if a == nil {
-		return false
-	}
-	p.nextID++
-	if !a.send(p.nextID, r) {
-		return false
+	for _, a := range p.idle(r) {
+		p.nextID++
+		if a.send(p.nextID, r) {
+			a.inFlightID = p.nextID
+			p.inFlight[p.nextID] = adviceCall{r, a, time.Now()}
+			return true
+		}
 	}
-	a.inFlightID = p.nextID
-	p.inFlight[p.nextID] = adviceCall{r, a, time.Now()}
-	return true
+	return false
 }
 
 func (p *advicePool) anyIdle() bool {
 	return slices.ContainsFunc(p.nodes, func(a *adviceNode) bool { return a.inFlightID == 0 })
 }
 
-// idle returns an idle node that may make the call, or nil if there is none.
-func (p *advicePool) idle(r cell.AdviceRequest) *adviceNode {
+// idle returns the idle nodes that may make the call, those whose last call failed after the others. A node that is cut off
+// or frozen is idle again and again until it is removed.
+func (p *advicePool) idle(r cell.AdviceRequest) []*adviceNode {
 	long := 0
-	var idle *adviceNode
-	for _, a := range p.nodes {
-		if a.inFlightID == 0 {
-			idle = a
-		} else if !isShortCall(p.inFlight[a.inFlightID].request) {
-			long++
+	var idle, failing []*adviceNode
+	for _, a := range slices.Backward(p.nodes) {
+		switch {
+		case a.inFlightID != 0:
+			if !isShortCall(p.inFlight[a.inFlightID].request) {
+				long++
+			}
+		case a.failing:
+			failing = append(failing, a)
+		default:
+			idle = append(idle, a)
 		}
 	}
 	if !isShortCall(r) && long >= p.maxLongCalls() {
 		return nil
 	}
-	return idle
+	return append(idle, failing...)
 }
 
 // maxLongCalls returns how many nodes may make long calls at the same time, which is at least one.
@@ -176,7 +183,7 @@
 		return
 	}
 	delete(p.inFlight, id)
-	f.node.inFlightID = 0
+	f.node.inFlightID, f.node.failing = 0, failed
 	recordSince(p.s.node.metrics.adviceTime, f.sent)
 	if failed {
 		p.s.node.metrics.count("advice_total", "call", "failed")
