What one service waits for holds back no other service

What callers would see: a job of an idle service waits while steps of a full service wait for advice.

Cause: free CPU, claims, withheld capacity and the size from which a task counts as large were those of the whole cell, while a step may only use the workers of its service.

--- a/internal/core/cell/pass.go
+++ b/internal/core/cell/pass.go
@@ -9,12 +9,6 @@
 )
 
 const (
-	// withheldDivisor bounds the capacity that is withheld for steps that don't fit yet to this fraction (1/n) of the cell,
-	// but one step may always withhold capacity.
-	withheldDivisor = 5
-	// claimedDivisor bounds the capacity that is claimed by steps whose advice is pending to this fraction (1/n) of the
-	// cell, but one step may always claim capacity.
-	claimedDivisor = 5
 	// minPassInterval is the minimum time between the beginnings of two passes. A costly pass is followed by a longer
 	// interval, up to maxPassInterval, so that placement leaves most of the CPU to the rest of the process.
 	minPassInterval = 8 * time.Millisecond
@@ -22,8 +16,6 @@
 	// The interval grows by pausePerWorkerCheck for each check of a worker and by pausePerStep for each waiting step.
 	pausePerWorkerCheck = 400 * time.Nanosecond
 	pausePerStep        = 4 * time.Microsecond
-	// turnoverDivisor is the fraction (1/n) of the cell that is expected to come free while advice is pending.
-	turnoverDivisor = 10
 	// maxWorkerChecks bounds the cost of a pass. Beyond it, steps that recently found no capacity check only workers on
 	// which capacity has come free.
 	maxWorkerChecks = 40_000
@@ -41,24 +33,17 @@
 
 // placementPass is the state of one pass over the waiting steps.
 type placementPass struct {
-	startedAt       time.Time       // of the last pass
-	expiredPassAt   time.Time       // of the last pass that included expired jobs
-	usable          []*worker       // if there is none, those that are set aside
-	setAside        []*worker       // rested workers that would be usable but for their faults, see lastResort
-	unrested        []*worker       // the other workers that would be usable but for their faults
-	freeCPU         int64           // thousandths of a core that are free for the remaining steps
-	turnoverCPU     int64           // thousandths of a core that are expected to come free soon
-	maxFree         resource.Vector // maximum free amount of each resource on any worker
-	maxCapacity     resource.Vector // maximum capacity of each resource on any worker
-	withholdableCPU int64           // thousandths of a core that may still be withheld for steps that don't fit yet
-	// claimableCPU is what steps whose advice is pending may still claim, in thousandths of a core.
-	claimableCPU int64
+	startedAt     time.Time // of the last pass
+	expiredPassAt time.Time // of the last pass that included expired jobs
+	usable        []*worker // if there is none, those that are set aside
+	setAside      []*worker // rested workers that would be usable but for their faults, see lastResort
+	unrested      []*worker // the other workers that would be usable but for their faults
 	// lateWork is the waiting work of late jobs; up to lateWorkLimit, it is served before jobs that can wait. Both are in
 	// thousandths of a core times milliseconds.
 	lateWork, lateWorkLimit int64
-	pools                   map[string]poolLoad // by service
-	workerChecks            int                 // checks of single workers so far
-	freed                   []*worker           // usable workers on which capacity has come free since the last pass
+	pools                   map[string]*pool // by service
+	workerChecks            int              // checks of single workers so far
+	freed                   []*worker        // usable workers on which capacity has come free since the last pass
 	steps                   []candidateStep
 }
 
@@ -80,11 +65,13 @@
 	return min(maxPassInterval, minPassInterval+time.Duration(p.workerChecks)*pausePerWorkerCheck+time.Duration(len(p.steps))*pausePerStep)
 }
 
-// placeSteps serves the steps in their order until no capacity is left.
+// placeSteps serves the steps in their order, each as long as its pool has capacity left.
 func (s *Scheduler) placeSteps() {
 	for _, c := range s.pass.steps {
-		if s.pass.freeCPU+s.pass.turnoverCPU <= 0 {
-			return
+		p := s.pass.poolOf(c.step.job.Service)
+		c.step.pool = p
+		if p.freeCPU+p.turnoverCPU <= 0 {
+			continue
 		}
 		if !s.isBlocked(c) {
 			s.placeStep(c.step, c.queue)
@@ -103,7 +90,7 @@
 	switch {
 	case !s.withinLimit(st, 1):
 		return true
-	case !st.spec.Each.Fits(s.pass.maxFree) && st.advice.answered():
+	case !st.spec.Each.Fits(st.pool.maxFree) && st.advice.answered():
 		s.withholdFor(st, c.queue)
 		return true
 	}
@@ -113,7 +100,7 @@
 // addWorker adds a worker to the lists that it belongs to.
 func (p *placementPass) addWorker(w *worker, now time.Time) {
 	if w.available() {
-		p.addLoad(w)
+		p.poolOf(w.Service).addLoad(w)
 	}
 	switch {
 	case w.heldBy != nil:
@@ -129,10 +116,8 @@
 func (s *Scheduler) collectUsableWorkers() {
 	s.pass.usable, s.pass.freed = s.pass.usable[:0], s.pass.freed[:0]
 	s.pass.setAside, s.pass.unrested = s.pass.setAside[:0], s.pass.unrested[:0]
-	s.pass.pools = map[string]poolLoad{}
-	s.pass.maxFree = resource.Vector{}
-	s.pass.maxCapacity = resource.Vector{}
-	s.pass.freeCPU, s.pass.turnoverCPU, s.pass.withholdableCPU, s.pass.claimableCPU, s.pass.lateWorkLimit, s.pass.workerChecks = 0, 0, 0, 0, 0, 0
+	s.pass.pools = map[string]*pool{}
+	s.pass.lateWorkLimit, s.pass.workerChecks = 0, 0
 	for _, w := range s.workers {
 		w.withheld = resource.Vector{}
 		s.pass.addWorker(w, s.now)
@@ -142,15 +127,11 @@
 	}
 	// Any of these workers may be the only one that may run a step.
 	for _, w := range slices.Concat(s.pass.usable, s.pass.setAside, s.pass.unrested) {
-		s.pass.freeCPU += max(0, w.free.MilliCPU)
-		s.pass.maxFree = s.pass.maxFree.Max(w.free)
+		s.pass.poolOf(w.Service).addFree(w)
 	}
 	for _, w := range s.pass.usable {
-		s.pass.turnoverCPU += w.Capacity.MilliCPU / turnoverDivisor
-		s.pass.withholdableCPU += w.Capacity.MilliCPU / withheldDivisor
+		s.pass.poolOf(w.Service).addUsable(w)
 		s.pass.lateWorkLimit += w.Capacity.MilliCPU * lateWorkTime.Milliseconds()
-		s.pass.claimableCPU += w.Capacity.MilliCPU / claimedDivisor
-		s.pass.maxCapacity = s.pass.maxCapacity.Max(w.Capacity)
 	}
 	byID := func(a, b *worker) int { return cmp.Compare(a.ID, b.ID) }
 	slices.SortFunc(s.pass.usable, byID)
--- a/internal/core/cell/place.go
+++ b/internal/core/cell/place.go
@@ -38,7 +38,7 @@
 			delayed++
 			continue
 		}
-		if s.pass.freeCPU < st.spec.Each.MilliCPU {
+		if st.pool.freeCPU < st.spec.Each.MilliCPU {
 			// The tasks placed in this pass and the claims of steps whose advice is pending leave too little CPU for another
 			// task, so requesting advice on further workers wouldn't help.
 			s.withholdFor(st, q)
@@ -125,7 +125,7 @@
 func (s *Scheduler) unreserveGang(st *step) {
 	for _, t := range st.tasks {
 		if t.phase == taskReserved {
-			s.pass.freeCPU += st.spec.Each.MilliCPU
+			st.pool.freeCPU += st.spec.Each.MilliCPU
 		}
 	}
 	s.releaseReserved(st)
@@ -145,7 +145,7 @@
 // reserve allocates capacity on a worker to a task.
 func (s *Scheduler) reserve(t *task, w *worker) {
 	s.allocate(t, w)
-	s.pass.freeCPU -= t.step.spec.Each.MilliCPU
+	t.step.pool.freeCPU -= t.step.spec.Each.MilliCPU
 	t.phase = taskReserved
 	t.step.waiting--
 }
--- a/internal/core/cell/room.go
+++ b/internal/core/cell/room.go
@@ -11,18 +11,18 @@
 // pass. Otherwise they would take it in the meantime. The claims are bounded in total, because a series of steps that wait
 // for advice can't use more at a time.
 func (s *Scheduler) claim(st *step) {
-	if st.spec.Gang || st.advice.inFlight == 0 || s.pass.claimableCPU <= 0 {
+	if st.spec.Gang || st.advice.inFlight == 0 || st.pool.claimableCPU <= 0 {
 		return
 	}
 	claimed := int64(st.waiting) * st.spec.Each.MilliCPU
-	s.pass.claimableCPU -= claimed
-	s.pass.freeCPU -= claimed
+	st.pool.claimableCPU -= claimed
+	st.pool.freeCPU -= claimed
 }
 
 // gangMayFit reports whether the workers may have capacity for all members of a gang. It is a cheap check that avoids
 // searching for a worker for each member.
 func (s *Scheduler) gangMayFit(st *step, q *Queue) bool {
-	if !s.withinLimit(st, len(st.tasks)) || s.pass.freeCPU < int64(len(st.tasks))*st.spec.Each.MilliCPU {
+	if !s.withinLimit(st, len(st.tasks)) || st.pool.freeCPU < int64(len(st.tasks))*st.spec.Each.MilliCPU {
 		return false
 	}
 	workers := s.workersFor(st, q)
@@ -57,7 +57,7 @@
 // capacity then becomes available as single tasks end, and no worker has to become empty. Small tasks need no withheld
 // capacity, because they fit as soon as another task ends.
 func (s *Scheduler) withholdFor(st *step, q *Queue) {
-	if !st.spec.Gang && st.spec.Each.DominantShare(s.pass.maxCapacity) < largeTaskShare {
+	if !st.spec.Gang && st.spec.Each.DominantShare(st.pool.maxCapacity) < largeTaskShare {
 		return
 	}
 	wanted := st.waiting
@@ -67,7 +67,7 @@
 	case !s.withinLimit(st, wanted):
 		wanted = 1
 	}
-	if s.pass.withholdableCPU <= 0 || wanted > st.waiting || !s.withinLimit(st, wanted) {
+	if st.pool.withholdableCPU <= 0 || wanted > st.waiting || !s.withinLimit(st, wanted) {
 		return
 	}
 	s.pass.workerChecks += len(s.pass.usable)
@@ -88,7 +88,7 @@
 	if wanted = min(wanted, fitting); wanted == 0 {
 		return
 	}
-	s.pass.withholdableCPU -= int64(wanted) * st.spec.Each.MilliCPU
+	st.pool.withholdableCPU -= int64(wanted) * st.spec.Each.MilliCPU
 	slices.SortFunc(candidates, func(a, b idleRoom) int { return compareFreeShare(a.worker, b.worker) })
 	for i := 0; wanted > 0; i = (i + 1) % len(candidates) {
 		if c := &candidates[i]; c.tasks > 0 {
--- a/internal/core/cell/standstill.go
+++ b/internal/core/cell/standstill.go
@@ -15,31 +15,13 @@
 // workers that are set aside.
 const standstillLimit = 2 * time.Second
 
-// maxMostlyFreeLoad is the allocated share of a pool's capacity below which most of it counts as free. It is above one half,
-// because capacity is allocated before its task runs.
-const maxMostlyFreeLoad = 0.6
-
-// poolLoad is the capacity of the workers of a pool that answer, and how much of it is allocated.
-type poolLoad struct{ used, capacity resource.Vector }
-
-// mostlyFree reports whether most of the pool's capacity is free.
-func (p poolLoad) mostlyFree() bool { return p.used.DominantShare(p.capacity) < maxMostlyFreeLoad }
-
-// addLoad adds a worker to the load of its pool in this pass.
-func (p *placementPass) addLoad(w *worker) {
-	load := p.pools[w.Service]
-	load.capacity = load.capacity.Add(w.Capacity)
-	load.used = load.used.Add(w.Capacity.Sub(w.free))
-	p.pools[w.Service] = load
-}
-
 // standsStill reports whether the job of a step, or a service step itself, has stood still for standstillLimit.
 func (s *Scheduler) standsStill(st *step) bool {
 	since := st.job.idleSince
 	if st.spec.LongRunning {
 		since = st.waitingSince
 	}
-	return !since.IsZero() && s.now.Sub(since) >= standstillLimit && s.pass.pools[st.job.Service].mostlyFree()
+	return !since.IsZero() && s.now.Sub(since) >= standstillLimit && s.pass.poolOf(st.job.Service).mostlyFree()
 }
 
 // noteWaiting notes since when the step has had waiting tasks.
--- a/internal/core/cell/state.go
+++ b/internal/core/cell/state.go
@@ -88,6 +88,7 @@
 	tasksPerWorker map[WorkerID]int
 	advice         stepAdvice
 	fullScanAt     time.Time // when all workers were last checked without success, zero if a check is due
+	pool           *pool     // of its service, in the placement pass that last considered the step
 
 	standstillLoggedAt time.Time // when it was last logged that the step stands still
 }
