The last resort counts the room for all members of a gang

What callers would see: a gang waits for up to 16 s for workers that are set aside after failures, in a cell that isn't mostly free.

Cause: these workers were considered only if no other worker may run the step. One that may hold a part of the gang counted as enough.

Change: the other workers have to hold all members.

Measured: TestLastResortCountsTheRoomForAGang fails before (16.0 s) and passes.

--- a/internal/core/cell/avoid.go
+++ b/internal/core/cell/avoid.go
@@ -40,9 +40,13 @@
 	return st.advice.answers[w.ID].allowed() || !st.advice.covers(w)
 }
 
-// lastResort returns the workers that are set aside if no other worker may run the step, or if its job stands still because
-// those have no capacity.
+// lastResort returns the workers that are set aside if no other worker may run the step, or all members of it if it is a
+// gang, or if its job stands still because those have no capacity.
 func (s *Scheduler) lastResort(st *step, q *Queue) []*worker {
+	needed := 1
+	if st.spec.Gang {
+		needed = len(st.tasks)
+	}
 	switch {
 	case len(s.pass.setAside)+len(s.pass.unrested) == 0:
 		return nil
@@ -51,7 +55,10 @@
 	}
 	for _, w := range s.pass.usable {
 		s.pass.workerChecks++
-		if s.mayEverRun(st, w, q) {
+		if !s.mayEverRun(st, w, q) {
+			continue
+		}
+		if needed -= st.tasksOnIdle(w); needed <= 0 {
 			return nil
 		}
 	}
--- a/internal/core/cell/room_test.go
+++ b/internal/core/cell/room_test.go
@@ -51,3 +51,17 @@
 		})
 	}
 }
+
+// Guards against a gang that waits for up to 16 s for workers that are set aside, because another worker may run a part of it.
+func TestLastResortCountsTheRoomForAGang(t *testing.T) {
+	h := newLabelledHarness(t, 2)
+	h.setAside(0)
+	h.addJob(Job{ID: "fill", Steps: []Step{tasks(7, 3000)}})
+	h.advance(0)
+	assert.Equal(t, len(h.takeStarts()), 7)
+	gang := labelled(tasks(2, 1000))
+	gang.Gang, gang.MaxPerWorker = true, 1
+	h.addJob(Job{ID: "a", Steps: []Step{gang}})
+	after, worker := h.nextStart(maxFaultPause)
+	assert.Assert(t, worker != "" && after < 2*minFaultPause, "%s after %v", worker, after)
+}
