--- a/internal/core/cell/liveness_test.go
+++ b/internal/core/cell/liveness_test.go
@@ -39,7 +39,7 @@
 }
 
 type liveCell struct {
-	t             *rapid.T
+	t             rapid.TB
 	random        *rand.Rand
 	now           time.Time
 	calm, settled bool
@@ -139,7 +139,7 @@
 	return &AdviceTiming{Decision: 12 * time.Millisecond, PerWorker: time.Millisecond, Validity: ticketValidity}
 }
 
-func newLiveCell(t *rapid.T, p liveParameters, seed uint64) *liveCell {
+func newLiveCell(t rapid.TB, p liveParameters, seed uint64) *liveCell {
 	c := &liveCell{t: t, random: rand.New(rand.NewPCG(seed, 1)), now: start, p: p, byID: map[JobID]*liveJob{}}
 	c.log = &liveLog{c: c}
 	for i := range p.workers + p.others {
@@ -210,6 +210,15 @@
 	c.s.SetWorkers(reports, c.now)
 }
 
+// play plays the faults and the calm after them.
+func (c *liveCell) play() {
+	c.run(liveFaults)
+	c.endFaults()
+	c.run(liveSettling)
+	c.settled = true
+	c.run(liveCalm)
+}
+
 func (c *liveCell) run(d time.Duration) {
 	for end := c.now.Add(d); c.now.Before(end); {
 		c.tick()
@@ -346,11 +355,6 @@
 			slowAdvice:      rapid.SampledFrom([]float64{0, 0, 0.1}).Draw(t, "slow advice"),
 		}
 		p.adviceNodes = max(p.adviceNodes, p.workers/workersPerAdviceNode)
-		c := newLiveCell(t, p, rapid.Uint64().Draw(t, "seed"))
-		c.run(liveFaults)
-		c.endFaults()
-		c.run(liveSettling)
-		c.settled = true
-		c.run(liveCalm)
+		newLiveCell(t, p, rapid.Uint64().Draw(t, "seed")).play()
 	})
 }
