control: files named by their duties

Cause: carriers.go, carry.go, carried.go, member.go and members.go didn't tell what they do.

Change: carriers.go chooses the member that makes a call; carrier_calls.go makes it, carrier_stream.go and carrier_member.go are the two ends of its stream, carrier_wire.go its encoding. member.go is follower.go. doc.go maps the package. No line of code is changed but package clauses and imports.

--- a/internal/control/keys.go
+++ b/internal/control/keys.go
@@ -1,5 +1,3 @@
-// Package control runs a node of a cell on the users' platform. Every node answers callers. The node that holds the
-// scheduling lease in the store also runs the cell's scheduler and sends orders to the workers.
 package control
 
 import (
