A job that stands still before the first pass ends no term

What callers would see: a node that takes over while the store is down panics in its scheduler and loses the term, if a job has waited for 2 s.

Cause: the pools of a pass were looked up in a map that the first pass makes.

Change: the map is made when it is needed.

Measured: TestStandstillBeforeTheFirstPass panics without the change of pool.go and passes.

--- a/internal/core/cell/avoid.go
+++ b/internal/core/cell/avoid.go
@@ -43,22 +43,20 @@
 // lastResort returns the workers that are set aside if no other worker may run the step, or all members of it if it is a
 // gang, or if its job stands still because those have no capacity.
 func (s *Scheduler) lastResort(st *step, q *Queue) []*worker {
-	needed := 1
-	if st.spec.Gang {
-		needed = len(st.tasks)
-	}
 	switch {
 	case len(s.pass.setAside)+len(s.pass.unrested) == 0:
 		return nil
 	case s.standsStill(st):
 		return slices.Concat(s.pass.setAside, s.pass.unrested)
 	}
+	room := 0
 	for _, w := range s.pass.usable {
 		s.pass.workerChecks++
 		if !s.mayEverRun(st, w, q) {
 			continue
 		}
-		if needed -= st.tasksOnIdle(w); needed <= 0 {
+		room += st.tasksOnIdle(w)
+		if !st.spec.Gang || room >= len(st.tasks) {
 			return nil
 		}
 	}
--- a/internal/core/cell/pool.go
+++ b/internal/core/cell/pool.go
@@ -32,6 +32,9 @@
 func (p *placementPass) poolOf(service string) *pool {
 	found := p.pools[service]
 	if found == nil {
+		if p.pools == nil { // before the first pass
+			p.pools = map[string]*pool{}
+		}
 		found = &pool{}
 		p.pools[service] = found
 	}
--- a/internal/core/cell/pools_test.go
+++ b/internal/core/cell/pools_test.go
@@ -57,3 +57,16 @@
 	h.advance(20 * time.Millisecond)
 	assert.Equal(t, len(h.advice), 0)
 }
+
+// Guards against a panic of a scheduler that takes over while the store is down: a job stands still before the first pass.
+func TestStandstillBeforeTheFirstPass(t *testing.T) {
+	h := newHarness(t, 0)
+	h.addJob(Job{ID: "a", Steps: []Step{tasks(1, 1000)}})
+	h.s.jobs["a"].version++
+	h.s.markDirty(h.s.jobs["a"])
+	h.s.TakeWrites(0)
+	h.now = h.now.Add(standstillLimit + writeStallTimeout)
+	h.s.Advance(h.now)
+	assert.Assert(t, h.s.placementSuspended)
+	assert.Assert(t, h.s.pass.startedAt.IsZero())
+}
