Steps that stand still are placed first

What callers would see: a job waits for more than 3 s beside the only worker that may run it, in a cell that is mostly free, because the tasks of a higher-ranked job are on probation and hold that worker one after the other.

Cause: the end that holding back has for a job that stands still didn't cover the order in which steps are placed.

Change: steps that stand still are placed before all others. Most of their pool is free, so this takes little from others.

Measured: TestProbationInTurnDoesNotKeepAWorker fails without the change (11 runs on the worker in 3 s) and passes.

--- a/internal/core/cell/order.go
+++ b/internal/core/cell/order.go
@@ -11,6 +11,19 @@
 	step  *step
 	queue *Queue
 	rank  rank
+	still bool // the step stands still
+}
+
+// compare orders steps that stand still before all others: most of their pool is free, so what they wait for is a certain
+// worker, and higher-ranked steps could take that one again and again.
+func (c candidateStep) compare(o candidateStep) int {
+	switch {
+	case c.still && !o.still:
+		return -1
+	case o.still && !c.still:
+		return 1
+	}
+	return c.rank.compare(o.rank)
 }
 
 // rank is the sort key by which jobs are served.
@@ -51,8 +64,8 @@
 	gangLeadTime = 1500 * time.Millisecond
 )
 
-// collectSteps lists the steps with waiting tasks in the order in which they are served: by urgency, so that work that
-// must proceed now to meet its objective comes first, then by priority and deadline.
+// collectSteps lists the steps with waiting tasks in the order in which they are served: those that stand still, then by
+// urgency, so that work that must proceed now to meet its objective comes first, then by priority and deadline.
 func (s *Scheduler) collectSteps() {
 	s.pass.steps = s.pass.steps[:0]
 	s.pass.lateWork = 0
@@ -82,11 +95,11 @@
 		}
 		for _, st := range j.steps {
 			if st.waiting > 0 && st.ready() {
-				s.pass.steps = append(s.pass.steps, candidateStep{st, q, r})
+				s.pass.steps = append(s.pass.steps, candidateStep{st, q, r, s.standsStill(st)})
 			}
 		}
 	}
-	slices.SortStableFunc(s.pass.steps, func(a, b candidateStep) int { return a.rank.compare(b.rank) })
+	slices.SortStableFunc(s.pass.steps, candidateStep.compare)
 }
 
 // urgency classifies a job by its objective and its earliest possible end as of the current pass.
--- a/internal/core/cell/standstill_test.go
+++ b/internal/core/cell/standstill_test.go
@@ -213,3 +213,29 @@
 	after, worker := h.nextStart(standstillRule)
 	assert.Equal(t, worker, workerID(0), "after %v", after)
 }
+
+// Guards against a job that stands still beside the only worker that may run it, because tasks on probation of a higher-ranked
+// job take that worker one after the other.
+func TestProbationInTurnDoesNotKeepAWorker(t *testing.T) {
+	h := newLabelledHarness(t, 1)
+	h.addJob(Job{ID: "suspects", Queue: urgentQueue, Steps: []Step{labelled(tasks(20, 100))}})
+	for _, task := range h.s.jobs["suspects"].steps[0].tasks {
+		task.crashes = crashHistory{workers: []WorkerID{"gone"}, confirmed: 1}
+	}
+	h.addJob(Job{ID: "a", Steps: []Step{labelled(tasks(1, 1000))}})
+	var running []RunningRow
+	for began := h.now; h.now.Sub(began) < standstillRule; h.advance(50 * time.Millisecond) {
+		for _, o := range h.takeStarts() {
+			if o.Run.Task.Job == "a" {
+				return
+			}
+			h.confirm(o)
+			running = append(running, RunningRow{Run: o.Run})
+		}
+		for i := range running {
+			running[i].Percent++
+		}
+		h.renew(0, running, nil)
+	}
+	t.Fatalf("the job stands still beside %d runs on its worker", len(running))
+}
