Waiting tasks follow their queue to another service

A job that was accepted before its queue was sent to another service never runs while the former one is full.

Cause: only workers of the service at the time of acceptance were eligible; the queue's other terms came from the configuration in force.

Change: a configuration moves the jobs of a queue whose service it changes. Starts that aren't sent are decided anew, a gang's as a whole; runs go on.

The liveness simulation sends queues to another service and checks that no run starts on one to which its queue was never sent.

--- a/internal/core/cell/liveness_jobs_test.go
+++ b/internal/core/cell/liveness_jobs_test.go
@@ -17,7 +17,7 @@
 		j.Queue = slowAdviceQueue
 	}
 	if c.p.others > 0 && c.chance(0.2) {
-		j.moveToOtherService()
+		j.useOtherQueue()
 	}
 	switch {
 	case c.chance(0.1):
@@ -34,13 +34,13 @@
 		}
 		j.Steps = append(j.Steps, st)
 		j.admitted[n] = map[WorkerID]bool{}
-		for range 1 + c.random.IntN(c.p.admitted) {
-			j.admitted[n][c.randomWorker(j.Service).id] = true
-		}
+		c.admit(j, n)
 		if st.LongRunning {
 			break
 		}
 	}
+	j.Service, j.ConfigVersion = c.services[j.Queue], c.version
+	j.accepted = j.Job
 	c.jobs = append(c.jobs, j)
 	c.byID[id] = j
 	if err := c.s.AddJob(j.Job, nil, c.now); err != nil {
@@ -73,9 +73,41 @@
 	return st
 }
 
-// moveToOtherService makes a job one of the other service.
-func (j *liveJob) moveToOtherService() {
-	j.Service = otherService
+// admit lets some workers of the service of a job's queue run a step.
+func (c *liveCell) admit(j *liveJob, step int) {
+	for range 1 + c.random.IntN(c.p.admitted) {
+		j.admitted[step][c.randomWorker(c.services[j.Queue]).id] = true
+	}
+}
+
+// moveQueue sends a queue to another service, and its jobs with it.
+func (c *liveCell) moveQueue() {
+	if c.p.others == 0 {
+		return
+	}
+	queues := []string{plainQueue, advisedQueue, slowAdviceQueue, otherQueue, otherAdvisedQueue}
+	queue := queues[c.random.IntN(len(queues))]
+	if c.services[queue] == otherService {
+		c.services[queue] = "pool"
+	} else {
+		c.services[queue] = otherService
+	}
+	c.former[queue][c.services[queue]] = true
+	c.version++
+	for _, j := range c.jobs {
+		if j.Queue != queue || j.final {
+			continue
+		}
+		j.Service = c.services[queue]
+		for n := range j.Steps {
+			c.admit(j, n)
+		}
+	}
+	c.s.SetConfig(c.config())
+}
+
+// useOtherQueue hands a job in on a queue that is the other service's at first.
+func (j *liveJob) useOtherQueue() {
 	if j.advised() {
 		j.Queue = otherAdvisedQueue
 	} else {
--- a/internal/core/cell/liveness_rule_test.go
+++ b/internal/core/cell/liveness_rule_test.go
@@ -133,7 +133,7 @@
 
 // withinLimit reports whether a team has under half of its limit, and whether the rest is enough for a task or a gang.
 func (c *liveCell) withinLimit(team string, st *Step) bool {
-	limit, used, need := c.p.config().Team(team).Limit.MilliCPU, int64(0), st.Each.MilliCPU
+	limit, used, need := c.config().Team(team).Limit.MilliCPU, int64(0), st.Each.MilliCPU
 	if limit == 0 {
 		return true
 	}
--- a/internal/core/cell/liveness_seeds_test.go
+++ b/internal/core/cell/liveness_seeds_test.go
@@ -20,6 +20,11 @@
 			arrivals: 0.9869708716869354, failing: 0.5, faultsPerSecond: 1.0425097243860364, labelled: 8, gangs: 0.1, spread: 0.1}, 0x1},
 		{"requests that were withdrawn again and again", liveParameters{workers: 8, adviceNodes: 3, admitted: 1, outages: 0.1,
 			arrivals: 8, failing: 0.5, faultsPerSecond: 3.740247964859009, labelled: 8, gangs: 0.8, spread: 0.1, others: 2, slowAdvice: 0.1}, 0x59},
+		{"queue sent to another service, few faults", liveParameters{workers: 8, adviceNodes: 6, admitted: 16, outages: 0.5,
+			arrivals: 1.6830257338933023, crashing: 0.5, faultsPerSecond: 1.2297801413720562, labelled: 2, gangs: 0.1, spread: 0.8, others: 1,
+			moves: 0.1, slowAdvice: 0.1}, 0x1a},
+		{"queue sent to another service, many faults", liveParameters{workers: 8, adviceNodes: 6, admitted: 16,
+			arrivals: 0.6923417255077311, crashing: 0.1, faultsPerSecond: 4, labelled: 4, gangs: 0.8, spread: 0.1, others: 4, moves: 0.1}, 0x953},
 	} {
 		t.Run(c.name, func(t *testing.T) { newLiveCell(t, c.p, c.seed).play() })
 	}
--- a/internal/core/cell/liveness_test.go
+++ b/internal/core/cell/liveness_test.go
@@ -56,6 +56,10 @@
 	calls         int          // requests that nodes have sent
 
 	storeDownUntil time.Time
+
+	version  int64                      // of the configuration
+	services map[string]string          // of the queues
+	former   map[string]map[string]bool // services to which a queue has ever been sent
 }
 
 type liveAdvice struct {
@@ -76,11 +80,13 @@
 	gangs                float64 // share of steps with several tasks that are gangs
 	spread               float64 // share of steps with a limit of tasks on one worker
 	others               int     // workers of another service
+	moves                float64 // share of faults that are changes of a queue's service
 	slowAdvice           float64 // share of the jobs with advice for which it takes long
 }
 
 type liveJob struct {
 	Job
+	accepted   Job                       // its record
 	admitted   map[int]map[WorkerID]bool // by step
 	lastEnd    map[TaskID]time.Time
 	stillAt    map[TaskID]time.Time // since when a task, or the first task of its job, stands still
@@ -119,8 +125,8 @@
 	lapsed     bool
 }
 
-func (p liveParameters) config() *Config {
-	return NewConfig(Config{Version: 1,
+func (p liveParameters) config() Config {
+	return Config{Version: 1,
 		Queues: []Queue{
 			{Name: plainQueue, Service: "pool", Priority: 1, MaxAttempts: 4, Stretch: 3, Slack: time.Second},
 			{Name: advisedQueue, Service: "pool", Priority: 1, MaxAttempts: 4, Stretch: 3, Slack: time.Second,
@@ -132,7 +138,17 @@
 		},
 		Teams: []Team{{Name: "team", Weight: 1000}, {Name: "slow", Weight: 1},
 			{Name: "small", Weight: 1000, Limit: resource.Vector{MilliCPU: 8000}}},
-	})
+	}
+}
+
+// config returns the configuration in force.
+func (c *liveCell) config() *Config {
+	config := c.p.config()
+	config.Version = c.version
+	for i, q := range config.Queues {
+		config.Queues[i].Service = c.services[q.Name]
+	}
+	return NewConfig(config)
 }
 
 func (p liveParameters) advice() *AdviceTiming {
@@ -140,7 +156,11 @@
 }
 
 func newLiveCell(t rapid.TB, p liveParameters, seed uint64) *liveCell {
-	c := &liveCell{t: t, random: rand.New(rand.NewPCG(seed, 1)), now: start, p: p, byID: map[JobID]*liveJob{}}
+	c := &liveCell{t: t, random: rand.New(rand.NewPCG(seed, 1)), now: start, p: p, byID: map[JobID]*liveJob{},
+		version: 1, services: map[string]string{}, former: map[string]map[string]bool{}}
+	for _, q := range p.config().Queues {
+		c.services[q.Name], c.former[q.Name] = q.Service, map[string]bool{q.Service: true}
+	}
 	c.log = &liveLog{c: c}
 	for i := range p.workers + p.others {
 		w := &liveWorker{id: workerID(i), service: "pool", full: resource.Vector{MilliCPU: 4000, MemoryMB: 8000}}
@@ -181,12 +201,12 @@
 	c.term++
 	c.advice, c.calls = nil, 0
 	c.s = New(Options{EndedRetention: time.Minute}, c.log)
-	c.s.SetConfig(c.p.config())
+	c.s.SetConfig(c.config())
 	for _, j := range c.jobs {
 		if j.final {
 			continue
 		}
-		if err := c.s.AddJob(j.Job, j.record, c.now); err != nil {
+		if err := c.s.AddJob(j.accepted, j.record, c.now); err != nil {
 			c.t.Fatal(err)
 		}
 		if j.canceled {
@@ -352,6 +372,7 @@
 			gangs:           rapid.SampledFrom([]float64{0.1, 0.3, 0.8}).Draw(t, "gangs"),
 			spread:          rapid.SampledFrom([]float64{0.1, 0.3, 0.8}).Draw(t, "spread"),
 			others:          rapid.SampledFrom([]int{0, 1, 2, 4}).Draw(t, "other workers"),
+			moves:           rapid.SampledFrom([]float64{0, 0, 0.1}).Draw(t, "moves"),
 			slowAdvice:      rapid.SampledFrom([]float64{0, 0, 0.1}).Draw(t, "slow advice"),
 		}
 		p.adviceNodes = max(p.adviceNodes, p.workers/workersPerAdviceNode)
--- a/internal/core/cell/liveness_workers_test.go
+++ b/internal/core/cell/liveness_workers_test.go
@@ -50,6 +50,9 @@
 		return OrderDone
 	}
 	j := c.byID[task.Job]
+	if !c.former[j.Queue][w.service] {
+		c.t.Fatalf("%v is started on a worker of a service to which its queue was never sent", o.Run)
+	}
 	need := j.Steps[task.Step].Each
 	switch {
 	case current != nil && current.run == o.Run.Run:
@@ -235,6 +238,10 @@
 func (c *liveCell) fault() {
 	w := c.workers[c.random.IntN(len(c.workers))]
 	lasts := c.between(100*time.Millisecond, 6*time.Second)
+	if c.p.moves > 0 && c.chance(c.p.moves) {
+		c.moveQueue()
+		return
+	}
 	if c.chance(c.p.outages) {
 		c.outage(lasts)
 		return
--- a/internal/core/cell/pools_test.go
+++ b/internal/core/cell/pools_test.go
@@ -27,7 +27,8 @@
 
 // addIdleServiceJob adds a job of a task for the idle service.
 func (h *harness) addIdleServiceJob() {
-	j := Job{ID: "idle", Queue: plainQueue, Team: "team", Service: idleService, Steps: []Step{tasks(1, 1000)}, AcceptedMS: h.now.UnixMilli()}
+	j := Job{ID: "idle", Queue: "a queue of the other service", Team: "team", Service: idleService, Steps: []Step{tasks(1, 1000)}, AcceptedMS: h.now.UnixMilli(),
+		Terms: testConfig().Queue(plainQueue).Terms()}
 	assert.NilError(h.t, h.s.AddJob(j, nil, h.now))
 }
 
--- a/internal/core/cell/record.go
+++ b/internal/core/cell/record.go
@@ -20,11 +20,14 @@
 
 // progressRecord is the stored form of a job's progress.
 type progressRecord struct {
-	Version int            `json:"v"`
-	Phase   Phase          `json:"phase"`
-	Reason  string         `json:"reason,omitempty"`
-	Began   bool           `json:"began,omitempty"` // a task has started
-	Steps   []stepProgress `json:"steps,omitempty"`
+	Version int    `json:"v"`
+	Phase   Phase  `json:"phase"`
+	Reason  string `json:"reason,omitempty"`
+	Began   bool   `json:"began,omitempty"` // a task has started
+	// Service and ConfigVersion are those of the job if its queue has been sent to another service since it was accepted.
+	Service       string         `json:"service,omitempty"`
+	ConfigVersion int64          `json:"config,omitempty"`
+	Steps         []stepProgress `json:"steps,omitempty"`
 }
 
 // stepProgress lists the tasks of a step that have ever been placed.
@@ -118,6 +121,9 @@
 // encodeProgress returns the record of the job's progress.
 func encodeProgress(j *job) ([]byte, error) {
 	r := progressRecord{Version: recordVersion, Phase: j.phase, Reason: j.reason, Began: j.started}
+	if j.moved {
+		r.Service, r.ConfigVersion = j.Service, j.ConfigVersion
+	}
 	for _, st := range j.steps {
 		r.Steps = append(r.Steps, st.progress())
 	}
@@ -170,6 +176,9 @@
 		return errors.Errorf("progress of %s has %d steps, the job has %d", j.ID, len(r.Steps), len(j.steps))
 	}
 	j.phase, j.reason, j.started = r.Phase, r.Reason, r.Began || r.Phase == Running
+	if r.Service != "" {
+		j.Service, j.ConfigVersion, j.moved = r.Service, r.ConfigVersion, true
+	}
 	for i, p := range r.Steps {
 		s.restoreStep(j.steps[i], p)
 	}
--- a/internal/core/cell/scheduler.go
+++ b/internal/core/cell/scheduler.go
@@ -71,6 +71,7 @@
 func (s *Scheduler) SetConfig(c *Config) {
 	s.config = c
 	s.changed = true
+	s.updateServices()
 }
 
 // AddJob adds an accepted job with its progress record, which is nil for a new job. A known job is left unchanged. A job
@@ -90,13 +91,15 @@
 			return err
 		}
 	}
+	s.now = now
+	moved := s.updateService(added)
 	s.setObjective(added, now)
 	added.overRate = !s.bucketOf(j.Team).allow(j.AcceptedMS)
 	s.jobs[j.ID] = added
 	s.active = append(s.active, added)
 	s.changed = true
 	s.completeIfDone(added)
-	if added.phase.Final() {
+	if added.phase.Final() || moved {
 		s.scheduleWrite(added)
 	}
 	if _, canceled := s.earlyCancels[j.ID]; canceled {
--- a/internal/core/cell/state.go
+++ b/internal/core/cell/state.go
@@ -98,6 +98,7 @@
 	Job
 	steps           []*step
 	phase           Phase
+	moved           bool      // Service isn't that of the job's record, because its queue was sent to another one
 	started         bool      // a task has started
 	idleSince       time.Time // since when nothing of the job is allocated to a worker, zero from the confirmation of a run until then
 	cancelRequested bool
--- a/internal/core/cell/types.go
+++ b/internal/core/cell/types.go
@@ -67,14 +67,17 @@
 
 // Job is an accepted job as stored in its record.
 type Job struct {
-	ID         JobID  `json:"id"`
-	Queue      string `json:"queue"`
-	Team       string `json:"team"`
-	Service    string `json:"service"` // pool of workers at the time of acceptance
-	Spec       string `json:"spec"`
-	Steps      []Step `json:"steps"`
-	AcceptedMS int64  `json:"accepted_ms"` // Unix milliseconds
-	Terms      Terms  `json:"terms"`
+	ID    JobID  `json:"id"`
+	Queue string `json:"queue"`
+	Team  string `json:"team"`
+	// Service is the pool of workers that ConfigVersion gives the job's queue. The job's record has those at the time of
+	// acceptance.
+	Service       string `json:"service"`
+	ConfigVersion int64  `json:"config,omitempty"`
+	Spec          string `json:"spec"`
+	Steps         []Step `json:"steps"`
+	AcceptedMS    int64  `json:"accepted_ms"` // Unix milliseconds
+	Terms         Terms  `json:"terms"`
 }
 
 // Terms are the scheduling parameters of a job's queue at the time the job was accepted. They apply if the queue has been
