--- a/internal/core/cell/avoid.go
+++ b/internal/core/cell/avoid.go
@@ -40,8 +40,8 @@
 	return st.advice.answers[w.ID].allowed() || !st.advice.covers(w)
 }
 
-// lastResort returns the workers that are set aside if no other worker may run the step, or all members of it if it is a
-// gang, or if its job stands still because those have no capacity.
+// lastResort returns the workers that are set aside if no other worker may run the step, if the others can't hold all members
+// of a gang, or if the step's job stands still because they have no capacity.
 func (s *Scheduler) lastResort(st *step, q *Queue) []*worker {
 	switch {
 	case len(s.pass.setAside)+len(s.pass.unrested) == 0:
--- a/internal/core/cell/queue_moves.go
+++ b/internal/core/cell/queue_moves.go
@@ -18,8 +18,8 @@
 	}
 }
 
-// updateService applies the service of a job's queue, unless the job is known by a later configuration, and reports whether it
-// differs from the former one.
+// updateService applies the service of a job's queue, unless the job's is that of the same or a later configuration, and reports
+// whether it has changed.
 func (s *Scheduler) updateService(j *job) bool {
 	q := s.config.Queue(j.Queue)
 	if q == nil || q.Service == j.Service || s.config.Version <= j.ConfigVersion {
