cell: one predicate, one rank and one look for a ticket

That a start is decided and not sent was asked in four places, three of them older. The order of steps that stand still was compared once for placement and once for advice. Whether a task has a ticket, and whether a queue needs any, was spelled out in eight. The lines about standstills were counted in the scheduler's state.

Behaviour is as before.

--- a/internal/core/cell/advice.go
+++ b/internal/core/cell/advice.go
@@ -30,17 +30,10 @@
 	Duration time.Duration // expected duration of the call
 	rank     rank
 	sequence uint64 // order sequence of the request
-	urgent   bool   // the step stands still
 }
 
-// Before reports whether the request precedes another one. Those of steps that stand still come first, and then the order is
-// that in which steps are served: while most of a pool is free, higher-ranked steps must not keep a step from being advised.
-func (r AdviceRequest) Before(other AdviceRequest) bool {
-	if r.urgent != other.urgent {
-		return r.urgent
-	}
-	return r.rank.compare(other.rank) < 0
-}
+// Before reports whether the request precedes another one in the order in which steps are served.
+func (r AdviceRequest) Before(other AdviceRequest) bool { return r.rank.compare(other.rank) < 0 }
 
 // WithdrawAdvice takes back a request for which no node had capacity. The step's reservations are released, and a later
 // pass considers the step again.
@@ -128,6 +121,8 @@
 	if len(workers) == 0 || st.advice.inFlight > 0 || s.now.Before(st.advice.retryAt) {
 		return
 	}
+	stepRank := s.rank(st.job)
+	stepRank.still = s.standsStill(st)
 	calls := min(maxCallsPerStep, (len(workers)+q.Advice.batchSize()-1)/q.Advice.batchSize())
 	size := min(maxWorkersPerCall, (len(workers)+calls-1)/calls)
 	for part := range slices.Chunk(workers, size) {
@@ -135,8 +130,8 @@
 			return
 		}
 		st.advice.inFlight++
-		s.advice = append(s.advice, AdviceRequest{Step: st.id, Workers: part, Duration: q.Advice.Duration(len(part)), rank: s.rank(st.job),
-			sequence: s.orderSequence.Load(), urgent: s.standsStill(st)})
+		s.advice = append(s.advice, AdviceRequest{Step: st.id, Workers: part, Duration: q.Advice.Duration(len(part)), rank: stepRank,
+			sequence: s.orderSequence.Load()})
 	}
 }
 
@@ -154,7 +149,7 @@
 // the queue needs no advice. After the first answer, a step that isn't a gang asks again only if one of the remaining
 // workers has capacity for a task now.
 func (s *Scheduler) workersToAsk(st *step, q *Queue) []WorkerID {
-	if q == nil || q.Advice == nil {
+	if !q.needsAdvice() {
 		return nil
 	}
 	workers := s.workersFor(st, q)
--- a/internal/core/cell/avoid.go
+++ b/internal/core/cell/avoid.go
@@ -34,10 +34,8 @@
 	if !s.eligible(st, w) || !st.belowMaxPerWorker(w) || !st.spec.Each.Fits(w.Capacity) {
 		return false
 	}
-	if q == nil || q.Advice == nil {
-		return true
-	}
-	return st.advice.answers[w.ID].allowed() || !st.advice.covers(w)
+	answer := st.advice.answers[w.ID]
+	return !q.needsAdvice() || answer.allowed() || !answer.current(w)
 }
 
 // lastResort returns the workers that are set aside if no other worker may run the step, if the others can't hold all members
--- a/internal/core/cell/capacity.go
+++ b/internal/core/cell/capacity.go
@@ -75,6 +75,15 @@
 	return mayBeCarriedOut
 }
 
+// startUnsent reports whether a start is decided and no order of it was sent, so that nothing has to be stopped to revoke it.
+func (t *task) startUnsent() bool {
+	switch t.startRevocability() {
+	case awaitsTicket, awaitsRecord, neverSent:
+		return true
+	}
+	return false
+}
+
 // revocableStarts returns the tasks on a worker whose start can be revoked, in the order in which to do so: those that
 // lose least first, and then the least urgent ones. A start that was sent is included only when it would be repeated.
 func (s *Scheduler) revocableStarts(w *worker) []*task {
--- a/internal/core/cell/denied_test.go
+++ b/internal/core/cell/denied_test.go
@@ -56,15 +56,13 @@
 	h.advance(20 * time.Millisecond)
 	run := h.takeStarts()[0]
 	assert.Equal(t, run.Worker, first)
-	h.s.ApplyOrderOutcome(run, OrderDone, h.now)
+	h.confirm(run)
 	h.advance(clearingTime)
 	h.renew(indexOf(first), []RunningRow{{Run: run.Run}}, nil)
 	h.listStart(first, 2)
 	h.renewInstance(indexOf(first), 2, nil, nil)
 	h.advance(20 * time.Millisecond)
-	for _, o := range h.takeStops() {
-		h.s.ApplyOrderOutcome(o, OrderDone, h.now)
-	}
+	h.confirm(h.takeStops()...)
 	h.renewInstance(indexOf(first), 2, nil, nil)
 	other := workerID(0)
 	for _, r := range h.reports {
--- a/internal/core/cell/gang_advice_test.go
+++ b/internal/core/cell/gang_advice_test.go
@@ -100,8 +100,8 @@
 	starts := h.takeStarts()
 	assert.Assert(h.t, len(starts) > 0, "no run starts")
 	var rows []EndedRow
+	h.confirm(starts...)
 	for i, o := range starts {
-		h.s.ApplyOrderOutcome(o, OrderDone, h.now)
 		kind := EndGangAborted
 		if i == 0 {
 			kind = EndFailed
--- a/internal/core/cell/inventory.go
+++ b/internal/core/cell/inventory.go
@@ -218,8 +218,7 @@
 	if t.phase == taskWaiting {
 		t.step.waiting--
 	}
-	switch t.startRevocability() {
-	case awaitsTicket, awaitsRecord, neverSent:
+	if t.startUnsent() {
 		s.deallocate(t)
 	}
 	if t.worker != nil && t.run != run {
--- a/internal/core/cell/order.go
+++ b/internal/core/cell/order.go
@@ -11,23 +11,13 @@
 	step  *step
 	queue *Queue
 	rank  rank
-	still bool // the step stands still
 }
 
-// compare orders steps that stand still before all others: most of their pool is free, so what they wait for is a certain
-// worker, and higher-ranked steps could take that one again and again.
-func (c candidateStep) compare(o candidateStep) int {
-	switch {
-	case c.still && !o.still:
-		return -1
-	case o.still && !c.still:
-		return 1
-	}
-	return c.rank.compare(o.rank)
-}
-
-// rank is the sort key by which jobs are served.
+// rank is the sort key by which steps are served.
 type rank struct {
+	// still is set for a step that stands still, which comes before all others: most of its pool is free, so what it waits for
+	// is a certain worker, or advice, and higher-ranked steps could be given those again and again.
+	still    bool
 	class    urgency
 	priority int
 	deadline time.Time
@@ -35,10 +25,19 @@
 }
 
 func (r rank) compare(o rank) int {
+	if r.still != o.still {
+		if r.still {
+			return -1
+		}
+		return 1
+	}
 	return cmp.Or(cmp.Compare(r.class, o.class), cmp.Compare(r.priority, o.priority), r.deadline.Compare(o.deadline), cmp.Compare(r.job, o.job))
 }
 
-func (s *Scheduler) rank(j *job) rank { return rank{s.urgency(j), j.queuePriority, j.deadline, j.ID} }
+// rank returns the rank of a job's steps unless they stand still.
+func (s *Scheduler) rank(j *job) rank {
+	return rank{class: s.urgency(j), priority: j.queuePriority, deadline: j.deadline, job: j.ID}
+}
 
 // urgency is the most significant part of a rank; lower values are served first.
 type urgency int
@@ -95,11 +94,12 @@
 		}
 		for _, st := range j.steps {
 			if st.waiting > 0 && st.ready() {
-				s.pass.steps = append(s.pass.steps, candidateStep{st, q, r, s.standsStill(st)})
+				r.still = s.standsStill(st)
+				s.pass.steps = append(s.pass.steps, candidateStep{st, q, r})
 			}
 		}
 	}
-	slices.SortStableFunc(s.pass.steps, candidateStep.compare)
+	slices.SortStableFunc(s.pass.steps, func(a, b candidateStep) int { return a.rank.compare(b.rank) })
 }
 
 // urgency classifies a job by its objective and its earliest possible end as of the current pass.
--- a/internal/core/cell/place.go
+++ b/internal/core/cell/place.go
@@ -7,14 +7,13 @@
 
 // placeStep places as many of a step's waiting tasks as possible and requests missing advice.
 func (s *Scheduler) placeStep(st *step, q *Queue) {
-	needsAdvice := q != nil && q.Advice != nil
 	if st.spec.Gang {
-		if !needsAdvice || st.advice.answered() || st.advice.inFlight == 0 {
+		if !q.needsAdvice() || st.advice.answered() || st.advice.inFlight == 0 {
 			s.placeGang(st, q)
 		}
 		return
 	}
-	if !needsAdvice || !s.now.Before(st.advice.retryAt) {
+	if !q.needsAdvice() || !s.now.Before(st.advice.retryAt) {
 		s.placeTasks(st, q)
 	}
 }
@@ -55,7 +54,7 @@
 			break
 		}
 		s.reserve(t, w)
-		if s.hasTicket(t, q) {
+		if s.hasTicket(st, w, q) {
 			s.startTask(t)
 		} else if !slices.Contains(toAsk, w.ID) {
 			toAsk = append(toAsk, w.ID)
@@ -88,8 +87,7 @@
 		s.gangNotPlaced(st, q)
 		return
 	}
-	withoutTicket := slices.ContainsFunc(st.tasks, func(t *task) bool { return !s.hasTicket(t, q) })
-	if !withoutTicket {
+	if !slices.ContainsFunc(st.tasks, func(t *task) bool { return !s.hasTicket(st, t.worker, q) }) {
 		s.startGang(st)
 		return
 	}
@@ -131,11 +129,11 @@
 	s.releaseReserved(st)
 }
 
-// reservedWorkers returns the workers on which the step's reserved tasks hold capacity.
+// reservedWorkers returns the workers on which the members of a reserved gang hold capacity.
 func (st *step) reservedWorkers() []WorkerID {
 	var ids []WorkerID
 	for _, t := range st.tasks {
-		if t.phase == taskReserved && !slices.Contains(ids, t.worker.ID) {
+		if !slices.Contains(ids, t.worker.ID) {
 			ids = append(ids, t.worker.ID)
 		}
 	}
@@ -150,12 +148,12 @@
 	t.step.waiting--
 }
 
-// hasTicket reports whether a reserved task can start on its worker without a new ticket.
-func (s *Scheduler) hasTicket(t *task, q *Queue) bool {
-	if q == nil || q.Advice == nil {
+// hasTicket reports whether a task of the step can start on the worker without a new ticket.
+func (s *Scheduler) hasTicket(st *step, w *worker, q *Queue) bool {
+	if !q.needsAdvice() {
 		return true
 	}
-	_, ok := t.step.advice.validTicket(t.worker.ID, s.now)
+	_, ok := st.advice.validTicket(w.ID, s.now)
 	return ok
 }
 
@@ -228,7 +226,7 @@
 
 // mayRun reports whether the step may run another task on the worker, regardless of free capacity.
 func (s *Scheduler) mayRun(st *step, w *worker, q *Queue) bool {
-	if !s.eligible(st, w) || q != nil && q.Advice != nil && !st.advice.answers[w.ID].allowed() {
+	if !s.eligible(st, w) || q.needsAdvice() && !st.advice.answers[w.ID].allowed() {
 		return false
 	}
 	return st.belowMaxPerWorker(w)
@@ -255,7 +253,7 @@
 	if t.onProbation() {
 		score = -w.expectedLoss()
 	}
-	if q != nil && q.Advice != nil {
+	if q.needsAdvice() {
 		if _, ok := t.step.advice.validTicket(w.ID, s.now); ok {
 			score++
 		}
--- a/internal/core/cell/queue_moves.go
+++ b/internal/core/cell/queue_moves.go
@@ -1,6 +1,9 @@
 package cell
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // A job runs on the workers of its queue's service. The operators may send a queue to another service: waiting tasks then start
 // there, and runs go on where they are. A job whose queue is removed keeps the last service.
@@ -38,32 +41,13 @@
 // a member was sent stays where it is.
 func (s *Scheduler) revokeOnFormerService(j *job) {
 	for _, st := range j.steps {
-		if st.spec.Gang && !st.allUnsent() {
+		if st.spec.Gang && slices.ContainsFunc(st.tasks, func(t *task) bool { return !t.startUnsent() }) {
 			continue
 		}
 		for _, t := range st.tasks {
-			if t.worker != nil && t.worker.Service != j.Service && t.unsent() {
+			if t.worker != nil && t.worker.Service != j.Service && t.startUnsent() {
 				s.revokeStart(t, "its queue was sent to another service")
 			}
 		}
 	}
 }
-
-// unsent reports whether the start of a task is decided and no order of it was sent.
-func (t *task) unsent() bool {
-	switch t.startRevocability() {
-	case awaitsTicket, awaitsRecord, neverSent:
-		return true
-	}
-	return false
-}
-
-// allUnsent reports whether the starts of all members of a gang are decided and none was sent.
-func (st *step) allUnsent() bool {
-	for _, t := range st.tasks {
-		if !t.unsent() {
-			return false
-		}
-	}
-	return true
-}
--- a/internal/core/cell/queue_moves_test.go
+++ b/internal/core/cell/queue_moves_test.go
@@ -40,7 +40,7 @@
 		h.answerAdvice()
 		for _, o := range h.takeStarts() {
 			workers[o.Worker]++
-			h.s.ApplyOrderOutcome(o, OrderDone, h.now)
+			h.confirm(o)
 		}
 	}
 	return workers
@@ -76,7 +76,7 @@
 	h.addJob(Job{ID: "a", Steps: []Step{tasks(1, 1000), second}})
 	h.advance(20 * time.Millisecond)
 	first := h.takeStarts()[0]
-	h.s.ApplyOrderOutcome(first, OrderDone, h.now)
+	h.confirm(first)
 	h.sendQueues(2, idleService)
 	assert.Equal(t, len(h.startsWithin(time.Second)), 0, "the running task goes on")
 	assert.Equal(t, len(h.takeStops()), 0)
@@ -131,9 +131,9 @@
 	h.advance(20 * time.Millisecond)
 	starts := h.takeStarts()
 	assert.Equal(t, len(starts), 2)
-	h.s.ApplyOrderOutcome(starts[0], OrderDone, h.now)
+	h.confirm(starts[0])
 	h.sendQueues(2, idleService)
-	h.s.ApplyOrderOutcome(starts[1], OrderDone, h.now)
+	h.confirm(starts[1])
 	assert.Equal(t, len(h.startsWithin(time.Second)), 0)
 	assert.Equal(t, len(h.takeStops()), 0)
 }
--- a/internal/core/cell/scheduler.go
+++ b/internal/core/cell/scheduler.go
@@ -38,8 +38,6 @@
 	ordersPending bool
 	lastOrders    time.Time
 	lastSweep     time.Time
-	// standstillLines is the number of lines about steps that stand still in this sweep.
-	standstillLines int
 	// unrecordedSince is when a record first waited to become durable, reset when a write completes; zero if none waits.
 	unrecordedSince    time.Time
 	placementSuspended bool                    // placement was suspended at the last attempt, because writes stall
@@ -189,8 +187,7 @@
 
 // cancelRun requeues a task whose start order wasn't sent yet, or requests the stop of its run.
 func (s *Scheduler) cancelRun(t *task) {
-	switch t.startRevocability() {
-	case awaitsTicket, awaitsRecord, neverSent:
+	if t.startUnsent() {
 		s.requeue(t)
 		return
 	}
@@ -314,11 +311,11 @@
 // sweep stops stalled runs, logs which steps stand still, drops archived jobs from the active list and deletes the state of
 // jobs that ended more than Options.EndedRetention ago.
 func (s *Scheduler) sweep() {
-	s.standstillLines = 0
+	standstillLines := 0
 	kept := s.active[:0]
 	for _, j := range s.active {
 		s.stopStalledRuns(j)
-		s.logStandstills(j)
+		standstillLines += s.logStandstills(j, maxStandstillLines-standstillLines)
 		if !j.archived || j.allocatedTasks > 0 {
 			kept = append(kept, j)
 		}
--- a/internal/core/cell/services.go
+++ b/internal/core/cell/services.go
@@ -96,17 +96,14 @@
 		if !w.usable(s.now) || !s.fits(t, w, q) {
 			continue
 		}
-		if q == nil || q.Advice == nil {
-			return true
-		}
-		if _, ok := st.advice.validTicket(w.ID, s.now); ok {
+		if s.hasTicket(st, w, q) {
 			return true
 		}
 		if len(withoutTicket) < minWorkersAsked {
 			withoutTicket = append(withoutTicket, w.ID)
 		}
 	}
-	if q != nil && q.Advice != nil {
+	if q.needsAdvice() {
 		if len(withoutTicket) == 0 {
 			withoutTicket = s.workersToAsk(st, q)
 		}
--- a/internal/core/cell/standstill.go
+++ b/internal/core/cell/standstill.go
@@ -49,24 +49,26 @@
 	maxStandstillLines = 2
 )
 
-// logStandstills logs which steps of a job stand still.
-func (s *Scheduler) logStandstills(j *job) {
+// logStandstills logs which steps of a job stand still, in the given number of lines at most, and returns their number.
+func (s *Scheduler) logStandstills(j *job, most int) int {
+	lines := 0
 	if j.phase.Final() {
-		return
+		return lines
 	}
 	for _, st := range j.steps {
-		if s.standstillLines == maxStandstillLines {
-			return
+		if lines == most {
+			break
 		}
 		if st.waiting > 0 && st.ready() && s.now.Sub(st.standstillLoggedAt) >= standstillLogInterval && s.standsStill(st) {
 			s.logStandstill(st, s.queueOf(j))
+			lines++
 		}
 	}
+	return lines
 }
 
 // logStandstill logs what is known of the workers that may run a step that stands still.
 func (s *Scheduler) logStandstill(st *step, q *Queue) {
-	s.standstillLines++
 	st.standstillLoggedAt = s.now
 	eligible, mayRun, unasked, room := 0, 0, 0, 0
 	for _, w := range s.workersFor(st, q) {
--- a/internal/core/cell/types.go
+++ b/internal/core/cell/types.go
@@ -122,6 +122,9 @@
 	return Terms{Priority: q.Priority, MaxAttempts: q.MaxAttempts, Stretch: q.Stretch, SlackMS: q.Slack.Milliseconds(), Advice: q.Advice}
 }
 
+// needsAdvice reports whether the queue's steps may run only on workers that the advice service allows. q may be nil.
+func (q *Queue) needsAdvice() bool { return q != nil && q.Advice != nil }
+
 // AdviceTiming is how long calls of the advice service take and how long its tickets are valid.
 type AdviceTiming struct {
 	Decision  time.Duration `json:"decision_ns"`   // fixed part of a call's duration
--- a/internal/core/cell/unexpected.go
+++ b/internal/core/cell/unexpected.go
@@ -30,7 +30,7 @@
 	st.tasksPerWorker[w.ID]++
 	s.usage[st.job.Team] = s.usage[st.job.Team].Add(st.spec.Each)
 	r.task.unexpectedRuns++
-	if v := r.task.startRevocability(); v != notRevocable && v != mayBeCarriedOut {
+	if r.task.startUnsent() {
 		s.revokeStart(r.task, "an earlier run goes on")
 	}
 	s.ordersPending = true
