--- a/review/standin3/case_crashed_workers.go
+++ b/review/standin3/case_crashed_workers.go
@@ -15,7 +15,7 @@
 	jobInterval = 40 * time.Millisecond
 	// A crashed worker is back after crashLength. The next one crashes up to maxCrashPause later.
 	crashLength   = 500 * time.Millisecond
-	maxCrashPause = time.Second
+	maxCrashPause = 800 * time.Millisecond
 )
 
 // crashedWorkers lets one worker of eight crash at a time, at random, while small jobs come, and asks for the state of each job
--- a/review/standin3/case_soak.go
+++ b/review/standin3/case_soak.go
@@ -95,13 +95,31 @@
 	for time.Now().Before(end) {
 		time.Sleep(between(300*time.Millisecond, 3*time.Second))
 		w := c.workers[randomIndex(len(c.workers))]
-		switch randomIndex(4) {
+		switch randomIndex(7) {
+		case 4:
+			w.command(workerCommand{Cut: true})
+			time.Sleep(between(500*time.Millisecond, 5500*time.Millisecond))
+			if randomIndex(2) == 0 {
+				w.kill()
+				_ = w.start()
+			}
+			w.command(workerCommand{})
+		case 5: // another worker at the same address
+			w.kill()
+			c.store.withdraw(w.options.ID)
+			w.options.ID = fmt.Sprintf("i-%d", 1000+randomIndex(100_000))
+			time.Sleep(between(50*time.Millisecond, 3*time.Second))
+			_ = w.start()
+		case 6: // the same worker at another address
+			w.kill()
+			time.Sleep(between(50*time.Millisecond, 3*time.Second))
+			_ = w.startSomewhere()
 		case 0, 1:
 			w.kill()
 			time.Sleep(between(100*time.Millisecond, 4500*time.Millisecond))
 			_ = w.start()
 		case 2:
-			w.command(workerCommand{LateShare: 0.3})
+			w.command(workerCommand{LateShare: 0.3, LateHolds: randomIndex(2) == 0})
 			time.Sleep(5500 * time.Millisecond)
 			w.command(workerCommand{})
 		case 3:
--- a/review/standin3/cases.go
+++ b/review/standin3/cases.go
@@ -25,6 +25,9 @@
 	"withdrawn-key":   {cellOptions{3, 4, bigWorker}, config{version: 1, keys: bothKeys, public: true, maxAttempts: 3}, withdrawnKey},
 	"crashed-workers": {cellOptions{3, 8, bigWorker}, config{version: 1, keys: bothKeys, maxAttempts: 3}, crashedWorkers},
 	"late-submission": {cellOptions{3, 4, bigWorker}, config{version: 1, keys: bothKeys, maxAttempts: 3}, lateSubmission},
+	"flapping-worker": {cellOptions{3, 10, bigWorker}, config{version: 1, keys: bothKeys, maxAttempts: 3}, flappingWorker},
+	"filling-step":    {cellOptions{3, 8, bigWorker}, config{version: 1, keys: bothKeys, maxAttempts: 3}, fillingStep},
+	"lost-worker":     {cellOptions{3, 8, bigWorker}, config{version: 1, keys: bothKeys, maxAttempts: 3}, lostWorker},
 	"soak":            {cellOptions{5, 8, bigWorker}, config{version: 1, keys: bothKeys, maxAttempts: 3}, soak},
 	"soak-large":      {cellOptions{20, 10, bigWorker}, config{version: 1, keys: bothKeys, maxAttempts: 3}, soak},
 }
--- a/review/standin3/client.go
+++ b/review/standin3/client.go
@@ -44,12 +44,15 @@
 }
 
 type step struct {
-	Count       int   `json:"count"`
-	CPU         int   `json:"cpu,omitempty"`
-	MemMB       int   `json:"mem_mb,omitempty"`
-	EstimateMS  int   `json:"estimate_ms,omitempty"`
-	After       []int `json:"after,omitempty"`
-	LongRunning bool  `json:"long_running,omitempty"`
+	Count        int    `json:"count"`
+	CPU          int    `json:"cpu,omitempty"`
+	MemMB        int    `json:"mem_mb,omitempty"`
+	EstimateMS   int    `json:"estimate_ms,omitempty"`
+	After        []int  `json:"after,omitempty"`
+	LongRunning  bool   `json:"long_running,omitempty"`
+	MaxPerServer int    `json:"max_per_server,omitempty"`
+	Fills        bool   `json:"fills,omitempty"`
+	Image        string `json:"image,omitempty"`
 }
 
 func (c *client) submit(id string, j job) reply {
--- a/review/standin3/rules.go
+++ b/review/standin3/rules.go
@@ -39,15 +39,12 @@
 	how          string // empty while it runs
 	number       int64  // of its end
 	noted        bool   // its end was taken note of
-	lapsed       bool   // the worker's lease ended after it and before that
 }
 
 // jobFacts are what a client knows of a job.
 type jobFacts struct {
 	job        job
 	acceptedAt time.Time
-	canceledAt time.Time // when the cancellation was acknowledged
-	canceled   bool      // it was sent
 }
 
 // rules collects what workers and clients have seen.
@@ -59,6 +56,8 @@
 	lives  map[string]int
 	jobs   map[string]*jobFacts
 	broken []string
+	// delayed holds the calls that are under way for longer.
+	delayed []workerEvent
 }
 
 func newRules(r *record) *rules {
@@ -102,6 +101,9 @@
 				run.ended, run.how = at, "lost"
 			}
 		}
+	case "delayed":
+		r.record.addAt(at, "the start of %s run %d, token %d, to %s is under way for longer", e.Task, e.Run, e.Token, e.Worker)
+		r.delayed = append(r.delayed, e)
 	case "start":
 		r.record.addAt(at, "worker %s starts %s run %d, token %d", e.Worker, e.Task, e.Run, e.Token)
 		r.checkTwice(e, at)
@@ -148,6 +150,16 @@
 	}
 }
 
+// delayedCall returns the first call that is under way for longer, if there is one.
+func (r *rules) delayedCall() (workerEvent, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.delayed) == 0 {
+		return workerEvent{}, false
+	}
+	return r.delayed[0], true
+}
+
 // runsOf returns copies of the runs of a job's tasks.
 func (r *rules) runsOf(id string) []taskRun {
 	r.mu.Lock()
--- a/review/standin3/worker.go
+++ b/review/standin3/worker.go
@@ -34,12 +34,16 @@
 	Number int64          `json:"n,omitempty"`
 	How    string         `json:"how,omitempty"`
 	Token  int64          `json:"token,omitempty"`
+	Call   *orderBody     `json:"call,omitempty"` // of a call that is under way for longer
 	Entry  map[string]any `json:"entry,omitempty"`
 }
 
 // workerCommand is a line on its standard input after the options.
 type workerCommand struct {
 	LateShare float64 // share of the orders that get no answer and are carried out 2 to 12 s later
+	LateHolds bool    // that share of the holds too
+	Cut       bool    // no call reaches it; it runs on
+	Delay     int     // number of further starts that are under way for longer; the cell delivers them later
 	State     string  // its new state, empty to keep it
 }
 
@@ -60,6 +64,9 @@
 	mu        sync.Mutex
 	state     string
 	lateShare float64
+	lateHolds bool
+	cut       bool
+	delay     int
 	sequence  int64
 	token     int64
 	lease     int64 // end, on the clock of clockMS
@@ -111,7 +118,7 @@
 			continue
 		}
 		w.mu.Lock()
-		w.lateShare = c.LateShare
+		w.lateShare, w.lateHolds, w.cut, w.delay = c.LateShare, c.LateHolds, c.Cut, c.Delay
 		if c.State != "" {
 			w.state = c.State
 		}
@@ -175,6 +182,9 @@
 	WaitMS int64  `json:"wait_ms"`
 }
 
+// deliveredHeader marks a call that the cell delivers after its delay.
+const deliveredHeader = "Delivered-Late"
+
 // order checks an order's addressee and token and carries it out, late if it is one of those. The handler is called with mu held.
 func (w *workerProcess) order(out http.ResponseWriter, r *http.Request, handle func(http.ResponseWriter, orderBody)) {
 	if id := r.Header.Get("Expect-Instance"); id != "" && id != w.options.ID {
@@ -187,14 +197,29 @@
 		return
 	}
 	w.mu.Lock()
-	late := r.URL.Path != "/hold" && rand.Float64() < w.lateShare
+	late := (w.lateHolds || r.URL.Path != "/hold") && rand.Float64() < w.lateShare
+	cut, delayed := w.cut, r.URL.Path == "/run-start" && w.delay > 0 && r.Header.Get(deliveredHeader) == ""
+	if delayed {
+		w.delay--
+		w.say(workerEvent{Kind: "delayed", Task: body.Task, Run: body.Run, Token: body.Token, Call: &body})
+	}
 	w.mu.Unlock()
+	if cut || delayed {
+		<-r.Context().Done()
+		return
+	}
 	if late {
 		time.AfterFunc(2*time.Second+rand.N(10*time.Second), func() { w.carryOut(&recorded{header: http.Header{}}, body, handle) })
 		<-r.Context().Done()
 		return
 	}
 	w.carryOut(out, body, handle)
+	w.mu.Lock()
+	cut = w.cut
+	w.mu.Unlock()
+	if cut {
+		panic(http.ErrAbortHandler) // the answer is lost
+	}
 }
 
 func (w *workerProcess) carryOut(out http.ResponseWriter, body orderBody, handle func(http.ResponseWriter, orderBody)) {
