--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -5,4 +5,4 @@
 	echo "build first: the deploy file's build, then review/build-3.sh" >&2
 	exit 2
 fi
-exec target/standin3 late-submission review/14/record.txt
+exec target/standin3 late-submission review/12/record.txt
