--- a/review/standin3/cell.go
+++ b/review/standin3/cell.go
@@ -265,6 +265,17 @@
 	n.process = nil
 }
 
+// stop ends the node's process as the platform does: SIGTERM, and SIGKILL after the grace period.
+func (n *node) stop(grace time.Duration) {
+	n.signal(syscall.SIGTERM)
+	select {
+	case <-n.reaped:
+		n.cell.record.add("node %s has ended", n.name)
+	case <-time.After(grace):
+		n.kill()
+	}
+}
+
 // startSomewhere starts the first life of the worker at a free address.
 func (w *worker) startSomewhere() error {
 	var err error
