--- a/review/standin3/cases.go
+++ b/review/standin3/cases.go
@@ -26,6 +26,7 @@
 	"crashed-workers": {cellOptions{3, 8, bigWorker}, config{version: 1, keys: bothKeys, maxAttempts: 3}, crashedWorkers},
 	"late-submission": {cellOptions{3, 4, bigWorker}, config{version: 1, keys: bothKeys, maxAttempts: 3}, lateSubmission},
 	"flapping-worker": {cellOptions{3, 10, bigWorker}, config{version: 1, keys: bothKeys, maxAttempts: 3}, flappingWorker},
+	"crashing-task":   {cellOptions{3, 8, bigWorker}, config{version: 1, keys: bothKeys, maxAttempts: 3}, crashingTask},
 	"filling-step":    {cellOptions{3, 8, bigWorker}, config{version: 1, keys: bothKeys, maxAttempts: 3}, fillingStep},
 	"lost-worker":     {cellOptions{3, 8, bigWorker}, config{version: 1, keys: bothKeys, maxAttempts: 3}, lostWorker},
 	"soak":            {cellOptions{5, 8, bigWorker}, config{version: 1, keys: bothKeys, maxAttempts: 3}, soak},
