--- a/internal/control/access_test.go
+++ b/internal/control/access_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"sequoiastall/internal/control/storekey"
 	"sequoiastall/internal/core/cell"
 	"sequoiastall/internal/port"
 )
@@ -42,9 +43,9 @@
 		job, err := cell.EncodeJob(cell.Job{ID: "a", Team: test.owner, Steps: []cell.Step{{Count: 1}}})
 		assert.NilError(t, err)
 		for name, records := range map[string]map[string][]byte{
-			"pending": {jobKey("a"): job},
-			"running": {jobKey("a"): job, progressKey("a"): []byte(`{"v":1,"phase":"running"}`)},
-			"ended":   {doneKey("a"): []byte(`{"v":1,"phase":"completed","team":"` + test.owner + `"}`)},
+			"pending": {storekey.Job("a"): job},
+			"running": {storekey.Job("a"): job, storekey.ProgressOf("a"): []byte(`{"v":1,"phase":"running"}`)},
+			"ended":   {storekey.Done("a"): []byte(`{"v":1,"phase":"completed","team":"` + test.owner + `"}`)},
 		} {
 			n, _, _ := newIsolatedNode()
 			store := &recordStore{records: records}
--- a/internal/control/cancel_test.go
+++ b/internal/control/cancel_test.go
@@ -10,6 +10,7 @@
 	"google.golang.org/grpc"
 	"gotest.tools/v3/assert"
 
+	"sequoiastall/internal/control/storekey"
 	"sequoiastall/internal/core/cell"
 	"sequoiastall/internal/port"
 	"sequoiastall/internal/rpc/cellpb"
@@ -19,7 +20,7 @@
 type canceledJob struct{ port.TxnStore }
 
 func (canceledJob) Changes(context.Context, string, int64, time.Duration) ([]port.WatchEvent, int64, error) {
-	return []port.WatchEvent{{Entry: port.Entry{Key: cancelKey("a"), Revision: 9}}}, 9, nil
+	return []port.WatchEvent{{Entry: port.Entry{Key: storekey.Cancel("a"), Revision: 9}}}, 9, nil
 }
 
 // frozenStore answers no read of changes.
@@ -83,7 +84,7 @@
 type slowLoadStore struct{ canceledJob }
 
 func (slowLoadStore) Page(_ context.Context, prefix, _ string) (port.Page, error) {
-	if prefix == inPrefix {
+	if prefix == storekey.In {
 		return port.Page{Entries: []port.Entry{jobEntry("a")}, Revision: 5}, nil
 	}
 	time.Sleep(slowLoad)
--- a/internal/control/committer.go
+++ b/internal/control/committer.go
@@ -6,6 +6,8 @@
 
 	"github.com/pkg/errors"
 
+	"sequoiastall/internal/control/instant"
+	"sequoiastall/internal/control/storekey"
 	"sequoiastall/internal/core/cell"
 	"sequoiastall/internal/port"
 )
@@ -61,18 +63,18 @@
 }
 
 func (c *committer) txn(writes []cell.Write) port.Txn {
-	t := port.Txn{Conditions: []port.Expect{{Key: schedulerKey, Revision: c.s.term.revision}}}
+	t := port.Txn{Conditions: []port.Expect{{Key: storekey.Scheduler, Revision: c.s.term.revision}}}
 	for _, w := range writes {
-		t.Conditions = append(t.Conditions, port.Expect{Key: progressKey(w.Job), Revision: c.progressRevisions[w.Job]})
+		t.Conditions = append(t.Conditions, port.Expect{Key: storekey.ProgressOf(w.Job), Revision: c.progressRevisions[w.Job]})
 		if c.progressRevisions[w.Job] == 0 {
-			t.Conditions = append(t.Conditions, port.Expect{Key: jobKey(w.Job), Revision: c.jobRevisions[w.Job]})
+			t.Conditions = append(t.Conditions, port.Expect{Key: storekey.Job(w.Job), Revision: c.jobRevisions[w.Job]})
 		}
 		if !w.Final {
-			t.Puts = append(t.Puts, port.Put{Key: progressKey(w.Job), Value: w.Value})
+			t.Puts = append(t.Puts, port.Put{Key: storekey.ProgressOf(w.Job), Value: w.Value})
 			continue
 		}
-		t.Puts = append(t.Puts, port.Put{Key: doneKey(w.Job), Value: w.Value})
-		t.Deletes = append(t.Deletes, jobKey(w.Job), cancelKey(w.Job), progressKey(w.Job))
+		t.Puts = append(t.Puts, port.Put{Key: storekey.Done(w.Job), Value: w.Value})
+		t.Deletes = append(t.Deletes, storekey.Job(w.Job), storekey.Cancel(w.Job), storekey.ProgressOf(w.Job))
 	}
 	return t
 }
@@ -80,9 +82,9 @@
 // commit sends the transaction until its outcome is known or the term ends.
 func (c *committer) commit(writes []cell.Write, t port.Txn) {
 	for attempt := 0; ; attempt++ {
-		sentAt := currentInstant()
+		sentAt := instant.Now()
 		revision, err := c.s.node.options.Store.Commit(c.s.ctx, t)
-		recordSince(c.s.node.metrics.commitTime, sentAt.monotonic)
+		recordSince(c.s.node.metrics.commitTime, sentAt.Monotonic)
 		var conflict *port.TxnConflictError
 		switch {
 		case err == nil:
@@ -108,27 +110,27 @@
 // resolveConflict determines the cause of a conflict: an earlier attempt of this node that was applied, a job that had
 // already ended, or the loss of the term.
 func (c *committer) resolveConflict(writes []cell.Write, t port.Txn, conflict *port.TxnConflictError, retried bool) {
-	holder, ok := conflict.Entry(schedulerKey)
+	holder, ok := conflict.Entry(storekey.Scheduler)
 	if !ok || holder.Revision != c.s.term.revision {
 		c.s.end(errTermLost)
 		return
 	}
 	if retried && c.alreadyWritten(writes, conflict) {
 		c.committed(writes, func(w cell.Write) int64 {
-			current, _ := conflict.Entry(progressKey(w.Job))
+			current, _ := conflict.Entry(storekey.ProgressOf(w.Job))
 			return current.Revision
 		})
 		return
 	}
 	ended := map[cell.JobID]bool{}
 	for _, e := range t.Conditions {
-		if id, isJob := idIn(e.Key, jobPrefix); isJob {
+		if id, isJob := storekey.ID(e.Key, storekey.Jobs); isJob {
 			current, _ := conflict.Entry(e.Key)
 			ended[id] = current.Revision != e.Revision
 		}
 	}
 	for _, w := range writes {
-		current, _ := conflict.Entry(progressKey(w.Job))
+		current, _ := conflict.Entry(storekey.ProgressOf(w.Job))
 		if !ended[w.Job] && current.Revision != c.expectedRevision(t, w.Job) {
 			c.s.end(errors.Errorf("progress record of job %s was changed by another node", w.Job))
 			return
@@ -140,7 +142,7 @@
 // alreadyWritten reports whether an earlier attempt wrote the records.
 func (c *committer) alreadyWritten(writes []cell.Write, conflict *port.TxnConflictError) bool {
 	for _, w := range writes {
-		current, exists := conflict.Entry(progressKey(w.Job))
+		current, exists := conflict.Entry(storekey.ProgressOf(w.Job))
 		if w.Final && exists || !w.Final && !bytes.Equal(current.Value, w.Value) {
 			return false
 		}
@@ -151,7 +153,7 @@
 // expectedRevision returns the revision of a job's progress record that the transaction required.
 func (c *committer) expectedRevision(t port.Txn, id cell.JobID) int64 {
 	for _, e := range t.Conditions {
-		if e.Key == progressKey(id) {
+		if e.Key == storekey.ProgressOf(id) {
 			return e.Revision
 		}
 	}
--- a/internal/control/delegate.go
+++ b/internal/control/delegate.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"sequoiastall/internal/control/storekey"
 	"sequoiastall/internal/core/cell"
 	"sequoiastall/internal/port"
 	"sequoiastall/internal/rpc/cellpb"
@@ -141,7 +142,7 @@
 
 // Jobs implements cellpb.CellServer.
 func (p *peerServer) Jobs(ctx context.Context, r *cellpb.JobsRequest) (*cellpb.JobsReply, error) {
-	events, revision, err := p.node.options.Store.Changes(ctx, inPrefix, r.After, 0)
+	events, revision, err := p.node.options.Store.Changes(ctx, storekey.In, r.After, 0)
 	if errors.Is(err, port.ErrCompacted) {
 		return &cellpb.JobsReply{Compacted: true}, nil
 	}
@@ -153,9 +154,9 @@
 		if e.Deleted {
 			continue
 		}
-		if id, ok := idIn(e.Entry.Key, jobPrefix); ok {
+		if id, ok := storekey.ID(e.Entry.Key, storekey.Jobs); ok {
 			reply.Accepted = append(reply.Accepted, string(id))
-		} else if id, ok := idIn(e.Entry.Key, cancelPrefix); ok {
+		} else if id, ok := storekey.ID(e.Entry.Key, storekey.Cancels); ok {
 			reply.Canceled = append(reply.Canceled, string(id))
 		}
 	}
@@ -213,7 +214,7 @@
 
 // readJobChanges reads the records of accepted and canceled jobs that were written after a revision from the store.
 func (s *activeTerm) readJobChanges(after int64) ([]port.Entry, int64, error) {
-	events, at, err := s.node.options.Store.Changes(s.ctx, inPrefix, after, 0)
+	events, at, err := s.node.options.Store.Changes(s.ctx, storekey.In, after, 0)
 	if err != nil {
 		return nil, after, err
 	}
@@ -251,7 +252,7 @@
 	}
 	var entries []port.Entry
 	for _, id := range unknown {
-		e, err := s.node.options.Store.Get(s.ctx, jobKey(id))
+		e, err := s.node.options.Store.Get(s.ctx, storekey.Job(id))
 		switch {
 		case errors.Is(err, port.ErrNotFound): // the job has ended
 		case err != nil:
@@ -261,7 +262,7 @@
 		}
 	}
 	for _, id := range reply.Canceled {
-		entries = append(entries, port.Entry{Key: cancelKey(cell.JobID(id))})
+		entries = append(entries, port.Entry{Key: storekey.Cancel(cell.JobID(id))})
 	}
 	return entries, reply.Revision, nil
 }
--- a/internal/control/delegate_test.go
+++ b/internal/control/delegate_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"sequoiastall/internal/control/storekey"
 	"sequoiastall/internal/core/cell"
 	"sequoiastall/internal/port"
 	"sequoiastall/internal/rpc/cellpb"
@@ -24,7 +25,7 @@
 func (s *slowStore) Get(_ context.Context, key string) (port.Entry, error) {
 	time.Sleep(s.delay)
 	s.gets++
-	return jobEntry(key[len(jobPrefix):]), nil
+	return jobEntry(key[len(storekey.Jobs):]), nil
 }
 
 func (s *slowStore) Changes(context.Context, string, int64, time.Duration) ([]port.WatchEvent, int64, error) {
@@ -37,7 +38,7 @@
 	if err != nil {
 		panic(err) // can't happen: every field can be encoded
 	}
-	return port.Entry{Key: jobPrefix + id, Value: record, Revision: 2}
+	return port.Entry{Key: storekey.Jobs + id, Value: record, Revision: 2}
 }
 
 // Guards against a cancellation that reaches the scheduler seconds late, because the records of hundreds of jobs that it
@@ -93,7 +94,7 @@
 	s.committer = newCommitter(s)
 	var state cell.JobState
 	s.query(t.Context(), func() {
-		s.applyEntries([]port.Entry{{Key: cancelKey("a")}, jobEntry("a")}, nil)
+		s.applyEntries([]port.Entry{{Key: storekey.Cancel("a")}, jobEntry("a")}, nil)
 		state = s.core.State("a")
 	})
 	assert.Equal(t, state.Phase, cell.Canceled)
--- a/internal/control/election.go
+++ b/internal/control/election.go
@@ -8,6 +8,8 @@
 
 	"github.com/pkg/errors"
 
+	"sequoiastall/internal/control/instant"
+	"sequoiastall/internal/control/storekey"
 	"sequoiastall/internal/port"
 )
 
@@ -25,7 +27,7 @@
 
 // readHolder reads the record of the scheduling node. It returns nil if there is none.
 func readHolder(ctx context.Context, s port.TxnStore) (*holder, error) {
-	e, err := s.Get(ctx, schedulerKey)
+	e, err := s.Get(ctx, storekey.Scheduler)
 	if errors.Is(err, port.ErrNotFound) {
 		return nil, nil
 	}
@@ -48,14 +50,14 @@
 	mu sync.Mutex
 	// confirmedAt is when the last call was sent whose answer showed that this node still held the term. The answer itself may
 	// have waited in a buffer while this node was paused.
-	confirmedAt instant
+	confirmedAt instant.Instant
 }
 
 // confirm records that a call sent at the given instant has shown that this node still held the term.
-func (t *term) confirm(sentAt instant) {
+func (t *term) confirm(sentAt instant.Instant) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if sentAt.monotonic.After(t.confirmedAt.monotonic) {
+	if sentAt.Monotonic.After(t.confirmedAt.Monotonic) {
 		t.confirmedAt = sentAt
 	}
 }
@@ -64,7 +66,7 @@
 func (t *term) unconfirmedFor() time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.confirmedAt.age()
+	return t.confirmedAt.Age()
 }
 
 // mayGrantLeases reports whether this node may grant leases. The next holder assumes that none was granted later than
@@ -94,10 +96,10 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "encode term")
 	}
-	sentAt := currentInstant()
+	sentAt := instant.Now()
 	t.revision, err = n.options.Store.Commit(ctx, port.Txn{
-		Conditions: []port.Expect{{Key: schedulerKey, Revision: revision}, {Key: termKey, Revision: termRevision}},
-		Puts:       []port.Put{{Key: schedulerKey, Value: record, Lease: lease}, {Key: termKey, Value: number}},
+		Conditions: []port.Expect{{Key: storekey.Scheduler, Revision: revision}, {Key: storekey.Term, Revision: termRevision}},
+		Puts:       []port.Put{{Key: storekey.Scheduler, Value: record, Lease: lease}, {Key: storekey.Term, Value: number}},
 	})
 	var conflict *port.TxnConflictError
 	if errors.As(err, &conflict) {
@@ -112,7 +114,7 @@
 }
 
 func (n *Node) lastTerm(ctx context.Context) (last, revision int64, err error) {
-	e, err := n.options.Store.Get(ctx, termKey)
+	e, err := n.options.Store.Get(ctx, storekey.Term)
 	if errors.Is(err, port.ErrNotFound) {
 		return 0, 0, nil
 	}
@@ -164,8 +166,8 @@
 	if t.unconfirmedFor() < confirmInterval {
 		return nil
 	}
-	sentAt := currentInstant()
-	e, err := n.options.Store.Get(ctx, schedulerKey)
+	sentAt := instant.Now()
+	e, err := n.options.Store.Get(ctx, storekey.Scheduler)
 	switch {
 	case errors.Is(err, port.ErrNotFound), err == nil && e.Revision != t.revision:
 		return errTermLost
--- a/internal/control/election_test.go
+++ b/internal/control/election_test.go
@@ -8,6 +8,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"sequoiastall/internal/control/instant"
+	"sequoiastall/internal/control/storekey"
 	"sequoiastall/internal/core/cell"
 	"sequoiastall/internal/port"
 )
@@ -31,7 +33,7 @@
 		starts, _ := workers.counts()
 		assert.Equal(t, starts, 0)
 
-		l.s.term.confirm(currentInstant())
+		l.s.term.confirm(instant.Now())
 		assert.Equal(t, l.outcomeOf(order), cell.OrderDone)
 	})
 }
@@ -42,7 +44,7 @@
 func (replacedStore) KeepAlive(context.Context, port.LeaseID) error { return nil }
 
 func (replacedStore) Get(context.Context, string) (port.Entry, error) {
-	return port.Entry{Key: schedulerKey, Revision: 8}, nil
+	return port.Entry{Key: storekey.Scheduler, Revision: 8}, nil
 }
 
 // Guards against a node that holds on to its term after another one has replaced it, as long as it has no record to write: the
@@ -84,12 +86,3 @@
 		assert.Assert(t, !term.mayGrantLeases())
 	})
 }
-
-// Guards against a node that takes itself for the holder after its machine was suspended, during which the monotonic clock stands
-// still.
-func TestAgeOfAnInstantIncludesSuspension(t *testing.T) {
-	i := currentInstant()
-	i.sinceBoot -= time.Hour // as if the machine had been suspended since
-	assert.Assert(t, i.age() >= time.Hour)
-	assert.Assert(t, currentInstant().age() < time.Minute)
-}
--- a/internal/control/front.go
+++ b/internal/control/front.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"sequoiastall/internal/control/storekey"
 	"sequoiastall/internal/core/cell"
 	"sequoiastall/internal/port"
 	"sequoiastall/internal/rpc/cellpb"
@@ -72,7 +73,7 @@
 // persistJob writes the record of a job and returns its revision. If the job already exists, it was accepted earlier,
 // and the returned revision is 0.
 func (n *Node) persistJob(ctx context.Context, id cell.JobID, record []byte) (revision int64, err error) {
-	t := port.Txn{Conditions: []port.Expect{{Key: jobKey(id)}, {Key: doneKey(id)}}, Puts: []port.Put{{Key: jobKey(id), Value: record}}}
+	t := port.Txn{Conditions: []port.Expect{{Key: storekey.Job(id)}, {Key: storekey.Done(id)}}, Puts: []port.Put{{Key: storekey.Job(id), Value: record}}}
 	outcomeUnknown := false
 	for {
 		revision, err = n.store.Commit(ctx, t)
@@ -135,7 +136,7 @@
 }
 
 func (n *Node) tryCancel(ctx context.Context, id cell.JobID, team string) (known bool, err error) {
-	e, err := n.store.Get(ctx, jobKey(id))
+	e, err := n.store.Get(ctx, storekey.Job(id))
 	if errors.Is(err, port.ErrNotFound) {
 		_, known, err := n.finalPhase(ctx, id, team)
 		return known, err
@@ -147,8 +148,8 @@
 	if err != nil || !hasAccess(team, j.Team) {
 		return false, err
 	}
-	_, err = n.store.Commit(ctx, port.Txn{Conditions: []port.Expect{{Key: jobKey(id), Revision: e.Revision}},
-		Puts: []port.Put{{Key: cancelKey(id), Value: []byte("{}")}}})
+	_, err = n.store.Commit(ctx, port.Txn{Conditions: []port.Expect{{Key: storekey.Job(id), Revision: e.Revision}},
+		Puts: []port.Put{{Key: storekey.Cancel(id), Value: []byte("{}")}}})
 	var conflict *port.TxnConflictError
 	if errors.As(err, &conflict) {
 		return true, nil // the job has ended in the meantime
@@ -166,7 +167,7 @@
 
 // finalPhase returns the phase of a job that has ended.
 func (n *Node) finalPhase(ctx context.Context, id cell.JobID, team string) (cell.Phase, bool, error) {
-	e, err := n.store.Get(ctx, doneKey(id))
+	e, err := n.store.Get(ctx, storekey.Done(id))
 	if errors.Is(err, port.ErrNotFound) {
 		return "", false, nil
 	}
@@ -226,7 +227,7 @@
 // storedState returns a job's phase from its records. The job may end between two reads, so its final record is read
 // last.
 func (n *Node) storedState(ctx context.Context, id cell.JobID, team string) (cell.Phase, bool, error) {
-	e, err := n.store.Get(ctx, jobKey(id))
+	e, err := n.store.Get(ctx, storekey.Job(id))
 	if errors.Is(err, port.ErrNotFound) {
 		return n.finalPhase(ctx, id, team)
 	}
@@ -237,7 +238,7 @@
 	if err != nil || !hasAccess(team, j.Team) {
 		return "", false, err
 	}
-	p, err := n.store.Get(ctx, progressKey(id))
+	p, err := n.store.Get(ctx, storekey.ProgressOf(id))
 	switch {
 	case err == nil:
 		phase, err := cell.DecodePhase(p.Value)
--- a/internal/control/links_test.go
+++ b/internal/control/links_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"sequoiastall/internal/control/instant"
 	"sequoiastall/internal/core/cell"
 	"sequoiastall/internal/core/resource"
 	"sequoiastall/internal/port"
@@ -19,7 +20,7 @@
 // confirmedTerm returns a term that was just won.
 func confirmedTerm(number int64) *term {
 	t := &term{number: number}
-	t.confirm(currentInstant())
+	t.confirm(instant.Now())
 	return t
 }
 
@@ -199,7 +200,7 @@
 		l, order := newOrderingLink(t, &orderedWorkers{renewalError: port.ErrUnavailable})
 		s := l.s
 		time.Sleep(time.Hour)
-		s.term.confirm(currentInstant())
+		s.term.confirm(instant.Now())
 		l.lease.answered(1, 3_660_000, time.Now())
 		assert.Equal(t, l.outcomeOf(order), cell.OrderDone)
 		s.core.ApplyOrderOutcome(order, cell.OrderDone, time.Now())
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"sequoiastall/internal/control/storekey"
 	"sequoiastall/internal/core/cell"
 	"sequoiastall/internal/port"
 	"sequoiastall/internal/rpc/cellpb"
@@ -335,6 +336,6 @@
 		return
 	}
 	s.post(s.ctx, func() {
-		s.addJob(port.Entry{Key: jobKey(j.ID), Value: record, Revision: revision}, nil)
+		s.addJob(port.Entry{Key: storekey.Job(j.ID), Value: record, Revision: revision}, nil)
 	})
 }
--- a/internal/control/members_test.go
+++ b/internal/control/members_test.go
@@ -11,6 +11,7 @@
 	"google.golang.org/grpc"
 	"gotest.tools/v3/assert"
 
+	"sequoiastall/internal/control/storekey"
 	"sequoiastall/internal/core/cell"
 	"sequoiastall/internal/port"
 	"sequoiastall/internal/rpc/cellpb"
@@ -142,7 +143,7 @@
 }
 
 func (s *holderStore) Get(context.Context, string) (port.Entry, error) {
-	return port.Entry{Key: schedulerKey, Value: []byte(`{"v":1,"node":"b","address":"127.0.0.1:2","term":5}`), Revision: s.revision}, nil
+	return port.Entry{Key: storekey.Scheduler, Value: []byte(`{"v":1,"node":"b","address":"127.0.0.1:2","term":5}`), Revision: s.revision}, nil
 }
 
 // Guards against nodes far down in the succession that follow a new scheduling node only after their own turn to take over
--- a/internal/control/panic_test.go
+++ b/internal/control/panic_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"sequoiastall/internal/control/storekey"
 	"sequoiastall/internal/core/cell"
 	"sequoiastall/internal/port"
 	"sequoiastall/internal/rpc/cellpb"
@@ -43,7 +44,7 @@
 	// Without a scheduler, adding any job panics.
 	record, err := cell.EncodeJob(cell.Job{ID: "a", Steps: []cell.Step{{Count: 1}}})
 	assert.NilError(t, err)
-	s.addJob(port.Entry{Key: jobKey("a"), Value: record, Revision: 1}, nil)
+	s.addJob(port.Entry{Key: storekey.Job("a"), Value: record, Revision: 1}, nil)
 }
 
 // panickingWorkers panics in every renewal.
--- a/internal/control/scheduling.go
+++ b/internal/control/scheduling.go
@@ -9,6 +9,7 @@
 	"github.com/sourcegraph/conc"
 
 	"sequoiastall/internal/contain"
+	"sequoiastall/internal/control/storekey"
 	"sequoiastall/internal/core/cell"
 	"sequoiastall/internal/port"
 	"sequoiastall/internal/wait"
@@ -183,17 +184,17 @@
 	if c := s.node.config.Load(); c != nil {
 		s.core.SetConfig(c.Config)
 	}
-	in, revision, err := s.readAll(inPrefix)
+	in, revision, err := s.readAll(storekey.In)
 	if err != nil {
 		return 0, err
 	}
-	progress, _, err := s.readAll(progressPrefix)
+	progress, _, err := s.readAll(storekey.Progress)
 	if err != nil {
 		return 0, err
 	}
 	byJob := make(map[cell.JobID][]byte, len(progress))
 	for _, e := range progress {
-		if id, ok := idIn(e.Key, progressPrefix); ok {
+		if id, ok := storekey.ID(e.Key, storekey.Progress); ok {
 			byJob[id] = e.Value
 			s.committer.progressRevisions[id] = e.Revision
 		}
@@ -227,7 +228,7 @@
 // addJob adds a job from its record. A record that can't be decoded is logged and skipped, and doesn't affect other
 // jobs.
 func (s *activeTerm) addJob(e port.Entry, progress map[cell.JobID][]byte) {
-	id, ok := idIn(e.Key, jobPrefix)
+	id, ok := storekey.ID(e.Key, storekey.Jobs)
 	if !ok {
 		return
 	}
@@ -272,7 +273,7 @@
 		switch {
 		case errors.Is(err, port.ErrCompacted):
 			s.node.options.Log.Warn("changes of the store are gone, reading all jobs", "after", after)
-			if entries, at, err = s.readAll(inPrefix); err == nil {
+			if entries, at, err = s.readAll(storekey.In); err == nil {
 				after = at
 				s.post(s.ctx, func() { s.applyEntries(entries, nil) })
 			}
@@ -292,7 +293,7 @@
 // stay unchanged. progress holds the progress records of the jobs that may have one.
 func (s *activeTerm) applyEntries(entries []port.Entry, progress map[cell.JobID][]byte) {
 	for _, e := range entries {
-		if id, ok := idIn(e.Key, cancelPrefix); ok {
+		if id, ok := storekey.ID(e.Key, storekey.Cancels); ok {
 			s.core.CancelJob(id)
 			continue
 		}
--- /dev/null
+++ b/internal/control/storekey/storekey.go
@@ -0,0 +1,50 @@
+// Package storekey names the keys that the nodes of a cell use in the store.
+//
+//	sequoiastall/scheduler      the scheduling node; bound to a store lease
+//	sequoiastall/term           the number of the last term, which is the fencing token of its orders
+//	sequoiastall/in/job/ID      an accepted job; written by the node that accepts it
+//	sequoiastall/in/cancel/ID   the job's cancellation; written by the node that acknowledges it
+//	sequoiastall/progress/ID    where the job's tasks may run and which are done; written by the scheduling node
+//	sequoiastall/done/ID        the job's final record; replaces the job's three keys above
+package storekey
+
+import (
+	"strings"
+
+	"sequoiastall/internal/core/cell"
+)
+
+const prefix = "sequoiastall/"
+
+// Keys of the term.
+const (
+	Scheduler = prefix + "scheduler"
+	Term      = prefix + "term"
+)
+
+// Prefixes of the keys of jobs. In is the prefix of what the accepting nodes write and the scheduling node reads.
+const (
+	In       = prefix + "in/"
+	Jobs     = In + "job/"
+	Cancels  = In + "cancel/"
+	Progress = prefix + "progress/"
+	done     = prefix + "done/"
+)
+
+// Job returns the key of an accepted job.
+func Job(id cell.JobID) string { return Jobs + string(id) }
+
+// Cancel returns the key of a job's cancellation.
+func Cancel(id cell.JobID) string { return Cancels + string(id) }
+
+// ProgressOf returns the key of a job's progress.
+func ProgressOf(id cell.JobID) string { return Progress + string(id) }
+
+// Done returns the key of a job's final record.
+func Done(id cell.JobID) string { return done + string(id) }
+
+// ID returns the job ID in a key with the given prefix, and whether the key has the prefix.
+func ID(key, prefix string) (cell.JobID, bool) {
+	rest, ok := strings.CutPrefix(key, prefix)
+	return cell.JobID(rest), ok
+}
