A cancellation of an unknown job keeps its late submission from being accepted

Cause: the cancellation of an unknown ID left nothing in the store. The conditions of the submission (no record, no final record) held for one that was read, or carried out by the store, after that answer.

Change: such a cancellation is answered 410 only once a tombstone is durable, sequoiastall/tombstone/ID/TEAM, written if the job doesn't exist. A submission requires that its team has none, and is refused with 503 otherwise, with the time after which the ID is free again. Either the job or the tombstone comes first in the store, so that the cancellation finds the job or the submission finds the tombstone. The key contains the team: a cancellation holds back no job of another. Tombstones are bound to store leases of the writing node, 30 s of them to one, and end after 149 to 180 s. Relayed ones are bound to the relay's lease. A node writes 60 at once and 2 a second; beyond that the cancellation gets 503, with one log line in 10 s.

New counters: tombstones_total, submits_total with outcome canceled.

--- a/internal/control/cancel_test.go
+++ b/internal/control/cancel_test.go
@@ -10,6 +10,7 @@
 	"google.golang.org/grpc"
 	"gotest.tools/v3/assert"
 
+	"sequoiastall/internal/control/intake"
 	"sequoiastall/internal/control/storekey"
 	"sequoiastall/internal/core/cell"
 	"sequoiastall/internal/port"
@@ -35,6 +36,7 @@
 func serveNode(t *testing.T, store port.TxnStore) string {
 	n, _, _ := newIsolatedNode()
 	n.options.Store = store
+	n.store.TxnStore = intake.NewLeasedStore(store, 0)
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(t, err)
 	server := grpc.NewServer()
@@ -102,3 +104,59 @@
 	assert.Equal(t, s.core.State("a").Phase, cell.Canceled)
 	assert.Equal(t, revision, int64(9))
 }
+
+// absentJobStore is a store without jobs. It records the transactions and the leases.
+type absentJobStore struct {
+	port.TxnStore
+	committed []port.Txn
+	leases    []time.Duration
+}
+
+func (*absentJobStore) Get(context.Context, string) (port.Entry, error) {
+	return port.Entry{}, port.ErrNotFound
+}
+
+func (a *absentJobStore) Commit(_ context.Context, t port.Txn) (int64, error) {
+	a.committed = append(a.committed, t)
+	return 2, nil
+}
+
+func (a *absentJobStore) Grant(_ context.Context, ttl time.Duration) (port.LeaseID, error) {
+	a.leases = append(a.leases, ttl)
+	return port.LeaseID(len(a.leases)), nil
+}
+
+// Guards against cancellations of unknown jobs that a node can't acknowledge because the store turns it away, and against
+// relayed tombstones without a lease, which would stay forever.
+func TestTombstoneOfANodeThatTheStoreTurnsAwayIsRelayed(t *testing.T) {
+	store := &absentJobStore{}
+	relay := serveNode(t, store)
+	n, _, _ := newIsolatedNode()
+	t.Cleanup(n.peers.close)
+	n.storeFailures.Store(circuitOpenThreshold)
+	n.membership.Store(&membership{address: relay, members: []string{relay}, lastContact: time.Now()})
+	known, err := n.Cancel(t.Context(), "a", "red")
+	assert.NilError(t, err)
+	assert.Assert(t, !known)
+	assert.Equal(t, len(store.committed), 1)
+	assert.DeepEqual(t, store.committed[0].Puts, []port.Put{{Key: storekey.Tombstone("a", "red"), Value: []byte("{}"), Lease: 1}})
+	assert.Equal(t, len(store.leases), 1)
+	assert.Assert(t, store.leases[0] >= intake.MinTombstoneLife)
+}
+
+// Guards against callers who make a node write to the store, or read from it, without a bound by canceling jobs that never
+// existed.
+func TestCancellationsOfUnknownJobsAreLimited(t *testing.T) {
+	store := &absentJobStore{}
+	n, _, _ := newIsolatedNode()
+	n.store.TxnStore = intake.NewLeasedStore(store, 0)
+	refused := 0
+	for i := range 500 {
+		if _, err := n.Cancel(t.Context(), cell.JobID(fmt.Sprint(i)), "red"); err != nil {
+			assert.ErrorIs(t, err, port.ErrUnavailable)
+			refused++
+		}
+	}
+	assert.Assert(t, refused > 400, "%d", refused)
+	assert.Equal(t, len(store.committed), 500-refused)
+}
--- a/internal/control/front.go
+++ b/internal/control/front.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"sequoiastall/internal/control/intake"
 	"sequoiastall/internal/control/storekey"
 	"sequoiastall/internal/core/cell"
 	"sequoiastall/internal/port"
@@ -51,7 +52,7 @@
 	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
 	defer cancel()
 	began := time.Now()
-	revision, err := n.persistJob(ctx, j.ID, record)
+	revision, err := n.intake.Accept(ctx, intake.Submission{ID: j.ID, Team: j.Team, Record: record})
 	recordSince(n.metrics.submitTime, began)
 	n.metrics.submitted(err)
 	outcome := "accepted"
@@ -70,33 +71,6 @@
 	return err
 }
 
-// persistJob writes the record of a job and returns its revision. If the job already exists, it was accepted earlier,
-// and the returned revision is 0.
-func (n *Node) persistJob(ctx context.Context, id cell.JobID, record []byte) (revision int64, err error) {
-	t := port.Txn{Conditions: []port.Expect{{Key: storekey.Job(id)}, {Key: storekey.Done(id)}}, Puts: []port.Put{{Key: storekey.Job(id), Value: record}}}
-	outcomeUnknown := false
-	for {
-		revision, err = n.store.Commit(ctx, t)
-		var conflict *port.TxnConflictError
-		switch {
-		case err == nil:
-			return revision, nil
-		case errors.As(err, &conflict):
-			return 0, nil
-		case errors.Is(err, port.ErrUnknownOutcome):
-			outcomeUnknown = true
-		case errors.Is(err, errCircuitOpen) && !outcomeUnknown:
-			return 0, errors.Wrap(port.ErrNotAccepted, err.Error())
-		}
-		if !wait.For(ctx, storeRetryDelay) {
-			if outcomeUnknown {
-				return 0, errors.Wrap(port.ErrAcceptanceUnknown, err.Error())
-			}
-			return 0, errors.Wrap(port.ErrNotAccepted, err.Error())
-		}
-	}
-}
-
 // notifyScheduler sends a message about a job to the scheduling node. If the message is lost, the scheduling node finds
 // the change in the store.
 func (n *Node) notifyScheduler(ctx context.Context, m *cellpb.MemberMessage) {
@@ -119,11 +93,14 @@
 func (n *Node) Cancel(ctx context.Context, id cell.JobID, team string) (known bool, err error) {
 	for {
 		known, err = n.tryCancel(ctx, id, team)
-		if err == nil || !wait.For(ctx, storeRetryDelay) {
+		if err == nil || errors.Is(err, intake.ErrTooManyCancels) || !wait.For(ctx, storeRetryDelay) {
 			break
 		}
 	}
 	outcome := "canceled"
+	if errors.Is(err, intake.ErrTooManyCancels) {
+		return false, err // logged there, with a limit
+	}
 	if err != nil {
 		n.options.Log.Info("decision", "subject", string(id), "decision", "cancel refused", "reason", err.Error())
 		return false, err
@@ -138,8 +115,7 @@
 func (n *Node) tryCancel(ctx context.Context, id cell.JobID, team string) (known bool, err error) {
 	e, err := n.store.Get(ctx, storekey.Job(id))
 	if errors.Is(err, port.ErrNotFound) {
-		_, known, err := n.finalPhase(ctx, id, team)
-		return known, err
+		return n.cancelAbsent(ctx, id, team)
 	}
 	if err != nil {
 		return false, err
@@ -161,20 +137,35 @@
 	return true, nil
 }
 
+// cancelAbsent cancels a job that isn't accepted: it has ended, or it is unknown. Its submission may still be under way then,
+// in a node that stands still or in the store, and must not be accepted after the cancellation was acknowledged.
+func (n *Node) cancelAbsent(ctx context.Context, id cell.JobID, team string) (known bool, err error) {
+	r, err := n.finalRecord(ctx, id)
+	if errors.Is(err, port.ErrNotFound) {
+		return false, n.intake.Forbid(ctx, id, team)
+	}
+	return err == nil && hasAccess(team, r.Team), err
+}
+
 // hasAccess reports whether a caller may access a job. team is empty for a caller without a key, which only open queues
 // allow. owner is empty for a job that was submitted without a key.
 func hasAccess(team, owner string) bool { return owner == "" || team == owner }
 
+// finalRecord returns the final record of a job. It fails with port.ErrNotFound if there is none.
+func (n *Node) finalRecord(ctx context.Context, id cell.JobID) (cell.FinalRecord, error) {
+	e, err := n.store.Get(ctx, storekey.Done(id))
+	if err != nil {
+		return cell.FinalRecord{}, err
+	}
+	return cell.DecodeFinal(e.Value)
+}
+
 // finalPhase returns the phase of a job that has ended.
 func (n *Node) finalPhase(ctx context.Context, id cell.JobID, team string) (cell.Phase, bool, error) {
-	e, err := n.store.Get(ctx, storekey.Done(id))
+	r, err := n.finalRecord(ctx, id)
 	if errors.Is(err, port.ErrNotFound) {
 		return "", false, nil
 	}
-	if err != nil {
-		return "", false, err
-	}
-	r, err := cell.DecodeFinal(e.Value)
 	if err != nil || !hasAccess(team, r.Team) {
 		return "", false, err
 	}
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -15,6 +15,7 @@
 	registry   *telemetry.Registry
 	accepted   gometrics.Counter
 	refused    gometrics.Counter
+	canceled   gometrics.Counter // before they were accepted
 	undecided  gometrics.Counter
 	submitTime *telemetry.Histogram
 	stateTime  *telemetry.Histogram
@@ -29,7 +30,7 @@
 	outcome := func(value string) gometrics.Counter {
 		return r.Counter("submits_total", telemetry.Label{Name: "outcome", Value: value})
 	}
-	m := &metrics{registry: r, accepted: outcome("accepted"), refused: outcome("refused"), undecided: outcome("undecided"),
+	m := &metrics{registry: r, accepted: outcome("accepted"), refused: outcome("refused"), canceled: outcome("canceled"), undecided: outcome("undecided"),
 		submitTime: r.Histogram("submit_time_us"), stateTime: r.Histogram("state_time_us"), commitTime: r.Histogram("commit_time_us"),
 		orderTime: r.Histogram("order_time_us"), adviceTime: r.Histogram("advice_time_us"), takeover: r.Histogram("takeover_time_us"),
 		firstStart: r.Histogram("first_start_time_us")}
@@ -56,6 +57,8 @@
 	switch {
 	case err == nil:
 		m.accepted.Inc(1)
+	case errors.Is(err, port.ErrCanceled):
+		m.canceled.Inc(1)
 	case errors.Is(err, port.ErrAcceptanceUnknown):
 		m.undecided.Inc(1)
 	default:
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -12,6 +12,7 @@
 	"google.golang.org/grpc"
 
 	"sequoiastall/internal/contain"
+	"sequoiastall/internal/control/intake"
 	"sequoiastall/internal/core/cell"
 	"sequoiastall/internal/port"
 	"sequoiastall/internal/rpc/cellpb"
@@ -22,6 +23,7 @@
 type Node struct {
 	options Options
 	store   *relayingStore
+	intake  *intake.Intake
 	metrics *metrics
 
 	config          atomic.Pointer[activeConfig]
@@ -67,7 +69,8 @@
 // New returns a node.
 func New(o Options) *Node {
 	n := &Node{options: o, newerConfig: make(chan struct{}, 1), leaving: make(chan struct{}), outbox: make(chan *cellpb.MemberMessage, outboxSize)}
-	n.store = &relayingStore{TxnStore: o.Store, node: n}
+	n.store = &relayingStore{TxnStore: intake.NewLeasedStore(o.Store, o.MinStoreLease), node: n}
+	n.intake = intake.New(n.store, o.Log, o.Metrics)
 	n.registry.source = o.ConfigSource
 	n.metrics = newMetrics(o.Metrics, n)
 	return n
--- a/internal/control/relay.go
+++ b/internal/control/relay.go
@@ -8,23 +8,22 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
+	"sequoiastall/internal/control/intake"
 	"sequoiastall/internal/port"
 	"sequoiastall/internal/rpc/cellpb"
 )
 
 // relayingStore is the store for callers' requests. The store may reject individual nodes, so calls that this node
-// can't make are relayed through other nodes. Records with a lease are never relayed.
+// can't make are relayed through other nodes. Leases aren't relayed: the node that makes a call binds the keys that need one
+// to its own.
 type relayingStore struct {
 	port.TxnStore
 	node *Node
 }
 
-// errCircuitOpen means that a call wasn't sent because the store doesn't answer.
-var errCircuitOpen = errors.Wrap(port.ErrUnavailable, "the store doesn't answer this node")
-
 // Get implements port.TxnStore.
 func (r *relayingStore) Get(ctx context.Context, key string) (port.Entry, error) {
-	e, err := port.Entry{}, errCircuitOpen
+	e, err := port.Entry{}, intake.ErrStoreSilent
 	if r.node.storeAvailable() {
 		if e, err = r.TxnStore.Get(ctx, key); err == nil || errors.Is(err, port.ErrNotFound) {
 			r.node.storeAnswered()
@@ -45,7 +44,7 @@
 // Commit implements port.TxnStore. If the outcome of one attempt is unknown and no later attempt determines it, the
 // outcome of the call is unknown.
 func (r *relayingStore) Commit(ctx context.Context, t port.Txn) (int64, error) {
-	revision, err := int64(0), errCircuitOpen
+	revision, err := int64(0), intake.ErrStoreSilent
 	if r.node.storeAvailable() {
 		revision, err = r.TxnStore.Commit(ctx, t)
 		if !errors.Is(err, port.ErrUnavailable) && !errors.Is(err, port.ErrUnknownOutcome) {
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -115,7 +115,7 @@
 		e, err := p.node.options.Store.Get(ctx, call.Get)
 		return relayReply(0, err, e), nil
 	case *cellpb.RelayRequest_Txn:
-		revision, err := p.node.options.Store.Commit(ctx, txnFrom(call.Txn))
+		revision, err := p.node.store.TxnStore.Commit(ctx, txnFrom(call.Txn))
 		return relayReply(revision, err), nil
 	}
 	return nil, status.Error(codes.InvalidArgument, "no call")
--- a/internal/control/storekey/storekey.go
+++ b/internal/control/storekey/storekey.go
@@ -6,9 +6,13 @@
 //	sequoiastall/in/cancel/ID   the job's cancellation; written by the node that acknowledges it
 //	sequoiastall/progress/ID    where the job's tasks may run and which are done; written by the scheduling node
 //	sequoiastall/done/ID        the job's final record; replaces the job's three keys above
+//	sequoiastall/tombstone/ID/TEAM  a team has canceled a job that didn't exist; bound to a store lease; written by the node that
+//	                                acknowledges the cancellation. TEAM is a digest
 package storekey
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"strings"
 
 	"sequoiastall/internal/core/cell"
@@ -31,6 +35,13 @@
 	done     = prefix + "done/"
 )
 
+// Tombstones is the prefix of the keys that keep a team's canceled submissions from being accepted. The scheduling node
+// doesn't read them.
+const Tombstones = prefix + "tombstone/"
+
+// digestBytes is the length of a team's digest in a key. Names of teams may be longer than the store's keys.
+const digestBytes = 16
+
 // Job returns the key of an accepted job.
 func Job(id cell.JobID) string { return Jobs + string(id) }
 
@@ -43,6 +54,13 @@
 // Done returns the key of a job's final record.
 func Done(id cell.JobID) string { return done + string(id) }
 
+// Tombstone returns the key that keeps a team's submission of a job from being accepted. team is empty for callers without
+// a key.
+func Tombstone(id cell.JobID, team string) string {
+	digest := sha256.Sum256([]byte(team))
+	return Tombstones + string(id) + "/" + hex.EncodeToString(digest[:digestBytes])
+}
+
 // ID returns the job ID in a key with the given prefix, and whether the key has the prefix.
 func ID(key, prefix string) (cell.JobID, bool) {
 	rest, ok := strings.CutPrefix(key, prefix)
--- a/internal/port/front.go
+++ b/internal/port/front.go
@@ -12,6 +12,8 @@
 var (
 	// ErrNotAccepted: the job was not accepted and never runs.
 	ErrNotAccepted = errors.New("not accepted")
+	// ErrCanceled: the same, because a cancellation by the job's team was acknowledged before. It matches ErrNotAccepted.
+	ErrCanceled = errors.Wrap(ErrNotAccepted, "canceled before it was accepted")
 	// ErrAcceptanceUnknown: the job may have been accepted.
 	ErrAcceptanceUnknown = errors.New("not known yet whether the job is accepted")
 )
@@ -20,9 +22,10 @@
 type JobService interface {
 	// Config returns the active configuration, nil if there is none yet.
 	Config() *cell.Config
-	// Submit stores a job durably. It fails with ErrNotAccepted or ErrAcceptanceUnknown.
+	// Submit stores a job durably. It fails with ErrNotAccepted, ErrCanceled or ErrAcceptanceUnknown.
 	Submit(ctx context.Context, j cell.Job) error
-	// Cancel cancels a job of a team; known is false if there is no such job. It fails with ErrUnavailable.
+	// Cancel cancels a job of a team; known is false if there is no such job, and submissions of it by the team that are under
+	// way are refused from then on. It fails with ErrUnavailable.
 	Cancel(ctx context.Context, id cell.JobID, team string) (known bool, err error)
 	// State returns a job's phase; known is false if there is no such job. It fails with ErrUnavailable.
 	State(ctx context.Context, id cell.JobID, team string) (p cell.Phase, known bool, err error)
