The store can't carry out a submission later than tombstones last

Tombstones last for 149 s at least, so a submission that the store carried out after that would run a job whose cancellation was acknowledged.

Change: a submission is also conditional on a key of its node, sequoiastall/window/NODE, which is bound to a lease of 60 s and replaced every 20 s. A submission that is carried out later finds the key gone or changed, whether its node lives on or has ended. A submission whose window was replaced meanwhile is sent again under the new one. A node costs the store two writes each 20 s for this. Counter: submission_windows_total.

newIsolatedNode in the tests of internal/control opens a window, because a node without one sends no submission; its assertions are unchanged.

--- a/internal/control/front_test.go
+++ b/internal/control/front_test.go
@@ -45,6 +45,11 @@
 	log := slog.New(slog.NewJSONHandler(io.Discard, nil))
 	n := New(Options{Name: "a", Address: "127.0.0.1:1", Store: store, ConfigSource: source, Log: log, Metrics: telemetry.NewRegistry(log)})
 	n.config.Store(&activeConfig{Config: cell.NewConfig(cell.Config{Version: 1})})
+	n.store.TxnStore = &recordStore{}
+	if err := n.intake.OpenWindow(context.Background()); err != nil {
+		panic(err) // the store accepts every transaction
+	}
+	n.store.TxnStore = store
 	return n, store, source
 }
 
--- a/internal/control/intake/intake.go
+++ b/internal/control/intake/intake.go
@@ -14,6 +14,9 @@
 // Intake accepts and refuses the jobs that callers submit to a node. It is safe for concurrent use.
 type Intake struct {
 	store         port.TxnStore
+	available     func() bool
+	window        *window
+	windowLog     rate.Sometimes
 	tombstoneRate *rate.Limiter
 	limitedLog    rate.Sometimes
 	log           *slog.Logger
@@ -23,10 +26,22 @@
 // logInterval is the shortest interval between two log lines about the same limit.
 const logInterval = 10 * time.Second
 
-// New returns an Intake that uses the given store. Its transactions must reach a LeasedStore, of this or another node.
-func New(store port.TxnStore, log *slog.Logger, r *telemetry.Registry) *Intake {
-	return &Intake{store: store, tombstoneRate: rate.NewLimiter(tombstonesPerSecond, tombstoneBurst), limitedLog: rate.Sometimes{Interval: logInterval},
-		log: log, metrics: metrics{r}}
+// Options are what an Intake needs of its node.
+type Options struct {
+	Node string
+	// Store is the store, to which transactions may be relayed. They must reach a LeasedStore, of this or another node.
+	Store port.TxnStore
+	// StoreAvailable reports whether the store answers.
+	StoreAvailable func() bool
+	Log            *slog.Logger
+	Metrics        *telemetry.Registry
+}
+
+// New returns an Intake. KeepWindow has to run for it to accept jobs.
+func New(o Options) *Intake {
+	return &Intake{store: o.Store, available: o.StoreAvailable, window: newWindow(o.Node), windowLog: rate.Sometimes{Interval: logInterval},
+		tombstoneRate: rate.NewLimiter(tombstonesPerSecond, tombstoneBurst), limitedLog: rate.Sometimes{Interval: logInterval},
+		log: o.Log, metrics: metrics{o.Metrics}}
 }
 
 // metrics counts what was written.
@@ -35,6 +50,9 @@
 // tombstones counts an attempt to write a tombstone by its outcome, which must come from a small fixed set.
 func (m metrics) tombstones(outcome string) { m.counter("tombstones_total", outcome).Inc(1) }
 
+// windows counts an attempt to open a window, or the loss of one, by its outcome.
+func (m metrics) windows(outcome string) { m.counter("submission_windows_total", outcome).Inc(1) }
+
 func (m metrics) counter(name, outcome string) gometrics.Counter {
 	return m.registry.Counter(name, telemetry.Label{Name: "outcome", Value: outcome})
 }
--- a/internal/control/intake/lease.go
+++ b/internal/control/intake/lease.go
@@ -76,6 +76,7 @@
 func NewLeasedStore(store port.TxnStore, minLease time.Duration) *LeasedStore {
 	return &LeasedStore{store, []*leaseGroup{
 		{prefix: tombstonePrefix, life: max(tombstoneLease, minLease), period: tombstoneLeasePeriod},
+		{prefix: windowPrefix, life: max(windowLease, minLease), period: windowLeasePeriod},
 	}}
 }
 
--- a/internal/control/intake/store_test.go
+++ b/internal/control/intake/store_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"strings"
@@ -9,6 +10,8 @@
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"sequoiastall/internal/core/cell"
 	"sequoiastall/internal/port"
 	"sequoiastall/internal/telemetry"
@@ -57,6 +60,13 @@
 	return m.carryOut(t)
 }
 
+// writes returns the number of changes so far. Each grant and each transaction is one.
+func (m *memoryStore) writes() int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.revision
+}
+
 // release carries out the transactions that were held.
 func (m *memoryStore) release() {
 	m.mu.Lock()
@@ -121,10 +131,13 @@
 	return n
 }
 
-// newTestIntake returns the intake of a node that uses a store.
-func newTestIntake(store port.TxnStore) *Intake {
+// newTestIntake returns the intake of a node that uses a store, with an open window.
+func newTestIntake(t *testing.T, store *memoryStore) *Intake {
 	log := slog.New(slog.NewJSONHandler(io.Discard, nil))
-	return New(NewLeasedStore(store, time.Second), log, telemetry.NewRegistry(log))
+	i := New(Options{Node: fmt.Sprint("node-", store.revision), Store: NewLeasedStore(store, time.Second), StoreAvailable: func() bool { return true },
+		Log: log, Metrics: telemetry.NewRegistry(log)})
+	assert.NilError(t, i.OpenWindow(t.Context()))
+	return i
 }
 
 // accept submits job a of a team.
--- a/internal/control/intake/submission.go
+++ b/internal/control/intake/submission.go
@@ -25,10 +25,11 @@
 	Record []byte
 }
 
-// txn returns the transaction that accepts the job unless it was accepted before or its team has canceled it.
-func (s Submission) txn() port.Txn {
+// txn returns the transaction that accepts the job unless it was accepted before, its team has canceled it, or the window
+// isn't open any more.
+func (s Submission) txn(window port.Expect) port.Txn {
 	return port.Txn{
-		Conditions: []port.Expect{{Key: storekey.Job(s.ID)}, {Key: storekey.Done(s.ID)}, {Key: storekey.Tombstone(s.ID, s.Team)}},
+		Conditions: []port.Expect{{Key: storekey.Job(s.ID)}, {Key: storekey.Done(s.ID)}, {Key: storekey.Tombstone(s.ID, s.Team)}, window},
 		Puts:       []port.Put{{Key: storekey.Job(s.ID), Value: s.Record}},
 	}
 }
@@ -37,20 +38,18 @@
 // Until ctx is done it repeats calls that fail. It fails with port.ErrNotAccepted, port.ErrCanceled or
 // port.ErrAcceptanceUnknown.
 func (i *Intake) Accept(ctx context.Context, s Submission) (revision int64, err error) {
-	t := s.txn()
 	outcomeUnknown := false
 	for {
-		revision, err = i.store.Commit(ctx, t)
-		var conflict *port.TxnConflictError
+		revision, err = i.attempt(ctx, s)
 		switch {
-		case err == nil:
-			return revision, nil
-		case errors.As(err, &conflict):
-			return 0, s.resolve(conflict)
+		case err == nil || errors.Is(err, port.ErrCanceled):
+			return revision, err
 		case errors.Is(err, port.ErrUnknownOutcome):
 			outcomeUnknown = true
 		case errors.Is(err, ErrStoreSilent) && !outcomeUnknown:
 			return 0, errors.Wrap(port.ErrNotAccepted, err.Error())
+		case errors.Is(err, errWindowLost) && ctx.Err() == nil:
+			continue
 		}
 		if !wait.For(ctx, retryDelay) {
 			if outcomeUnknown {
@@ -61,11 +60,41 @@
 	}
 }
 
+// errWindowLost means that nothing was written because the node's window isn't open any more.
+var errWindowLost = errors.Wrap(port.ErrUnavailable, "the submission window has ended")
+
+// attempt tries once to write the record of a job.
+func (i *Intake) attempt(ctx context.Context, s Submission) (revision int64, err error) {
+	if !i.window.isOpen() && !i.available() {
+		return 0, ErrStoreSilent
+	}
+	window, err := i.window.current(ctx)
+	if err != nil {
+		return 0, err
+	}
+	revision, err = i.store.Commit(ctx, s.txn(port.Expect{Key: i.window.key, Revision: window}))
+	var conflict *port.TxnConflictError
+	if !errors.As(err, &conflict) {
+		return revision, err
+	}
+	if err := s.resolve(conflict); !errors.Is(err, errWindowLost) {
+		return 0, err
+	}
+	i.metrics.windows("lost")
+	i.window.drop(window)
+	return 0, errWindowLost
+}
+
 // resolve returns nil if the conflict shows that the job was accepted earlier, possibly by an earlier attempt. A tombstone
 // excludes that, because it is written only while the job doesn't exist.
 func (s Submission) resolve(conflict *port.TxnConflictError) error {
 	if _, canceled := conflict.Entry(storekey.Tombstone(s.ID, s.Team)); canceled {
 		return port.ErrCanceled
 	}
-	return nil
+	for _, key := range []string{storekey.Job(s.ID), storekey.Done(s.ID)} {
+		if _, exists := conflict.Entry(key); exists {
+			return nil
+		}
+	}
+	return errWindowLost
 }
--- a/internal/control/intake/tombstone_test.go
+++ b/internal/control/intake/tombstone_test.go
@@ -18,9 +18,9 @@
 func TestCanceledSubmissionIsRefused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := newMemoryStore()
-		assert.NilError(t, forbid(t, newTestIntake(store), "a", "red"))
+		assert.NilError(t, forbid(t, newTestIntake(t, store), "a", "red"))
 		time.Sleep(MinTombstoneLife)
-		err := accept(t, newTestIntake(store), "red")
+		err := accept(t, newTestIntake(t, store), "red")
 		assert.ErrorIs(t, err, port.ErrCanceled)
 		assert.ErrorIs(t, err, port.ErrNotAccepted)
 		assert.Equal(t, store.count(storekey.Jobs), 0)
@@ -31,10 +31,11 @@
 func TestCanceledSubmissionInTheStoreIsNotCarriedOut(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := newMemoryStore()
+		i := newTestIntake(t, store)
 		store.hold = true
-		assert.ErrorIs(t, accept(t, newTestIntake(store), "red"), port.ErrAcceptanceUnknown)
+		assert.ErrorIs(t, accept(t, i, "red"), port.ErrAcceptanceUnknown)
 		store.hold = false
-		assert.NilError(t, forbid(t, newTestIntake(store), "a", "red"))
+		assert.NilError(t, forbid(t, newTestIntake(t, store), "a", "red"))
 		store.release()
 		assert.Equal(t, store.count(storekey.Jobs), 0)
 	})
@@ -44,7 +45,7 @@
 func TestCancellationLeavesJobsOfOthersAlone(t *testing.T) {
 	for _, other := range []string{"blue", ""} {
 		store := newMemoryStore()
-		i := newTestIntake(store)
+		i := newTestIntake(t, store)
 		assert.NilError(t, forbid(t, i, "a", "red"))
 		assert.NilError(t, accept(t, i, other))
 		assert.Equal(t, store.count(storekey.Jobs), 1, "job of %q", other)
@@ -55,7 +56,7 @@
 func TestLateTombstoneDoesNotFollowAnAcceptedJob(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := newMemoryStore()
-		i := newTestIntake(store)
+		i := newTestIntake(t, store)
 		store.hold = true
 		assert.ErrorIs(t, forbid(t, i, "a", "red"), port.ErrUnknownOutcome)
 		store.hold = false
@@ -71,7 +72,7 @@
 func TestTombstonesAreBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := newMemoryStore()
-		i := newTestIntake(store)
+		i := newTestIntake(t, store)
 		const second, limit = 10, tombstoneBurst + tombstonesPerSecond*int(tombstoneLease/time.Second)
 		most, leases := 0, 0
 		for n := range 400 * second {
@@ -94,7 +95,7 @@
 func TestTombstoneUnderAnOldLeaseIsWrittenAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := newMemoryStore()
-		i := newTestIntake(store)
+		i := newTestIntake(t, store)
 		store.slow = tombstoneLeasePeriod + 2*maxWriteTime
 		assert.ErrorIs(t, forbid(t, i, "a", "red"), port.ErrUnknownOutcome)
 		store.slow = 0
@@ -107,9 +108,10 @@
 // Guards against a lease that the store has dropped and that makes every cancellation fail from then on.
 func TestLapsedLeaseIsReplaced(t *testing.T) {
 	store := newMemoryStore()
-	i := newTestIntake(store)
+	i := newTestIntake(t, store)
 	assert.NilError(t, forbid(t, i, "a", "red"))
 	clear(store.leaseEnd)
+	before := store.commits
 	assert.NilError(t, forbid(t, i, "b", "red"))
-	assert.Equal(t, store.commits, 3)
+	assert.Equal(t, store.commits-before, 2)
 }
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -70,7 +70,7 @@
 func New(o Options) *Node {
 	n := &Node{options: o, newerConfig: make(chan struct{}, 1), leaving: make(chan struct{}), outbox: make(chan *cellpb.MemberMessage, outboxSize)}
 	n.store = &relayingStore{TxnStore: intake.NewLeasedStore(o.Store, o.MinStoreLease), node: n}
-	n.intake = intake.New(n.store, o.Log, o.Metrics)
+	n.intake = intake.New(intake.Options{Node: o.Name, Store: n.store, StoreAvailable: n.storeAvailable, Log: o.Log, Metrics: o.Metrics})
 	n.registry.source = o.ConfigSource
 	n.metrics = newMetrics(o.Metrics, n)
 	return n
@@ -88,6 +88,7 @@
 	})
 	tasks.Go(func() { n.keepRunning(ctx, "reading the configuration", n.pollConfig) })
 	tasks.Go(func() { n.keepRunning(ctx, "following the scheduling node", n.supervise) })
+	tasks.Go(func() { n.keepRunning(ctx, "keeping the submission window open", n.intake.KeepWindow) })
 	<-ctx.Done()
 	server.Stop()
 	n.peers.close()
--- a/internal/control/storekey/storekey.go
+++ b/internal/control/storekey/storekey.go
@@ -8,6 +8,7 @@
 //	sequoiastall/done/ID        the job's final record; replaces the job's three keys above
 //	sequoiastall/tombstone/ID/TEAM  a team has canceled a job that didn't exist; bound to a store lease; written by the node that
 //	                                acknowledges the cancellation. TEAM is a digest
+//	sequoiastall/window/NODE        submissions of the node may be carried out; bound to a store lease; written by the node
 package storekey
 
 import (
@@ -39,6 +40,9 @@
 // doesn't read them.
 const Tombstones = prefix + "tombstone/"
 
+// Windows is the prefix of the keys that bound how late the store may carry out the submissions of a node.
+const Windows = prefix + "window/"
+
 // digestBytes is the length of a team's digest in a key. Names of teams may be longer than the store's keys.
 const digestBytes = 16
 
@@ -61,6 +65,9 @@
 	return Tombstones + string(id) + "/" + hex.EncodeToString(digest[:digestBytes])
 }
 
+// Window returns the key of a node's submission window.
+func Window(node string) string { return Windows + node }
+
 // ID returns the job ID in a key with the given prefix, and whether the key has the prefix.
 func ID(key, prefix string) (cell.JobID, bool) {
 	rest, ok := strings.CutPrefix(key, prefix)
