A node that has stood still for too long accepts nothing and ends

Change: a node notes each second that it runs, on a clock that counts the suspension of its machine. After a gap of more than 30 s it accepts no job, which a submission that is read before the gap is noticed finds out by itself, and ends, which closes the sockets with what they hold. A standstill after that check ends the node's window, so the store refuses the submission.

--- a/internal/control/intake/intake.go
+++ b/internal/control/intake/intake.go
@@ -16,6 +16,7 @@
 	store         port.TxnStore
 	available     func() bool
 	window        *window
+	standstill    *standstill
 	windowLog     rate.Sometimes
 	tombstoneRate *rate.Limiter
 	limitedLog    rate.Sometimes
@@ -37,9 +38,9 @@
 	Metrics        *telemetry.Registry
 }
 
-// New returns an Intake. KeepWindow has to run for it to accept jobs.
+// New returns an Intake. KeepWindow and WatchStandstill have to run for it to accept jobs.
 func New(o Options) *Intake {
-	return &Intake{store: o.Store, available: o.StoreAvailable, window: newWindow(o.Node), windowLog: rate.Sometimes{Interval: logInterval},
+	return &Intake{store: o.Store, available: o.StoreAvailable, window: newWindow(o.Node), standstill: newStandstill(), windowLog: rate.Sometimes{Interval: logInterval},
 		tombstoneRate: rate.NewLimiter(tombstonesPerSecond, tombstoneBurst), limitedLog: rate.Sometimes{Interval: logInterval},
 		log: o.Log, metrics: metrics{o.Metrics}}
 }
--- a/internal/control/intake/submission.go
+++ b/internal/control/intake/submission.go
@@ -46,7 +46,7 @@
 			return revision, err
 		case errors.Is(err, port.ErrUnknownOutcome):
 			outcomeUnknown = true
-		case errors.Is(err, ErrStoreSilent) && !outcomeUnknown:
+		case (errors.Is(err, ErrStoreSilent) || errors.Is(err, errStoodStill)) && !outcomeUnknown:
 			return 0, errors.Wrap(port.ErrNotAccepted, err.Error())
 		case errors.Is(err, errWindowLost) && ctx.Err() == nil:
 			continue
@@ -72,6 +72,10 @@
 	if err != nil {
 		return 0, err
 	}
+	// A standstill after this check ends the window.
+	if i.standstill.tooLong() {
+		return 0, errStoodStill
+	}
 	revision, err = i.store.Commit(ctx, s.txn(port.Expect{Key: i.window.key, Revision: window}))
 	var conflict *port.TxnConflictError
 	if !errors.As(err, &conflict) {
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -89,6 +89,7 @@
 	tasks.Go(func() { n.keepRunning(ctx, "reading the configuration", n.pollConfig) })
 	tasks.Go(func() { n.keepRunning(ctx, "following the scheduling node", n.supervise) })
 	tasks.Go(func() { n.keepRunning(ctx, "keeping the submission window open", n.intake.KeepWindow) })
+	tasks.Go(func() { n.intake.WatchStandstill(ctx) })
 	<-ctx.Done()
 	server.Stop()
 	n.peers.close()
@@ -112,6 +113,9 @@
 	n.leaveOnce.Do(func() { close(n.leaving) })
 }
 
+// StoodStill is closed when the process has stood still for so long that it must end.
+func (n *Node) StoodStill() <-chan struct{} { return n.intake.StoodStill() }
+
 // Scheduling reports whether this node is the scheduling node.
 func (n *Node) Scheduling() bool { return n.activeTerm.Load() != nil }
 
--- a/internal/proof/late_submission_test.go
+++ b/internal/proof/late_submission_test.go
@@ -57,6 +57,34 @@
 	}
 }
 
+// longStandstill is a pause after which a node must not accept what waits in its sockets.
+const longStandstill = 32 * time.Second
+
+// Guards against the same after a pause that outlasts what the cancellation has left in the store: the node must end without
+// accepting anything.
+func TestNodeEndsAfterALongStandstill(t *testing.T) {
+	t.Parallel()
+	c := newSoakCell(t, 1)
+	frozen := c.nodes[0]
+	c.eventually("the node answers", func() bool {
+		status, _ := c.call(frozen, keyOf("team"), http.MethodGet, "/plain/", "", callTimeout)
+		return status == http.StatusOK
+	})
+	process := frozen.current()
+	frozen.signal(syscall.SIGSTOP)
+	j := newSoakService(0, 0)
+	c.attempt(j, frozen, 300*time.Millisecond)
+	time.Sleep(longStandstill)
+	frozen.signal(syscall.SIGCONT)
+	process.wait(t)
+	assert.Equal(t, len(process.matchingLines(t, `"stood still"`)), 1)
+	for _, n := range c.nodes[1:] {
+		status, _ := c.call(n, j.key, http.MethodGet, j.path, "", callTimeout)
+		assert.Equal(t, status, http.StatusGone)
+	}
+	assert.Assert(t, !c.checker.HasStarted(j.ID))
+}
+
 // nodeBut returns a node other than the given one.
 func (c *soakCell) nodeBut(n *soakNode) *soakNode {
 	if c.nodes[0] != n {
