--- a/internal/control/doc.go
+++ b/internal/control/doc.go
@@ -2,7 +2,7 @@
 // scheduling lease in the store also runs the cell's scheduler and sends orders to the workers.
 //
 // Every node:
-//   - front.go, relay.go, storekey: callers' jobs and questions, and the records in the store
+//   - front.go, relay.go; packages intake and storekey: callers' jobs and questions, and the records in the store
 //   - election.go, settling.go: who holds the term
 //   - follower.go: a node that is attached to the scheduling node
 //   - carrier_member.go: a member that executes calls to workers for the scheduling node
