An order isn't sent to another instance of its worker than it was decided for

Cause: a start that waits for the worker's clock, after a call without an answer, was sent to whichever instance told the clock. Workers accept orders by their ID, which instances share.

Change: orders name the instance. One that another instance would get isn't sent and has the outcome 'outdated'; a start is decided anew, after a stop if an earlier attempt got no answer. task.orderedFrom, which duplicated what the link noted at sending, is gone.

--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -27,18 +27,17 @@
 	if o.Kind == cell.OrderStart {
 		l.countStarts(1)
 	}
-	startMS := l.instance()
 	s.spawn(func() {
 		outcome, repeated := l.send(o)
 		o.Repeated = repeated
 		s.post(s.ctx, func() {
-			if outcome == cell.OrderInstanceTerminated && !l.leadsTo(startMS) {
+			if outcome == cell.OrderInstanceTerminated && !l.leadsTo(o.Instance) {
 				outcome = cell.OrderNotSent // the worker has another address or instance by now, which the order didn't reach
 			}
 			if o.Kind == cell.OrderStart {
 				l.countStarts(-1)
 				if outcome == cell.OrderUnanswered || repeated {
-					s.unsettled.add(o.Worker, unsettledStart{o.Run, startMS, time.Now()})
+					s.unsettled.add(o.Worker, unsettledStart{o.Run, o.Instance, time.Now()})
 				}
 			}
 			if !s.core.ApplyOrderOutcome(o, outcome, time.Now()) {
@@ -69,9 +68,13 @@
 		})
 		repeated = starts.decide()
 	case cell.OrderPace:
-		err = l.s.carriers.Pace(l.s.ctx, l.ref, o.Run, o.Pace, l.s.term.number)
+		if err = checkInstance(o, l.instance()); err == nil {
+			err = l.s.carriers.Pace(l.s.ctx, l.ref, o.Run, o.Pace, l.s.term.number)
+		}
 	default:
-		_, err = l.s.carriers.Stop(l.s.ctx, l.ref, o.Run, l.s.term.number)
+		if err = checkInstance(o, l.instance()); err == nil {
+			_, err = l.s.carriers.Stop(l.s.ctx, l.ref, o.Run, l.s.term.number)
+		}
 	}
 	outcome = orderOutcome(err)
 	recordSince(l.s.node.metrics.orderTime, began)
@@ -95,9 +98,10 @@
 	if superfluous() {
 		return errors.Wrap(port.ErrUnavailable, "the other attempt was answered")
 	}
-	l.mu.Lock()
-	call := l.beginCall()
-	l.mu.Unlock()
+	call, err := l.beginStart(o)
+	if err != nil {
+		return err
+	}
 	clockMS, err := int64(0), errors.Wrap(port.ErrUnavailable, "no lease can be granted")
 	if call.grants() {
 		began := time.Now()
@@ -110,6 +114,25 @@
 	return err
 }
 
+// beginStart starts the call of a start order, unless it was decided for another instance than the one whose clock is known.
+func (l *workerLink) beginStart(o cell.Order) (leaseCall, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err := checkInstance(o, l.lease.startMS); err != nil {
+		return leaseCall{}, err
+	}
+	return l.beginCall(), nil
+}
+
+// checkInstance fails with port.ErrOrderOutdated if the worker's instance isn't the one for which the order was decided. The worker
+// can't tell: it accepts orders by its ID, which its instances share.
+func checkInstance(o cell.Order, current int64) error {
+	if o.Instance != 0 && current != 0 && current != o.Instance {
+		return errors.Wrapf(port.ErrOrderOutdated, "for %d, current %d", o.Instance, current)
+	}
+	return nil
+}
+
 // readClock makes a renewal without a lease unless the worker's clock is known. Callers at the same time share it.
 func (l *workerLink) readClock() error {
 	l.mu.Lock()
@@ -152,6 +175,8 @@
 		return cell.OrderNoTicket
 	case errors.Is(err, port.ErrInstanceChanged):
 		return cell.OrderInstanceTerminated
+	case errors.Is(err, port.ErrOrderOutdated):
+		return cell.OrderOutdated
 	case errors.Is(err, port.ErrUnknownOutcome):
 		return cell.OrderUnanswered
 	case errors.Is(err, port.ErrUnavailable), errors.Is(err, port.ErrConnectionRefused):
--- a/internal/control/unsettled.go
+++ b/internal/control/unsettled.go
@@ -65,8 +65,8 @@
 	for _, start := range l.s.unsettled.take(l.ref.ID, startMS, time.Now()) {
 		l.s.node.options.Log.Info("decision", "subject", start.run.Task.String(), "decision", "late start prevented", "run", start.run.Run, "worker", l.ref.ID)
 		l.s.spawn(func() {
-			outcome, _ := l.send(cell.Order{Kind: cell.OrderStop, Worker: l.ref.ID, Run: start.run})
-			if outcome == cell.OrderUnanswered || outcome == cell.OrderNotSent {
+			outcome, _ := l.send(cell.Order{Kind: cell.OrderStop, Worker: l.ref.ID, Instance: startMS, Run: start.run})
+			if outcome == cell.OrderUnanswered || outcome == cell.OrderNotSent || outcome == cell.OrderOutdated {
 				l.s.post(l.s.ctx, func() { l.s.unsettled.add(l.ref.ID, start) })
 			}
 		})
--- a/internal/core/cell/interference.go
+++ b/internal/core/cell/interference.go
@@ -79,7 +79,7 @@
 		return
 	}
 	t.paceInFlight = true
-	s.paceOrders = append(s.paceOrders, Order{Kind: OrderPace, Worker: t.worker.ID, Run: RunID{t.id, t.run}, Pace: pace})
+	s.paceOrders = append(s.paceOrders, Order{Kind: OrderPace, Worker: t.worker.ID, Instance: t.worker.StartMS, Run: RunID{t.id, t.run}, Pace: pace})
 }
 
 // applyPaceOutcome applies the outcome of a pace order. An order that failed is repeated after a later inventory.
--- a/internal/core/cell/inventory.go
+++ b/internal/core/cell/inventory.go
@@ -60,7 +60,7 @@
 		listed[row.Run] = true
 		if inv.RequestSequence >= w.runGoneAt {
 			s.addUnexpected(w, row.Run)
-			unexpectedStops = append(unexpectedStops, Order{Kind: OrderStop, Worker: w.ID, Run: row.Run})
+			unexpectedStops = append(unexpectedStops, Order{Kind: OrderStop, Worker: w.ID, Instance: w.StartMS, Run: row.Run})
 		}
 	}
 	for _, row := range inv.Ended {
--- a/internal/core/cell/orders.go
+++ b/internal/core/cell/orders.go
@@ -26,8 +26,11 @@
 
 // Order is a command to a worker to start, stop or pace a run.
 type Order struct {
-	Kind       OrderKind
-	Worker     WorkerID
+	Kind   OrderKind
+	Worker WorkerID
+	// Instance is the StartMS of the worker's instance for which the order was decided, 0 if that isn't known. Another instance may
+	// differ in capacity, labels and service, so the order must not be sent once that one is known.
+	Instance   int64
 	Run        RunID
 	Spec       string
 	Ticket     string
@@ -49,6 +52,7 @@
 	OrderStale              OrderOutcome = "old"       // the run, or a later one, has ended or was stopped on that worker
 	OrderRefused            OrderOutcome = "refused"   // not carried out; the worker may accept it later
 	OrderNoTicket           OrderOutcome = "no ticket" // not carried out; the ticket has expired
+	OrderOutdated           OrderOutcome = "outdated"  // not sent, because another instance of the worker answers by now
 	OrderInstanceTerminated OrderOutcome = "gone"      // the worker instance to which it was addressed has terminated
 )
 
@@ -76,7 +80,7 @@
 	if t.orderInFlight || t.worker == nil || s.now.Before(t.nextOrderAt) {
 		return Order{}, false
 	}
-	o := Order{Worker: t.worker.ID, Run: RunID{t.id, t.run}}
+	o := Order{Worker: t.worker.ID, Instance: t.worker.StartMS, Run: RunID{t.id, t.run}}
 	switch t.phase {
 	case taskStarting:
 		if t.worker.Draining {
@@ -101,7 +105,7 @@
 		}
 		o.Kind = OrderStop
 	}
-	t.orderInFlight, t.startInFlight, t.orderedFrom = true, o.Kind == OrderStart, t.worker.StartMS
+	t.orderInFlight, t.startInFlight = true, o.Kind == OrderStart
 	t.ordersSent++
 	return o, true
 }
@@ -125,7 +129,7 @@
 	if outcome == OrderNotSent || outcome == OrderUnanswered {
 		s.markUnresponsive(t.worker)
 	}
-	if outcome == OrderInstanceTerminated && t.orderedFrom == t.worker.StartMS && t.worker.described() {
+	if outcome == OrderInstanceTerminated && o.Instance == t.worker.StartMS && t.worker.described() {
 		s.workerTerminated(t.worker, "another instance answers at its address")
 	}
 	if s.applyOutcomeAfterRelease(t, outcome) || t.worker == nil {
@@ -170,7 +174,7 @@
 	if !t.stopping() {
 		return
 	}
-	if outcome == OrderUnanswered || outcome == OrderRefused || outcome == OrderNotSent || outcome == OrderInstanceTerminated {
+	if outcome == OrderUnanswered || outcome == OrderRefused || outcome == OrderNotSent || outcome == OrderOutdated || outcome == OrderInstanceTerminated {
 		t.nextOrderAt = s.now.Add(t.retryInterval())
 		return
 	}
@@ -200,6 +204,9 @@
 	switch outcome {
 	case OrderNotSent, OrderInstanceTerminated:
 		s.startRejected(t, "the worker can't be reached")
+	case OrderOutdated:
+		t.worker.faults.refusedUntil = s.now.Add(refusedPause)
+		s.startRejected(t, "another instance of the worker answers")
 	case OrderDone:
 		s.markRunning(t)
 		t.checkAfter = s.orderSequence.Add(1)
@@ -222,7 +229,7 @@
 	}
 }
 
-// refusedPause is how long no task is placed on a worker after it has refused a start.
+// refusedPause is how long no task is placed on a worker after a start was refused, or was decided for an earlier instance.
 const refusedPause = 300 * time.Millisecond
 
 // startRejected handles a start order that was definitely not carried out, or that is dropped before it is sent because
--- a/internal/core/cell/state.go
+++ b/internal/core/cell/state.go
@@ -39,7 +39,6 @@
 	ordersSent     int       // orders sent for the run in its current phase
 	orderInFlight  bool      // an order was sent and its outcome isn't known yet
 	startInFlight  bool      // that order is a start
-	orderedFrom    int64     // StartMS of the worker's instance when that order was issued
 	startUncertain bool      // a start order of the run went unanswered and may still be carried out
 	nextOrderAt    time.Time // when the next order is due
 	checkAfter     uint64    // an inventory shows whether the run exists if it was requested at this order sequence or later
--- a/internal/port/cell.go
+++ b/internal/port/cell.go
@@ -98,6 +98,7 @@
 	ErrRefused           = errors.New("refused, not executed")
 	ErrNoTicket          = errors.New("invalid ticket")
 	ErrInstanceChanged   = errors.New("another instance answers at the address")
+	ErrOrderOutdated     = errors.New("decided for another instance of the worker, not sent")
 	ErrMalformed         = errors.New("malformed message")
 	ErrConnectionRefused = errors.New("the address refuses connections")
 )
