Another worker's answer ends a worker only at an address known to be its own

Cause: the entry moved the worker's link to another worker's address. That one's answer, 421, was taken for the end of the first worker.

Change: at an address at which the worker has never answered, after it answered elsewhere in this term, such an answer makes it count as silent; its runs wait for its lease. One log line an address, counter worker_addresses_total.

--- a/internal/control/links.go
+++ b/internal/control/links.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -36,6 +37,11 @@
 	ref    port.WorkerRef
 	cancel context.CancelFunc
 	probes singleflight.Group
+	// moved is set if the worker had answered this holder at another address before. The registry entry with this address may come
+	// from another writer, until the worker has answered here.
+	moved    bool
+	answered atomic.Bool // the worker has answered here
+	doubted  sync.Once   // logs that the address may be another worker's
 	*linkState
 }
 
@@ -59,8 +65,15 @@
 	return &linkState{acked: make(chan struct{}, 1), lease: l}
 }
 
-// moved prepares the state for a link to another address, where another instance of the worker may answer.
-func (l *linkState) moved() *linkState {
+// hasAnswered reports whether the worker has answered this holder at any address.
+func (l *linkState) hasAnswered() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.lease.reached
+}
+
+// forNewAddress prepares the state for a link to another address, where another instance of the worker may answer.
+func (l *linkState) forNewAddress() *linkState {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.lease.forgetClock()
@@ -92,7 +105,7 @@
 	ctx, cancel := context.WithCancel(s.ctx)
 	l := &workerLink{s: s, ref: port.WorkerRef{ID: w.ID, Address: w.Address, Zone: w.Zone}, cancel: cancel}
 	if former != nil && former.ref.Address != "" {
-		l.linkState = former.moved()
+		l.linkState, l.moved = former.forNewAddress(), former.hasAnswered()
 	} else {
 		l.linkState = newLinkState(newLeaseTracker(s.node.options, w.StartMS, s.wonAt))
 	}
@@ -249,6 +262,7 @@
 		l.s.node.options.Log.Info("decision", "subject", string(l.ref.ID), "decision", "outdated inventory dropped", "born_ms", r.Inventory.StartMS)
 		return
 	}
+	l.answered.Store(true)
 	l.idle = len(r.Inventory.Running) == 0 && len(r.Inventory.Ended) == 0
 	l.lease.answered(r.Inventory.StartMS, r.ClockMS, time.Now())
 	l.mu.Unlock()
@@ -302,17 +316,40 @@
 	return l.s.links[l.ref.ID] == l && l.instance() == startMS
 }
 
+// addressConfirmed reports whether the link's address is known to be the worker's, so that another worker's answer there shows that
+// this one has ended.
+func (l *workerLink) addressConfirmed() bool {
+	if !l.moved || l.answered.Load() {
+		return true
+	}
+	l.doubted.Do(func() {
+		l.s.node.metrics.count("worker_addresses_total", "registry", "doubted")
+		l.s.node.options.Log.Warn("decision", "subject", string(l.ref.ID), "decision", "address doubted", "address", l.ref.Address,
+			"reason", "another worker answers there, and this one never has")
+	})
+	return false
+}
+
+// instanceChanged handles the answer of another worker. Unless it shows that the expected instance has ended, the worker's runs wait
+// for the end of its lease.
+func (l *workerLink) instanceChanged(startMS int64) {
+	switch {
+	case !l.leadsTo(startMS):
+	case l.addressConfirmed():
+		l.s.core.WorkerTerminated(l.ref.ID, startMS, time.Now())
+	default:
+		l.s.core.WorkerUnresponsive(l.ref.ID, time.Now())
+	}
+}
+
 // handleFailure handles a renewal that returned no inventory. startMS is the instance that was expected to answer.
 func (l *workerLink) handleFailure(ctx context.Context, err error, startMS int64) {
 	switch {
 	case errors.Is(err, port.ErrFenced):
 		l.s.end(errors.Wrapf(errTermLost, "worker %s has accepted a higher fencing token", l.ref.ID))
 	case errors.Is(err, port.ErrInstanceChanged):
-		l.s.post(ctx, func() {
-			if l.leadsTo(startMS) {
-				l.s.core.WorkerTerminated(l.ref.ID, startMS, time.Now())
-			}
-		})
+		l.s.post(ctx, func() { l.instanceChanged(startMS) })
+		l.checkExpiry()
 	case errors.Is(err, port.ErrConnectionRefused):
 		l.s.post(ctx, func() { l.s.core.WorkerConnectionRefused(l.ref.ID, time.Now()) })
 		l.checkExpiry()
--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -31,8 +31,8 @@
 		outcome, repeated := l.send(o)
 		o.Repeated = repeated
 		s.post(s.ctx, func() {
-			if outcome == cell.OrderInstanceTerminated && !l.leadsTo(o.Instance) {
-				outcome = cell.OrderNotSent // the worker has another address or instance by now, which the order didn't reach
+			if outcome == cell.OrderInstanceTerminated && (!l.leadsTo(o.Instance) || !l.addressConfirmed()) {
+				outcome = cell.OrderNotSent // the worker has another address or instance, which the order didn't reach
 			}
 			if o.Kind == cell.OrderStart {
 				l.countStarts(-1)
--- a/internal/control/orders_test.go
+++ b/internal/control/orders_test.go
@@ -20,6 +20,7 @@
 	port.LeasedWorkers
 	renewalError error
 	startError   error
+	stopError    error
 	delay        time.Duration // of starts
 
 	mu            sync.Mutex
@@ -43,8 +44,10 @@
 func (w *orderedWorkers) Stop(_ context.Context, _ port.WorkerRef, r cell.RunID, _ int64) (int64, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.stops = append(w.stops, r)
-	return 0, nil
+	if w.stopError == nil {
+		w.stops = append(w.stops, r)
+	}
+	return 0, w.stopError
 }
 
 func (w *orderedWorkers) counts() (starts, stops int) {
