Soak: clients cancel jobs that no node has accepted

Every second job that has no acceptance after its attempts is canceled now, and 410 counts as an acknowledgment; the checker's rule on starts after a cancellation then applies. No random number is drawn, so seeds keep their meaning.

--- a/internal/proof/soak_clients_test.go
+++ b/internal/proof/soak_clients_test.go
@@ -118,6 +118,9 @@
 		j := newSoakJob(rng, client, number)
 		jobs = append(jobs, j)
 		c.submit(j, rng)
+		if !j.accepted && number%2 == 0 { // no random number is drawn, so that seeds keep their meaning
+			c.cancel(j, c.nodes[number/2%len(c.nodes)])
+		}
 		if j.accepted && rng.IntN(10) == 0 {
 			c.cancel(j, c.anyNode(rng))
 		}
@@ -161,15 +164,17 @@
 	c.checker.Answered(workerproc.Now(), j.ID, answer)
 }
 
-// cancel cancels a job at a node, and returns whether the node has acknowledged that.
+// cancel cancels a job at a node, and returns whether the node has acknowledged that. For a job that no node has accepted, the answer
+// that there is no such job is an acknowledgment too: a submission may still be on its way.
 func (c *soakCell) cancel(j *soakJob, n *soakNode) bool {
 	c.checker.Canceling(workerproc.Now(), j.ID)
 	status, _ := c.call(n, j.key, http.MethodDelete, j.path, "", callTimeout)
 	j.canceled = j.canceled || status != http.StatusServiceUnavailable
-	if status == http.StatusOK {
+	acknowledged := status == http.StatusOK || status == http.StatusGone && !j.accepted
+	if acknowledged {
 		c.checker.Canceled(workerproc.Now(), j.ID)
 	}
-	return status == http.StatusOK
+	return acknowledged
 }
 
 // checkState records the state that a node reports for a job. It returns whether the job has ended.
