--- a/internal/control/front.go
+++ b/internal/control/front.go
@@ -17,8 +17,6 @@
 const (
 	// submitTimeout is how long a node tries to write a job's record before it refuses the job.
 	submitTimeout = 1200 * time.Millisecond
-	// storeRetryDelay is the delay between two attempts to serve a caller's request.
-	storeRetryDelay = 60 * time.Millisecond
 	// maxWaitingCountAge is the maximum age of the numbers of waiting jobs that callers are given.
 	maxWaitingCountAge = 1500 * time.Millisecond
 )
@@ -93,7 +91,7 @@
 func (n *Node) Cancel(ctx context.Context, id cell.JobID, team string) (known bool, err error) {
 	for {
 		known, err = n.tryCancel(ctx, id, team)
-		if err == nil || errors.Is(err, intake.ErrTooManyCancels) || !wait.For(ctx, storeRetryDelay) {
+		if err == nil || errors.Is(err, intake.ErrTooManyCancels) || !wait.For(ctx, intake.RetryDelay) {
 			break
 		}
 	}
@@ -189,7 +187,7 @@
 			}
 			return phase, known, nil
 		}
-		if !wait.For(ctx, storeRetryDelay) {
+		if !wait.For(ctx, intake.RetryDelay) {
 			return "", false, err
 		}
 	}
@@ -249,7 +247,7 @@
 		if m := n.membership.Load(); m != nil && time.Since(m.waitingCountedAt) < maxWaitingCountAge {
 			return m.waiting[queue], nil
 		}
-		if !wait.For(ctx, storeRetryDelay) {
+		if !wait.For(ctx, intake.RetryDelay) {
 			return 0, errors.Wrap(port.ErrUnavailable, "no node schedules")
 		}
 	}
--- a/internal/control/intake/lease.go
+++ b/internal/control/intake/lease.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/singleflight"
 
 	"sequoiastall/internal/control/instant"
+	"sequoiastall/internal/control/storekey"
 	"sequoiastall/internal/port"
 )
 
@@ -75,8 +76,8 @@
 // NewLeasedStore returns a LeasedStore that uses the given store. minLease is the shortest lease that the store grants.
 func NewLeasedStore(store port.TxnStore, minLease time.Duration) *LeasedStore {
 	return &LeasedStore{store, []*leaseGroup{
-		{prefix: tombstonePrefix, life: max(tombstoneLease, minLease), period: tombstoneLeasePeriod},
-		{prefix: windowPrefix, life: max(windowLease, minLease), period: windowLeasePeriod},
+		{prefix: storekey.Tombstones, life: max(MaxTombstoneLife, minLease), period: tombstoneLeasePeriod},
+		{prefix: storekey.Windows, life: max(windowLease, minLease), period: windowLeasePeriod},
 	}}
 }
 
--- a/internal/control/intake/standstill_test.go
+++ b/internal/control/intake/standstill_test.go
@@ -23,7 +23,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				store := newMemoryStore()
 				i := newTestIntake(t, store)
-				time.Sleep(tombstoneLease) // nothing notes that the process runs
+				time.Sleep(MaxTombstoneLife) // nothing notes that the process runs
 				assert.NilError(t, i.OpenWindow(t.Context()))
 				wake(t, i)
 				assert.ErrorIs(t, accept(t, i, "red"), port.ErrNotAccepted)
--- a/internal/control/intake/submission.go
+++ b/internal/control/intake/submission.go
@@ -12,8 +12,8 @@
 	"sequoiastall/internal/wait"
 )
 
-// retryDelay is the delay between two attempts to write a job's record.
-const retryDelay = 60 * time.Millisecond
+// RetryDelay is the delay between two attempts to serve a caller's request.
+const RetryDelay = 60 * time.Millisecond
 
 // ErrStoreSilent means that a call wasn't sent because the store doesn't answer.
 var ErrStoreSilent = errors.Wrap(port.ErrUnavailable, "the store doesn't answer this node")
@@ -51,7 +51,7 @@
 		case errors.Is(err, errWindowLost) && ctx.Err() == nil:
 			continue
 		}
-		if !wait.For(ctx, retryDelay) {
+		if !wait.For(ctx, RetryDelay) {
 			if outcomeUnknown {
 				return 0, errors.Wrap(port.ErrAcceptanceUnknown, err.Error())
 			}
--- a/internal/control/intake/tombstone.go
+++ b/internal/control/intake/tombstone.go
@@ -13,14 +13,13 @@
 )
 
 const (
-	tombstonePrefix = storekey.Tombstones
-	// tombstoneLease is the longest time for which a tombstone exists.
-	tombstoneLease = 180 * time.Second
+	// MaxTombstoneLife is the longest time for which a tombstone exists. It is the life of its lease.
+	MaxTombstoneLife = 180 * time.Second
 	// tombstoneLeasePeriod is how long new tombstones of a node share a lease.
 	tombstoneLeasePeriod = 30 * time.Second
 	// MinTombstoneLife is the shortest time for which a tombstone exists after its cancellation was acknowledged. A submission
 	// must not be accepted that much later than it was sent.
-	MinTombstoneLife = tombstoneLease - tombstoneLeasePeriod - maxWriteTime
+	MinTombstoneLife = MaxTombstoneLife - tombstoneLeasePeriod - maxWriteTime
 
 	// tombstonesPerSecond and tombstoneBurst bound the tombstones that a node writes. Callers may cancel jobs that never
 	// existed as often as they like, and each of them takes a write of the platform's store.
@@ -59,7 +58,7 @@
 			i.metrics.tombstones("job exists")
 			return ErrJobExists
 		}
-		if !wait.For(ctx, retryDelay) {
+		if !wait.For(ctx, RetryDelay) {
 			i.metrics.tombstones("failed")
 			return err
 		}
--- a/internal/control/intake/tombstone_test.go
+++ b/internal/control/intake/tombstone_test.go
@@ -73,7 +73,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		store := newMemoryStore()
 		i := newTestIntake(t, store)
-		const second, limit = 10, tombstoneBurst + tombstonesPerSecond*int(tombstoneLease/time.Second)
+		const second, limit = 10, tombstoneBurst + tombstonesPerSecond*int(MaxTombstoneLife/time.Second)
 		most, leases := 0, 0
 		for n := range 400 * second {
 			if err := forbid(t, i, cell.JobID(fmt.Sprintf("%016x", n)), "red"); err != nil {
@@ -84,8 +84,8 @@
 		}
 		assert.Assert(t, most <= limit, "%d of %d", most, limit)
 		assert.Assert(t, most > limit/2, "%d of %d", most, limit)
-		assert.Assert(t, leases <= int(tombstoneLease/tombstoneLeasePeriod)+1, "%d", leases)
-		time.Sleep(tombstoneLease)
+		assert.Assert(t, leases <= int(MaxTombstoneLife/tombstoneLeasePeriod)+1, "%d", leases)
+		time.Sleep(MaxTombstoneLife)
 		assert.Equal(t, store.count(storekey.Tombstones), 0)
 	})
 }
--- a/internal/control/intake/window.go
+++ b/internal/control/intake/window.go
@@ -12,7 +12,6 @@
 )
 
 const (
-	windowPrefix = storekey.Windows
 	// windowLease bounds how late the store may carry out a submission. It is shorter than MinTombstoneLife by more than the time
 	// that a submission may take until it is sent to the store.
 	windowLease = 60 * time.Second
--- a/internal/control/intake/window_test.go
+++ b/internal/control/intake/window_test.go
@@ -16,7 +16,7 @@
 // sent the submission lives on, or has ended.
 func TestCanceledSubmissionIsNotCarriedOutHoweverLate(t *testing.T) {
 	for _, ended := range []bool{false, true} {
-		for delay := time.Duration(0); delay < 2*tombstoneLease; delay += 5 * time.Second {
+		for delay := time.Duration(0); delay < 2*MaxTombstoneLife; delay += 5 * time.Second {
 			synctest.Test(t, func(t *testing.T) {
 				store := newMemoryStore()
 				i, other := newTestIntake(t, store), newTestIntake(t, store)
@@ -61,7 +61,7 @@
 				lose(t, i, store)
 				began := time.Now()
 				assert.NilError(t, accept(t, i, "red"))
-				assert.Assert(t, time.Since(began) < retryDelay)
+				assert.Assert(t, time.Since(began) < RetryDelay)
 				assert.Equal(t, store.count(storekey.Jobs), 1)
 			})
 		})
